Settle types and module borders

Cause: work on the parts side by side needs shared types first. Conclusion: the parts can be built against these.

--- /dev/null
+++ b/src/bramleylead/backends/__init__.py
@@ -0,0 +1,33 @@
+"""Model engines and plain services, behind one typed interface each."""
+
+from __future__ import annotations
+
+from bramleylead.backends._types import BackendError
+from bramleylead.backends._types import BackendErrorKind
+from bramleylead.backends._types import CacheEvent
+from bramleylead.backends._types import CachePage
+from bramleylead.backends._types import Engine
+from bramleylead.backends._types import EngineChunk
+from bramleylead.backends._types import GenerateCall
+from bramleylead.backends._types import LoadReport
+from bramleylead.backends._types import Message
+from bramleylead.backends._types import Order
+from bramleylead.backends._types import OrderKind
+from bramleylead.backends._types import Service
+from bramleylead.backends._types import ServiceCall
+
+__all__ = [
+    "BackendError",
+    "BackendErrorKind",
+    "CacheEvent",
+    "CachePage",
+    "Engine",
+    "EngineChunk",
+    "GenerateCall",
+    "LoadReport",
+    "Message",
+    "Order",
+    "OrderKind",
+    "Service",
+    "ServiceCall",
+]
--- /dev/null
+++ b/src/bramleylead/process/_log.py
@@ -0,0 +1,48 @@
+"""The interface between a program's owner and the journal of its partition."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from result import Result
+
+from bramleylead.errors import Failure
+from bramleylead.process._entries import Entry
+from bramleylead.process._state import PartitionState
+
+
+class PartitionLog(Protocol):
+    """One partition that this node owns: its state, and the journal that both copies keep."""
+
+    number: int
+    epoch: int
+    state: PartitionState
+
+    async def append(self, *entries: Entry) -> Result[bool, Failure]:
+        """Journal entries and apply them to the state.
+
+        ``Ok(True)`` when both copies hold them; ``Ok(False)`` when only this node does and the
+        store's outage is confirmed by peers. ``Err`` when this node may no longer own the
+        partition: nothing may be acted on.
+        """
+        ...
+
+    def may_act(self) -> bool:
+        """Whether an irreversible act may start: the second copy confirmed us recently."""
+        ...
+
+
+class PartitionDirectory(Protocol):
+    """Finds the owner of a partition."""
+
+    def log(self, partition: int) -> PartitionLog | None:
+        """Return the partition's journal when this node owns it and serves it."""
+        ...
+
+    def owner_address(self, partition: int) -> str | None:
+        """Return the peer address of the owner as far as this node knows."""
+        ...
+
+    def forget_owner(self, partition: int, address: str) -> None:
+        """Take in that this address is not the owner; the next look-up reads again."""
+        ...
--- /dev/null
+++ b/src/bramleylead/request/_messages.py
@@ -0,0 +1,137 @@
+"""What an entry asks of the owner of a program, and what the owner answers.
+
+A program belongs to one branch; every message names the branch whose key the caller showed, and
+the owner checks it.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Any
+from typing import NamedTuple
+
+from bramleylead.connection import message
+
+
+class CallKind(StrEnum):
+    """What a call runs on."""
+
+    MODEL = "model"
+    TOOL = "tool"
+
+
+@message(20)
+class OpenProgram(NamedTuple):
+    """Open a program; a repeat is no second one. Answered by :class:`ProgramView`."""
+
+    branch: str
+    program: str
+    kind: str
+    parent: str = ""
+
+
+@message(21)
+class CallRequest(NamedTuple):
+    """Run a call. Answered by chunks and one :class:`AnswerEnd`.
+
+    :param number: the call's place in the program, from 1; 0 takes the next.
+    :param incarnation: the program incarnation the caller last saw; 0 if it never saw one.
+    :param key: idempotency key; empty when the number identifies the call.
+    :param target: model or tool.
+    :param messages: ``[role, content]`` pairs of a model call.
+    :param whole_history: whether ``messages`` begin with the program's history, as chat clients
+        send them.
+    :param arguments: JSON arguments of a tool call.
+    :param deadline_s: seconds that the caller waits.
+    """
+
+    branch: str
+    program: str
+    number: int
+    incarnation: int
+    key: str
+    call_kind: CallKind
+    target: str
+    messages: tuple[tuple[str, str], ...]
+    whole_history: bool
+    arguments: dict[str, Any]
+    max_tokens: int
+    deadline_s: float
+
+
+@message(22)
+class ResumeCall(NamedTuple):
+    """Get a call's answer again from a character offset, whether it is running or finished."""
+
+    branch: str
+    program: str
+    number: int
+    offset: int
+    deadline_s: float
+
+
+@message(23)
+class AnswerChunk(NamedTuple):
+    """Part of an answer: ``offset`` counts characters of the whole answer before ``text``."""
+
+    offset: int
+    text: str
+    tokens: int
+
+
+@message(24)
+class AnswerEnd(NamedTuple):
+    """The end of a successful answer.
+
+    :param length: characters in the whole answer; the caller's part must add up to it.
+    :param durable: whether both copies of the journal hold the answer.
+    :param value: JSON answer of a tool call.
+    """
+
+    number: int
+    incarnation: int
+    length: int
+    finish: str
+    prompt_tokens: int
+    cached_tokens: int
+    output_tokens: int
+    endpoint: str
+    durable: bool
+    value: Any = None
+
+
+@message(25)
+class ReadProgram(NamedTuple):
+    """Read a program's state, with its history if asked. Answered by :class:`ProgramView`."""
+
+    branch: str
+    program: str
+    history: bool
+
+
+@message(26)
+class EndProgram(NamedTuple):
+    """End a program and its sub-agents. Answered by :class:`ProgramView`."""
+
+    branch: str
+    program: str
+
+
+@message(27)
+class ProgramView(NamedTuple):
+    """A program's state as its caller may see it.
+
+    :param calls: number, kind, target, status and answer text of each call.
+    :param next_number: number of the next call.
+    """
+
+    program: str
+    branch: str
+    kind: str
+    parent: str
+    incarnation: int
+    next_number: int
+    tokens_used: int
+    ended: str
+    messages: tuple[tuple[str, str], ...]
+    calls: tuple[tuple[int, str, str, str, str], ...]
--- /dev/null
+++ b/testing/__init__.py
@@ -0,0 +1,1 @@
+"""The test suite; its folders mirror the package's."""
