--- a/src/bramleylead/errors.py
+++ b/src/bramleylead/errors.py
@@ -33,6 +33,7 @@
     OVERLOADED = "overloaded"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     OWNER_UNAVAILABLE = "owner_unavailable"
+    OWNER_LOST = "owner_lost"
     NOT_DURABLE = "not_durable"
     NOT_CURRENT = "not_current"
     STORE_UNAVAILABLE = "store_unavailable"
@@ -81,6 +82,9 @@
     ErrorKind.OVERLOADED: Answer(503, Ran.NOT_RUN, 2.0, "retry later"),
     ErrorKind.DEADLINE_EXCEEDED: Answer(504, Ran.NOT_RUN, 1.0, "retry with a longer deadline"),
     ErrorKind.OWNER_UNAVAILABLE: Answer(503, Ran.NOT_RUN, 1.0, "retry later"),
+    ErrorKind.OWNER_LOST: Answer(
+        503, Ran.UNKNOWN, 1.0, "retry under the same call number or idempotency key"
+    ),
     ErrorKind.NOT_DURABLE: Answer(503, Ran.NOT_RUN, 2.0, "retry later"),
     ErrorKind.NOT_CURRENT: Answer(503, Ran.NOT_RUN, 1.0, "retry later"),
     ErrorKind.STORE_UNAVAILABLE: Answer(503, Ran.NOT_RUN, 5.0, "retry later"),
--- a/src/bramleylead/process/_entries.py
+++ b/src/bramleylead/process/_entries.py
@@ -129,6 +129,20 @@
     child: str
 
 
+@message(141)
+class GrantForfeited(NamedTuple):
+    """After a recovery that may have lost entries, a partition's whole grant counts as spent.
+
+    :param granted: all that the store ever granted this partition.
+    :param returned: all that the store ever took back.
+    """
+
+    budget: str
+    granted: int
+    returned: int
+    incarnation: int
+
+
 Entry = (
     ProgramOpened
     | CallIntended
@@ -139,6 +153,7 @@
     | CacheHeld
     | GrantAdded
     | GrantReturning
+    | GrantForfeited
     | RolledBack
     | ChildOpened
 )
--- a/src/bramleylead/process/_log.py
+++ b/src/bramleylead/process/_log.py
@@ -19,7 +19,9 @@
     state: PartitionState
 
     async def append(self, *entries: Entry) -> Result[bool, Failure]:
-        """Journal entries and apply them to the state.
+        """Journal entries and apply them to the state, all or none.
+
+        With no entries it is a barrier: it confirms with the second copy that this node is still the owner.
 
         ``Ok(True)`` when both copies hold them; ``Ok(False)`` when only this node does and the
         store's outage is confirmed by peers. ``Err`` when this node may no longer own the
--- /dev/null
+++ b/src/bramleylead/process/_parts.py
@@ -0,0 +1,56 @@
+"""The parts of a node that the owner of programs works with."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+from typing import Protocol
+
+from bramleylead.backends import BackendFactory
+from bramleylead.metrics import Metrics
+from bramleylead.process._budget import BudgetEscrow
+from bramleylead.process._log import PartitionDirectory
+from bramleylead.process._settings import NodeSettings
+from bramleylead.promises import Promises
+from bramleylead.scheduling import Scheduler
+from bramleylead.version import Config
+
+
+class ConfigSource(Protocol):
+    """The configuration in force on this node, and whether that is known to be current."""
+
+    @property
+    def config(self) -> Config:
+        """What the tickets up to the number in force add up to."""
+        ...
+
+    def is_current(self) -> bool:
+        """Whether no ticket can be in force elsewhere that this node lacks for too long."""
+        ...
+
+
+class Retries(Protocol):
+    """A retry budget: attempts after the first are a bounded share of all."""
+
+    def allow(self) -> bool:
+        """Take one retry from the budget if there is one."""
+        ...
+
+    def succeeded(self) -> None:
+        """Take in that a first attempt worked, which earns a part of a retry."""
+        ...
+
+
+class OwnerParts(NamedTuple):
+    """Everything that running a call needs, passed whole."""
+
+    settings: NodeSettings
+    directory: PartitionDirectory
+    tickets: ConfigSource
+    escrow: BudgetEscrow
+    scheduler: Scheduler
+    backends: BackendFactory
+    retries: Retries
+    promises: Promises
+    metrics: Metrics
+    wall_clock: Callable[[], float]
--- a/src/bramleylead/process/_state.py
+++ b/src/bramleylead/process/_state.py
@@ -20,6 +20,7 @@
 from bramleylead.process._entries import ChildOpened
 from bramleylead.process._entries import Entry
 from bramleylead.process._entries import GrantAdded
+from bramleylead.process._entries import GrantForfeited
 from bramleylead.process._entries import GrantReturning
 from bramleylead.process._entries import ProgramEnded
 from bramleylead.process._entries import ProgramForgotten
@@ -100,6 +101,7 @@
     reserved: int = 0
     spent: int = 0
     returned: int = 0
+    incarnation: int = FIRST_INCARNATION
 
     @property
     def free(self) -> int:
@@ -224,6 +226,14 @@
     state.grant(entry.budget).returned += entry.units
 
 
+def _forfeit_grant(state: PartitionState, entry: GrantForfeited) -> None:
+    grant = state.grant(entry.budget)
+    grant.granted = max(grant.granted, entry.granted)
+    grant.returned = max(grant.returned, entry.returned)
+    grant.spent += max(0, grant.free)
+    grant.incarnation = entry.incarnation
+
+
 def _roll_back(state: PartitionState, entry: RolledBack) -> None:
     state.incarnation = entry.incarnation
     for program in state.programs.values():
@@ -246,6 +256,7 @@
     CacheHeld: _hold_cache,
     GrantAdded: _add_grant,
     GrantReturning: _return_grant,
+    GrantForfeited: _forfeit_grant,
     RolledBack: _roll_back,
     ChildOpened: _add_child,
 }
--- a/src/bramleylead/request/__init__.py
+++ b/src/bramleylead/request/__init__.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from bramleylead.request._answer import AnswerBuffer
+from bramleylead.request._answer import AnswerItem
+from bramleylead.request._messages import AddChild
 from bramleylead.request._messages import AnswerChunk
 from bramleylead.request._messages import AnswerEnd
 from bramleylead.request._messages import CallKind
@@ -13,8 +16,11 @@
 from bramleylead.request._messages import ResumeCall
 
 __all__ = [
+    "AddChild",
+    "AnswerBuffer",
     "AnswerChunk",
     "AnswerEnd",
+    "AnswerItem",
     "CallKind",
     "CallRequest",
     "EndProgram",
--- /dev/null
+++ b/src/bramleylead/request/_answer.py
@@ -0,0 +1,92 @@
+"""The answer of one running call: written once, read by any number of callers from any offset."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from typing import final
+
+import anyio
+
+from bramleylead.errors import Failure
+from bramleylead.request._messages import AnswerChunk
+from bramleylead.request._messages import AnswerEnd
+from bramleylead.request._messages import AnswerStart
+
+AnswerItem = AnswerStart | AnswerChunk | AnswerEnd | Failure
+
+
+@final
+class AnswerBuffer:
+    """Gathers an answer's text; readers follow it until its end.
+
+    An attempt that starts over writes the same text again from offset 0: what is there already is compared, not
+    appended, so that every reader sees one answer.
+    """
+
+    def __init__(self) -> None:
+        self._text = ""
+        self._tokens = 0
+        self._start: AnswerStart | None = None
+        self._end: AnswerEnd | Failure | None = None
+        self._changed = anyio.Event()
+
+    @property
+    def text(self) -> str:
+        """The answer so far."""
+        return self._text
+
+    @property
+    def length(self) -> int:
+        """Characters so far."""
+        return len(self._text)
+
+    @property
+    def end(self) -> AnswerEnd | Failure | None:
+        """How the call ended, or ``None`` while it runs."""
+        return self._end
+
+    def start(self, number: int, incarnation: int) -> None:
+        """Set the number that the call has in the journal."""
+        self._start = AnswerStart(number, incarnation)
+        self._notify()
+
+    def write(self, offset: int, text: str, tokens: int) -> bool:
+        """Add text at an offset; return whether it agrees with what was written there before."""
+        known = self._text[offset : offset + len(text)]
+        if offset > len(self._text) or not text.startswith(known):
+            return False
+        new = text[len(known) :]
+        if new:
+            self._text += new
+            self._tokens += tokens
+            self._notify()
+        return True
+
+    def finish(self, end: AnswerEnd | Failure) -> None:
+        """Set how the call ended; the first end stays."""
+        if self._end is None:
+            self._end = end
+            self._notify()
+
+    async def read(self, offset: int) -> AsyncIterator[AnswerItem]:
+        """Yield the call's number, the text from an offset on as it comes, then the end."""
+        tokens_seen = 0
+        started = False
+        while True:
+            if self._start is not None and not started:
+                started = True
+                yield self._start
+            elif offset < len(self._text):
+                text = self._text[offset:]
+                yield AnswerChunk(offset, text, self._tokens - tokens_seen)
+                offset += len(text)
+                tokens_seen = self._tokens
+            elif self._end is not None:
+                yield self._end
+                return
+            else:
+                await self._changed.wait()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
--- a/src/bramleylead/request/_messages.py
+++ b/src/bramleylead/request/_messages.py
@@ -135,3 +135,20 @@
     ended: str
     messages: tuple[tuple[str, str], ...]
     calls: tuple[tuple[int, str, str, str, str], ...]
+
+
+@message(28)
+class AddChild(NamedTuple):
+    """Note a sub-agent program under its parent, so that both end together."""
+
+    branch: str
+    program: str
+    child: str
+
+
+@message(29)
+class LivePrograms(NamedTuple):
+    """Ask which of these programs are live; answered by a message of the same kind."""
+
+    partition: int
+    programs: tuple[str, ...]
