Settle the interface between a node and its HTTP face

Cause: the node and its HTTP interfaces are written side by side and need one border. Conclusion: both sides can be built and tested apart.

--- a/src/bramleylead/request/__init__.py
+++ b/src/bramleylead/request/__init__.py
@@ -4,6 +4,7 @@
 
 from bramleylead.request._messages import AnswerChunk
 from bramleylead.request._messages import AnswerEnd
+from bramleylead.request._messages import AnswerStart
 from bramleylead.request._messages import CallKind
 from bramleylead.request._messages import CallRequest
 from bramleylead.request._messages import EndProgram
@@ -11,15 +12,30 @@
 from bramleylead.request._messages import ProgramView
 from bramleylead.request._messages import ReadProgram
 from bramleylead.request._messages import ResumeCall
+from bramleylead.request._service import AnswerItem
+from bramleylead.request._service import NodeService
+from bramleylead.request._service import NodeTicket
+from bramleylead.request._service import TicketAccepted
+from bramleylead.request._service import TicketState
+from bramleylead.request._service import TicketStatus
+from bramleylead.request._service import TicketSummary
 
 __all__ = [
     "AnswerChunk",
     "AnswerEnd",
+    "AnswerItem",
+    "AnswerStart",
     "CallKind",
     "CallRequest",
     "EndProgram",
+    "NodeService",
+    "NodeTicket",
     "OpenProgram",
     "ProgramView",
     "ReadProgram",
     "ResumeCall",
+    "TicketAccepted",
+    "TicketState",
+    "TicketStatus",
+    "TicketSummary",
 ]
--- a/src/bramleylead/request/_messages.py
+++ b/src/bramleylead/request/_messages.py
@@ -70,6 +70,17 @@
     deadline_s: float
 
 
+@message(28)
+class AnswerStart(NamedTuple):
+    """Optional first item of an answer, sent once the call is in the journal.
+
+    It tells a caller that left the number open which call to resume after a lost connection.
+    """
+
+    number: int
+    incarnation: int
+
+
 @message(23)
 class AnswerChunk(NamedTuple):
     """Part of an answer: ``offset`` counts characters of the whole answer before ``text``."""
