--- a/src/bramleylead/request/__init__.py
+++ b/src/bramleylead/request/__init__.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from bramleylead.request._keys import find_branch
+from bramleylead.request._keys import hash_key
+from bramleylead.request._keys import key_matches
 from bramleylead.request._messages import AnswerChunk
 from bramleylead.request._messages import AnswerEnd
 from bramleylead.request._messages import AnswerStart
@@ -12,7 +15,7 @@
 from bramleylead.request._messages import ProgramView
 from bramleylead.request._messages import ReadProgram
 from bramleylead.request._messages import ResumeCall
-from bramleylead.request._service import AnswerItem
+from bramleylead.request._service import CallItem
 from bramleylead.request._service import NodeService
 from bramleylead.request._service import NodeTicket
 from bramleylead.request._service import TicketAccepted
@@ -23,8 +26,8 @@
 __all__ = [
     "AnswerChunk",
     "AnswerEnd",
-    "AnswerItem",
     "AnswerStart",
+    "CallItem",
     "CallKind",
     "CallRequest",
     "EndProgram",
@@ -38,4 +41,7 @@
     "TicketState",
     "TicketStatus",
     "TicketSummary",
+    "find_branch",
+    "hash_key",
+    "key_matches",
 ]
--- a/src/bramleylead/request/_messages.py
+++ b/src/bramleylead/request/_messages.py
@@ -70,7 +70,7 @@
     deadline_s: float
 
 
-@message(28)
+@message(30)
 class AnswerStart(NamedTuple):
     """Optional first item of an answer, sent once the call is in the journal.
 
--- a/src/bramleylead/request/_service.py
+++ b/src/bramleylead/request/_service.py
@@ -13,6 +13,7 @@
 
 from bramleylead.errors import Failure
 from bramleylead.metrics import Metrics
+from bramleylead.promises import Promises
 from bramleylead.request._messages import AnswerChunk
 from bramleylead.request._messages import AnswerEnd
 from bramleylead.request._messages import AnswerStart
@@ -24,7 +25,7 @@
 from bramleylead.request._messages import ResumeCall
 from bramleylead.version import Config
 
-AnswerItem = AnswerStart | AnswerChunk | AnswerEnd | Failure
+CallItem = AnswerStart | AnswerChunk | AnswerEnd | Failure
 
 
 class TicketState(StrEnum):
@@ -88,6 +89,11 @@
         """The node's metrics, with their registry."""
         ...
 
+    @property
+    def promises(self) -> Promises:
+        """The node's invariants; the HTTP face checks that answers are whole."""
+        ...
+
     @property
     def config(self) -> Config:
         """The configuration in force."""
@@ -130,14 +136,14 @@
         """End a program and its sub-agents."""
         ...
 
-    def call(self, request: CallRequest) -> AbstractAsyncContextManager[AsyncIterator[AnswerItem]]:
+    def call(self, request: CallRequest) -> AbstractAsyncContextManager[AsyncIterator[CallItem]]:
         """Run a call, or join it. The last item is an :class:`AnswerEnd` or a :class:`Failure`.
 
         Leaving the context early gives up the wait, not the call.
         """
         ...
 
-    def resume(self, request: ResumeCall) -> AbstractAsyncContextManager[AsyncIterator[AnswerItem]]:
+    def resume(self, request: ResumeCall) -> AbstractAsyncContextManager[AsyncIterator[CallItem]]:
         """Get an answer from an offset; items as in :meth:`call`."""
         ...
 
