Add the BackendFactory interface

Owners and dispatchers need one way to get an endpoint's client, whether it speaks HTTP or is a fake of the tests. The Protocol comes first so that both sides can be written against it.

--- a/src/bramleylead/backends/__init__.py
+++ b/src/bramleylead/backends/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bramleylead.backends._factory import BackendFactory
 from bramleylead.backends._types import BackendError
 from bramleylead.backends._types import BackendErrorKind
 from bramleylead.backends._types import CacheEvent
@@ -19,6 +20,7 @@
 __all__ = [
     "BackendError",
     "BackendErrorKind",
+    "BackendFactory",
     "CacheEvent",
     "CachePage",
     "Engine",
