--- a/src/bramleylead/process/_rendezvous.py
+++ b/src/bramleylead/process/_rendezvous.py
@@ -26,7 +26,7 @@
     """Return the score of a node for a key; the highest wins."""
     if weight <= 0:
         return 0.0
-    uniform = (xxhash.xxh64_intdigest(f"{key}\0{node}") + 0.5) / HASH_SPAN
+    uniform = (xxhash.xxh64_intdigest(f"{key}\0{node}".encode()) + 0.5) / HASH_SPAN
     uniform = min(max(uniform, 2**-64), 1.0 - 2**-53)
     return -weight / math.log(uniform)
 
