--- a/src/bramleylead/process/_admission.py
+++ b/src/bramleylead/process/_admission.py
@@ -1,4 +1,4 @@
-"""Decides what becomes of a call request: refuse it, answer it from the journal, join it, or start it."""
+"""Decides whether a call request is refused, answered from the journal, joined or run."""
 
 from __future__ import annotations
 
@@ -13,7 +13,6 @@
 from bramleylead.process._state import CallStatus
 from bramleylead.process._state import ProgramState
 from bramleylead.request import AnswerEnd
-from bramleylead.request import CallKind
 from bramleylead.request import CallRequest
 from bramleylead.version import ProgramKind
 
@@ -23,7 +22,7 @@
 
 
 class Start(NamedTuple):
-    """Run the call under this number; ``again`` when the journal has an unfinished or failed attempt."""
+    """Run the call under this number, ``again`` after an unfinished or failed attempt."""
 
     number: int
     again: bool
@@ -65,9 +64,7 @@
     if record is not None:
         return _decide_known(program, record, digest)
     if program.ended:
-        return Failure(
-            ErrorKind.PROGRAM_ENDED, f"program {program.program} ended: {program.ended}"
-        )
+        return Failure(ErrorKind.PROGRAM_ENDED, f"program {program.program} ended: {program.ended}")
     if running or number != program.last_number + 1:
         return _out_of_order(program, number, running)
     return Start(number, again=False)
--- a/src/bramleylead/process/_budget.py
+++ b/src/bramleylead/process/_budget.py
@@ -1,9 +1,10 @@
-"""Budgets by escrow: the store grants units to partitions, and a partition spends only what it was granted.
+"""Budgets by escrow: a partition spends only what the store has granted it.
 
-The object ``budgets/<name>`` holds, for each partition, all units ever granted to it and all ever returned by it. A
-grant is in the store before the journal knows it, and a return is in the journal before the store knows it; both
-totals only grow, so a step that was cut short is finished by comparing the two. The sum of what is granted and not
-returned never exceeds the limit, and each partition never spends more than it was granted.
+The object ``budgets/<name>`` holds, for each partition, all units ever granted to it and all ever
+returned by it. A grant is in the store before the journal knows it, and a return is in the journal
+before the store knows it; both totals only grow, so a step that was cut short is finished by
+comparing the two. The sum of what is granted and not returned never exceeds the limit, and each
+partition never spends more than it was granted.
 """
 
 from __future__ import annotations
@@ -33,7 +34,7 @@
 from bramleylead.version import Config
 
 SHARE_OF_REST = 4
-"""A partition asks for at most this fraction's denominator of what is left, divided by the holders."""
+"""A grant is at most the rest of the budget divided by this and by the partitions."""
 RETURN_IDLE_AFTER_S = 60.0
 WRITE_TRIES = 6
 RETRY_WAIT_S = 0.05
@@ -92,7 +93,7 @@
     async def reserve(
         self, partition: PartitionLog, budget: str, units: int
     ) -> Result[None, Failure]:
-        """Set units aside until :meth:`reserved` or :meth:`cancel`; an ``Err`` means that nothing was."""
+        """Set units aside until :meth:`reserved` or :meth:`cancel`; on ``Err`` none are."""
         key = (partition.number, budget)
         self._last_used_s[key] = anyio.current_time()
         while True:
@@ -248,8 +249,9 @@
     ) -> Result[dict[str, Share], Failure]:
         """Change the budget object by compare-and-set.
 
-        An unknown outcome is resolved by reading again: the change is computed from what the store holds then, so
-        a grant that did take effect is only taken in, never granted twice without the store knowing.
+        An unknown outcome is resolved by reading again: the change is computed from what the store
+        holds then, so a grant that did take effect is only taken in, never granted twice without
+        the store knowing.
         """
         for attempt in range(WRITE_TRIES):
             read = await self._read(budget)
--- a/src/bramleylead/process/_log.py
+++ b/src/bramleylead/process/_log.py
@@ -21,7 +21,8 @@
     async def append(self, *entries: Entry) -> Result[bool, Failure]:
         """Journal entries and apply them to the state, all or none.
 
-        With no entries it is a barrier: it confirms with the second copy that this node is still the owner.
+        With no entries it is a barrier: it confirms with the second copy that this node is still
+        the owner.
 
         ``Ok(True)`` when both copies hold them; ``Ok(False)`` when only this node does and the
         store's outage is confirmed by peers. ``Err`` when this node may no longer own the
--- a/src/bramleylead/process/_model_run.py
+++ b/src/bramleylead/process/_model_run.py
@@ -25,7 +25,7 @@
 
 @final
 class ModelRun(CallRun):
-    """A model call. It may be repeated: an attempt that starts over writes the same answer again."""
+    """A model call; it may be repeated, and starting over writes the same answer again."""
 
     def worst_cost(self) -> int:
         """Price of the whole prompt and the longest answer, for each attempt that may be made."""
@@ -101,7 +101,9 @@
 
     def _max_output(self) -> int:
         call = self._call
-        return min(call.request.max_tokens or call.kind.max_output_tokens, call.kind.max_output_tokens)
+        return min(
+            call.request.max_tokens or call.kind.max_output_tokens, call.kind.max_output_tokens
+        )
 
 
 class _Follower:
--- a/src/bramleylead/process/_owner.py
+++ b/src/bramleylead/process/_owner.py
@@ -34,8 +34,8 @@
 from bramleylead.request import AnswerBuffer
 from bramleylead.request import AnswerChunk
 from bramleylead.request import AnswerEnd
-from bramleylead.request import AnswerItem
 from bramleylead.request import AnswerStart
+from bramleylead.request import CallItem
 from bramleylead.request import CallKind
 from bramleylead.request import CallRequest
 from bramleylead.request import EndProgram
@@ -103,7 +103,7 @@
         return Ok(view(log.state.programs[request.program], history=False))
 
     async def read(self, request: ReadProgram) -> Result[ProgramView, Failure]:
-        """Return a program's state. It is confirmed by the second copy, so never a former owner's."""
+        """Return a program's state, once the second copy confirmed this owner."""
         found = self._program(request.branch, request.program)
         if isinstance(found, Err):
             return found
@@ -143,7 +143,7 @@
             return journaled
         return Ok(view(program, history=False))
 
-    async def call(self, request: CallRequest) -> AsyncIterator[AnswerItem]:
+    async def call(self, request: CallRequest) -> AsyncIterator[CallItem]:
         """Run, join or look up a call; yields its answer and its end."""
         found = self._program(request.branch, request.program)
         if isinstance(found, Err):
@@ -173,7 +173,7 @@
             async for item in started.read(0):
                 yield item
 
-    async def resume(self, request: ResumeCall) -> AsyncIterator[AnswerItem]:
+    async def resume(self, request: ResumeCall) -> AsyncIterator[CallItem]:
         """Yield a call's answer from an offset, running or finished."""
         found = self._program(request.branch, request.program)
         if isinstance(found, Err):
@@ -372,7 +372,7 @@
 
     async def _recorded(
         self, log: PartitionLog, program: ProgramState, number: int, offset: int
-    ) -> AsyncIterator[AnswerItem]:
+    ) -> AsyncIterator[CallItem]:
         """Yield a journaled answer once the second copy has confirmed this owner."""
         confirmed = await log.append()
         if isinstance(confirmed, Err):
--- a/src/bramleylead/process/_parts.py
+++ b/src/bramleylead/process/_parts.py
@@ -10,23 +10,10 @@
 from bramleylead.metrics import Metrics
 from bramleylead.process._budget import BudgetEscrow
 from bramleylead.process._log import PartitionDirectory
+from bramleylead.process._members import ConfigSource
 from bramleylead.process._settings import NodeSettings
 from bramleylead.promises import Promises
 from bramleylead.scheduling import Scheduler
-from bramleylead.version import Config
-
-
-class ConfigSource(Protocol):
-    """The configuration in force on this node, and whether that is known to be current."""
-
-    @property
-    def config(self) -> Config:
-        """What the tickets up to the number in force add up to."""
-        ...
-
-    def is_current(self) -> bool:
-        """Whether no ticket can be in force elsewhere that this node lacks for too long."""
-        ...
 
 
 class Retries(Protocol):
--- a/src/bramleylead/process/_router.py
+++ b/src/bramleylead/process/_router.py
@@ -1,4 +1,4 @@
-"""The entry's side of a request: finds the program's owner, and follows the answer across changes of owner."""
+"""The entry's side of a request: finds the owner and follows it when it changes."""
 
 from __future__ import annotations
 
@@ -30,8 +30,8 @@
 from bramleylead.request import AddChild
 from bramleylead.request import AnswerChunk
 from bramleylead.request import AnswerEnd
-from bramleylead.request import AnswerItem
 from bramleylead.request import AnswerStart
+from bramleylead.request import CallItem
 from bramleylead.request import CallRequest
 from bramleylead.request import EndProgram
 from bramleylead.request import OpenProgram
@@ -116,7 +116,7 @@
             await anyio.sleep(wait_s)
             wait_s = min(2 * wait_s, LONGEST_WAIT_S)
 
-    async def answer(self, request: AnswerRequest) -> AsyncIterator[AnswerItem]:
+    async def answer(self, request: AnswerRequest) -> AsyncIterator[CallItem]:
         """Yield an answer and its end, asking again when the owner changes on the way."""
         deadline = anyio.current_time() + request.deadline_s
         delivery = _Delivery(request.offset if isinstance(request, ResumeCall) else 0)
@@ -144,7 +144,7 @@
             await anyio.sleep(wait_s)
             wait_s = min(2 * wait_s, LONGEST_WAIT_S)
 
-    def _pass_on(self, item: AnswerItem, delivery: _Delivery) -> AnswerItem | None:
+    def _pass_on(self, item: CallItem, delivery: _Delivery) -> CallItem | None:
         if isinstance(item, AnswerStart):
             first, delivery.started = not delivery.started, True
             return item if first else None
@@ -182,20 +182,20 @@
         }
         return await handlers[type(request)](request)
 
-    def _answer_once(self, request: AnswerRequest) -> AsyncIterator[AnswerItem]:
+    def _answer_once(self, request: AnswerRequest) -> AsyncIterator[CallItem]:
         partition = self._partition(request.program)
         if self._directory.log(partition) is not None:
             return self._local_answer(request)
         return self._remote_answer(partition, request)
 
-    def _local_answer(self, request: AnswerRequest) -> AsyncIterator[AnswerItem]:
+    def _local_answer(self, request: AnswerRequest) -> AsyncIterator[CallItem]:
         if isinstance(request, CallRequest):
             return self._owner.call(request)
         return self._owner.resume(request)
 
     async def _remote_answer(
         self, partition: int, request: AnswerRequest
-    ) -> AsyncIterator[AnswerItem]:
+    ) -> AsyncIterator[CallItem]:
         address = self._directory.owner_address(partition)
         if address is None:
             yield _no_owner(partition)
--- a/src/bramleylead/process/_run.py
+++ b/src/bramleylead/process/_run.py
@@ -1,8 +1,9 @@
 """Runs one call of a program from its reservation to its journaled end.
 
-The order of steps is what keeps the promises: reserve the budget, wait for a slot, journal the intent on both copies,
-look at the clock, send, journal the end. Before the intent is journaled nothing was sent, and a refusal says "not
-run". After it, a call that may not be repeated is sent once at the most, and an outcome that is not known stays so.
+The order of steps is what keeps the promises: reserve the budget, wait for a slot, journal the
+intent on both copies, look at the clock, send, journal the end. Before the intent is journaled
+nothing was sent, and a refusal says "not run". After it, a call that may not be repeated is sent
+once at the most, and an outcome that is not known stays so.
 """
 
 from __future__ import annotations
@@ -341,9 +342,7 @@
         return Attempt(Next.NOT_RUN, error.detail)
     if error.kind is BackendErrorKind.REFUSED:
         finish = "" if error.retry_after_s > 0 else "rejected"
-        return Attempt(
-            Next.NOT_RUN, error.detail, finish=finish, retry_after_s=error.retry_after_s
-        )
+        return Attempt(Next.NOT_RUN, error.detail, finish=finish, retry_after_s=error.retry_after_s)
     if error.kind is BackendErrorKind.STALE_FENCE:
         return Attempt(Next.NOT_RUN, error.detail)
     if error.kind is BackendErrorKind.LOST:
--- a/src/bramleylead/request/__init__.py
+++ b/src/bramleylead/request/__init__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from bramleylead.request._answer import AnswerBuffer
-from bramleylead.request._answer import AnswerItem
 from bramleylead.request._keys import find_branch
 from bramleylead.request._keys import hash_key
 from bramleylead.request._keys import key_matches
@@ -14,6 +13,7 @@
 from bramleylead.request._messages import CallKind
 from bramleylead.request._messages import CallRequest
 from bramleylead.request._messages import EndProgram
+from bramleylead.request._messages import LivePrograms
 from bramleylead.request._messages import OpenProgram
 from bramleylead.request._messages import ProgramView
 from bramleylead.request._messages import ReadProgram
@@ -31,12 +31,12 @@
     "AnswerBuffer",
     "AnswerChunk",
     "AnswerEnd",
-    "AnswerItem",
     "AnswerStart",
     "CallItem",
     "CallKind",
     "CallRequest",
     "EndProgram",
+    "LivePrograms",
     "NodeService",
     "NodeTicket",
     "OpenProgram",
--- a/src/bramleylead/request/_answer.py
+++ b/src/bramleylead/request/_answer.py
@@ -11,16 +11,15 @@
 from bramleylead.request._messages import AnswerChunk
 from bramleylead.request._messages import AnswerEnd
 from bramleylead.request._messages import AnswerStart
-
-AnswerItem = AnswerStart | AnswerChunk | AnswerEnd | Failure
+from bramleylead.request._service import CallItem
 
 
 @final
 class AnswerBuffer:
     """Gathers an answer's text; readers follow it until its end.
 
-    An attempt that starts over writes the same text again from offset 0: what is there already is compared, not
-    appended, so that every reader sees one answer.
+    An attempt that starts over writes the same text again from offset 0: what is there already is
+    compared, not appended, so that every reader sees one answer.
     """
 
     def __init__(self) -> None:
@@ -68,7 +67,7 @@
             self._end = end
             self._notify()
 
-    async def read(self, offset: int) -> AsyncIterator[AnswerItem]:
+    async def read(self, offset: int) -> AsyncIterator[CallItem]:
         """Yield the call's number, the text from an offset on as it comes, then the end."""
         tokens_seen = 0
         started = False
--- a/src/bramleylead/request/_messages.py
+++ b/src/bramleylead/request/_messages.py
@@ -159,7 +159,7 @@
 
 @message(29)
 class LivePrograms(NamedTuple):
-    """Ask which of these programs are live; answered by a message of the same kind."""
+    """Ask the owner which of these programs are live; answered by the same message."""
 
     partition: int
     programs: tuple[str, ...]
