Try calls at their owner and budgets under failures

Cause: the order of steps and the escrow were not tried. Conclusion: at most once, call order and the budget hold at one owner; pairs of nodes come next.

--- /dev/null
+++ b/testing/process/test_owner.py
@@ -0,0 +1,307 @@
+"""Calls of programs at their owner: order, repeats, failures, and what each caller is told."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+import anyio
+
+from bramleylead.backends import BackendError
+from bramleylead.backends import BackendErrorKind
+from bramleylead.backends import EngineChunk
+from bramleylead.errors import ErrorKind
+from bramleylead.errors import Ran
+from bramleylead.process._entries import RolledBack
+from bramleylead.process._state import CallStatus
+from bramleylead.promises import Promise
+from bramleylead.request import AnswerEnd
+from bramleylead.request import EndProgram
+from bramleylead.request import ReadProgram
+from bramleylead.request import ResumeCall
+from testing.process.support import Bench
+from testing.process.support import run_with_owner
+
+LOST = BackendError(BackendErrorKind.LOST, "the connection broke")
+NOT_SENT = BackendError(BackendErrorKind.NOT_SENT, "can't connect")
+
+
+class OrderTest(unittest.TestCase):
+    def test_calls_run_in_their_order_and_add_to_the_history(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            first = await bench.call(number=1)
+            second = await bench.call(number=2, messages=(("user", "More"),))
+            view = await bench.owner.read(ReadProgram("school", "p1", history=True))
+            return first, second, view.ok_value.messages, bench.backends.generated[1].messages
+
+        first, second, messages, prompt = run_with_owner(body)
+        self.assertEqual((first.number, second.number), (1, 2))
+        self.assertEqual([role for role, _ in messages], ["user", "assistant"] * 2)
+        self.assertEqual([item.content for item in prompt], ["Hi", "Hello there", "More"])
+
+    def test_a_call_ahead_of_its_turn_is_refused_and_does_not_run(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            return await bench.call(number=2), bench.backends.generated
+
+        end, generated = run_with_owner(body)
+        self.assertEqual((end.kind, end.answer.ran), (ErrorKind.OUT_OF_ORDER, Ran.NOT_RUN))
+        self.assertEqual(generated, [])
+
+    def test_two_callers_with_the_same_number_and_request_share_one_run(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            ends: list[Any] = []
+
+            async def one() -> None:
+                ends.append(await bench.call(number=1))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(one)
+                tasks.start_soon(one)
+            return ends, bench.backends.generated
+
+        ends, generated = run_with_owner(body)
+        self.assertEqual(ends[0], ends[1])
+        self.assertEqual(len(generated), 1)
+
+    def test_another_request_under_a_used_number_is_refused(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            await bench.call(number=1)
+            return await bench.call(number=1, messages=(("user", "Other"),))
+
+        self.assertEqual(run_with_owner(body).kind, ErrorKind.DUPLICATE_MISMATCH)
+
+    def test_a_retry_by_key_gets_the_recorded_answer(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            first = await bench.items(key="k1")
+            again = await bench.items(key="k1")
+            return first, again, bench.backends.generated
+
+        first, again, generated = run_with_owner(body)
+        self.assertEqual(first[-1], again[-1])
+        self.assertEqual("".join(item.text for item in again[1:-1]), "Hello there")
+        self.assertEqual(len(generated), 1)
+
+    def test_another_branch_can_not_reach_the_program(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            return await bench.call(branch="stable")
+
+        self.assertEqual(run_with_owner(body).kind, ErrorKind.FORBIDDEN)
+
+    def test_whole_history_must_begin_with_what_is_kept(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            await bench.call()
+            kept = (("user", "Hi"), ("assistant", "Hello there"))
+            good = await bench.call(whole_history=True, messages=(*kept, ("user", "x")))
+            bad = await bench.call(whole_history=True, messages=(("user", "x"),))
+            return good, bad
+
+        good, bad = run_with_owner(body)
+        self.assertIsInstance(good, AnswerEnd)
+        self.assertEqual(bad.kind, ErrorKind.MALFORMED)
+
+    def test_resume_gives_the_rest_from_an_offset(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            await bench.call()
+            request = ResumeCall("school", "p1", 1, 6, 5.0)
+            return [item async for item in bench.owner.resume(request)]
+
+        _, chunk, end = run_with_owner(body)
+        self.assertEqual((chunk.offset, chunk.text, end.length), (6, "there", 11))
+
+
+class AtMostOnceTest(unittest.TestCase):
+    def test_a_lost_reply_leaves_the_outcome_unknown_and_is_never_sent_again(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            bench.backends.service_script = [LOST]
+            first = await bench.tool("issue", number=1)
+            again = await bench.tool("issue", number=1)
+            return first, again, bench.backends.invoked
+
+        first, again, invoked = run_with_owner(body)
+        for end in (first, again):
+            self.assertEqual((end.kind, end.answer.ran), (ErrorKind.OUTCOME_UNKNOWN, Ran.UNKNOWN))
+        self.assertEqual(len(invoked), 1)
+
+    def test_a_call_that_was_not_sent_may_be_made_again(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            bench.backends.service_script = [NOT_SENT] * 3
+            first = await bench.tool("issue", number=1)
+            again = await bench.tool("issue", number=1)
+            return first, again, bench.directory.only.state.grants["fees"]
+
+        first, again, grant = run_with_owner(body)
+        self.assertEqual(first.answer.ran, Ran.NOT_RUN)
+        self.assertEqual(again.value, {"done": True})
+        self.assertEqual((grant.reserved, grant.spent), (0, 10))
+
+    def test_an_owner_that_may_not_act_does_not_send(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            bench.directory.only.act = False
+            return await bench.tool("issue"), bench.backends.invoked
+
+        end, invoked = run_with_owner(body)
+        self.assertEqual(end.answer.ran, Ran.NOT_RUN)
+        self.assertEqual(invoked, [])
+
+    def test_a_repeatable_tool_call_is_sent_again(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            bench.backends.service_script = [LOST]
+            return await bench.tool("look_up"), bench.backends.invoked
+
+        end, invoked = run_with_owner(body)
+        self.assertIsInstance(end, AnswerEnd)
+        self.assertEqual(len(invoked), 2)
+
+    def test_sending_a_call_twice_breaks_the_promise_and_is_seen(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            original = type(bench.owner)._prepare
+
+            def forgetful(*arguments: Any) -> Any:
+                call = original(bench.owner, *arguments)
+                call.sent = True
+                return call
+
+            bench.owner._prepare = forgetful
+            await bench.tool("issue")
+
+        with self.assertRaises(BaseExceptionGroup) as raised:
+            run_with_owner(body)
+        self.assertIn(Promise.AT_MOST_ONCE.value, str(raised.exception.exceptions[0]))
+
+    def test_an_old_incarnation_is_not_run(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            await bench.call(incarnation=1)
+            await bench.directory.only.append(RolledBack(2))
+            model = await bench.call(number=2, incarnation=1)
+            tool = await bench.tool("issue", number=2, incarnation=1)
+            new = await bench.tool("issue", number=2, incarnation=2)
+            return model, tool, new
+
+        model, tool, new = run_with_owner(body)
+        self.assertEqual(model.kind, ErrorKind.HISTORY_ROLLED_BACK)
+        self.assertEqual(tool.kind, ErrorKind.OUTCOME_UNKNOWN)
+        self.assertIsInstance(new, AnswerEnd)
+
+    def test_an_interrupted_call_gets_an_unknown_end_after_a_takeover(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            bench.backends.service_script = [30.0]
+            with anyio.move_on_after(1):
+                await bench.tool("issue", number=1)
+            log = bench.directory.only
+            bench.owner._running.clear()
+            await bench.owner.settle_interrupted(log)
+            return await bench.tool("issue", number=1), log.state.programs["p1"].calls[1].status
+
+        end, status = run_with_owner(body)
+        self.assertEqual(end.kind, ErrorKind.OUTCOME_UNKNOWN)
+        self.assertEqual(status, CallStatus.UNKNOWN)
+
+
+class EngineFailureTest(unittest.TestCase):
+    def test_a_broken_stream_goes_on_at_another_engine_without_a_seam(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            bench.backends.engine_script = [[EngineChunk("Hel", 1, 0, 7), LOST]]
+            items = await bench.items()
+            return "".join(item.text for item in items[1:-1]), items[-1]
+
+        text, end = run_with_owner(body)
+        self.assertEqual((text, end.endpoint), ("Hello there", "e2"))
+
+    def test_another_text_after_a_failover_is_told_not_glued(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            bench.backends.engine_script = [[EngineChunk("Bye", 1, 0, 7), LOST]]
+            return await bench.call()
+
+        self.assertEqual(run_with_owner(body).kind, ErrorKind.ENDPOINT_FAILED)
+
+    def test_a_stream_without_progress_is_given_up(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            bench.backends.engine_script = [[EngineChunk("Hel", 1, 0, 7), 1000.0]]
+            end = await bench.call()
+            return end, anyio.current_time()
+
+        end, now = run_with_owner(body)
+        self.assertIsInstance(end, AnswerEnd)
+        self.assertLess(now, 20)
+
+    def test_ending_a_program_cancels_its_model_call(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            bench.backends.engine_script = [[EngineChunk("Hel", 1, 0, 7), 5.0]]
+            ends: list[Any] = []
+
+            async def call() -> None:
+                ends.append(await bench.call())
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call)
+                await anyio.sleep(1)
+                await bench.owner.end(EndProgram("school", "p1"))
+            return ends[0], await bench.call()
+
+        cancelled, after = run_with_owner(body)
+        self.assertEqual(cancelled.kind, ErrorKind.CANCELLED)
+        self.assertEqual(after.kind, ErrorKind.PROGRAM_ENDED)
+
+
+class RefusalTest(unittest.TestCase):
+    def test_a_refused_slot_leaves_nothing_behind(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            bench.scheduler.refuse = True
+            end = await bench.call()
+            bench.scheduler.refuse = False
+            return end, await bench.call(number=1)
+
+        refused, after = run_with_owner(body)
+        self.assertEqual((refused.answer.ran, refused.answer.retry_after_s), (Ran.NOT_RUN, 3.0))
+        self.assertIsInstance(after, AnswerEnd)
+
+    def test_turns_are_limited(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            return [await bench.call() for _ in range(6)]
+
+        ends = run_with_owner(body)
+        self.assertEqual(ends[5].kind, ErrorKind.LIMIT_REACHED)
+
+    def test_a_journal_without_second_copy_refuses_before_anything_is_sent(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            await bench.call()
+            bench.directory.only.fail = True
+            return await bench.tool("issue"), bench.backends.invoked
+
+        end, invoked = run_with_owner(body)
+        self.assertEqual((end.kind, end.answer.ran), (ErrorKind.NOT_DURABLE, Ran.NOT_RUN))
+        self.assertEqual(invoked, [])
+
+    def test_a_node_that_may_lack_a_ticket_starts_nothing(self) -> None:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            bench.tickets.current = False
+            return await bench.call()
+
+        self.assertEqual(run_with_owner(body).kind, ErrorKind.NOT_CURRENT)
+
+
+if __name__ == "__main__":
+    unittest.main()
