Serve callers and operators over HTTP

Change: a plain ASGI application over NodeService, with routes registered by decorator, typed bodies and headers, JSON and event sinks, a gatherer that checks that an answer is whole, and a uvicorn listener without signal handlers and polling.

--- a/src/bramleylead/request/__init__.py
+++ b/src/bramleylead/request/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bramleylead.request._http_app import HttpApp
 from bramleylead.request._keys import find_branch
 from bramleylead.request._keys import hash_key
 from bramleylead.request._keys import key_matches
@@ -15,6 +16,7 @@
 from bramleylead.request._messages import ProgramView
 from bramleylead.request._messages import ReadProgram
 from bramleylead.request._messages import ResumeCall
+from bramleylead.request._server import HttpServer
 from bramleylead.request._service import CallItem
 from bramleylead.request._service import NodeService
 from bramleylead.request._service import NodeTicket
@@ -31,6 +33,8 @@
     "CallKind",
     "CallRequest",
     "EndProgram",
+    "HttpApp",
+    "HttpServer",
     "NodeService",
     "NodeTicket",
     "OpenProgram",
--- /dev/null
+++ b/src/bramleylead/request/_http_app.py
@@ -0,0 +1,170 @@
+"""The ASGI application of a node: finds the route, checks the key, words failures, counts."""
+
+from __future__ import annotations
+
+import secrets
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+from typing import final
+
+import anyio
+import structlog
+from result import Err
+from result import Ok
+from result import Result
+
+from bramleylead.errors import ErrorKind
+from bramleylead.errors import Failure
+from bramleylead.request import _http_calls
+from bramleylead.request import _http_operators
+from bramleylead.request import _http_programs
+from bramleylead.request._exchange import MAX_HEADER_BYTES
+from bramleylead.request._exchange import Exchange
+from bramleylead.request._exchange import Receive
+from bramleylead.request._exchange import Scope
+from bramleylead.request._exchange import Send
+from bramleylead.request._http_answers import JSON_TYPE
+from bramleylead.request._http_answers import NO_ERROR
+from bramleylead.request._http_answers import CallPlace
+from bramleylead.request._http_answers import encode_json
+from bramleylead.request._http_answers import failure_body
+from bramleylead.request._http_answers import failure_headers
+from bramleylead.request._http_routes import Access
+from bramleylead.request._http_routes import HttpRequest
+from bramleylead.request._http_routes import Route
+from bramleylead.request._http_routes import find_route
+from bramleylead.request._service import NodeService
+
+if TYPE_CHECKING:
+    from bramleylead.process._settings import RequestSettings
+
+ROUTE_MODULES = (_http_calls, _http_operators, _http_programs)
+"""Importing them registers their routes."""
+
+PROGRAM_ID_BYTES = 12
+NO_ROUTE = "none"
+BEARER = "bearer "
+
+log = structlog.get_logger()
+
+
+def random_program() -> str:
+    """Return an id for a program whose caller brings none."""
+    return f"p-{secrets.token_hex(PROGRAM_ID_BYTES)}"
+
+
+@final
+class HttpApp:
+    """The ASGI callable of one node.
+
+    :param new_program: makes ids for programs whose callers bring none.
+    :param wall_clock: seconds since 1970.
+    """
+
+    def __init__(
+        self,
+        service: NodeService,
+        settings: RequestSettings,
+        *,
+        new_program: Callable[[], str] = random_program,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._service = service
+        self._settings = settings
+        self._new_program = new_program
+        self._wall_clock = wall_clock
+        self._running = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request; other kinds of ASGI scope are not served."""
+        if scope["type"] != "http":
+            raise ValueError(f"scope {scope['type']}: only http is served")
+        exchange = Exchange(scope, receive, send)
+        exchange.close_after = self._service.stopping
+        place = CallPlace()
+        metrics = self._service.metrics
+        started_s = anyio.current_time()
+        self._count_running(1)
+        route_path, answer = NO_ROUTE, ErrorKind.CANCELLED.value
+        try:
+            found = _check_request(exchange)
+            if isinstance(found, Ok):
+                route_path = found.ok_value[0].path
+                result = await self._handle(exchange, place, *found.ok_value)
+            else:
+                result = found
+            answer = await self._finish(exchange, place, result)
+        finally:
+            self._count_running(-1)
+            metrics.requests.inc({"route": route_path, "answer": answer})
+            seconds = anyio.current_time() - started_s
+            metrics.request_seconds.observe({"route": route_path}, seconds)
+
+    async def _handle(
+        self, exchange: Exchange, place: CallPlace, route: Route, arguments: dict[str, str]
+    ) -> Result[None, Failure]:
+        branch = self._authenticate(exchange, route.access)
+        if isinstance(branch, Err):
+            return branch
+        if route.new_work and self._service.stopping:
+            return Err(Failure(ErrorKind.STOPPING, "this node is stopping"))
+        request = HttpRequest(
+            service=self._service,
+            settings=self._settings,
+            exchange=exchange,
+            branch=branch.ok_value,
+            arguments=arguments,
+            place=place,
+            new_program=self._new_program,
+            wall_clock=self._wall_clock,
+        )
+        try:
+            return await route.handler(request)
+        except Exception:
+            log.exception("request_failed", route=route.path, program=place.program)
+            return Err(Failure(ErrorKind.INTERNAL, f"{route.path}: an unexpected error"))
+
+    def _authenticate(self, exchange: Exchange, access: Access) -> Result[str, Failure]:
+        """Return the caller's branch; empty for operators and public routes."""
+        if access is Access.PUBLIC:
+            return Ok("")
+        header = exchange.headers.get("authorization", "")
+        if not header.lower().startswith(BEARER):
+            detail = "Authorization: missing or of another scheme: must be Bearer KEY"
+            return Err(Failure(ErrorKind.UNAUTHENTICATED, detail))
+        key = header[len(BEARER) :].strip()
+        branch = self._service.branch_of_key(key)
+        operator = self._service.is_operator(key)
+        if access is Access.CALLER and branch is not None:
+            return Ok(branch)
+        if access is Access.OPERATOR and operator:
+            return Ok("")
+        if branch is not None or operator:
+            detail = f"Authorization: this path asks for the key of {access.name.lower()}s"
+            return Err(Failure(ErrorKind.FORBIDDEN, detail))
+        return Err(Failure(ErrorKind.UNAUTHENTICATED, "Authorization: unknown key"))
+
+    async def _finish(
+        self, exchange: Exchange, place: CallPlace, result: Result[None, Failure]
+    ) -> str:
+        """Send a failure unless a response has begun; return the answer for the metrics."""
+        if isinstance(result, Ok):
+            return NO_ERROR
+        failure = result.err_value
+        if not exchange.started:
+            headers = [("content-type", JSON_TYPE), *failure_headers(failure, place)]
+            body = encode_json(failure_body(failure, place))
+            await exchange.respond(failure.answer.status, body, headers)
+        return failure.kind.value
+
+    def _count_running(self, change: int) -> None:
+        self._running += change
+        self._service.metrics.requests_running.set({}, self._running)
+
+
+def _check_request(exchange: Exchange) -> Result[tuple[Route, dict[str, str]], Failure]:
+    if exchange.header_bytes > MAX_HEADER_BYTES:
+        detail = f"headers: {exchange.header_bytes} bytes: at most {MAX_HEADER_BYTES} are allowed"
+        return Err(Failure(ErrorKind.TOO_LARGE, detail))
+    return find_route(exchange.method, exchange.path)
--- /dev/null
+++ b/src/bramleylead/request/_http_routes.py
@@ -0,0 +1,135 @@
+"""The HTTP routes: a decorator registers each handler under a method and a path."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Awaitable
+from collections.abc import Callable
+from enum import Enum
+from enum import auto
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+from typing import TypeVar
+
+from pydantic import BaseModel
+from result import Err
+from result import Ok
+from result import Result
+
+from bramleylead.errors import ErrorKind
+from bramleylead.errors import Failure
+from bramleylead.request._exchange import Exchange
+from bramleylead.request._http_answers import JSON_TYPE
+from bramleylead.request._http_answers import CallPlace
+from bramleylead.request._http_answers import encode_json
+from bramleylead.request._http_answers import success_headers
+from bramleylead.request._service import NodeService
+from bramleylead.validation import load_model
+
+if TYPE_CHECKING:
+    from bramleylead.process._settings import RequestSettings
+
+SHOWN_FAULTS = 10
+
+_Body = TypeVar("_Body", bound=BaseModel)
+
+
+class Access(Enum):
+    """Whose key a route asks for."""
+
+    PUBLIC = auto()
+    CALLER = auto()
+    OPERATOR = auto()
+
+
+class HttpRequest(NamedTuple):
+    """What a handler gets.
+
+    :param branch: the branch whose key the caller sent; empty on other routes.
+    :param arguments: the named parts of the path.
+    :param place: filled by the handler as it learns which call this is; failures carry it.
+    :param new_program: makes a program id for callers that bring none.
+    :param wall_clock: seconds since 1970, for the ``created`` field of completions.
+    """
+
+    service: NodeService
+    settings: RequestSettings
+    exchange: Exchange
+    branch: str
+    arguments: dict[str, str]
+    place: CallPlace
+    new_program: Callable[[], str]
+    wall_clock: Callable[[], float]
+
+    async def read_bytes(self) -> Result[bytes, Failure]:
+        """Read the body within the limits of the settings."""
+        return await self.exchange.read_body(
+            max_bytes=self.settings.max_body_bytes, timeout_s=self.settings.body_timeout_s
+        )
+
+    async def read_model(self, model: type[_Body]) -> Result[_Body, Failure]:
+        """Read the body into a model."""
+        body = await self.read_bytes()
+        if isinstance(body, Err):
+            return body
+        loaded = load_model(model, body.ok_value or b"{}")
+        if isinstance(loaded, Ok):
+            return loaded
+        faults = "; ".join(str(fault) for fault in loaded.err_value[:SHOWN_FAULTS])
+        return Err(Failure(ErrorKind.MALFORMED, f"body: {faults}"))
+
+    async def respond_json(self, status: int, value: Any) -> Result[None, Failure]:
+        """Send a successful answer."""
+        headers = [("content-type", JSON_TYPE), *success_headers(self.place)]
+        await self.exchange.respond(status, encode_json(value), headers)
+        return Ok(None)
+
+
+Handler = Callable[[HttpRequest], Awaitable[Result[None, Failure]]]
+
+
+class Route(NamedTuple):
+    """One registered route.
+
+    :param new_work: whether a stopping node refuses it.
+    """
+
+    method: str
+    path: str
+    pattern: re.Pattern[str]
+    access: Access
+    new_work: bool
+    handler: Handler
+
+
+ROUTES: list[Route] = []
+
+
+def route(
+    method: str, path: str, *, access: Access, new_work: bool = False
+) -> Callable[[Handler], Handler]:
+    """Register a handler; ``{name}`` in the path matches one segment."""
+
+    def register(handler: Handler) -> Handler:
+        pattern = re.compile(re.sub(r"{(\w+)}", r"(?P<\1>[^/]+)", path))
+        ROUTES.append(Route(method, path, pattern, access, new_work, handler))
+        return handler
+
+    return register
+
+
+def find_route(method: str, path: str) -> Result[tuple[Route, dict[str, str]], Failure]:
+    """Return the route of a request and the named parts of its path."""
+    methods = []
+    for candidate in ROUTES:
+        match = candidate.pattern.fullmatch(path)
+        if match is None:
+            continue
+        if candidate.method == method:
+            return Ok((candidate, match.groupdict()))
+        methods.append(candidate.method)
+    if methods:
+        detail = f"method: {method}: {path} takes {', '.join(methods)}"
+        return Err(Failure(ErrorKind.MALFORMED, detail))
+    return Err(Failure(ErrorKind.UNKNOWN_TARGET, f"path: {path}: see the page on HTTP"))
--- /dev/null
+++ b/src/bramleylead/request/_http_shapes.py
@@ -0,0 +1,76 @@
+"""How answers are worded: as chat completions for model calls, plainly for tool calls."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import final
+
+from bramleylead.request._http_answers import CallPlace
+from bramleylead.request._messages import AnswerEnd
+
+
+@final
+class ChatShape:
+    """Chat-completions documents and chunks.
+
+    :param model: the model's name as the caller sent it; empty when an answer is resumed.
+    :param created_s: seconds since 1970.
+    """
+
+    def __init__(self, place: CallPlace, *, model: str, created_s: int) -> None:
+        self._place = place
+        self._model = model
+        self._created_s = created_s
+
+    def whole(self, text: str, end: AnswerEnd) -> dict[str, Any]:
+        """Return a chat completion."""
+        message = {"role": "assistant", "content": text}
+        choice = {"index": 0, "message": message, "finish_reason": end.finish}
+        return {**self._head("chat.completion"), "choices": [choice], "usage": _usage(end)}
+
+    def part(self, text: str) -> dict[str, Any]:
+        """Return a chunk with text."""
+        choice = {"index": 0, "delta": {"content": text}, "finish_reason": None}
+        return {**self._head("chat.completion.chunk"), "choices": [choice]}
+
+    def last(self, end: AnswerEnd) -> dict[str, Any]:
+        """Return the chunk that ends the stream."""
+        choice = {"index": 0, "delta": {}, "finish_reason": end.finish}
+        document = {**self._head("chat.completion.chunk"), "choices": [choice]}
+        if end.value is not None:
+            document["value"] = end.value
+        return {**document, "usage": _usage(end)}
+
+    def _head(self, kind: str) -> dict[str, Any]:
+        return {
+            "id": f"chatcmpl-{self._place.program}",
+            "object": kind,
+            "created": self._created_s,
+            "model": self._model,
+        }
+
+
+@final
+class ToolShape:
+    """The value that a tool returned."""
+
+    def whole(self, text: str, end: AnswerEnd) -> dict[str, Any]:
+        """Return the value, and the text if the tool streamed any."""
+        return {"object": "tool.result", "value": end.value, "text": text}
+
+    def part(self, text: str) -> dict[str, Any]:
+        """Return text that the tool streamed."""
+        return {"object": "tool.result.chunk", "text": text}
+
+    def last(self, end: AnswerEnd) -> dict[str, Any]:
+        """Return the value."""
+        return {"object": "tool.result", "value": end.value}
+
+
+def _usage(end: AnswerEnd) -> dict[str, Any]:
+    return {
+        "prompt_tokens": end.prompt_tokens,
+        "completion_tokens": end.output_tokens,
+        "total_tokens": end.prompt_tokens + end.output_tokens,
+        "prompt_tokens_details": {"cached_tokens": end.cached_tokens},
+    }
--- /dev/null
+++ b/testing/request/test_http_calls.py
@@ -0,0 +1,249 @@
+"""Calls over HTTP: chat completions, tool calls, resumed answers."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+from structlog.testing import capture_logs
+
+from bramleylead.errors import ErrorKind
+from bramleylead.errors import Failure
+from bramleylead.promises import Promise
+from bramleylead.request import AnswerChunk
+from bramleylead.request import AnswerStart
+from bramleylead.request import CallKind
+from bramleylead.request import CallRequest
+from bramleylead.request import EndProgram
+from bramleylead.request import OpenProgram
+from bramleylead.request import ResumeCall
+from bramleylead.standins import run_virtual
+from testing.request.fakes import OTHER_KEY
+from testing.request.fakes import Caller
+from testing.request.fakes import FakeNode
+from testing.request.fakes import Response
+from testing.request.fakes import answer
+from testing.request.fakes import end_of
+
+CHAT = {"model": "tutor", "messages": [{"role": "user", "content": "hi"}]}
+STREAMED = {**CHAT, "stream": True}
+IN_PROGRAM = {"Bramleylead_Program": "p-1", "Bramleylead_Call": "2"}
+
+
+def run(action: Callable[[], Awaitable[Response]]) -> Response:
+    return run_virtual(action, seed=1)
+
+
+def chat(node: FakeNode, body: Any = None, *, caller: Caller | None = None, **headers: str) -> Any:
+    speaker = caller or Caller(node)
+    return run(lambda: speaker.post("/v1/chat/completions", body or CHAT, **headers))
+
+
+class ChatTest(unittest.TestCase):
+    def test_an_ordinary_client_gets_a_one_call_program(self) -> None:
+        node = FakeNode()
+        got = chat(node)
+        self.assertEqual(got.status, 200)
+        self.assertEqual(got.json["choices"][0]["message"]["content"], "hello there")
+        self.assertEqual(got.json["usage"]["total_tokens"], 12)
+        kinds = [type(item) for item in node.seen]
+        self.assertEqual(kinds, [OpenProgram, CallRequest, EndProgram])
+        self.assertEqual(node.seen[0].kind, "tutoring")
+        self.assertEqual(node.seen[1].number, 1)
+
+    def test_a_repeat_with_the_same_key_is_the_same_one_call_program(self) -> None:
+        node = FakeNode()
+        chat(node, Idempotency_Key="k1")
+        chat(node, Idempotency_Key="k1")
+        chat(node, Idempotency_Key="k2")
+        first, again, other = [item.program for item in node.seen if isinstance(item, OpenProgram)]
+        self.assertEqual(first, again)
+        self.assertNotEqual(first, other)
+
+    def test_headers_place_the_call_in_its_program(self) -> None:
+        node = FakeNode(answer("yes", number=2))
+        got = chat(
+            node,
+            Bramleylead_Incarnation="3",
+            Bramleylead_History="append",
+            Bramleylead_Deadline_S="7.5",
+            Idempotency_Key="k",
+            **IN_PROGRAM,
+        )
+        (call,) = node.seen
+        self.assertEqual((call.branch, call.program, call.number), ("prairie", "p-1", 2))
+        self.assertEqual((call.incarnation, call.key, call.deadline_s), (3, "k", 7.5))
+        self.assertFalse(call.whole_history)
+        self.assertEqual(call.call_kind, CallKind.MODEL)
+        self.assertEqual(got.headers["bramleylead-call"], "2")
+        self.assertEqual(got.headers["bramleylead-incarnation"], "3")
+        self.assertEqual(got.headers["bramleylead-ran"], "ran")
+        self.assertEqual(got.headers["bramleylead-error-kind"], "none")
+        self.assertTrue(got.json["bramleylead"]["durable"])
+
+    def test_a_first_call_that_names_its_kind_opens_the_program(self) -> None:
+        node = FakeNode()
+        chat(node, Bramleylead_Program="p-1", Bramleylead_Kind="exam")
+        self.assertEqual(node.seen[0], OpenProgram("prairie", "p-1", "exam"))
+
+    def test_a_later_call_opens_nothing(self) -> None:
+        node = FakeNode(answer("yes", number=2))
+        chat(node, Bramleylead_Kind="exam", **IN_PROGRAM)
+        self.assertEqual([type(item) for item in node.seen], [CallRequest])
+
+    def test_a_model_in_two_kinds_asks_for_the_kind(self) -> None:
+        node = FakeNode()
+        got = chat(node, caller=Caller(node, key=OTHER_KEY))
+        self.assertEqual(got.status, 400)
+        self.assertIn("tutoring, exam", got.error["detail"])
+        self.assertEqual(node.seen, [])
+
+    def test_a_refusal_keeps_its_status_and_says_not_run(self) -> None:
+        node = FakeNode([Failure(ErrorKind.OVERLOADED, "queue full", 1.5)])
+        for body in (CHAT, STREAMED):
+            got = chat(node, body, **IN_PROGRAM)
+            self.assertEqual(got.status, 503)
+            self.assertEqual(got.error["error_kind"], "overloaded")
+            self.assertEqual(got.error["ran"], "not run")
+            self.assertEqual(got.error["retry_after_s"], 1.5)
+            self.assertEqual(got.error["program"], "p-1")
+            self.assertEqual(got.error["call"], 2)
+            self.assertEqual(got.headers["retry-after"], "2")
+
+    def test_an_unexpected_error_is_answered_as_unknown(self) -> None:
+        node = FakeNode([ValueError("a fault of ours")])
+        with capture_logs() as logs:
+            got = chat(node, **IN_PROGRAM)
+        self.assertEqual([line["event"] for line in logs], ["answer_failed"])
+        self.assertEqual((got.status, got.error["ran"]), (500, "unknown"))
+        self.assertNotIn("a fault of ours", got.body.decode())
+
+
+class StreamTest(unittest.TestCase):
+    def test_chunks_come_as_events_and_end_with_done(self) -> None:
+        got = chat(FakeNode(), STREAMED, **IN_PROGRAM)
+        data = [json.loads(text) for _, text in got.events[:-1]]
+        text = "".join(item["choices"][0]["delta"].get("content", "") for item in data)
+        self.assertEqual(text, "hello there")
+        self.assertEqual([item["bramleylead"].get("offset") for item in data], [0, 5, None])
+        self.assertEqual(data[-1]["choices"][0]["finish_reason"], "stop")
+        self.assertEqual(data[-1]["bramleylead"]["ran"], "ran")
+        self.assertEqual(got.events[-1], ("message", "[DONE]"))
+
+    def test_a_failure_after_text_is_an_error_event_without_done(self) -> None:
+        script = [AnswerChunk(0, "hel", 1), Failure(ErrorKind.ENDPOINT_FAILED, "engine died")]
+        got = chat(FakeNode(script), STREAMED, **IN_PROGRAM)
+        name, data = got.events[-1]
+        error = json.loads(data)["error"]
+        self.assertEqual((got.status, name), (200, "error"))
+        self.assertEqual((error["ran"], error["offset"], error["status"]), ("ran", 3, 502))
+        self.assertNotIn("[DONE]", got.body.decode())
+
+    def test_a_long_wait_shows_comments_then_a_late_refusal_as_an_event(self) -> None:
+        script = [25.0, Failure(ErrorKind.OVERLOADED, "queue full")]
+        got = chat(FakeNode(script), STREAMED, **IN_PROGRAM)
+        names = [name for name, _ in got.events]
+        self.assertEqual(names, ["", "", "error"])
+        self.assertEqual(got.headers["bramleylead-ran"], "unknown")
+
+    def test_a_refusal_is_not_held_back(self) -> None:
+        node = FakeNode([3.0, Failure(ErrorKind.OVERLOADED, "queue full")])
+        caller = Caller(node)
+        chat(node, STREAMED, caller=caller, **IN_PROGRAM)
+        self.assertAlmostEqual(caller.first_byte_s, 3.0)
+
+    def test_not_run_is_never_said_after_text(self) -> None:
+        node = FakeNode([AnswerChunk(0, "hel", 1), Failure(ErrorKind.OVERLOADED, "queue full")])
+        got = chat(node, STREAMED, **IN_PROGRAM)
+        self.assertEqual(json.loads(got.events[-1][1])["error"]["ran"], "ran")
+        self.assertEqual(node.promises.violations[0].promise, Promise.NOT_RUN)
+
+    def test_a_stream_to_the_owner_that_breaks_after_text_is_no_broken_promise(self) -> None:
+        node = FakeNode([AnswerChunk(0, "hel", 1), Failure(ErrorKind.OWNER_UNAVAILABLE, "lost")])
+        got = chat(node, STREAMED, **IN_PROGRAM)
+        self.assertEqual(json.loads(got.events[-1][1])["error"]["ran"], "ran")
+        self.assertEqual(node.promises.violations, [])
+
+    def test_text_that_comes_twice_is_passed_on_once(self) -> None:
+        script = [AnswerChunk(0, "hel", 1), AnswerChunk(1, "ello", 1), end_of("hello")]
+        got = chat(FakeNode(script), **IN_PROGRAM)
+        self.assertEqual(got.json["choices"][0]["message"]["content"], "hello")
+
+    def test_a_gap_is_never_passed_off_as_the_whole(self) -> None:
+        for script in (
+            [AnswerChunk(0, "hel", 1), AnswerChunk(4, "o", 1), end_of("hello")],
+            [AnswerChunk(0, "hel", 1), end_of("hello")],
+            [AnswerChunk(0, "hel", 1)],
+        ):
+            node = FakeNode(script)
+            got = chat(node, **IN_PROGRAM)
+            self.assertEqual((got.status, got.error["ran"]), (500, "unknown"))
+
+    def test_no_end_in_time_is_answered_as_unknown(self) -> None:
+        got = chat(FakeNode([500.0]), Bramleylead_Deadline_S="5", **IN_PROGRAM)
+        self.assertEqual((got.status, got.error["error_kind"]), (504, "outcome_unknown"))
+
+    def test_a_caller_that_goes_away_ends_only_its_wait(self) -> None:
+        node = FakeNode([AnswerChunk(0, "hel", 1), 50.0, end_of("hel")])
+        chat(node, STREAMED, caller=Caller(node, gone_after_s=2.0), **IN_PROGRAM)
+        self.assertEqual(node.left_early, 1)
+        self.assertEqual([type(item) for item in node.seen], [CallRequest])
+        self.assertEqual(node.metrics.callers_gone.get({}), 1)
+
+    def test_a_one_call_program_ends_when_its_caller_goes_away(self) -> None:
+        node = FakeNode([50.0])
+        chat(node, caller=Caller(node, gone_after_s=2.0))
+        self.assertIsInstance(node.seen[-1], EndProgram)
+
+    def test_a_one_call_program_with_a_key_waits_for_its_caller(self) -> None:
+        node = FakeNode([50.0])
+        chat(node, caller=Caller(node, gone_after_s=2.0), Idempotency_Key="k")
+        self.assertIsInstance(node.seen[-1], CallRequest)
+
+
+class ToolTest(unittest.TestCase):
+    def test_a_tool_call_returns_its_value(self) -> None:
+        node = FakeNode([AnswerStart(4, 3), end_of("", number=4, value={"id": "c-9"})])
+        got = run(
+            lambda: Caller(node).post(
+                "/v1/programs/p-1/tools/issue", {"candidate": "ann"}, Idempotency_Key="k"
+            )
+        )
+        self.assertEqual(got.json["value"], {"id": "c-9"})
+        self.assertEqual(got.json["bramleylead"]["call"], 4)
+        (call,) = node.seen
+        self.assertEqual((call.call_kind, call.target), (CallKind.TOOL, "issue"))
+        self.assertEqual((call.arguments, call.key), ({"candidate": "ann"}, "k"))
+
+    def test_an_unknown_outcome_is_said_so(self) -> None:
+        node = FakeNode([Failure(ErrorKind.OUTCOME_UNKNOWN, "the reply was lost")])
+        got = run(lambda: Caller(node).post("/v1/programs/p-1/tools/issue", {}))
+        self.assertEqual((got.status, got.headers["bramleylead-ran"]), (504, "unknown"))
+
+
+class ResumeTest(unittest.TestCase):
+    def test_the_rest_of_an_answer_comes_from_its_offset(self) -> None:
+        node = FakeNode([AnswerChunk(6, "there", 1), end_of("hello there")])
+        got = run(lambda: Caller(node).get("/v1/programs/p-1/calls/1/answer?offset=6"))
+        self.assertEqual(node.seen, [ResumeCall("prairie", "p-1", 1, 6, 60.0)])
+        first = json.loads(got.events[0][1])
+        self.assertEqual(first["choices"][0]["delta"]["content"], "there")
+        self.assertEqual(first["bramleylead"]["offset"], 6)
+        self.assertEqual(got.events[-1], ("message", "[DONE]"))
+
+    def test_a_bad_offset_is_refused(self) -> None:
+        got = run(lambda: Caller(FakeNode()).get("/v1/programs/p-1/calls/1/answer?offset=-1"))
+        self.assertEqual((got.status, got.error["error_kind"]), (400, "malformed"))
+
+    def test_an_offset_beyond_the_answer_is_the_callers_fault(self) -> None:
+        node = FakeNode([end_of("hello")])
+        got = run(lambda: Caller(node).get("/v1/programs/p-1/calls/1/answer?offset=99"))
+        self.assertEqual((got.status, got.error["error_kind"]), (400, "malformed"))
+        self.assertEqual(node.promises.violations, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
