--- a/src/bramleylead/request/__init__.py
+++ b/src/bramleylead/request/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bramleylead.request._answer import AnswerBuffer
+from bramleylead.request._http_app import HttpApp
 from bramleylead.request._keys import find_branch
 from bramleylead.request._keys import hash_key
 from bramleylead.request._keys import key_matches
@@ -18,6 +19,7 @@
 from bramleylead.request._messages import ProgramView
 from bramleylead.request._messages import ReadProgram
 from bramleylead.request._messages import ResumeCall
+from bramleylead.request._server import HttpServer
 from bramleylead.request._service import CallItem
 from bramleylead.request._service import NodeService
 from bramleylead.request._service import NodeTicket
@@ -36,6 +38,8 @@
     "CallKind",
     "CallRequest",
     "EndProgram",
+    "HttpApp",
+    "HttpServer",
     "LivePrograms",
     "NodeService",
     "NodeTicket",
