--- a/src/bramleylead/platform/_memory.py
+++ b/src/bramleylead/platform/_memory.py
@@ -57,8 +57,14 @@
         self, key: str, value: bytes, *, expected: int = ANY_VERSION, timeout_s: float = 2.0
     ) -> Result[int, StoreError]:
         """Write one object if its version is ``expected`` and return the new version."""
-        self.writes += 1
         await anyio.lowlevel.checkpoint()
+        return self.put_now(key, value, expected=expected)
+
+    def put_now(
+        self, key: str, value: bytes, *, expected: int = ANY_VERSION
+    ) -> Result[int, StoreError]:
+        """Do what :meth:`put` does, at once."""
+        self.writes += 1
         if len(value) > MAX_VALUE_BYTES:
             detail = f"{key}: {len(value)} bytes; at most {MAX_VALUE_BYTES} are stored"
             return Err(StoreError(StoreErrorKind.TOO_LARGE, detail))
@@ -73,8 +79,12 @@
         self, key: str, *, expected: int = ANY_VERSION, timeout_s: float = 2.0
     ) -> Result[None, StoreError]:
         """Delete one object if its version is ``expected``."""
-        self.writes += 1
         await anyio.lowlevel.checkpoint()
+        return self.delete_now(key, expected=expected)
+
+    def delete_now(self, key: str, *, expected: int = ANY_VERSION) -> Result[None, StoreError]:
+        """Do what :meth:`delete` does, at once."""
+        self.writes += 1
         version = self._version(key)
         if version == 0:
             return Err(StoreError(StoreErrorKind.NOT_FOUND, key))
--- a/src/bramleylead/standins/_network.py
+++ b/src/bramleylead/standins/_network.py
@@ -39,6 +39,7 @@
         self._pipes: set[_Pipe] = set()
         self._cuts: set[frozenset[str]] = set()
         self._frozen: dict[str, anyio.Event] = {}
+        self._kills: dict[str, int] = {}
         self._next_port = 40_000
         self.bytes_between_regions = 0
         self.bytes_by_host: dict[str, int] = {}
@@ -69,12 +70,21 @@
 
     def kill(self, host: str) -> None:
         """Drop everything of a host without a word: its listeners vanish, its streams go silent."""
+        self._kills[host] = self._kills.get(host, 0) + 1
         for address in [name for name in self._listeners if split_address(name)[0] == host]:
             del self._listeners[address]
         for pipe in self._ordered_pipes():
             if host in pipe.ends:
                 pipe.silent = True
 
+    def kills(self, host: str) -> int:
+        """Return how often a host was killed; other stand-ins drop what began before a kill."""
+        return self._kills.get(host, 0)
+
+    def region(self, host: str) -> str:
+        """Return a host's region, empty if it has no place."""
+        return self._places.get(host, ("", ""))[0]
+
     def freeze(self, host: str) -> None:
         """Hold everything that enters or leaves a host."""
         self._frozen.setdefault(host, anyio.Event())
