--- a/src/bramleylead/request/_http_app.py
+++ b/src/bramleylead/request/_http_app.py
@@ -95,6 +95,9 @@
             else:
                 result = found
             answer = await self._finish(exchange, place, result)
+        except Exception:
+            log.exception("response_failed", route=route_path, program=place.program)
+            raise
         finally:
             self._count_running(-1)
             metrics.requests.inc({"route": route_path, "answer": answer})
--- a/testing/request/fakes.py
+++ b/testing/request/fakes.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+from contextlib import aclosing
 from contextlib import asynccontextmanager
 from typing import Any
 from typing import NamedTuple
@@ -94,7 +95,7 @@
         self.is_ready = True
         self.script = script if script is not None else answer("hello there")
         self.seen: list[Any] = []
-        self.left_early = 0
+        self.left_early = anyio.Event()
         self.open_result: Failure | None = None
         self.tickets: dict[int, bytes] = {}
 
@@ -133,9 +134,10 @@
     async def call(self, request: CallRequest | ResumeCall) -> AsyncIterator[AsyncIterator[Any]]:
         self.seen.append(request)
         try:
-            yield self._play()
+            async with aclosing(self._play()) as items:
+                yield items
         except anyio.get_cancelled_exc_class():
-            self.left_early += 1
+            self.left_early.set()
             raise
 
     resume = call
--- a/testing/request/test_http_calls.py
+++ b/testing/request/test_http_calls.py
@@ -189,7 +189,7 @@
     def test_a_caller_that_goes_away_ends_only_its_wait(self) -> None:
         node = FakeNode([AnswerChunk(0, "hel", 1), 50.0, end_of("hel")])
         chat(node, STREAMED, caller=Caller(node, gone_after_s=2.0), **IN_PROGRAM)
-        self.assertEqual(node.left_early, 1)
+        self.assertTrue(node.left_early.is_set())
         self.assertEqual([type(item) for item in node.seen], [CallRequest])
         self.assertEqual(node.metrics.callers_gone.get({}), 1)
 
--- /dev/null
+++ b/testing/request/test_server.py
@@ -0,0 +1,183 @@
+"""The listener over real sockets, on the asyncio backend."""
+
+from __future__ import annotations
+
+import json
+import signal
+import unittest
+import unittest.mock
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import httpcore
+from anyio.abc import SocketStream
+
+from bramleylead.connection._tcp import split_address
+from bramleylead.request import AnswerChunk
+from bramleylead.request import HttpApp
+from bramleylead.request import HttpServer
+from bramleylead.request import _server
+from testing.request.fakes import PRAIRIE_KEY
+from testing.request.fakes import SETTINGS
+from testing.request.fakes import FakeNode
+from testing.request.fakes import end_of
+
+HEADERS = {"Authorization": f"Bearer {PRAIRIE_KEY}", "Bramleylead-Program": "p-1"}
+CHAT = {"model": "tutor", "messages": [{"role": "user", "content": "hi"}], "stream": True}
+TEST_LIMIT_S = 30.0
+
+Body = Callable[[HttpServer, str], Awaitable[None]]
+
+
+def serve(node: FakeNode, body: Body) -> None:
+    """Run ``body`` against a listener; it must stop or kill the listener in the end."""
+
+    async def main() -> None:
+        server = HttpServer(HttpApp(node, SETTINGS))
+        with anyio.fail_after(TEST_LIMIT_S):
+            async with anyio.create_task_group() as tasks:
+                address = await tasks.start(server.serve, "127.0.0.1:0")
+                await body(server, address)
+
+    anyio.run(main, backend="asyncio")
+
+
+async def raw(address: str, data: bytes) -> tuple[int, Any]:
+    """Send bytes and return the status and JSON of the response."""
+    async with await anyio.connect_tcp(*split_address(address)) as stream:
+        await stream.send(data)
+        return _parse(await _read_all(stream))
+
+
+async def _read_all(stream: SocketStream) -> bytes:
+    found = b""
+    try:
+        while True:
+            found += await stream.receive()
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        return found
+
+
+def _parse(response: bytes) -> tuple[int, Any]:
+    head, _, body = response.partition(b"\r\n\r\n")
+    return int(head.split()[1]), json.loads(body)
+
+
+class ServerTest(unittest.TestCase):
+    def test_a_stream_passes_and_the_stop_cuts_nothing_off(self) -> None:
+        node = FakeNode([AnswerChunk(0, "hel", 1), 0.3, AnswerChunk(3, "lo", 1), end_of("hello")])
+
+        async def body(server: HttpServer, address: str) -> None:
+            async with httpcore.AsyncConnectionPool() as pool:
+                url = f"http://{address}/v1/chat/completions"
+                content = json.dumps(CHAT).encode()
+                async with pool.stream("POST", url, headers=HEADERS, content=content) as response:
+                    parts = response.aiter_stream()
+                    received = await anext(parts)
+                    server.stop(grace_s=10)
+                    async for part in parts:
+                        received += part
+            self.assertTrue(received.endswith(b"data: [DONE]\n\n"))
+            self.assertEqual(received.count(b"chat.completion.chunk"), 3)
+
+        before = signal.getsignal(signal.SIGTERM)
+        serve(node, body)
+        self.assertIs(signal.getsignal(signal.SIGTERM), before)
+
+    def test_a_kill_drops_running_requests(self) -> None:
+        node = FakeNode([AnswerChunk(0, "hel", 1), 60.0, end_of("hel")])
+
+        async def body(server: HttpServer, address: str) -> None:
+            async with httpcore.AsyncConnectionPool() as pool:
+                url = f"http://{address}/v1/chat/completions"
+                content = json.dumps(CHAT).encode()
+                with self.assertRaises((httpcore.RemoteProtocolError, httpcore.ReadError)):
+                    async with pool.stream(
+                        "POST", url, headers=HEADERS, content=content
+                    ) as response:
+                        async for _ in response.aiter_stream():
+                            server.kill()
+            with self.assertRaises(OSError):
+                await anyio.connect_tcp(*split_address(address))
+
+        serve(node, body)
+
+    def test_a_grace_that_runs_out_ends_the_server(self) -> None:
+        node = FakeNode([AnswerChunk(0, "hel", 1), 60.0, end_of("hel")])
+
+        async def body(server: HttpServer, address: str) -> None:
+            async with httpcore.AsyncConnectionPool() as pool:
+                url = f"http://{address}/v1/chat/completions"
+                content = json.dumps(CHAT).encode()
+                async with pool.stream("POST", url, headers=HEADERS, content=content) as response:
+                    parts = response.aiter_stream()
+                    await anext(parts)
+                    server.stop(grace_s=0.1)
+                    with self.assertRaises((httpcore.RemoteProtocolError, httpcore.ReadError)):
+                        await anext(parts)
+
+        serve(node, body)
+
+    def test_what_is_no_http_is_answered_with_a_kind(self) -> None:
+        async def body(server: HttpServer, address: str) -> None:
+            status, document = await raw(address, b"hello\r\n\r\n")
+            self.assertEqual((status, document["error"]["error_kind"]), (400, "malformed"))
+            huge = b"GET / HTTP/1.1\r\nx: " + b"y" * 100_000
+            status, document = await raw(address, huge)
+            self.assertEqual((status, document["error"]["error_kind"]), (413, "too_large"))
+            server.stop(grace_s=1)
+
+        serve(FakeNode(), body)
+
+    def test_a_sender_of_slow_headers_is_refused(self) -> None:
+        async def body(server: HttpServer, address: str) -> None:
+            status, document = await raw(address, b"GET /healthz HTTP/1.1\r\nx: ")
+            self.assertEqual((status, document["error"]["error_kind"]), (504, "deadline_exceeded"))
+            server.stop(grace_s=1)
+
+        with unittest.mock.patch.object(_server, "HEADER_TIMEOUT_S", 0.2):
+            serve(FakeNode(), body)
+
+    def test_a_huge_body_is_refused_without_a_reset(self) -> None:
+        async def body(server: HttpServer, address: str) -> None:
+            head = (
+                f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 3000000\r\n"
+                f"Authorization: Bearer {PRAIRIE_KEY}\r\n\r\n"
+            )
+            status, document = await raw(address, head.encode() + b"x" * 3_000_000)
+            self.assertEqual((status, document["error"]["error_kind"]), (413, "too_large"))
+            server.stop(grace_s=1)
+
+        serve(FakeNode(), body)
+
+    def test_a_caller_that_hangs_up_mid_stream_leaves_the_server_well(self) -> None:
+        node = FakeNode([AnswerChunk(0, "hel", 1), 60.0, end_of("hel")])
+
+        async def body(server: HttpServer, address: str) -> None:
+            content = json.dumps(CHAT).encode()
+            head = (
+                f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+                f"Content-Length: {len(content)}\r\nBramleylead-Program: p-1\r\n"
+                f"Authorization: Bearer {PRAIRIE_KEY}\r\n\r\n"
+            )
+            async with await anyio.connect_tcp(*split_address(address)) as stream:
+                await stream.send(head.encode() + content)
+                await stream.receive()
+            await node.left_early.wait()
+            server.stop(grace_s=1)
+
+        serve(node, body)
+
+    def test_an_address_in_use_is_an_error_at_start(self) -> None:
+        async def body(server: HttpServer, address: str) -> None:
+            with self.assertRaises(OSError):
+                await HttpServer(HttpApp(FakeNode(), SETTINGS)).serve(address)
+            server.kill()
+
+        serve(FakeNode(), body)
+
+
+if __name__ == "__main__":
+    unittest.main()
