--- a/src/bramleylead/request/_service.py
+++ b/src/bramleylead/request/_service.py
@@ -139,9 +139,10 @@
     def call(self, request: CallRequest) -> AbstractAsyncContextManager[AsyncIterator[CallItem]]:
         """Run a call, or join it. The last item is an :class:`AnswerEnd` or a :class:`Failure`.
 
-        Leaving the context closes the iterator; early, it gives up the wait, not the call. A failure whose kind says "not
-        run" is passed on as that promise: a call that may have reached its owner before the
-        stream broke is ``OUTCOME_UNKNOWN``, not ``OWNER_UNAVAILABLE``.
+        Leaving the context closes the iterator; early, it gives up the wait, not the call. A
+        failure whose kind says "not run" is passed on as that promise: a call that may have
+        reached its owner before the stream broke is ``OUTCOME_UNKNOWN``, not
+        ``OWNER_UNAVAILABLE``.
         """
         ...
 
--- a/src/bramleylead/version/__init__.py
+++ b/src/bramleylead/version/__init__.py
@@ -11,6 +11,9 @@
 from bramleylead.version._schema import ProgramKind
 from bramleylead.version._schema import Ticket
 from bramleylead.version._schema import Tool
+from bramleylead.version._validation import check_ticket
+from bramleylead.version._validation import parse_ticket
+from bramleylead.version._validation import validate_ticket
 
 __all__ = [
     "Branch",
@@ -22,4 +25,7 @@
     "Ticket",
     "Tool",
     "apply_ticket",
+    "check_ticket",
+    "parse_ticket",
+    "validate_ticket",
 ]
