--- a/src/bramleylead/standins/_service.py
+++ b/src/bramleylead/standins/_service.py
@@ -216,6 +216,9 @@
     async def _invoke(
         self, call: ServiceCall, sent: anyio.Event, timeout_s: float
     ) -> Result[Any, BackendError]:
+        await self.link.gate()
+        if self.link.warm and not self.link.passes:
+            sent.set()
         error = await depart(self.link, self.target, lost_after_s=timeout_s)
         if error is not None:
             return Err(error)
