--- a/src/bramleylead/request/_messages.py
+++ b/src/bramleylead/request/_messages.py
@@ -70,6 +70,17 @@
     deadline_s: float
 
 
+@message(30)
+class AnswerStart(NamedTuple):
+    """Optional first item of an answer, sent once the call is in the journal.
+
+    It tells a caller that left the number open which call to resume after a lost connection.
+    """
+
+    number: int
+    incarnation: int
+
+
 @message(23)
 class AnswerChunk(NamedTuple):
     """Part of an answer: ``offset`` counts characters of the whole answer before ``text``."""
@@ -135,3 +146,20 @@
     ended: str
     messages: tuple[tuple[str, str], ...]
     calls: tuple[tuple[int, str, str, str, str], ...]
+
+
+@message(28)
+class AddChild(NamedTuple):
+    """Note a sub-agent program under its parent, so that both end together."""
+
+    branch: str
+    program: str
+    child: str
+
+
+@message(29)
+class LivePrograms(NamedTuple):
+    """Ask the owner which of these programs are live; answered by the same message."""
+
+    partition: int
+    programs: tuple[str, ...]
