--- /dev/null
+++ b/src/bramleylead/process/_journal_copy.py
@@ -0,0 +1,62 @@
+"""One copy of a partition: its state, and how far in the journal it is.
+
+Owners and second copies apply entries through the same code, so that they can't differ.
+"""
+
+from __future__ import annotations
+
+from typing import final
+
+import msgpack
+
+from bramleylead.process._entries import Entry
+from bramleylead.process._journal_tail import JournalTail
+from bramleylead.process._journal_tail import TailEntry
+from bramleylead.process._state import PartitionState
+from bramleylead.process._state_codec import EMPTY_DIGEST
+from bramleylead.process._state_codec import extend_digest
+from bramleylead.process._state_codec import pack_state
+from bramleylead.process._state_codec import unpack_entry
+from bramleylead.process._state_codec import unpack_state
+
+
+@final
+class JournalCopy:
+    """State, sequence number of the last applied entry, digest of the journal up to it, tail."""
+
+    def __init__(self) -> None:
+        self.state = PartitionState()
+        self.sequence = 0
+        self.digest = EMPTY_DIGEST
+        self.tail = JournalTail()
+
+    def apply(self, entry: Entry, packed: bytes) -> None:
+        """Take in the next entry."""
+        self.state.apply(entry)
+        self.sequence += 1
+        self.digest = extend_digest(self.digest, packed)
+        self.tail.add(TailEntry(self.sequence, self.digest, packed))
+
+    def apply_packed(self, packed: bytes) -> None:
+        """Take in the next entry as it travels."""
+        self.apply(unpack_entry(packed), packed)
+
+    def pack(self) -> bytes:
+        """Return state and tail as the bytes of a snapshot."""
+        tail = [list(entry) for entry in self.tail.entries]
+        return msgpack.packb([pack_state(self.state), self.tail.dropped, tail])
+
+    @classmethod
+    def unpack(cls, data: bytes, *, sequence: int, digest: int, flushed: int) -> JournalCopy:
+        """Return the copy that :meth:`pack` packed at this place of the journal."""
+        state, dropped, tail = msgpack.unpackb(data)
+        copy = cls()
+        copy.state = unpack_state(state)
+        copy.sequence = sequence
+        copy.digest = digest
+        copy.tail = JournalTail(flushed)
+        for entry in tail:
+            copy.tail.add(TailEntry(*entry))
+        if dropped:
+            copy.tail.drop()
+        return copy
--- a/src/bramleylead/process/_log.py
+++ b/src/bramleylead/process/_log.py
@@ -15,15 +15,26 @@
     """One partition that this node owns: its state, and the journal that both copies keep."""
 
     number: int
-    epoch: int
-    state: PartitionState
 
-    async def append(self, *entries: Entry) -> Result[bool, Failure]:
-        """Journal entries and apply them to the state.
+    @property
+    def epoch(self) -> int:
+        """The fencing number of this owner's orders; it can rise while the partition is owned."""
+        ...
+
+    @property
+    def state(self) -> PartitionState:
+        """The state after every acknowledged entry. Read only: entries change it."""
+        ...
+
+    async def append(self, *entries: Entry, allow_solo: bool = False) -> Result[bool, Failure]:
+        """Journal entries and apply them to the state, all or none.
+
+        ``Ok(True)`` when both copies hold them; ``Ok(False)``, only if ``allow_solo``, when this
+        node alone does and peers confirm the store's outage, or there is no other node.
 
-        ``Ok(True)`` when both copies hold them; ``Ok(False)`` when only this node does and the
-        store's outage is confirmed by peers. ``Err`` when this node may no longer own the
-        partition: nothing may be acted on.
+        ``Err``: the entries are not in this node's state and never will be, but a successor's may
+        hold them. Nothing that depends on them may be done. ``NOT_DURABLE``: no second copy
+        confirmed in time. ``OWNER_UNAVAILABLE``: another node owns the partition now.
         """
         ...
 
--- /dev/null
+++ b/src/bramleylead/process/_partition.py
@@ -0,0 +1,377 @@
+"""One partition at its owner: appends wait for the second copy, and only then change the state."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from enum import StrEnum
+from typing import final
+
+import anyio
+from result import Err
+from result import Ok
+from result import Result
+
+from bramleylead.errors import ErrorKind
+from bramleylead.errors import Failure
+from bramleylead.process._entries import Entry
+from bramleylead.process._journal_copy import JournalCopy
+from bramleylead.process._partition_context import CLOCK_RATE_MARGIN
+from bramleylead.process._partition_context import PartitionContext
+from bramleylead.process._partition_messages import Append
+from bramleylead.process._partition_record import PartitionRecord
+from bramleylead.process._partition_record import StoredRecord
+from bramleylead.process._state import PartitionState
+from bramleylead.process._state_codec import extend_digest
+from bramleylead.process._state_codec import pack_entry
+from bramleylead.promises import Promise
+
+BATCH_BYTES = 500_000
+APPEND_BYTES_LIMIT = 3_000_000
+IDLE_SHARE = 0.75  # of the act lease: a new pair should stand before the lease runs out
+NEVER_S = float("-inf")
+
+
+class Mode(StrEnum):
+    """How an owner stands to its second copy."""
+
+    PAIRED = "paired"
+    REPAIRING = "repairing"
+    """The second copy is lost or in doubt: appends wait until there is a new pair."""
+    MOVING = "moving"
+    """Being handed over: what was sent is still acknowledged, nothing new is sent."""
+    SOLO = "solo"
+    """Second copy lost, store out, outage confirmed by peers."""
+    LOST = "lost"
+    """Another node owns the partition."""
+
+
+@dataclass(eq=False)
+class Pending:
+    """Entries that wait for the second copy. ``first`` is 0 until they are sent."""
+
+    entries: tuple[Entry, ...]
+    packed: tuple[bytes, ...]
+    allow_solo: bool
+    first: int = 0
+    sent_at: float = 0.0
+    outcome: Result[bool, Failure] | None = None
+    done: anyio.Event = field(default_factory=anyio.Event)
+
+    @property
+    def last(self) -> int:
+        """Sequence number of the last entry, once sent."""
+        return self.first + len(self.entries) - 1
+
+    def finish(self, outcome: Result[bool, Failure]) -> None:
+        """Wake the caller with an outcome."""
+        self.outcome = outcome
+        self.done.set()
+
+
+@final
+class OwnedPartition:
+    """A partition that this node owns. Implements ``PartitionLog``.
+
+    ``committing`` is set while a write of the partition object may take effect, ``copy_replaced``
+    once a snapshot for the next epoch was sent to the second copy of this one: the old pair must
+    not be used again then. ``unresolved`` are the tokens of such writes whose outcome is unknown.
+
+    :param on_broken: called once each time the pair breaks and needs repair.
+    :param on_ready: called when there is something to send to the second copy.
+    """
+
+    def __init__(
+        self,
+        context: PartitionContext,
+        number: int,
+        stored: StoredRecord,
+        copy: JournalCopy,
+        *,
+        on_broken: Callable[[OwnedPartition], None],
+        on_ready: Callable[[OwnedPartition], None],
+    ) -> None:
+        self.number = number
+        self.stored = stored
+        self.copy = copy
+        self.mode = Mode.REPAIRING
+        self.committing = False
+        self.copy_replaced = False
+        self.unresolved: set[str] = set()
+        self.in_doubt = False
+        self.solo_entries = 0
+        self.broken_because = ""
+        self.last_confirmed_s = NEVER_S
+        self._paired_s = NEVER_S
+        self._context = context
+        self._queue: deque[Pending] = deque()
+        self._sent_through = copy.sequence
+        self._on_broken = on_broken
+        self._on_ready = on_ready
+        self._drained = anyio.Event()
+
+    @property
+    def record(self) -> PartitionRecord:
+        """The partition object as this node last wrote or read it."""
+        return self.stored.record
+
+    @property
+    def epoch(self) -> int:
+        """The epoch of the partition object."""
+        return self.stored.record.epoch
+
+    @property
+    def state(self) -> PartitionState:
+        """The state after every acknowledged entry."""
+        return self.copy.state
+
+    @property
+    def waiting(self) -> int:
+        """Appends that wait for an acknowledgement."""
+        return len(self._queue)
+
+    async def append(self, *entries: Entry, allow_solo: bool = False) -> Result[bool, Failure]:
+        """Journal entries and apply them to the state, all or none.
+
+        After an ``Err`` the entries are not in this node's state and never will be, but a
+        successor may hold them: the caller must neither act on them nor say that they failed to
+        reach the journal, only that what depends on them was not done.
+        """
+        packed = tuple(pack_entry(entry) for entry in entries)
+        size = sum(len(each) for each in packed)
+        if size > APPEND_BYTES_LIMIT:
+            detail = f"{size} bytes in one append; at most {APPEND_BYTES_LIMIT} are journaled"
+            return Err(Failure(ErrorKind.TOO_LARGE, detail))
+        pending = Pending(entries, packed, allow_solo)
+        self._admit(pending)
+        with anyio.move_on_after(self._context.settings.partitions.append_timeout_s):
+            await pending.done.wait()
+        if pending.outcome is None:
+            self._withdraw(pending)
+        assert pending.outcome is not None
+        return pending.outcome
+
+    def may_act(self) -> bool:
+        """Whether an irreversible act may start: the second copy confirmed us recently.
+
+        Call it as the last step before the act, with no wait in between.
+        """
+        if self.mode is not Mode.PAIRED:
+            return False
+        lease_s = self._context.settings.partitions.act_lease_s * (1 - CLOCK_RATE_MARGIN)
+        return anyio.current_time() - self.last_confirmed_s < lease_s
+
+    def take_unsent(self) -> list[Append]:
+        """Number the appends that were not sent yet and return them as messages."""
+        if self.mode is not Mode.PAIRED:
+            return []
+        now = anyio.current_time()
+        batches: list[Append] = []
+        packed: list[bytes] = []
+        first = self._sent_through + 1
+        for pending in self._queue:
+            if pending.first:
+                continue
+            pending.first = self._sent_through + 1
+            pending.sent_at = now
+            self._sent_through = pending.last
+            packed.extend(pending.packed)
+            if sum(len(each) for each in packed) > BATCH_BYTES:
+                batches.append(self._batch(first, packed))
+                packed, first = [], self._sent_through + 1
+        if packed:
+            batches.append(self._batch(first, packed))
+        return batches
+
+    def acked(self, epoch: int, sequence: int, digest: int) -> None:
+        """Take in that the second copy holds every entry up to a sequence number."""
+        if self.mode not in (Mode.PAIRED, Mode.MOVING) or epoch != self.epoch:
+            return
+        requested_s = NEVER_S
+        while self._queue and self._queue[0].first and self._queue[0].last <= sequence:
+            pending = self._queue.popleft()
+            requested_s = pending.sent_at
+            self._apply(pending)
+            self._context.metrics.entries.add({"outcome": "both"}, len(pending.entries))
+            pending.finish(Ok(True))
+        self._check_copies(sequence, digest)
+        self.confirmed(epoch, requested_s)
+        self._signal_drained()
+
+    def confirmed(self, epoch: int, requested_s: float) -> None:
+        """Take in that the second copy held this epoch after ``requested_s`` on our clock."""
+        if epoch == self.epoch and self.mode is Mode.PAIRED:
+            self.last_confirmed_s = max(self.last_confirmed_s, requested_s)
+
+    def resume(self, epoch: int, sequence: int, digest: int, requested_s: float) -> bool:
+        """Take the same second copy again after a broken stream, if it fits the journal exactly.
+
+        It fits when it ends at an entry that this node has applied or still waits for. A copy that
+        holds an append which this node gave up can't be used again at this epoch.
+        """
+        if self.committing or self.copy_replaced or epoch != self.epoch or self.mode is Mode.LOST:
+            return False
+        if self.mode is Mode.MOVING or not self._fits(sequence, digest):
+            return False
+        self._set_paired()
+        self.acked(epoch, sequence, digest)
+        self.confirmed(epoch, requested_s)
+        self._reset_sending()
+        return True
+
+    def begin_epoch(self, stored: StoredRecord, requested_s: float) -> None:
+        """Go on with a new second copy that holds the journal up to what is applied here."""
+        holds = stored.record.epoch > self.epoch
+        self._context.promises.require(
+            Promise.HISTORY, holds, f"partition {self.number}: epoch must rise above {self.epoch}"
+        )
+        self.stored = stored
+        self.committing = False
+        self.copy_replaced = False
+        self.unresolved.clear()
+        self.in_doubt = False
+        self.solo_entries = 0
+        self._set_paired()
+        self.last_confirmed_s = requested_s
+        self._reset_sending()
+
+    def adopt(self, stored: StoredRecord) -> None:
+        """Take in the partition object as handed over, with the former owner as second copy."""
+        self.stored = stored
+        self._set_paired()
+
+    def break_pair(self, reason: str) -> None:
+        """Stop acknowledging until the pair is repaired."""
+        if self.mode is not Mode.PAIRED:
+            return
+        self.mode = Mode.REPAIRING
+        self.broken_because = reason
+        self._on_broken(self)
+
+    def overdue(self, now: float) -> bool:
+        """Whether the second copy has been silent for too long to wait for it."""
+        settings = self._context.settings.partitions
+        heard = max(self.last_confirmed_s, self._paired_s)
+        waiting = bool(self._queue) and self._queue[0].first > 0
+        sent = self._queue[0].sent_at if waiting else now
+        late_append = now - max(sent, heard) > settings.append_timeout_s / 2
+        return late_append or now - heard > settings.act_lease_s * IDLE_SHARE
+
+    def enter_solo(self) -> None:
+        """Serve what may be lost, refuse the rest: no second copy and no store to name one."""
+        if self.mode is Mode.REPAIRING:
+            self.mode = Mode.SOLO
+        waiting, self._queue = list(self._queue), deque()
+        self._sent_through = self.copy.sequence
+        for pending in waiting:
+            pending.first = 0
+            self._admit(pending)
+
+    def leave_solo(self) -> None:
+        """Wait for a new pair again: the store answers."""
+        if self.mode is Mode.SOLO:
+            self.mode = Mode.REPAIRING
+
+    def begin_move(self) -> bool:
+        """Stop sending new appends, if the pair is whole."""
+        if self.mode is not Mode.PAIRED:
+            return False
+        self.mode = Mode.MOVING
+        return True
+
+    def end_move(self) -> None:
+        """Go on after a handover that did not take place."""
+        if self.mode is Mode.MOVING:
+            self.mode = Mode.PAIRED
+            self._on_ready(self)
+            if self.in_doubt:
+                self.break_pair("an append timed out during a handover")
+
+    async def wait_drained(self) -> bool:
+        """Wait until everything sent is acknowledged; ``False`` when some of it was given up."""
+        while self._queue and self._queue[0].first and self.mode is Mode.MOVING:
+            await self._drained.wait()
+        return self.mode is Mode.MOVING and not self.in_doubt
+
+    def lose(self) -> None:
+        """Take in that another node owns the partition."""
+        self.mode = Mode.LOST
+        if self.solo_entries:
+            self._context.metrics.entries.add({"outcome": "solo_lost"}, self.solo_entries)
+        while self._queue:
+            self._queue.popleft().finish(Err(self._not_owner()))
+        self._signal_drained()
+
+    def _set_paired(self) -> None:
+        self.mode = Mode.PAIRED
+        self._paired_s = anyio.current_time()
+
+    def _admit(self, pending: Pending) -> None:
+        if self.mode is Mode.LOST:
+            pending.finish(Err(self._not_owner()))
+        elif self.mode is not Mode.SOLO:
+            self._queue.append(pending)
+            self._on_ready(self)
+        elif pending.allow_solo:
+            self._apply(pending)
+            self.solo_entries += len(pending.entries)
+            self._context.metrics.entries.add({"outcome": "solo"}, len(pending.entries))
+            pending.finish(Ok(False))
+        else:
+            pending.finish(Err(self._not_durable("no second copy, and the store is out")))
+
+    def _withdraw(self, pending: Pending) -> None:
+        if pending in self._queue:
+            self._queue.remove(pending)
+        self._context.metrics.entries.add({"outcome": "not_durable"}, len(pending.entries))
+        pending.finish(Err(self._not_durable("the second copy did not confirm in time")))
+        if pending.first:
+            # The second copy may hold it: this epoch's numbering can't go on without it.
+            self.in_doubt = True
+            self.break_pair("an append timed out")
+        self._signal_drained()
+
+    def _apply(self, pending: Pending) -> None:
+        for entry, packed in zip(pending.entries, pending.packed, strict=True):
+            self.copy.apply(entry, packed)
+
+    def _batch(self, first: int, packed: list[bytes]) -> Append:
+        return Append(self.number, self.epoch, first, self.copy.tail.flushed, tuple(packed))
+
+    def _reset_sending(self) -> None:
+        self._sent_through = self.copy.sequence
+        for pending in self._queue:
+            pending.first = 0
+        self._on_ready(self)
+
+    def _fits(self, sequence: int, digest: int) -> bool:
+        at, reached = self.copy.sequence, self.copy.digest
+        for pending in self._queue:
+            if at >= sequence or not pending.first:
+                break
+            if pending.first != at + 1:
+                return False
+            for packed in pending.packed:
+                reached = extend_digest(reached, packed)
+            at = pending.last
+        return (at, reached) == (sequence, digest)
+
+    def _check_copies(self, sequence: int, digest: int) -> None:
+        if sequence != self.copy.sequence:
+            return
+        detail = f"partition {self.number}: copies differ at sequence {sequence}"
+        if not self._context.promises.check(Promise.HISTORY, digest == self.copy.digest, detail):
+            self.break_pair("the copies differ")
+
+    def _signal_drained(self) -> None:
+        self._drained.set()
+        self._drained = anyio.Event()
+
+    def _not_owner(self) -> Failure:
+        detail = f"partition {self.number}: {self._context.settings.node} is not its owner now"
+        return Failure(ErrorKind.OWNER_UNAVAILABLE, detail, 0.0)
+
+    def _not_durable(self, reason: str) -> Failure:
+        return Failure(ErrorKind.NOT_DURABLE, f"partition {self.number}: {reason}")
--- /dev/null
+++ b/src/bramleylead/process/_partition_context.py
@@ -0,0 +1,73 @@
+"""What every part of a node's partition code shares."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+from typing import final
+
+from aioprometheus import Counter
+from aioprometheus import Gauge
+from aioprometheus import Registry
+
+from bramleylead.connection import PeerClient
+from bramleylead.platform._store import ObjectStore
+from bramleylead.process._members import MemberList
+from bramleylead.process._partition_record import Holder
+from bramleylead.process._settings import NodeSettings
+from bramleylead.promises import Promises
+
+CLOCK_RATE_MARGIN = 0.01  # clocks of two VMs may run this far apart before a lease is unsafe
+
+
+@final
+class PartitionMetrics:
+    """Counters of ownership and journal."""
+
+    def __init__(self, registry: Registry) -> None:
+        self.events = Counter(
+            "bramleylead_partition_events_total",
+            "Changes of ownership and pairing, by kind of event.",
+            registry=registry,
+        )
+        self.held = Gauge(
+            "bramleylead_partitions_held",
+            "Partitions held, by role (owner, second).",
+            registry=registry,
+        )
+        self.journal_writes = Counter(
+            "bramleylead_journal_writes_total",
+            "Journal objects written to the store, by kind.",
+            registry=registry,
+        )
+        self.entries = Counter(
+            "bramleylead_journal_entries_total",
+            "Journal entries by outcome (both, solo, solo_lost, not_durable).",
+            registry=registry,
+        )
+
+    def event(self, kind: str) -> None:
+        """Count one event."""
+        self.events.inc({"event": kind})
+
+
+class PartitionContext(NamedTuple):
+    """The node's settings, clients and identity.
+
+    :param boot: identity of this process; another one after each start.
+    :param wall_clock: wall-clock time in seconds, for records that operators read.
+    """
+
+    settings: NodeSettings
+    store: ObjectStore
+    client: PeerClient
+    members: MemberList
+    promises: Promises
+    metrics: PartitionMetrics
+    boot: str
+    wall_clock: Callable[[], float]
+
+    @property
+    def holder(self) -> Holder:
+        """This node as a partition record names it."""
+        return Holder(node=self.settings.node, address=self.settings.peer_address, boot=self.boot)
--- /dev/null
+++ b/src/bramleylead/process/_recovery.py
@@ -0,0 +1,106 @@
+"""Rebuilds a partition from the store when both copies are lost."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from result import Err
+from result import Ok
+from result import Result
+
+from bramleylead.platform._store import ObjectStore
+from bramleylead.platform._store import StoreError
+from bramleylead.process._entries import RolledBack
+from bramleylead.process._journal_copy import JournalCopy
+from bramleylead.process._journal_store import SEGMENT
+from bramleylead.process._journal_store import SNAPSHOT
+from bramleylead.process._journal_store import BlobName
+from bramleylead.process._journal_store import Segment
+from bramleylead.process._journal_store import Snapshot
+from bramleylead.process._journal_store import join_pieces
+from bramleylead.process._journal_store import read_pieces
+from bramleylead.process._journal_tail import JournalTail
+from bramleylead.process._partition_record import PartitionRecord
+from bramleylead.process._state_codec import extend_digest
+from bramleylead.process._state_codec import pack_entry
+from bramleylead.process._state_codec import state_digest
+from bramleylead.process._state_codec import unpack_state
+
+FIRST_EPOCH = 1
+
+
+class Recovered(NamedTuple):
+    """A rebuilt copy, and whether acknowledged entries may be missing from it."""
+
+    copy: JournalCopy
+    may_miss_entries: bool
+
+
+async def recover(
+    store: ObjectStore, partition: int, record: PartitionRecord
+) -> Result[Recovered, StoreError]:
+    """Read the newest whole snapshot and the segments after it.
+
+    Unless the journal was closed whole, entries that both copies held may never have reached the
+    store; then every program here gets a higher incarnation, so that callers are told.
+    """
+    pieces = await read_pieces(store, partition)
+    if isinstance(pieces, Err):
+        return pieces
+    copy = rebuild(join_pieces(pieces.ok_value))
+    never_paired = record.epoch == FIRST_EPOCH
+    misses = not never_paired and record.clean_sequence != copy.sequence
+    if misses:
+        entry = RolledBack(record.incarnation + 1)
+        copy.apply(entry, pack_entry(entry))
+    # What follows must not be read together with segments that a former owner writes late.
+    copy.tail.drop()
+    return Ok(Recovered(copy, misses))
+
+
+def rebuild(blobs: dict[BlobName, bytes]) -> JournalCopy:
+    """Return the copy that a snapshot and the segments that continue it add up to."""
+    copy = JournalCopy()
+    snapshots = [name for name in blobs if name.kind == SNAPSHOT]
+    for name in sorted(snapshots, reverse=True):
+        loaded = _load(name, Snapshot.unpack(blobs[name]))
+        if loaded is not None:
+            copy = loaded
+            break
+    for name in sorted(blobs):
+        if name.kind == SEGMENT and name.last > copy.sequence:
+            _continue(copy, name, Segment.unpack(blobs[name]))
+    copy.tail = JournalTail(copy.sequence)
+    return copy
+
+
+def _load(name: BlobName, snapshot: Snapshot) -> JournalCopy | None:
+    if state_digest(snapshot.state) != snapshot.state_digest:
+        return None
+    copy = JournalCopy()
+    copy.state = unpack_state(snapshot.state)
+    copy.sequence = name.last
+    copy.digest = snapshot.digest
+    return copy
+
+
+def _continue(copy: JournalCopy, name: BlobName, segment: Segment) -> None:
+    """Apply what a segment adds, if it continues this very journal.
+
+    The digests tell: a segment that a former owner wrote after a recovery belongs to another
+    journal from the recovery's place on.
+    """
+    if name.first > copy.sequence + 1:
+        return
+    skipped = copy.sequence - (name.first - 1)
+    if not _leads_to(segment, skipped, copy.digest):
+        return
+    for packed in segment.entries[skipped:]:
+        copy.apply_packed(packed)
+
+
+def _leads_to(segment: Segment, skipped: int, digest: int) -> bool:
+    reached = segment.digest_before
+    for packed in segment.entries[:skipped]:
+        reached = extend_digest(reached, packed)
+    return reached == digest
--- /dev/null
+++ b/src/bramleylead/process/_state_codec.py
@@ -0,0 +1,88 @@
+"""Snapshots of a partition's state as bytes, and digests that both copies must agree on."""
+
+from __future__ import annotations
+
+from dataclasses import fields
+from typing import Any
+
+import msgpack
+import xxhash
+
+from bramleylead.connection import decode
+from bramleylead.connection import encode
+from bramleylead.process._entries import Entry
+from bramleylead.process._state import CallRecord
+from bramleylead.process._state import CallStatus
+from bramleylead.process._state import GrantState
+from bramleylead.process._state import PartitionState
+from bramleylead.process._state import ProgramState
+from bramleylead.request import CallKind
+
+EMPTY_DIGEST = 0
+
+
+def pack_entry(entry: Entry) -> bytes:
+    """Return one journal entry as bytes."""
+    return encode(entry)
+
+
+def unpack_entry(data: bytes) -> Entry:
+    """Return the journal entry that the bytes stand for."""
+    return decode(data)
+
+
+def extend_digest(digest: int, packed: bytes) -> int:
+    """Return the digest of a journal that is one entry longer."""
+    return xxhash.xxh64_intdigest(packed, seed=digest)
+
+
+def pack_state(state: PartitionState) -> bytes:
+    """Return a whole state as bytes; equal states give equal bytes."""
+    programs = [_pack_program(state.programs[name]) for name in sorted(state.programs)]
+    grants = [[name, *_values(state.grants[name])] for name in sorted(state.grants)]
+    return msgpack.packb([state.incarnation, programs, grants])
+
+
+def unpack_state(data: bytes) -> PartitionState:
+    """Return the state that :func:`pack_state` packed."""
+    incarnation, programs, grants = msgpack.unpackb(data, strict_map_key=False)
+    state = PartitionState()
+    state.incarnation = incarnation
+    for plain in programs:
+        program = _unpack_program(plain)
+        state.programs[program.program] = program
+    for name, *values in grants:
+        state.grants[name] = GrantState(*values)
+    return state
+
+
+def state_digest(packed: bytes) -> int:
+    """Return the digest of a packed state."""
+    return xxhash.xxh64_intdigest(packed)
+
+
+def _values(item: Any) -> list[Any]:
+    return [getattr(item, each.name) for each in fields(item)]
+
+
+def _pack_program(program: ProgramState) -> dict[str, Any]:
+    plain = {each.name: getattr(program, each.name) for each in fields(program)}
+    plain["calls"] = [_values(program.calls[number]) for number in sorted(program.calls)]
+    plain["caches"] = sorted(program.caches.items())
+    return plain
+
+
+def _unpack_program(plain: dict[str, Any]) -> ProgramState:
+    calls = [_unpack_call(values) for values in plain["calls"]]
+    plain["calls"] = {call.number: call for call in calls}
+    plain["caches"] = dict(plain["caches"])
+    plain["messages"] = [tuple(each) for each in plain["messages"]]
+    return ProgramState(**plain)
+
+
+def _unpack_call(values: list[Any]) -> CallRecord:
+    call = CallRecord(*values)
+    call.call_kind = CallKind(call.call_kind)
+    call.status = CallStatus(call.status)
+    call.messages = tuple(tuple(each) for each in call.messages)
+    return call
