--- a/src/bramleylead/process/_partition_context.py
+++ b/src/bramleylead/process/_partition_context.py
@@ -69,5 +69,5 @@
 
     @property
     def holder(self) -> Holder:
-        """This node as a partition record names it."""
+        """The node as a partition record names it."""
         return Holder(node=self.settings.node, address=self.settings.peer_address, boot=self.boot)
--- a/src/bramleylead/process/_partition_messages.py
+++ b/src/bramleylead/process/_partition_messages.py
@@ -38,23 +38,26 @@
     """Journal entries in order, the first one with sequence number ``first``.
 
     :param flushed: entries up to here are in the store.
+    :param mark: number of this message, echoed by the acknowledgement.
     """
 
     partition: int
     epoch: int
     first: int
     flushed: int
+    mark: int
     entries: tuple[bytes, ...]
 
 
 @message(104)
 class Acked(NamedTuple):
-    """The second copy holds every entry up to this sequence number."""
+    """The second copy holds every entry up to this sequence number and message."""
 
     partition: int
     epoch: int
     sequence: int
     digest: int
+    mark: int
 
 
 @message(105)
