--- a/src/bramleylead/connection/_codec.py
+++ b/src/bramleylead/connection/_codec.py
@@ -76,8 +76,10 @@
 
     :raises MessageError: if they are no known, well-formed message.
     """
+    if len(data) > MAX_FRAME_BYTES:
+        raise MessageError(f"message of {len(data)} bytes; at most {MAX_FRAME_BYTES} are read")
     try:
-        plain = msgpack.unpackb(data, max_buffer_size=MAX_FRAME_BYTES)
+        plain = msgpack.unpackb(data)
     except (ValueError, msgpack.UnpackException) as error:
         raise MessageError(f"not msgpack: {error}") from error
     return from_plain(plain)
--- a/src/bramleylead/process/_log.py
+++ b/src/bramleylead/process/_log.py
@@ -23,17 +23,18 @@
 
     @property
     def state(self) -> PartitionState:
-        """The state after every acknowledged entry. Read only: entries change it."""
+        """The state after every acknowledged entry. Only entries change it."""
         ...
 
-    async def append(self, *entries: Entry, allow_solo: bool = False) -> Result[bool, Failure]:
+    async def append(self, *entries: Entry) -> Result[bool, Failure]:
         """Journal entries and apply them to the state, all or none.
 
         With no entries it is a barrier: it confirms with the second copy that this node is still
         the owner.
 
-        ``Ok(True)`` when both copies hold them; ``Ok(False)``, only if ``allow_solo``, when this
-        node alone does and peers confirm the store's outage, or there is no other node.
+        ``Ok(True)`` when both copies hold them. ``Ok(False)`` when this node alone does, since the
+        second copy is lost and peers confirm the store's outage, or since there is no other node;
+        only entries that may be lost get this answer.
 
         ``Err``: the entries are not in this node's state and never will be, but a successor's may
         hold them. Nothing that depends on them may be done. ``NOT_DURABLE``: no second copy
--- a/src/bramleylead/process/_partition.py
+++ b/src/bramleylead/process/_partition.py
@@ -16,7 +16,12 @@
 
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.process._entries import CallIntended
 from bramleylead.process._entries import Entry
+from bramleylead.process._entries import GrantAdded
+from bramleylead.process._entries import GrantForfeited
+from bramleylead.process._entries import GrantReturning
+from bramleylead.process._entries import RolledBack
 from bramleylead.process._journal_copy import JournalCopy
 from bramleylead.process._partition_context import CLOCK_RATE_MARGIN
 from bramleylead.process._partition_context import PartitionContext
@@ -31,6 +36,7 @@
 BATCH_BYTES = 500_000
 APPEND_BYTES_LIMIT = 3_000_000
 IDLE_SHARE = 0.75  # of the act lease: a new pair should stand before the lease runs out
+SOLO_MARGIN_S = 3.0
 NEVER_S = float("-inf")
 
 
@@ -50,12 +56,15 @@
 
 @dataclass(eq=False)
 class Pending:
-    """Entries that wait for the second copy. ``first`` is 0 until they are sent."""
+    """Entries that wait for the second copy. ``first`` is 0 until they are sent.
+
+    :param mark: number of the message that carried them; without entries, what is waited for.
+    """
 
     entries: tuple[Entry, ...]
     packed: tuple[bytes, ...]
-    allow_solo: bool
     first: int = 0
+    mark: int = 0
     sent_at: float = 0.0
     outcome: Result[bool, Failure] | None = None
     done: anyio.Event = field(default_factory=anyio.Event)
@@ -108,6 +117,7 @@
         self._context = context
         self._queue: deque[Pending] = deque()
         self._sent_through = copy.sequence
+        self._last_mark = 0
         self._on_broken = on_broken
         self._on_ready = on_ready
         self._drained = anyio.Event()
@@ -132,19 +142,14 @@
         """Appends that wait for an acknowledgement."""
         return len(self._queue)
 
-    async def append(self, *entries: Entry, allow_solo: bool = False) -> Result[bool, Failure]:
-        """Journal entries and apply them to the state, all or none.
-
-        After an ``Err`` the entries are not in this node's state and never will be, but a
-        successor may hold them: the caller must neither act on them nor say that they failed to
-        reach the journal, only that what depends on them was not done.
-        """
+    async def append(self, *entries: Entry) -> Result[bool, Failure]:
+        """Journal entries and apply them to the state, all or none; see ``PartitionLog``."""
         packed = tuple(pack_entry(entry) for entry in entries)
         size = sum(len(each) for each in packed)
         if size > APPEND_BYTES_LIMIT:
             detail = f"{size} bytes in one append; at most {APPEND_BYTES_LIMIT} are journaled"
             return Err(Failure(ErrorKind.TOO_LARGE, detail))
-        pending = Pending(entries, packed, allow_solo)
+        pending = Pending(entries, packed)
         self._admit(pending)
         with anyio.move_on_after(self._context.settings.partitions.append_timeout_s):
             await pending.done.wait()
@@ -167,30 +172,18 @@
         """Number the appends that were not sent yet and return them as messages."""
         if self.mode is not Mode.PAIRED:
             return []
-        now = anyio.current_time()
         batches: list[Append] = []
-        packed: list[bytes] = []
-        first = self._sent_through + 1
-        for pending in self._queue:
-            if pending.first:
-                continue
-            pending.first = self._sent_through + 1
-            pending.sent_at = now
-            self._sent_through = pending.last
-            packed.extend(pending.packed)
-            if sum(len(each) for each in packed) > BATCH_BYTES:
-                batches.append(self._batch(first, packed))
-                packed, first = [], self._sent_through + 1
-        if packed:
-            batches.append(self._batch(first, packed))
+        unsent = [pending for pending in self._queue if not pending.first]
+        while unsent:
+            batches.append(self._batch(unsent))
         return batches
 
-    def acked(self, epoch: int, sequence: int, digest: int) -> None:
-        """Take in that the second copy holds every entry up to a sequence number."""
+    def acked(self, epoch: int, sequence: int, digest: int, mark: int) -> None:
+        """Take in that the second copy holds all up to a sequence number and a message."""
         if self.mode not in (Mode.PAIRED, Mode.MOVING) or epoch != self.epoch:
             return
         requested_s = NEVER_S
-        while self._queue and self._queue[0].first and self._queue[0].last <= sequence:
+        while self._is_acked(sequence, mark):
             pending = self._queue.popleft()
             requested_s = pending.sent_at
             self._apply(pending)
@@ -216,7 +209,7 @@
         if self.mode is Mode.MOVING or not self._fits(sequence, digest):
             return False
         self._set_paired()
-        self.acked(epoch, sequence, digest)
+        self.acked(epoch, sequence, digest, self._last_mark)
         self.confirmed(epoch, requested_s)
         self._reset_sending()
         return True
@@ -250,6 +243,12 @@
         self.broken_because = reason
         self._on_broken(self)
 
+    def may_go_solo(self) -> bool:
+        """Whether a takeover that counts on no solo entries is certainly over by now."""
+        heard = max(self.last_confirmed_s, self._paired_s)
+        after_s = self._context.settings.partitions.takeover_after_s + SOLO_MARGIN_S
+        return anyio.current_time() - heard > after_s
+
     def overdue(self, now: float) -> bool:
         """Whether the second copy has been silent for too long to wait for it."""
         settings = self._context.settings.partitions
@@ -314,7 +313,7 @@
         elif self.mode is not Mode.SOLO:
             self._queue.append(pending)
             self._on_ready(self)
-        elif pending.allow_solo:
+        elif all(_may_be_lost(entry) for entry in pending.entries):
             self._apply(pending)
             self.solo_entries += len(pending.entries)
             self._context.metrics.entries.add({"outcome": "solo"}, len(pending.entries))
@@ -337,8 +336,26 @@
         for entry, packed in zip(pending.entries, pending.packed, strict=True):
             self.copy.apply(entry, packed)
 
-    def _batch(self, first: int, packed: list[bytes]) -> Append:
-        return Append(self.number, self.epoch, first, self.copy.tail.flushed, tuple(packed))
+    def _batch(self, unsent: list[Pending]) -> Append:
+        """Take appends off the list, up to a message's size, and number them."""
+        self._last_mark += 1
+        first = self._sent_through + 1
+        packed: list[bytes] = []
+        while unsent and sum(len(each) for each in packed) < BATCH_BYTES:
+            pending = unsent.pop(0)
+            pending.first = self._sent_through + 1
+            pending.mark = self._last_mark
+            pending.sent_at = anyio.current_time()
+            self._sent_through = pending.last
+            packed.extend(pending.packed)
+        flushed = self.copy.tail.flushed
+        return Append(self.number, self.epoch, first, flushed, self._last_mark, tuple(packed))
+
+    def _is_acked(self, sequence: int, mark: int) -> bool:
+        if not self._queue:
+            return False
+        pending = self._queue[0]
+        return 0 < pending.first <= pending.last + 1 <= sequence + 1 and pending.mark <= mark
 
     def _reset_sending(self) -> None:
         self._sent_through = self.copy.sequence
@@ -375,3 +392,17 @@
 
     def _not_durable(self, reason: str) -> Failure:
         return Failure(ErrorKind.NOT_DURABLE, f"partition {self.number}: {reason}")
+
+
+def _may_be_lost(entry: Entry) -> bool:
+    """Whether a single copy is enough for an entry while there can't be two.
+
+    Not for the intent of a call that may not be repeated, since a successor would run it again,
+    and not for what the budgets' objects in the store must agree with.
+    """
+    match entry:
+        case CallIntended():
+            return entry.repeatable
+        case GrantAdded() | GrantReturning() | GrantForfeited() | RolledBack():
+            return False
+    return True
--- a/testing/process/test_partition_takeover.py
+++ b/testing/process/test_partition_takeover.py
@@ -9,6 +9,7 @@
 from result import Ok
 
 from bramleylead.errors import ErrorKind
+from bramleylead.process._entries import GrantAdded
 from bramleylead.process._partition import Mode
 from testing.process._partition_fleet import PartitionFleet
 from testing.process._partition_fleet import opened
@@ -148,9 +149,9 @@
             log = owner.partitions.log(0)
             fleet.store_out = True
             fleet.kill(log.record.second.node)
-            await anyio.sleep(5)
-            self.assertEqual(await log.append(opened("p1"), allow_solo=True), Ok(False))
-            refused = await log.append(opened("p2"))
+            await anyio.sleep(8)
+            self.assertEqual(await log.append(opened("p1")), Ok(False))
+            refused = await log.append(GrantAdded("b", 5))
             self.assertEqual(refused.err_value.kind, ErrorKind.NOT_DURABLE)
             self.assertFalse(log.may_act())
             fleet.store_out = False
@@ -167,7 +168,7 @@
             owner.store.out = True
             fleet.kill(log.record.second.node)
             await anyio.sleep(5)
-            outcome = await log.append(opened("p1"), allow_solo=True)
+            outcome = await log.append(opened("p1"))
             self.assertEqual(outcome.err_value.kind, ErrorKind.NOT_DURABLE)
 
         run_fleet(body)
