Add the ticket log: submission, ordered application, relay and currency

Watchers of each data centre read the next ticket's key once a second and push what they learn down a tree; ages of proofs are bounded from below by echoed ticks, so that a late message never makes a node look current.

Faults met on the way, each with its test: a body read for one number was taken for the next one when a push came in between; a region cut off from store and peers believed in an outage because its list of VMs was older than the other region; a poll of the store took an answer from before the outage.

--- a/src/bramleylead/process/_admission.py
+++ b/src/bramleylead/process/_admission.py
@@ -13,7 +13,6 @@
 from bramleylead.process._state import CallStatus
 from bramleylead.process._state import ProgramState
 from bramleylead.request import AnswerEnd
-from bramleylead.request import CallKind
 from bramleylead.request import CallRequest
 from bramleylead.version import ProgramKind
 
@@ -65,9 +64,7 @@
     if record is not None:
         return _decide_known(program, record, digest)
     if program.ended:
-        return Failure(
-            ErrorKind.PROGRAM_ENDED, f"program {program.program} ended: {program.ended}"
-        )
+        return Failure(ErrorKind.PROGRAM_ENDED, f"program {program.program} ended: {program.ended}")
     if running or number != program.last_number + 1:
         return _out_of_order(program, number, running)
     return Start(number, again=False)
--- a/src/bramleylead/process/_member_table.py
+++ b/src/bramleylead/process/_member_table.py
@@ -79,6 +79,10 @@
         """Return the members that are remembered as dead."""
         return [self._members[name] for name in sorted(self._died_at)]
 
+    def data_centres(self) -> set[str]:
+        """Return the data centres of all members that are remembered, dead ones too."""
+        return {member.data_centre for member in self._members.values()}
+
     async def wait_changed(self) -> None:
         """Wait until a record that others choose by has changed."""
         await self._changed.wait()
--- a/src/bramleylead/process/_membership.py
+++ b/src/bramleylead/process/_membership.py
@@ -20,9 +20,6 @@
 
 import anyio
 import structlog
-from aioprometheus import Counter
-from aioprometheus import Gauge
-from aioprometheus import Registry
 from anyio.abc import TaskGroup
 from result import Err
 from result import Ok
@@ -30,6 +27,7 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import Reply
+from bramleylead.metrics import Metrics
 from bramleylead.platform import VmEntry
 from bramleylead.process._member_table import MemberTable
 from bramleylead.process._members import Member
@@ -57,6 +55,7 @@
 PAUSE_FACTOR = 3.0
 JOIN_PROBES = 3
 JOIN_RETRY_S = 0.5
+STORE_POLL_S = 0.5
 
 log = structlog.get_logger()
 
@@ -83,7 +82,7 @@
         server: PeerServer,
         store: ObservedStore,
         rng: random.Random,
-        registry: Registry,
+        metrics: Metrics,
         boot_id: str,
         address: str = "",
         http_address: str = "",
@@ -103,6 +102,7 @@
         self._table = MemberTable(own)
         self._news = NewsQueue()
         self._listed: dict[str, VmEntry] = {}
+        self._centres_seen: set[str] = set()
         self._round: list[str] = []
         self._heard_at = float("-inf")
         self._viewed_at = float("-inf")
@@ -112,12 +112,8 @@
         self._tasks: TaskGroup | None = None
         self.facts: Callable[[], Facts] = _no_facts
         self.on_facts: list[FactsHeard] = []
-        self._changes = Counter(
-            "bramleylead_member_changes_total", "Changes of members' states.", registry=registry
-        )
-        self._gauge = Gauge(
-            "bramleylead_members", "Members by state, as this node sees them.", registry=registry
-        )
+        self._changes = metrics.counter("member_changes_total", "Changes of members' states.")
+        self._gauge = metrics.members
         self._register(server)
 
     def _register(self, server: PeerServer) -> None:
@@ -172,6 +168,20 @@
         """Wait until a member joins, leaves, dies, returns or changes its place."""
         await self._table.wait_changed()
 
+    def knows_others(self) -> bool:
+        """Whether another member is known, or another VM is listed."""
+        return bool(self._table.others()) or any(n != self.self_name for n in self._listed)
+
+    @property
+    def has_heard_peer(self) -> bool:
+        """Whether another member has said anything since this node started."""
+        return self._heard_at > float("-inf")
+
+    @property
+    def store_ok(self) -> bool | None:
+        """Whether the store answers this node; ``None`` when it made no call lately."""
+        return self._store.ok
+
     async def leave(self) -> None:
         """Tell the fleet that this node is leaving; it still answers until its context closes."""
         if self._table.own.state is not MemberState.LEAVING:
@@ -183,17 +193,31 @@
         """Ask a few peers, first in other data centres, whether the store answers them."""
         async with self._store_lock:
             at, answer = self._store_polled
-            if anyio.current_time() - at < self._settings.probe_interval_s:
+            if anyio.current_time() - at < STORE_POLL_S:
                 return answer
-            answer = await poll_peers(self._peers, self._table.own, self._table.others(), self._rng)
-            self._store_polled = (anyio.current_time(), answer)
+            at = anyio.current_time()
+            answer = await poll_peers(
+                self._peers, self._table.own, self._table.others(), self._data_centres()
+            )
+            self._store_polled = (at, answer)
             return answer
 
+    @property
+    def store_polled_at(self) -> float:
+        """When peers were last asked for the store, by this node's clock."""
+        return self._store_polled[0]
+
+    def _data_centres(self) -> set[str]:
+        """Return the data centres of members, dead ones too, and of listed VMs."""
+        listed = {vm.data_centre for vm in self._listed.values()}
+        return self._centres_seen | listed | self._table.data_centres()
+
     # Probing
 
     async def _run_probes(self) -> None:
         while True:
             await anyio.sleep(self._settings.probe_interval_s * self._rng.uniform(0.9, 1.1))
+            self._centres_seen |= self._table.data_centres()
             self._table.forget_old()
             target = self._next_target()
             if target is not None:
@@ -345,6 +369,7 @@
             found = await self._store.vms()
             if isinstance(found, Ok):
                 self._listed = {vm.node: vm for vm in found.ok_value}
+                self._centres_seen = set()
             interval_s = self._settings.vm_list_interval_s if self._listed else JOIN_RETRY_S
             await anyio.sleep(interval_s * self._rng.uniform(0.9, 1.1))
 
--- a/src/bramleylead/process/_model_run.py
+++ b/src/bramleylead/process/_model_run.py
@@ -101,7 +101,9 @@
 
     def _max_output(self) -> int:
         call = self._call
-        return min(call.request.max_tokens or call.kind.max_output_tokens, call.kind.max_output_tokens)
+        return min(
+            call.request.max_tokens or call.kind.max_output_tokens, call.kind.max_output_tokens
+        )
 
 
 class _Follower:
--- a/src/bramleylead/process/_run.py
+++ b/src/bramleylead/process/_run.py
@@ -341,9 +341,7 @@
         return Attempt(Next.NOT_RUN, error.detail)
     if error.kind is BackendErrorKind.REFUSED:
         finish = "" if error.retry_after_s > 0 else "rejected"
-        return Attempt(
-            Next.NOT_RUN, error.detail, finish=finish, retry_after_s=error.retry_after_s
-        )
+        return Attempt(Next.NOT_RUN, error.detail, finish=finish, retry_after_s=error.retry_after_s)
     if error.kind is BackendErrorKind.STALE_FENCE:
         return Attempt(Next.NOT_RUN, error.detail)
     if error.kind is BackendErrorKind.LOST:
--- a/src/bramleylead/process/_store_health.py
+++ b/src/bramleylead/process/_store_health.py
@@ -19,6 +19,7 @@
 from bramleylead.platform._store import ANY_VERSION
 
 FRESH_S = 2.0
+JUST_NOW_S = 0.3
 TRIAL_KEY = "health"
 TRIAL_TIMEOUT_S = 0.8
 
@@ -47,7 +48,8 @@
     async def try_now(self) -> bool:
         """Return whether the store answers, by a read if no call was made lately."""
         async with self._trial:
-            if self.ok is None:
+            latest = max(self._answered_at, self._failed_at)
+            if anyio.current_time() - latest > JUST_NOW_S:
                 await self.get(TRIAL_KEY, timeout_s=TRIAL_TIMEOUT_S)
             return self._answered_at >= self._failed_at
 
--- a/src/bramleylead/process/_store_poll.py
+++ b/src/bramleylead/process/_store_poll.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Sequence
+from collections.abc import Set
 
 import anyio
 from result import Ok
@@ -14,41 +14,41 @@
 from bramleylead.process._membership_messages import StoreHeard
 from bramleylead.process._rendezvous import watchers
 
-ASKED_PER_DATA_CENTRE = 1
-ASKED_AT_HOME = 1
-ASK_TIMEOUT_S = 1.5
+ASKED_PER_DATA_CENTRE = 2
+ASK_TIMEOUT_S = 1.2
 
 
 async def poll_peers(
-    peers: PeerClient, own: Member, others: Sequence[Member], rng: random.Random
+    peers: PeerClient, own: Member, others: Sequence[Member], data_centres: Set[str]
 ) -> bool | None:
-    """Return whether the store answers peers; ``None`` when no peer that knows could be asked."""
-    heard: list[bool] = []
+    """Return whether the store answers peers; ``None`` when too few know.
+
+    An outage is one that more than half of the data centres see, this node's own among them: a
+    region that is cut off from the store and from the other region must not take that for an
+    outage, and two halves can't both be more than half.
+    """
+    heard: dict[str, list[bool]] = {}
 
     async def ask(member: Member) -> None:
         answer = await peers.request(member.address, StoreAsked(), timeout_s=ASK_TIMEOUT_S)
         if isinstance(answer, Ok) and isinstance(answer.ok_value, StoreHeard):
             ok = answer.ok_value.ok
             if ok is not None:
-                heard.append(ok)
+                heard.setdefault(member.data_centre, []).append(ok)
 
     async with anyio.create_task_group() as tasks:
-        for member in chosen_peers(own, others, rng):
+        for member in chosen_peers(others):
             tasks.start_soon(ask, member)
-    return any(heard) if heard else None
+    if any(ok for answers in heard.values() for ok in answers):
+        return True
+    if not heard or 2 * len(set(heard) | {own.data_centre}) <= len(data_centres):
+        return None
+    return False
 
 
-def chosen_peers(own: Member, others: Sequence[Member], rng: random.Random) -> list[Member]:
-    """Choose one watcher of each other data centre, and one peer of the own.
-
-    Watchers know from their own calls, so that asking them costs the store nothing. Two are drawn
-    from, or a dead first one would hide its data centre.
-    """
-    centres = sorted({member.data_centre for member in others} - {own.data_centre})
+def chosen_peers(others: Sequence[Member]) -> list[Member]:
+    """Choose the watchers of each data centre, who know without a call of their own."""
     chosen = []
-    for centre in centres:
-        near = watchers(others, centre, 2)
-        chosen += rng.sample(near, min(ASKED_PER_DATA_CENTRE, len(near)))
-    home = [member for member in others if member.data_centre == own.data_centre]
-    chosen += rng.sample(home, min(ASKED_AT_HOME, len(home)))
+    for centre in sorted({member.data_centre for member in others}):
+        chosen += watchers(others, centre, ASKED_PER_DATA_CENTRE)
     return chosen
--- /dev/null
+++ b/src/bramleylead/process/_ticket_desk.py
@@ -0,0 +1,190 @@
+"""What operators do with tickets: submit, list, show, and see who has one in force."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+from typing import final
+
+import anyio
+from pydantic import ValidationError
+from result import Err
+from result import Ok
+from result import Result
+
+from bramleylead.connection import PeerClient
+from bramleylead.errors import ErrorKind
+from bramleylead.errors import Failure
+from bramleylead.process._applied_tickets import digest_of
+from bramleylead.process._members import Member
+from bramleylead.process._membership import Membership
+from bramleylead.process._ticket_messages import NumberAsked
+from bramleylead.process._ticket_messages import NumberGiven
+from bramleylead.process._tickets import TicketLog
+from bramleylead.process._tickets import is_live
+from bramleylead.request import NodeTicket
+from bramleylead.request import TicketAccepted
+from bramleylead.request import TicketState
+from bramleylead.request import TicketStatus
+from bramleylead.request import TicketSummary
+from bramleylead.version import Config
+from bramleylead.version import Ticket
+
+Validator = Callable[[bytes, Config], Result[Ticket, Failure]]
+
+ASK_TIMEOUT_S = 1.0
+ASKED_AT_ONCE = 32
+
+
+@final
+class TicketDesk:
+    """Operators' side of the ticket log.
+
+    :param validate: checks a ticket's JSON against the configuration before it.
+    """
+
+    def __init__(
+        self, log: TicketLog, *, peers: PeerClient, membership: Membership, validate: Validator
+    ) -> None:
+        self._log = log
+        self._peers = peers
+        self._membership = membership
+        self._validate = validate
+
+    async def submit_ticket(self, body: bytes) -> Result[TicketAccepted, Failure]:
+        """Accept a ticket under its number, or refuse it without effect.
+
+        A ticket is checked against the configuration of the number before it, so the number must
+        be the next one. The same ticket again is accepted again; another one under a number that
+        is taken is told who holds it.
+        """
+        number = _number_in(body)
+        answered = await self._log.refresh()
+        if not answered and number is not None and number > self._log.config.number + 1:
+            detail = f"ticket {number}: the store does not say which number is next"
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
+        if number is not None and number <= self._log.config.number:
+            return await self._compare(number, body)
+        checked = self._validate(body, self._log.config)
+        if isinstance(checked, Err):
+            return checked
+        ticket = checked.ok_value
+        wanted = self._log.config.number + 1
+        if ticket.number != wanted:
+            detail = f"number: {ticket.number} is not the next ticket; allowed is {wanted}"
+            return Err(Failure(ErrorKind.TICKET_INVALID, detail))
+        return await self._create(ticket)
+
+    async def _create(self, ticket: Ticket) -> Result[TicketAccepted, Failure]:
+        body = canonical(ticket)
+        created = await self._log.store.create(ticket.number, body)
+        if isinstance(created, Err):
+            return created
+        winner, repeated = created.ok_value
+        self._log.learn(ticket.number, winner)
+        if winner != body:
+            return Err(_conflict(ticket.number, winner))
+        return Ok(TicketAccepted(ticket.number, repeated))
+
+    async def _compare(self, number: int, body: bytes) -> Result[TicketAccepted, Failure]:
+        """Answer a ticket whose number is in force already."""
+        held = await self._body(number)
+        if isinstance(held, Err):
+            return held
+        try:
+            same = canonical(Ticket.model_validate_json(body)) == held.ok_value
+        except ValidationError:
+            same = False
+        if same:
+            return Ok(TicketAccepted(number, repeated=True))
+        return Err(_conflict(number, held.ok_value))
+
+    async def _body(self, number: int) -> Result[bytes, Failure]:
+        known = self._log.applied.body(number)
+        if known is not None:
+            return Ok(known)
+        found = await self._log.store.read(number)
+        if isinstance(found, Err):
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, found.err_value.detail))
+        if found.ok_value is None:
+            detail = f"no ticket {number}; the last one is {self._log.config.number}"
+            return Err(Failure(ErrorKind.UNKNOWN_TARGET, detail))
+        return Ok(found.ok_value.value)
+
+    async def ticket_status(self, number: int) -> Result[TicketStatus, Failure]:
+        """Ask every live node which ticket is in force on it."""
+        held = await self._body(number)
+        if isinstance(held, Err):
+            return held
+        members = [member for member in self._membership.members() if is_live(member)]
+        nodes = await self._ask_all(members)
+        have = {node.node for node in nodes if node.number >= number}
+        missing = tuple(member.node for member in members if member.node not in have)
+        state = TicketState.SPREADING if missing else TicketState.IN_FORCE
+        if not have and number > self._log.config.number:
+            state = TicketState.WAITING
+        return Ok(TicketStatus(number, state, nodes, missing))
+
+    async def _ask_all(self, members: list[Member]) -> tuple[NodeTicket, ...]:
+        limiter = anyio.CapacityLimiter(ASKED_AT_ONCE)
+        heard: list[NodeTicket] = []
+
+        async def ask(member: Member) -> None:
+            async with limiter:
+                answer = await self._peers.request(
+                    member.address, NumberAsked(), timeout_s=ASK_TIMEOUT_S
+                )
+            if isinstance(answer, Ok) and isinstance(answer.ok_value, NumberGiven):
+                heard.append(NodeTicket(member.node, answer.ok_value.number, 0.0))
+
+        async with anyio.create_task_group() as tasks:
+            for member in members:
+                if member.node == self._membership.self_name:
+                    heard.append(NodeTicket(member.node, self._log.config.number, 0.0))
+                else:
+                    tasks.start_soon(ask, member)
+        return tuple(sorted(heard))
+
+    async def list_tickets(self) -> Result[tuple[TicketSummary, ...], Failure]:
+        """List the accepted tickets in number order."""
+        found: list[TicketSummary] = []
+        last = 0
+        while True:
+            page = await self._log.store.read_after(last)
+            if isinstance(page, Err):
+                return Err(Failure(ErrorKind.STORE_UNAVAILABLE, page.err_value.detail))
+            if not page.ok_value:
+                return Ok(tuple(found))
+            for stored in page.ok_value:
+                plain = json.loads(stored.value)
+                last = plain["number"]
+                found.append(TicketSummary(last, plain["author"], plain.get("note", "")))
+
+    async def show_ticket(self, number: int) -> Result[dict[str, Any], Failure]:
+        """Return an accepted ticket's JSON."""
+        held = await self._body(number)
+        return held.map(json.loads)
+
+
+def canonical(ticket: Ticket) -> bytes:
+    """Return the bytes that stand for a ticket: its JSON without spaces, in the schema's order."""
+    return ticket.model_dump_json().encode()
+
+
+def _number_in(body: bytes) -> int | None:
+    try:
+        plain = json.loads(body)
+    except ValueError:
+        return None
+    number = plain.get("number") if isinstance(plain, dict) else None
+    return number if type(number) is int and number >= 1 else None
+
+
+def _conflict(number: int, winner: bytes) -> Failure:
+    try:
+        author = str(json.loads(winner).get("author", ""))
+    except (ValueError, AttributeError):
+        author = "an unreadable body"
+    detail = f"ticket {number} is held by {author}, digest {digest_of(winner)}"
+    return Failure(ErrorKind.TICKET_CONFLICT, detail)
--- /dev/null
+++ b/src/bramleylead/process/_tickets.py
@@ -0,0 +1,384 @@
+"""The ticket log of one node: tickets in force, and the proof that they are the latest.
+
+A few watchers in each data centre read the store for the others. Every second each of them sends
+what it learned down a tree of its data centre; whoever hears nothing in time asks a watcher.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from types import TracebackType
+from typing import Self
+from typing import final
+
+import anyio
+import structlog
+from anyio.abc import TaskGroup
+from result import Err
+
+from bramleylead.connection import PeerClient
+from bramleylead.connection import PeerServer
+from bramleylead.connection import Reply
+from bramleylead.metrics import Metrics
+from bramleylead.process._applied_tickets import AppliedTickets
+from bramleylead.process._currency import Currency
+from bramleylead.process._currency import Ticks
+from bramleylead.process._members import Member
+from bramleylead.process._members import MemberState
+from bramleylead.process._membership import Membership
+from bramleylead.process._membership_messages import Facts
+from bramleylead.process._rendezvous import watchers
+from bramleylead.process._settings import NodeSettings
+from bramleylead.process._store_health import ObservedStore
+from bramleylead.process._ticket_messages import NumberAsked
+from bramleylead.process._ticket_messages import NumberGiven
+from bramleylead.process._ticket_messages import Pushed
+from bramleylead.process._ticket_messages import PushTaken
+from bramleylead.process._ticket_messages import TicketsAsked
+from bramleylead.process._ticket_messages import TicketsGiven
+from bramleylead.process._ticket_spread import TicketSpread
+from bramleylead.process._ticket_store import TicketStore
+from bramleylead.process._ticket_store import dump_config
+from bramleylead.process._ticket_store import load_config
+from bramleylead.process._ticket_store import number_of
+from bramleylead.promises import Promises
+from bramleylead.version import Config
+
+GIVEN_BYTES = 500_000
+SNAPSHOT_EVERY = 50
+PULL_CHECK_S = 0.25
+PULL_TIMEOUT_S = 0.5
+STORE_RETRY_S = 0.5
+JOIN_ALONE_S = 10.0
+REMEMBERED_PUSHES = 64
+STALE_SHARE = 0.5
+
+log = structlog.get_logger()
+
+
+@final
+class TicketLog:
+    """Keeps the configuration in force while its context is open."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        *,
+        peers: PeerClient,
+        server: PeerServer,
+        store: ObservedStore,
+        membership: Membership,
+        promises: Promises,
+        metrics: Metrics,
+        rng: random.Random,
+        relay: str = "tree",
+    ) -> None:
+        self._settings = settings.tickets
+        self._data_centre = settings.data_centre
+        self._peers = peers
+        self._store = TicketStore(store, node=settings.node)
+        self._membership = membership
+        self._metrics = metrics
+        self._rng = rng
+        self._applied = AppliedTickets(promises)
+        self._currency = Currency()
+        self._ticks = Ticks(first=rng.getrandbits(48))
+        self._spread = TicketSpread(
+            peers, membership, self._applied, self._currency, self._settings, rng, relay=relay
+        )
+        self._pushes_seen: deque[int] = deque(maxlen=REMEMBERED_PUSHES)
+        self._highest_heard = 0
+        self._behind_since: float | None = None
+        self._caught_up = False
+        self._started_at = 0.0
+        self._loaded = False
+        self._pull_now = anyio.Event()
+        self._tasks: TaskGroup | None = None
+        membership.facts = self._facts
+        membership.on_facts.append(self._hear_facts)
+        server.handle(Pushed, self._on_pushed)
+        server.handle(TicketsAsked, self._on_tickets_asked)
+        server.handle(NumberAsked, self._on_number_asked)
+
+    async def __aenter__(self) -> Self:
+        self._started_at = anyio.current_time()
+        self._tasks = anyio.create_task_group()
+        await self._tasks.__aenter__()
+        self._tasks.start_soon(self._run_watch)
+        self._tasks.start_soon(self._run_pull)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> bool | None:
+        assert self._tasks is not None
+        self._tasks.cancel_scope.cancel()
+        return await self._tasks.__aexit__(kind, error, trace)
+
+    @property
+    def config(self) -> Config:
+        """The configuration after the last ticket that was applied."""
+        return self._applied.config
+
+    @property
+    def applied(self) -> AppliedTickets:
+        """The tickets in force, and what waits or is stuck."""
+        return self._applied
+
+    @property
+    def store(self) -> TicketStore:
+        """The tickets' objects in the store."""
+        return self._store
+
+    @property
+    def age_s(self) -> float:
+        """Age of the proof that the ticket in force is the latest."""
+        return self._currency.age_s
+
+    def is_current(self) -> bool:
+        """Whether this node may act on its configuration; see the module ``_currency``."""
+        bound_s = self._settings.current_within_s
+        if not self._caught_up_since_start() or self._is_behind():
+            return False
+        return min(self._currency.age_s, self._currency.outage_age_s) <= bound_s
+
+    async def wait_changed(self, after_number: int) -> None:
+        """Wait until a ticket above ``after_number`` is in force."""
+        await self._applied.wait_changed(after_number)
+
+    async def refresh(self) -> bool:
+        """Read the store up to the latest ticket; return whether it answered."""
+        if not self._loaded and not await self._load():
+            return False
+        while True:
+            asked_at = anyio.current_time()
+            wanted = self._applied.number + 1
+            found = await self._store.read(wanted)
+            if isinstance(found, Err):
+                return False
+            if found.ok_value is None:
+                self._currency.prove(wanted - 1, asked_at)
+                return True
+            self.learn(wanted, found.ok_value.value)
+            if self._applied.number < wanted:
+                return True
+
+    def learn(self, number: int, body: bytes) -> None:
+        """Take in a ticket that the store holds."""
+        before = self._applied.number
+        self._applied.learn(number, body)
+        self._after_change(before)
+
+    # The store
+
+    async def _run_watch(self) -> None:
+        await self._load()
+        revision: int | None = None
+        while True:
+            if not self._is_watcher():
+                await anyio.sleep(self._settings.watch_s)
+            elif await self.refresh():
+                self._start_push()
+                revision = await self._watch(revision)
+            else:
+                await self._sit_out()
+
+    async def _sit_out(self) -> None:
+        """Go round once while the store does not answer: ask peers, and try it again."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._confirm_outage)
+            tasks.start_soon(anyio.sleep, STORE_RETRY_S)
+        self._start_push()
+
+    async def _confirm_outage(self) -> None:
+        if await self._membership.store_reachable_by_peers() is False:
+            self._currency.note_outage(self._membership.store_polled_at)
+
+    async def _watch(self, revision: int | None) -> int | None:
+        """Wait for a change, as a wake-up only: proofs come from reads of the next key."""
+        if revision is None:
+            revision = await self._store.current_revision()
+        if revision is None:
+            await anyio.sleep(STORE_RETRY_S)
+            return None
+        timeout_s = self._settings.watch_s
+        started = anyio.current_time()
+        found = await self._store.watch(after_revision=revision, timeout_s=timeout_s)
+        if isinstance(found, Err):
+            await anyio.sleep(STORE_RETRY_S)
+            return None
+        page = found.ok_value
+        for change in page.changes:
+            number = number_of(change.key)
+            if number is not None and change.value is not None:
+                self.learn(number, change.value)
+        if not page.changes and anyio.current_time() - started < timeout_s / 2:
+            await anyio.sleep(timeout_s / 2)
+        return page.revision
+
+    async def _load(self) -> bool:
+        """Read the snapshot and the tickets after it, in pages."""
+        snapshot = await self._store.read_snapshot()
+        if isinstance(snapshot, Err):
+            return False
+        self._install(snapshot.ok_value)
+        while True:
+            before = self._applied.number
+            page = await self._store.read_after(before)
+            if isinstance(page, Err):
+                return False
+            for stored in page.ok_value:
+                number = number_of(stored.key)
+                if number is not None:
+                    self.learn(number, stored.value)
+            if self._applied.number == before:
+                self._loaded = True
+                return True
+
+    def _is_watcher(self) -> bool:
+        return self._membership.self_name in [member.node for member in self._watchers()]
+
+    def _watchers(self, data_centre: str = "") -> list[Member]:
+        return watchers(
+            self._membership.alive(),
+            data_centre or self._data_centre,
+            self._settings.watchers_per_data_centre,
+        )
+
+    # Peers
+
+    def _facts(self) -> Facts:
+        proof = self._currency.state()
+        return Facts(proof.number, proof.age_s, self._membership.store_ok)
+
+    def _hear_facts(self, node: str, facts: Facts) -> None:
+        self._hear_number(facts.ticket)
+
+    def _hear_number(self, number: int) -> None:
+        self._highest_heard = max(self._highest_heard, number)
+        if self._highest_heard <= self._applied.number:
+            self._caught_up = True
+            return
+        if self._behind_since is None:
+            self._behind_since = anyio.current_time()
+        self._pull_now.set()
+
+    def _is_behind(self) -> bool:
+        """Whether a peer has had a later ticket for longer than the bound."""
+        if self._behind_since is None:
+            return False
+        return anyio.current_time() - self._behind_since > self._settings.current_within_s
+
+    def _caught_up_since_start(self) -> bool:
+        """Whether this node, since its start, has had all tickets that a peer had.
+
+        The store may answer a restarted node with an old state; its peers remember. Where listed
+        VMs are all silent, the node waits for them a while and then goes by the store alone.
+        """
+        if self._caught_up or not self._membership.knows_others():
+            return True
+        silent = self._highest_heard == 0 and not self._membership.has_heard_peer
+        return silent and anyio.current_time() - self._started_at > JOIN_ALONE_S
+
+    async def _run_pull(self) -> None:
+        """Ask a watcher whenever the proof grows old or a peer has a later ticket."""
+        while True:
+            with anyio.move_on_after(PULL_CHECK_S):
+                await self._pull_now.wait()
+            self._pull_now = anyio.Event()
+            self._metrics.ticket_age_seconds.set({}, min(self._currency.age_s, 1e9))
+            if self._needs_pull():
+                await self._pull_from(self._pull_source())
+
+    def _needs_pull(self) -> bool:
+        stale_s = STALE_SHARE * self._settings.current_within_s
+        stale = min(self._currency.age_s, self._currency.outage_age_s) > stale_s
+        return stale or self._highest_heard > self._applied.number
+
+    def _pull_source(self) -> Member | None:
+        own = self._membership.self_name
+        near = [member for member in self._watchers() if member.node != own]
+        others = [member for member in self._membership.alive() if member.node != own]
+        far = [m for m in others if m.data_centre != self._data_centre]
+        choices = [group for group in (near, far, others) if group]
+        return self._rng.choice(self._rng.choice(choices)) if choices else None
+
+    async def _pull_from(self, member: Member | None) -> None:
+        if member is None:
+            return
+        asked_at = anyio.current_time()
+        request = TicketsAsked(self._applied.number)
+        answer = await self._peers.request(member.address, request, timeout_s=PULL_TIMEOUT_S)
+        if isinstance(answer, Err) or not isinstance(answer.ok_value, TicketsGiven):
+            return
+        given = answer.ok_value
+        if given.config:
+            self._install(load_config(given.config) or Config())
+        self._take_bodies(request.after, given.tickets)
+        self._currency.take(given.proof, stated_at=asked_at)
+        self._hear_number(given.number)
+
+    def _take_bodies(self, after: int, bodies: list[bytes]) -> None:
+        for offset, body in enumerate(bodies):
+            self.learn(after + 1 + offset, body)
+
+    def _install(self, config: Config) -> None:
+        before = self._applied.number
+        self._applied.install(config)
+        self._after_change(before)
+
+    def _after_change(self, before: int) -> None:
+        number = self._applied.number
+        if number == before:
+            return
+        self._currency.note_applied(number)
+        self._metrics.ticket_in_force.set({}, number)
+        if number >= self._highest_heard:
+            self._caught_up = self._caught_up or self._highest_heard > 0
+            self._behind_since = None
+        if number // SNAPSHOT_EVERY > before // SNAPSHOT_EVERY and self._is_snapshot_writer():
+            assert self._tasks is not None
+            self._tasks.start_soon(self._store.write_snapshot, self._applied.config)
+
+    def _is_snapshot_writer(self) -> bool:
+        first = next(iter(self._watchers()), None)
+        return first is not None and first.node == self._membership.self_name
+
+    def _start_push(self) -> None:
+        assert self._tasks is not None
+        self._tasks.start_soon(self._spread.push_from_here)
+
+    # Handlers
+
+    async def _on_pushed(self, pushed: Pushed, reply: Reply) -> None:
+        """Take in a push and pass it on, unless it has come before."""
+        self._take_bodies(pushed.proof.number - len(pushed.tickets), pushed.tickets)
+        stated_at = self._ticks.stated_at(pushed.echo, pushed.held_s)
+        if stated_at is not None:
+            self._currency.take(pushed.proof, stated_at=stated_at)
+        self._hear_number(pushed.proof.number)
+        await reply.send(PushTaken(self._applied.number, self._ticks.send()))
+        if pushed.push not in self._pushes_seen:
+            self._pushes_seen.append(pushed.push)
+            assert self._tasks is not None
+            self._tasks.start_soon(self._spread.pass_on, pushed.push, pushed.root)
+
+    async def _on_tickets_asked(self, request: TicketsAsked, reply: Reply) -> None:
+        tickets = self._applied.bodies_after(request.after, limit_bytes=GIVEN_BYTES)
+        config = b""
+        if not tickets and request.after < self._applied.number:
+            config = dump_config(self._applied.config)
+        number = self._applied.number
+        await reply.send(TicketsGiven(number, self._currency.state(), tickets, config))
+
+    async def _on_number_asked(self, request: NumberAsked, reply: Reply) -> None:
+        await reply.send(NumberGiven(self._applied.number, self._applied.stuck))
+
+
+def is_live(member: Member) -> bool:
+    """Whether a member should have the latest ticket in force."""
+    return member.state in (MemberState.ALIVE, MemberState.SUSPECT)
--- a/testing/process/fleet.py
+++ b/testing/process/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 from collections.abc import AsyncIterator
 from collections.abc import Callable
@@ -9,11 +10,15 @@
 from typing import Any
 
 import anyio
-from aioprometheus import Registry
 from result import Err
+from result import Ok
+from result import Result
 
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
+from bramleylead.errors import ErrorKind
+from bramleylead.errors import Failure
+from bramleylead.metrics import Metrics
 from bramleylead.platform import MemoryStore
 from bramleylead.platform import StoreError
 from bramleylead.platform import StoreErrorKind
@@ -21,7 +26,12 @@
 from bramleylead.process._membership import Membership
 from bramleylead.process._settings import NodeSettings
 from bramleylead.process._store_health import ObservedStore
+from bramleylead.process._ticket_desk import TicketDesk
+from bramleylead.process._tickets import TicketLog
+from bramleylead.promises import Promises
 from bramleylead.standins import FakeNetwork
+from bramleylead.version import Config
+from bramleylead.version import Ticket
 
 KEY = "a shared key of the cluster"
 PORT = 7000
@@ -95,7 +105,7 @@
         network = self.network.view(on)
         server = PeerServer(node=settings.node, cluster_key=KEY)
         store = ObservedStore(CutStore(self, on))
-        registry = Registry()
+        metrics = Metrics()
         with anyio.CancelScope() as scope:
             self._scopes[on] = scope
             async with PeerClient(network, node=settings.node, cluster_key=KEY) as peers:
@@ -105,11 +115,11 @@
                     server=server,
                     store=store,
                     rng=rng,
-                    registry=registry,
+                    metrics=metrics,
                     boot_id=f"{rng.getrandbits(32):08x}",
                 )
                 async with (
-                    self.more(membership, settings, peers, server, store, rng, registry),
+                    self.more(membership, settings, peers, server, store, rng, metrics),
                     anyio.create_task_group() as tasks,
                 ):
                     await tasks.start(network.serve, settings.peer_address, server.serve_stream)
@@ -162,3 +172,69 @@
         await until(fleet.agreed, limit_s=30)
         yield tasks
         tasks.cancel_scope.cancel()
+
+
+def ticket_body(number: int, author: str = "op", **more: Any) -> bytes:
+    return json.dumps({"number": number, "author": author, **more}).encode()
+
+
+def parse(body: bytes, config: Config) -> Result[Ticket, Failure]:
+    """Check the schema only; the product's validation has its own tests."""
+    try:
+        return Ok(Ticket.model_validate_json(body))
+    except ValueError as error:
+        return Err(Failure(ErrorKind.TICKET_INVALID, str(error)))
+
+
+class TicketFleet(Fleet):
+    """A fleet whose nodes run the ticket log too."""
+
+    def __init__(self, *, seed: int, relay: str = "tree") -> None:
+        super().__init__(seed=seed)
+        self.relay = relay
+        self.desks: dict[str, TicketDesk] = {}
+        self.promises: dict[str, Promises] = {}
+
+    @asynccontextmanager
+    async def more(
+        self,
+        membership: Membership,
+        settings: NodeSettings,
+        peers: PeerClient,
+        server: PeerServer,
+        store: ObservedStore,
+        rng: random.Random,
+        metrics: Metrics,
+    ) -> AsyncIterator[None]:
+        promises = Promises(metrics.registry)
+        self.promises[settings.node] = promises
+        log = TicketLog(
+            settings,
+            peers=peers,
+            server=server,
+            store=store,
+            membership=membership,
+            promises=promises,
+            metrics=metrics,
+            rng=rng,
+            relay=self.relay,
+        )
+        desk = TicketDesk(log, peers=peers, membership=membership, validate=parse)
+        async with log:
+            self.logs[settings.node] = log
+            self.desks[settings.node] = desk
+            yield
+
+    def kill(self, i: int, *, name: str = "") -> None:
+        super().kill(i, name=name)
+        self.logs.pop(name or f"n{i}")
+        self.desks.pop(name or f"n{i}")
+
+    def all_at(self, number: int) -> bool:
+        return all(log.config.number == number for log in self.logs.values())
+
+    def all_current(self) -> bool:
+        return all(log.is_current() for log in self.logs.values())
+
+    def none_current(self) -> bool:
+        return not any(log.is_current() for log in self.logs.values())
