--- a/src/bramleylead/connection/_rpc.py
+++ b/src/bramleylead/connection/_rpc.py
@@ -87,6 +87,13 @@
         """
         return await self._receive.receive()
 
+    def pending(self) -> list[Any]:
+        """Take the messages that have arrived and were not received yet, without waiting."""
+        items = []
+        while self._receive.statistics().current_buffer_used:
+            items.append(self._receive.receive_nowait())
+        return items
+
     def __aiter__(self) -> AsyncIterator[Any]:
         return self._receive.__aiter__()
 
--- /dev/null
+++ b/src/bramleylead/scheduling/_default.py
@@ -0,0 +1,185 @@
+"""The project's own policy: fair shares, short programs first, caches used, engines not overfull."""
+
+from __future__ import annotations
+
+from typing import Annotated
+from typing import Any
+
+from pydantic import Field
+
+from bramleylead.errors import Failure
+from bramleylead.scheduling._admission import Admission
+from bramleylead.scheduling._admission import AdmissionTargets
+from bramleylead.scheduling._choice import ChoiceWeights
+from bramleylead.scheduling._choice import Placement
+from bramleylead.scheduling._choice import best_with_room
+from bramleylead.scheduling._choice import expected_free_s
+from bramleylead.scheduling._choice import holder_worth_waiting_for
+from bramleylead.scheduling._fairness import FairQueue
+from bramleylead.scheduling._news import DrainEstimate
+from bramleylead.scheduling._overload import OverloadBounds
+from bramleylead.scheduling._overload import overloaded
+from bramleylead.scheduling._overload import refusal_on_arrival
+from bramleylead.scheduling._overload import youngest_to_shed
+from bramleylead.scheduling._policy import Choice
+from bramleylead.scheduling._policy import Endpoints
+from bramleylead.scheduling._policy import policy
+from bramleylead.scheduling._speed import expected_duration_s
+from bramleylead.scheduling._speed import learn_speed
+from bramleylead.scheduling._types import SlotFinished
+from bramleylead.scheduling._types import SlotRequest
+from bramleylead.scheduling._view import EndpointView
+from bramleylead.scheduling._view import Waiting
+from bramleylead.scheduling._view import usable
+from bramleylead.version._schema import Strict
+
+MIN_HOLD_S = 0.01
+
+
+class DefaultParameters(Strict):
+    """Weights and limits of the policy; times in seconds, work in tokens.
+
+    :param between_branches: share by branch.
+    :param short_first: the program that was served least goes first.
+    :param aging_tokens_per_s: attained service that a second of waiting makes up for.
+    :param rebuild_weight: weight of recomputed prefixes against waiting and load.
+    :param load_s: cost of each call that already runs at an engine.
+    :param memory_s: cost of an engine whose cache is full, for a prefix that it does not hold.
+    :param wait_for_cache: longest wait for the engine that holds the prefix, in rebuild times.
+    :param adaptive_level: learn how many calls an engine is given; else ``max_calls``.
+    :param output_cost: work of an output token against a prefilled one.
+    """
+
+    between_branches: bool = True
+    short_first: bool = True
+    aging_tokens_per_s: Annotated[float, Field(ge=0)] = 2_000.0
+    rebuild_weight: Annotated[float, Field(ge=0)] = 1.0
+    load_s: Annotated[float, Field(ge=0)] = 0.05
+    memory_s: Annotated[float, Field(ge=0)] = 0.1
+    wait_for_cache: Annotated[float, Field(ge=0)] = 1.0
+    adaptive_level: bool = True
+    token_gap_s: Annotated[float, Field(gt=0)] = 0.042
+    first_token_s: Annotated[float, Field(gt=0)] = 0.5
+    min_calls: Annotated[int, Field(ge=1)] = 2
+    output_cost: Annotated[float, Field(ge=0)] = 4.0
+    shed: bool = True
+    max_queue: Annotated[int, Field(ge=1)] = 512
+    new_program_wait_s: Annotated[float, Field(gt=0)] = 5.0
+    deadline_share: Annotated[float, Field(gt=0, le=1)] = 0.8
+
+
+@policy("bramleylead", DefaultParameters)
+class DefaultPolicy:
+    """Decides for one pool; each part is in its own module."""
+
+    def __init__(self, parameters: DefaultParameters) -> None:
+        self._parameters = parameters
+        self._queue = FairQueue(
+            between_branches=parameters.between_branches,
+            short_first=parameters.short_first,
+            aging_tokens_per_s=parameters.aging_tokens_per_s,
+        )
+        self._weights = ChoiceWeights(
+            parameters.rebuild_weight,
+            parameters.load_s,
+            parameters.memory_s,
+            parameters.wait_for_cache,
+        )
+        self._admission = Admission(
+            AdmissionTargets(
+                parameters.token_gap_s, parameters.first_token_s, parameters.min_calls
+            )
+        )
+        self._bounds = OverloadBounds(
+            parameters.max_queue, parameters.new_program_wait_s, parameters.deadline_share
+        )
+        self._drain = DrainEstimate()
+
+    def admit(self, call: Waiting, endpoints: Endpoints, now: float) -> Failure | None:
+        """Refuse the call, or queue it; a full queue gives up its youngest program's call."""
+        if self._parameters.shed:
+            refusal = self._refuse(call, endpoints)
+            if refusal is not None:
+                return refusal
+        self._queue.add(call)
+        return None
+
+    def remove(self, call: Waiting) -> None:
+        """Take a queued call out."""
+        self._queue.remove(call)
+
+    def next(self, endpoints: Endpoints, now: float) -> Choice | None:
+        """Start the first call in order that does not do better by waiting for its cache."""
+        if not any(view.has_room for view in endpoints.values()):
+            return None
+        for call in self._queue.candidates():
+            views = usable(endpoints.values(), call.request)
+            placement = best_with_room(views, call.request, self._weights, now)
+            if placement is None:
+                continue
+            holder = holder_worth_waiting_for(views, call, placement, self._weights, now)
+            if holder is not None:
+                call.reconsider_at = now + max(MIN_HOLD_S, expected_free_s(holder, now))
+                continue
+            return self._choose(call, placement, now)
+        return None
+
+    def finished(
+        self, call: Waiting, endpoint: EndpointView, report: SlotFinished | None, now: float
+    ) -> None:
+        """Settle the branch's charge and learn the engine's speed and level."""
+        self._drain.finished(now - call.granted_at)
+        if report is None or not report.ok:
+            return
+        prefilled = report.prompt_tokens - report.cached_tokens
+        self._queue.settle(call, self._cost(prefilled, report.output_tokens))
+        learn_speed(endpoint, report)
+        if self._parameters.adaptive_level:
+            self._admission.finished(call, endpoint, report, now)
+
+    def queued(self) -> int:
+        """Return the number of queued calls."""
+        return len(self._queue)
+
+    def dump(self) -> dict[str, Any]:
+        """Return each branch's lead over the virtual time, and the parameters."""
+        return {"branch_lead": self._queue.tags(), "parameters": self._parameters.model_dump()}
+
+    def _choose(self, call: Waiting, placement: Placement, now: float) -> Choice:
+        view = placement.endpoint
+        held = view.holds(call.request)
+        missing = call.request.prompt_tokens - held
+        self._queue.start(call, self._cost(missing, call.request.expected_output))
+        call.expected_end = now + expected_duration_s(view, call.request)
+        reason = (
+            f"cost {placement.cost_s:.3f} s: {held} of {call.request.prompt_tokens} prompt tokens "
+            f"cached, {view.outstanding} calls running of {int(view.limit)}"
+        )
+        return Choice(call, view, reason)
+
+    def _refuse(self, call: Waiting, endpoints: Endpoints) -> Failure | None:
+        views = [view for view in endpoints.values() if view.open]
+        slots = sum(int(view.limit) for view in views)
+        free = sum(max(0, int(view.limit) - view.outstanding) for view in views)
+        ahead = self._ahead_of(call.request)
+        wait_s = self._drain.expected_wait_s(ahead, free=free, slots=slots)
+        refusal = refusal_on_arrival(call, wait_s, self._bounds)
+        if refusal is not None or len(self._queue) < self._bounds.queue:
+            return refusal
+        victim = youngest_to_shed(call, self._queue)
+        failure = overloaded(f"{len(self._queue)} calls are queued", wait_s)
+        if victim is call:
+            return failure
+        self._queue.remove(victim)
+        victim.refusal = failure
+        victim.granted.set()
+        return None
+
+    def _ahead_of(self, request: SlotRequest) -> int:
+        """Return the queued calls that go before one more call of this branch."""
+        if not self._parameters.between_branches:
+            return len(self._queue)
+        return self._queue.ahead_of(request.branch)
+
+    def _cost(self, prefilled: int, output: int) -> float:
+        return prefilled + self._parameters.output_cost * output
--- /dev/null
+++ b/src/bramleylead/scheduling/_dispatcher.py
@@ -0,0 +1,287 @@
+"""The dispatcher of one pool: its queue, its endpoints' slots, and the policy that pairs them."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from collections.abc import Mapping
+from contextlib import asynccontextmanager
+from typing import Any
+from typing import final
+
+import anyio
+from aioprometheus import Registry
+from result import Err
+from result import Ok
+from result import Result
+
+from bramleylead.backends import CachePage
+from bramleylead.backends import LoadReport
+from bramleylead.errors import ErrorKind
+from bramleylead.errors import Failure
+from bramleylead.process._settings import SchedulingSettings
+from bramleylead.promises import Promise
+from bramleylead.promises import Promises
+from bramleylead.scheduling._decisions import Decision
+from bramleylead.scheduling._decisions import Decisions
+from bramleylead.scheduling._health import Health
+from bramleylead.scheduling._news import DrainEstimate
+from bramleylead.scheduling._news import PoolNews
+from bramleylead.scheduling._policy import Choice
+from bramleylead.scheduling._policy import make_policy
+from bramleylead.scheduling._pools import MAX_POOL_ENDPOINTS
+from bramleylead.scheduling._types import Slot
+from bramleylead.scheduling._types import SlotFinished
+from bramleylead.scheduling._types import SlotGranted
+from bramleylead.scheduling._types import SlotRequest
+from bramleylead.scheduling._view import EndpointView
+from bramleylead.scheduling._view import Waiting
+from bramleylead.scheduling._view import new_view
+from bramleylead.version import Endpoint
+
+DUMPED_DECISIONS = 50
+
+
+@final
+class HeldSlot:
+    """A granted slot; leaving the dispatcher's context gives it back."""
+
+    def __init__(self, granted: SlotGranted) -> None:
+        self.granted = granted
+        self.report: SlotFinished | None = None
+
+    def finish(self, report: SlotFinished) -> None:
+        """Keep how the call went until the slot is given back."""
+        self.report = report
+
+
+@final
+class Dispatcher:
+    """Grants the slots of one pool.
+
+    :param name: the pool's name, for dumps and messages.
+    :param clock: processor time for the decision meter; ``None`` turns the meter off.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        settings: SchedulingSettings,
+        *,
+        promises: Promises | None = None,
+        clock: Callable[[], float] | None = None,
+    ) -> None:
+        self.name = name
+        self.endpoints: dict[str, EndpointView] = {}
+        self.decisions = Decisions()
+        self.decision_s = 0.0
+        self.decisions_made = 0
+        self._policy = make_policy(settings)
+        self._promises = promises or Promises(Registry())
+        self._clock = clock or time.perf_counter
+        self._health = Health()
+        self._drain = DrainEstimate()
+        self._serial = 0
+        self._queue: dict[int, Waiting] = {}
+
+    def set_endpoints(self, endpoints: Mapping[str, Endpoint]) -> None:
+        """Take in the pool's endpoints from the configuration in force.
+
+        Calls running on a removed or leaving endpoint go on; it gets no more.
+
+        :raises ValueError: if there are more than a pool may hold.
+        """
+        if len(endpoints) > MAX_POOL_ENDPOINTS:
+            raise ValueError(f"pool {self.name}: {len(endpoints)} endpoints, at most 16 allowed")
+        for name in [name for name in self.endpoints if name not in endpoints]:
+            view = self.endpoints.pop(name)
+            view.leaving = True
+        for name, endpoint in endpoints.items():
+            if name in self.endpoints:
+                self.endpoints[name].update(endpoint)
+            else:
+                self.endpoints[name] = new_view(name, endpoint)
+        self._pump()
+
+    def observe_load(self, endpoint: str, report: LoadReport) -> None:
+        """Take in an endpoint's load report."""
+        view = self.endpoints.get(endpoint)
+        if view is not None:
+            view.observe_load(report, anyio.current_time())
+
+    def observe_cache(self, endpoint: str, page: CachePage) -> bool:
+        """Take in cache events; ``False`` when some were missed: read the contents instead."""
+        view = self.endpoints.get(endpoint)
+        return view is None or view.observe_cache(page)
+
+    @asynccontextmanager
+    async def slot(self, request: SlotRequest) -> AsyncIterator[Result[Slot, Failure]]:
+        """Wait for a slot; an ``Err`` means that the call did not run."""
+        call = self._waiting(request)
+        held: HeldSlot | None = None
+        try:
+            failure = await self._wait(call)
+            if failure is not None or call.endpoint is None:
+                yield Err(failure or Failure(ErrorKind.INTERNAL, "granted without an endpoint"))
+                return
+            held = HeldSlot(self._granted(call))
+            yield Ok(held)
+        finally:
+            self._give_back(call, held)
+
+    def news(self) -> PoolNews:
+        """Return the pool's load, as it is piggybacked on answers."""
+        views = [view for view in self.endpoints.values() if view.open]
+        slots = sum(int(view.limit) for view in views)
+        running = sum(view.outstanding for view in self.endpoints.values())
+        queued = len(self._queue)
+        return PoolNews(
+            pool=self.name,
+            endpoints=len(views),
+            slots=slots,
+            running=running,
+            queued=queued,
+            expected_wait_s=self._drain.expected_wait_s(
+                queued, free=max(0, slots - running), slots=slots
+            ),
+        )
+
+    def explain(self, call: str) -> list[Decision]:
+        """Return what is remembered of one call, oldest first."""
+        return self.decisions.of(call)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the dispatcher's state for the node's dump."""
+        return {
+            "pool": self.name,
+            "queued": len(self._queue),
+            "expected_wait_s": self.news().expected_wait_s,
+            "endpoints": {
+                name: {
+                    "leaving": view.leaving,
+                    "ejected": view.ejected,
+                    "running": view.outstanding,
+                    "limit": view.limit,
+                    "foreign": view.foreign,
+                    "first_token_s": view.first_token_s,
+                    "prefixes": len(view.cached),
+                }
+                for name, view in self.endpoints.items()
+            },
+            "policy": self._policy.dump(),
+            "decisions": [item._asdict() for item in self.decisions.last(DUMPED_DECISIONS)],
+        }
+
+    def _waiting(self, request: SlotRequest) -> Waiting:
+        now = anyio.current_time()
+        self._serial += 1
+        return Waiting(
+            request=request,
+            serial=self._serial,
+            enqueued_at=now - request.waited_s,
+            deadline_at=now + request.deadline_s,
+            granted=anyio.Event(),
+        )
+
+    async def _wait(self, call: Waiting) -> Failure | None:
+        refusal = self._refusal(call)
+        if refusal is not None:
+            self._note(call, "refused", refusal.detail)
+            return refusal
+        self._queue[call.serial] = call
+        self._pump()
+        while not call.granted.is_set():
+            now = anyio.current_time()
+            if now >= call.deadline_at:
+                return self._expire(call)
+            wake_at = min(call.deadline_at, call.reconsider_at, self._readmission())
+            with anyio.move_on_after(max(0.0, wake_at - now)):
+                await call.granted.wait()
+            if not call.granted.is_set():
+                self._pump()
+        if call.refusal is not None:
+            self._queue.pop(call.serial, None)
+            self._note(call, "shed", call.refusal.detail)
+        return call.refusal
+
+    def _refusal(self, call: Waiting) -> Failure | None:
+        if all(view.leaving for view in self.endpoints.values()):
+            return Failure(ErrorKind.OVERLOADED, f"pool {self.name} has no endpoint that stays")
+        return self._policy.admit(call, self.endpoints, anyio.current_time())
+
+    def _readmission(self) -> float:
+        return self._health.next_readmission(self.endpoints)
+
+    def _expire(self, call: Waiting) -> Failure:
+        self._policy.remove(call)
+        self._queue.pop(call.serial, None)
+        detail = f"pool {self.name}: no slot within the call's deadline"
+        self._note(call, "expired", detail)
+        return Failure(ErrorKind.OVERLOADED, detail, self.news().expected_wait_s)
+
+    def _pump(self) -> None:
+        """Start every call that the policy lets start now."""
+        started = self._clock()
+        now = anyio.current_time()
+        self._health.readmit(self.endpoints, now)
+        while self._queue:
+            choice = self._policy.next(self.endpoints, now)
+            self.decisions_made += 1
+            if choice is None:
+                break
+            self._start(choice, now)
+        self.decision_s += self._clock() - started
+
+    def _start(self, choice: Choice, now: float) -> None:
+        call, view, reason = choice
+        self._promises.require(
+            Promise.LEAVING_ENDPOINT,
+            not view.leaving,
+            f"pool {self.name} would start {call.request.call} on {view.name}, which is leaving",
+        )
+        call.endpoint = view
+        call.granted_at = now
+        call.reason = reason
+        view.running[call.serial] = call
+        view.granted_count += 1
+        del self._queue[call.serial]
+        self._note(call, "granted", reason)
+        call.granted.set()
+
+    def _granted(self, call: Waiting) -> SlotGranted:
+        assert call.endpoint is not None
+        waited_s = call.granted_at - call.enqueued_at
+        return SlotGranted(call.endpoint.name, call.endpoint.address, waited_s, call.reason)
+
+    def _give_back(self, call: Waiting, held: HeldSlot | None) -> None:
+        if self._queue.pop(call.serial, None) is not None:
+            self._policy.remove(call)
+        view = call.endpoint
+        if view is None:
+            return
+        view.running.pop(call.serial, None)
+        now = anyio.current_time()
+        report = held.report if held is not None else None
+        if report is not None and report.prompt_tokens > 0:
+            view.remember(call.request.program, report.prompt_tokens + report.output_tokens)
+        self._drain.finished(now - call.granted_at)
+        self._policy.finished(call, view, report, now)
+        if report is not None:
+            self._judge(view, report, now)
+        self._pump()
+
+    def _judge(self, view: EndpointView, report: SlotFinished, now: float) -> None:
+        change = self._health.finished(view, report, self.endpoints, now)
+        if change is None:
+            return
+        action = "ejected" if change.for_s else "restored"
+        self.decisions.add(Decision(now, "", action, view.name, change.for_s, change.reason))
+
+    def _note(self, call: Waiting, action: str, reason: str) -> None:
+        now = anyio.current_time()
+        endpoint = call.endpoint.name if call.endpoint is not None else ""
+        waited_s = now - call.enqueued_at
+        self.decisions.add(
+            Decision(now, call.request.call, action, endpoint, waited_s, reason)
+        )
--- /dev/null
+++ b/src/bramleylead/scheduling/_remote.py
@@ -0,0 +1,210 @@
+"""Slots from a dispatcher on another node, over one peer call a slot.
+
+The call stays open while the slot is held. The holder sends heartbeats on it; when they stop, or
+the connection breaks, the dispatcher takes the slot back, so that a lost holder leaks none.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+from typing import final
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Err
+from result import Ok
+from result import Result
+
+from bramleylead.connection import PeerClient
+from bramleylead.connection import PeerServer
+from bramleylead.connection import Reply
+from bramleylead.connection import message
+from bramleylead.connection._rpc import PeerCall
+from bramleylead.connection._rpc import first_answer
+from bramleylead.errors import ErrorKind
+from bramleylead.errors import Failure
+from bramleylead.scheduling._dispatcher import Dispatcher
+from bramleylead.scheduling._dispatcher import HeldSlot
+from bramleylead.scheduling._news import PoolNews
+from bramleylead.scheduling._types import Slot
+from bramleylead.scheduling._types import SlotFinished
+from bramleylead.scheduling._types import SlotGranted
+from bramleylead.scheduling._types import SlotRequest
+
+HEARTBEAT_S = 1.0
+LOST_AFTER_S = 4.0
+GIVE_BACK_TIMEOUT_S = 1.0
+ANSWER_GRACE_S = 1.0
+"""Added to the call's own deadline for the dispatcher's answer to arrive."""
+
+
+@message(43)
+class PoolSlotRequest(NamedTuple):
+    """A request for a slot of one pool. Answered by :class:`PoolSlotAnswer`."""
+
+    pool: str
+    request: SlotRequest
+
+
+@message(45)
+class PoolSlotAnswer(NamedTuple):
+    """The slot, or why there is none, and the pool's news.
+
+    :param failure: error kind, empty when a slot is granted.
+    """
+
+    granted: SlotGranted | None
+    news: PoolNews
+    failure: str = ""
+    detail: str = ""
+    retry_after_s: float = -1.0
+
+
+@message(46)
+class SlotHeld(NamedTuple):
+    """Heartbeat of a slot's holder."""
+
+
+@final
+class SlotServer:
+    """Answers slot requests of other nodes from the dispatchers that this node holds.
+
+    :param dispatcher: finds the dispatcher of a pool, ``None`` when this node does not hold it.
+    """
+
+    def __init__(self, server: PeerServer, dispatcher: Callable[[str], Dispatcher | None]) -> None:
+        self._dispatcher = dispatcher
+        server.handle(PoolSlotRequest, self._serve)
+
+    async def _serve(self, request: PoolSlotRequest, reply: Reply) -> None:
+        dispatcher = self._dispatcher(request.pool)
+        if dispatcher is None:
+            detail = f"pool {request.pool} is not dispatched here"
+            await reply.fail(Failure(ErrorKind.OWNER_UNAVAILABLE, detail))
+            return
+        async with dispatcher.slot(request.request) as result:
+            if isinstance(result, Err):
+                await reply.send(_refused(result.err_value, dispatcher.news()))
+                return
+            slot = result.ok_value
+            try:
+                await reply.send(PoolSlotAnswer(slot.granted, dispatcher.news()))
+                await _hold(reply, slot)
+            finally:
+                _take_late_report(reply, slot)
+
+
+def _refused(failure: Failure, news: PoolNews) -> PoolSlotAnswer:
+    return PoolSlotAnswer(None, news, failure.kind.value, failure.detail, failure.retry_after_s)
+
+
+async def _hold(reply: Reply, slot: Slot) -> None:
+    """Wait until the holder reports, or its heartbeats stop."""
+    while True:
+        item = None
+        with anyio.move_on_after(LOST_AFTER_S):
+            item = await reply.receive()
+        if isinstance(item, SlotFinished):
+            slot.finish(item)
+            return
+        if item is None:
+            return
+
+
+def _take_late_report(reply: Reply, slot: Slot) -> None:
+    """Take in a report that arrived together with the end of the call."""
+    for item in reply.pending():
+        if isinstance(item, SlotFinished):
+            slot.finish(item)
+
+
+@final
+class RemoteScheduler:
+    """Asks the dispatcher of a pool on another node for slots.
+
+    :param locate: finds the peer address of a pool's dispatcher.
+    :param hear: takes in the news that comes with each answer.
+    """
+
+    def __init__(
+        self,
+        client: PeerClient,
+        *,
+        locate: Callable[[str], str | None],
+        hear: Callable[[PoolNews], None],
+    ) -> None:
+        self._client = client
+        self._locate = locate
+        self._hear = hear
+
+    @asynccontextmanager
+    async def slot(self, pool: str, request: SlotRequest) -> AsyncIterator[Result[Slot, Failure]]:
+        """Wait for a slot of a pool; an ``Err`` means that the call did not run."""
+        address = self._locate(pool)
+        if address is None:
+            yield Err(Failure(ErrorKind.OVERLOADED, f"no node dispatches pool {pool}"))
+            return
+        async with self._client.stream(address, PoolSlotRequest(pool, request)) as opened:
+            if isinstance(opened, Err):
+                yield opened
+                return
+            answer = await self._answer(opened.ok_value, address, request)
+            if isinstance(answer, Err):
+                yield answer
+                return
+            async with _holding(opened.ok_value, answer.ok_value) as slot:
+                yield Ok(slot)
+
+    async def _answer(
+        self, call: PeerCall, address: str, request: SlotRequest
+    ) -> Result[SlotGranted, Failure]:
+        answer: Result[PoolSlotAnswer, Failure] | None = None
+        with anyio.move_on_after(request.deadline_s + ANSWER_GRACE_S):
+            answer = await first_answer(call, address)
+        if answer is None:
+            detail = f"no answer of {address} within the call's deadline"
+            return Err(Failure(ErrorKind.OWNER_UNAVAILABLE, detail))
+        if isinstance(answer, Err):
+            return answer
+        self._hear(answer.ok_value.news)
+        granted = answer.ok_value.granted
+        if granted is None:
+            return Err(_failure_of(answer.ok_value))
+        return Ok(granted)
+
+
+def _failure_of(answer: PoolSlotAnswer) -> Failure:
+    return Failure(ErrorKind(answer.failure), answer.detail, answer.retry_after_s)
+
+
+@asynccontextmanager
+async def _holding(call: PeerCall, granted: SlotGranted) -> AsyncIterator[HeldSlot]:
+    """Send heartbeats while the slot is held, and the report at the end."""
+    slot = HeldSlot(granted)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_beat, call)
+        try:
+            yield slot
+        finally:
+            await _report(call, slot)
+            _stop(tasks)
+
+
+async def _beat(call: PeerCall) -> None:
+    while True:
+        await anyio.sleep(HEARTBEAT_S)
+        await call.send(SlotHeld())
+
+
+async def _report(call: PeerCall, slot: HeldSlot) -> None:
+    if slot.report is None:
+        return
+    with anyio.move_on_after(GIVE_BACK_TIMEOUT_S, shield=True):
+        await call.send(slot.report)
+
+
+def _stop(tasks: TaskGroup) -> None:
+    tasks.cancel_scope.cancel()
