Dispatch engine pools: policies by registry, slots here and over peer calls

Cause: owners need slots on endpoints, from dispatchers on any node. Change: Dispatcher, baselines and the default policy, PoolChooser, NodeScheduler, RemoteScheduler and SlotServer, RetryBudget.

--- a/src/bramleylead/scheduling/__init__.py
+++ b/src/bramleylead/scheduling/__init__.py
@@ -2,10 +2,50 @@
 
 from __future__ import annotations
 
+from bramleylead.scheduling import _baselines  # noqa: F401 - registers its policies
+from bramleylead.scheduling import _default  # noqa: F401 - registers its policy
+from bramleylead.scheduling._chooser import ChooserParameters
+from bramleylead.scheduling._chooser import PoolChoice
+from bramleylead.scheduling._chooser import PoolChooser
+from bramleylead.scheduling._decisions import Decision
+from bramleylead.scheduling._dispatcher import Dispatcher
+from bramleylead.scheduling._news import PoolNews
+from bramleylead.scheduling._node import NodeScheduler
+from bramleylead.scheduling._policy import Choice
+from bramleylead.scheduling._policy import Policy
+from bramleylead.scheduling._policy import policy
+from bramleylead.scheduling._policy import policy_names
+from bramleylead.scheduling._pools import PoolKey
+from bramleylead.scheduling._pools import pools_of
+from bramleylead.scheduling._remote import RemoteScheduler
+from bramleylead.scheduling._remote import SlotServer
+from bramleylead.scheduling._retry_budget import RetryBudget
 from bramleylead.scheduling._types import Scheduler
 from bramleylead.scheduling._types import Slot
 from bramleylead.scheduling._types import SlotFinished
 from bramleylead.scheduling._types import SlotGranted
 from bramleylead.scheduling._types import SlotRequest
 
-__all__ = ["Scheduler", "Slot", "SlotFinished", "SlotGranted", "SlotRequest"]
+__all__ = [
+    "Choice",
+    "ChooserParameters",
+    "Decision",
+    "Dispatcher",
+    "NodeScheduler",
+    "Policy",
+    "PoolChoice",
+    "PoolChooser",
+    "PoolKey",
+    "PoolNews",
+    "RemoteScheduler",
+    "RetryBudget",
+    "Scheduler",
+    "Slot",
+    "SlotFinished",
+    "SlotGranted",
+    "SlotRequest",
+    "SlotServer",
+    "policy",
+    "policy_names",
+    "pools_of",
+]
--- a/src/bramleylead/scheduling/_admission.py
+++ b/src/bramleylead/scheduling/_admission.py
@@ -44,9 +44,7 @@
         self._decreased_at: dict[str, float] = {}
         self._over: dict[str, float] = {}
 
-    def finished(
-        self, call: Waiting, view: EndpointView, report: SlotFinished, now: float
-    ) -> None:
+    def finished(self, call: Waiting, view: EndpointView, report: SlotFinished, now: float) -> None:
         """Adapt an engine's level to one answer."""
         if not report.ok or report.output_tokens == 0:
             return
--- a/src/bramleylead/scheduling/_baselines.py
+++ b/src/bramleylead/scheduling/_baselines.py
@@ -171,6 +171,6 @@
 
 def _hash_for(program: str) -> Callable[[EndpointView], int]:
     def value(view: EndpointView) -> int:
-        return xxhash.xxh64_intdigest(f"{program}|{view.name}")
+        return xxhash.xxh64_intdigest(f"{program}|{view.name}".encode())
 
     return value
--- a/src/bramleylead/scheduling/_chooser.py
+++ b/src/bramleylead/scheduling/_chooser.py
@@ -195,7 +195,9 @@
 ) -> PoolChoice:
     home = request.home_region or request.region
     near = [key for key in keys if key.region == home] or list(keys)
-    return PoolChoice(near[xxhash.xxh64_intdigest(request.call) % len(near)], "home region")
+    return PoolChoice(
+        near[xxhash.xxh64_intdigest(request.call.encode()) % len(near)], "home region"
+    )
 
 
 @pool_rule("least_outstanding")
@@ -211,5 +213,5 @@
 def _by_hash(
     chooser: PoolChooser, keys: Sequence[PoolKey], request: SlotRequest, now: float
 ) -> PoolChoice:
-    key = max(keys, key=lambda key: xxhash.xxh64_intdigest(f"{request.program}|{key}"))
+    key = max(keys, key=lambda key: xxhash.xxh64_intdigest(f"{request.program}|{key}".encode()))
     return PoolChoice(key, "hash of the program")
--- a/src/bramleylead/scheduling/_default.py
+++ b/src/bramleylead/scheduling/_default.py
@@ -1,4 +1,4 @@
-"""The project's own policy: fair shares, short programs first, caches used, engines not overfull."""
+"""The default policy: fair shares, short programs first, caches used, engines kept just full."""
 
 from __future__ import annotations
 
@@ -15,6 +15,7 @@
 from bramleylead.scheduling._choice import best_with_room
 from bramleylead.scheduling._choice import expected_free_s
 from bramleylead.scheduling._choice import holder_worth_waiting_for
+from bramleylead.scheduling._chooser import ChooserParameters
 from bramleylead.scheduling._fairness import FairQueue
 from bramleylead.scheduling._news import DrainEstimate
 from bramleylead.scheduling._overload import OverloadBounds
@@ -48,6 +49,7 @@
     :param wait_for_cache: longest wait for the engine that holds the prefix, in rebuild times.
     :param adaptive_level: learn how many calls an engine is given; else ``max_calls``.
     :param output_cost: work of an output token against a prefilled one.
+    :param pools: weights of the owner's choice between pools.
     """
 
     between_branches: bool = True
@@ -66,6 +68,7 @@
     max_queue: Annotated[int, Field(ge=1)] = 512
     new_program_wait_s: Annotated[float, Field(gt=0)] = 5.0
     deadline_share: Annotated[float, Field(gt=0, le=1)] = 0.8
+    pools: ChooserParameters = ChooserParameters()
 
 
 @policy("bramleylead", DefaultParameters)
@@ -86,9 +89,7 @@
             parameters.wait_for_cache,
         )
         self._admission = Admission(
-            AdmissionTargets(
-                parameters.token_gap_s, parameters.first_token_s, parameters.min_calls
-            )
+            AdmissionTargets(parameters.token_gap_s, parameters.first_token_s, parameters.min_calls)
         )
         self._bounds = OverloadBounds(
             parameters.max_queue, parameters.new_program_wait_s, parameters.deadline_share
--- a/src/bramleylead/scheduling/_dispatcher.py
+++ b/src/bramleylead/scheduling/_dispatcher.py
@@ -115,6 +115,11 @@
         view = self.endpoints.get(endpoint)
         return view is None or view.observe_cache(page)
 
+    def cache_sequence(self, endpoint: str) -> int:
+        """Return the number of the last cache event taken in from an endpoint."""
+        view = self.endpoints.get(endpoint)
+        return 0 if view is None else view.next_sequence - 1
+
     @asynccontextmanager
     async def slot(self, request: SlotRequest) -> AsyncIterator[Result[Slot, Failure]]:
         """Wait for a slot; an ``Err`` means that the call did not run."""
@@ -282,6 +287,4 @@
         now = anyio.current_time()
         endpoint = call.endpoint.name if call.endpoint is not None else ""
         waited_s = now - call.enqueued_at
-        self.decisions.add(
-            Decision(now, call.request.call, action, endpoint, waited_s, reason)
-        )
+        self.decisions.add(Decision(now, call.request.call, action, endpoint, waited_s, reason))
--- /dev/null
+++ b/src/bramleylead/scheduling/_node.py
@@ -0,0 +1,246 @@
+"""A node's part in scheduling: it asks for slots, and dispatches the pools that fall to it."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+from contextlib import asynccontextmanager
+from types import TracebackType
+from typing import Any
+from typing import Self
+from typing import final
+
+import anyio
+import xxhash
+from anyio.abc import TaskGroup
+from result import Err
+from result import Result
+
+from bramleylead.backends import BackendFactory
+from bramleylead.connection import PeerClient
+from bramleylead.connection import PeerServer
+from bramleylead.errors import ErrorKind
+from bramleylead.errors import Failure
+from bramleylead.process._members import ConfigSource
+from bramleylead.process._members import MemberList
+from bramleylead.process._rendezvous import pool_dispatcher
+from bramleylead.process._settings import NodeSettings
+from bramleylead.promises import Promises
+from bramleylead.scheduling._chooser import PoolChoice
+from bramleylead.scheduling._chooser import PoolChooser
+from bramleylead.scheduling._chooser import Pools
+from bramleylead.scheduling._decisions import Decision
+from bramleylead.scheduling._decisions import Decisions
+from bramleylead.scheduling._default import DefaultParameters
+from bramleylead.scheduling._dispatcher import Dispatcher
+from bramleylead.scheduling._policy import policy_parameters
+from bramleylead.scheduling._pools import PoolKey
+from bramleylead.scheduling._pools import pools_of
+from bramleylead.scheduling._remote import RemoteScheduler
+from bramleylead.scheduling._remote import SlotServer
+from bramleylead.scheduling._reports import ReportReader
+from bramleylead.scheduling._types import Slot
+from bramleylead.scheduling._types import SlotRequest
+
+RETRY_S = 0.25
+"""Pause before a call asks again after a dispatcher was lost."""
+CONFIG_POLL_S = 1.0
+"""The configuration is looked at anew at least this often."""
+
+
+@final
+class NodeScheduler:
+    """Grants slots on any pool of the fleet, from dispatchers here or on other nodes.
+
+    Which node dispatches a pool is soft state: every node works it out by rendezvous hashing over
+    the members it sees. Two nodes that disagree for a moment overfill engines and break no promise,
+    so a node serves every pool of the configuration that it is asked for.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        *,
+        client: PeerClient,
+        server: PeerServer,
+        config: ConfigSource,
+        members: MemberList,
+        backends: BackendFactory,
+        promises: Promises,
+    ) -> None:
+        self._settings = settings
+        self._config = config
+        self._members = members
+        self._backends = backends
+        self._promises = promises
+        parameters = policy_parameters(settings.scheduling)
+        pools = parameters.pools if isinstance(parameters, DefaultParameters) else None
+        self.chooser = PoolChooser(
+            settings.scheduling.policy,
+            pools or DefaultParameters().pools,
+            rng=random.Random(xxhash.xxh64_intdigest(settings.node.encode())),
+        )
+        self._remote = RemoteScheduler(client, locate=self._locate, hear=self._hear)
+        self._server = SlotServer(server, self.dispatcher)
+        self._dispatchers: dict[str, Dispatcher] = {}
+        self._readers: dict[str, ReportReader] = {}
+        self._keys: dict[str, PoolKey] = {}
+        self._pools: Pools = {}
+        self._number = -1
+        self._decisions = Decisions()
+        self._tasks: TaskGroup | None = None
+
+    async def __aenter__(self) -> Self:
+        self._tasks = anyio.create_task_group()
+        await self._tasks.__aenter__()
+        self._take_config()
+        self._tasks.start_soon(self._remote.run_heartbeats)
+        self._tasks.start_soon(self._follow_config)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> bool | None:
+        assert self._tasks is not None
+        self._tasks.cancel_scope.cancel()
+        return await self._tasks.__aexit__(kind, error, trace)
+
+    @asynccontextmanager
+    async def slot(self, request: SlotRequest) -> AsyncIterator[Result[Slot, Failure]]:
+        """Wait for a slot; an ``Err`` means that the call did not run.
+
+        A dispatcher that is lost or overloaded is asked once more elsewhere while the deadline
+        allows.
+        """
+        started_s = anyio.current_time()
+        lost: list[PoolKey] = []
+        while True:
+            passed_s = anyio.current_time() - started_s
+            asked = request._replace(
+                waited_s=request.waited_s + passed_s, deadline_s=request.deadline_s - passed_s
+            )
+            choice = self._choose(asked, lost)
+            if isinstance(choice, Failure):
+                yield Err(choice)
+                return
+            async with self._slot_of(choice.key, asked) as result:
+                last = not isinstance(result, Err) or not self._worth_another(
+                    result.err_value, asked, lost
+                )
+                if last:
+                    yield result
+                    return
+            lost.append(choice.key)
+            if result.err_value.kind is not ErrorKind.OVERLOADED:
+                await anyio.sleep(RETRY_S)
+
+    def dispatcher(self, pool: str) -> Dispatcher | None:
+        """Return the dispatcher of a pool, made when first asked for."""
+        self._take_config()
+        key = self._keys.get(pool)
+        if key is None:
+            return None
+        if pool not in self._dispatchers:
+            self._start_dispatcher(key)
+        return self._dispatchers[pool]
+
+    def explain(self, call: str) -> list[Decision]:
+        """Return what this node remembers of a call: its own choices and its dispatchers'."""
+        found = self._decisions.of(call)
+        for dispatcher in self._dispatchers.values():
+            found += dispatcher.explain(call)
+        return sorted(found)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the scheduling state of this node."""
+        return {
+            "policy": self._settings.scheduling.policy,
+            "pools": {pool: self._locate(pool) for pool in self._keys},
+            "dispatchers": [dispatcher.dump() for dispatcher in self._dispatchers.values()],
+        }
+
+    def _slot_of(
+        self, key: PoolKey, request: SlotRequest
+    ) -> AbstractAsyncContextManager[Result[Slot, Failure]]:
+        pool = str(key)
+        if self._is_here(key):
+            dispatcher = self.dispatcher(pool)
+            assert dispatcher is not None, "pools and keys come from the same configuration"
+            self._hear(dispatcher.news())
+            return dispatcher.slot(request)
+        return self._remote.slot(pool, request)
+
+    def _choose(self, request: SlotRequest, lost: list[PoolKey]) -> PoolChoice | Failure:
+        self._take_config()
+        now = anyio.current_time()
+        choice = self.chooser.choose(request, now, avoid=lost)
+        if choice is None:
+            detail = f"no endpoint that stays serves {request.serves}"
+            return Failure(ErrorKind.UNKNOWN_TARGET, detail)
+        pool = str(choice.key)
+        self._decisions.add(
+            Decision(now, request.call, "asked", pool, request.waited_s, choice.reason)
+        )
+        return choice
+
+    def _worth_another(self, failure: Failure, request: SlotRequest, lost: list[PoolKey]) -> bool:
+        if failure.kind is ErrorKind.OWNER_UNAVAILABLE:
+            return request.deadline_s > RETRY_S
+        others = sum(1 for key in self._pools if key.serves == request.serves)
+        return failure.kind is ErrorKind.OVERLOADED and not lost and others > 1
+
+    def _is_here(self, key: PoolKey) -> bool:
+        member = pool_dispatcher(str(key), key.region, key.data_centre, self._members.alive())
+        return member is None or member.node == self._members.self_name
+
+    def _locate(self, pool: str) -> str | None:
+        key = self._keys.get(pool)
+        if key is None:
+            return None
+        member = pool_dispatcher(pool, key.region, key.data_centre, self._members.alive())
+        return None if member is None else member.address
+
+    def _hear(self, news: Any) -> None:
+        self.chooser.hear(news, anyio.current_time())
+
+    async def _follow_config(self) -> None:
+        while True:
+            with anyio.move_on_after(CONFIG_POLL_S):
+                await self._config.wait_changed(self._number)
+            self._take_config()
+
+    def _take_config(self) -> None:
+        config = self._config.config
+        if config.number == self._number:
+            return
+        self._number = config.number
+        self._pools = pools_of(config.endpoints)
+        self._keys = {str(key): key for key in self._pools}
+        self.chooser.set_pools(self._pools)
+        for name in list(self._dispatchers):
+            self._update_dispatcher(name)
+
+    def _update_dispatcher(self, name: str) -> None:
+        endpoints = self._pools[self._keys[name]] if name in self._keys else {}
+        self._dispatchers[name].set_endpoints(endpoints)
+        self._readers[name].set_endpoints(endpoints)
+        if not endpoints:
+            del self._dispatchers[name], self._readers[name]
+
+    def _start_dispatcher(self, key: PoolKey) -> None:
+        assert self._tasks is not None, "NodeScheduler is used outside its context"
+        name = str(key)
+        dispatcher = Dispatcher(
+            name, self._settings.scheduling, promises=self._promises, clock=time.perf_counter
+        )
+        dispatcher.set_endpoints(self._pools[key])
+        reader = ReportReader(dispatcher, self._backends)
+        self._dispatchers[name] = dispatcher
+        self._readers[name] = reader
+        self._tasks.start_soon(reader.run)
+        reader.set_endpoints(self._pools[key])
--- a/src/bramleylead/scheduling/_policy.py
+++ b/src/bramleylead/scheduling/_policy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
@@ -110,7 +111,7 @@
     if entry is None:
         raise ValueError(f"unknown policy {settings.policy!r}; one of {', '.join(_POLICIES)}")
     try:
-        return entry.parameters(**settings.parameters)
+        return entry.parameters.model_validate_json(json.dumps(settings.parameters))
     except ValidationError as error:
         first = error.errors()[0]
         place = ".".join(str(part) for part in first["loc"])
--- a/src/bramleylead/scheduling/_remote.py
+++ b/src/bramleylead/scheduling/_remote.py
@@ -13,7 +13,6 @@
 from typing import final
 
 import anyio
-from anyio.abc import TaskGroup
 from result import Err
 from result import Ok
 from result import Result
@@ -139,6 +138,7 @@
         self._client = client
         self._locate = locate
         self._hear = hear
+        self._held: set[PeerCall] = set()
 
     @asynccontextmanager
     async def slot(self, pool: str, request: SlotRequest) -> AsyncIterator[Result[Slot, Failure]]:
@@ -155,8 +155,20 @@
             if isinstance(answer, Err):
                 yield answer
                 return
-            async with _holding(opened.ok_value, answer.ok_value) as slot:
+            slot = HeldSlot(answer.ok_value)
+            self._held.add(opened.ok_value)
+            try:
                 yield Ok(slot)
+            finally:
+                self._held.discard(opened.ok_value)
+                await _report(opened.ok_value, slot)
+
+    async def run_heartbeats(self) -> None:
+        """Keep the held slots alive until cancelled."""
+        while True:
+            await anyio.sleep(HEARTBEAT_S)
+            for call in list(self._held):
+                await call.send(SlotHeld())
 
     async def _answer(
         self, call: PeerCall, address: str, request: SlotRequest
@@ -180,31 +192,8 @@
     return Failure(ErrorKind(answer.failure), answer.detail, answer.retry_after_s)
 
 
-@asynccontextmanager
-async def _holding(call: PeerCall, granted: SlotGranted) -> AsyncIterator[HeldSlot]:
-    """Send heartbeats while the slot is held, and the report at the end."""
-    slot = HeldSlot(granted)
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_beat, call)
-        try:
-            yield slot
-        finally:
-            await _report(call, slot)
-            _stop(tasks)
-
-
-async def _beat(call: PeerCall) -> None:
-    while True:
-        await anyio.sleep(HEARTBEAT_S)
-        await call.send(SlotHeld())
-
-
 async def _report(call: PeerCall, slot: HeldSlot) -> None:
     if slot.report is None:
         return
     with anyio.move_on_after(GIVE_BACK_TIMEOUT_S, shield=True):
         await call.send(slot.report)
-
-
-def _stop(tasks: TaskGroup) -> None:
-    tasks.cancel_scope.cancel()
--- /dev/null
+++ b/src/bramleylead/scheduling/_reports.py
@@ -0,0 +1,70 @@
+"""Reads the load reports and cache events of a pool's engines for its dispatcher."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import final
+
+import anyio
+from result import Ok
+
+from bramleylead.backends import BackendFactory
+from bramleylead.backends import Engine
+from bramleylead.scheduling._dispatcher import Dispatcher
+from bramleylead.version import Endpoint
+from bramleylead.version import EndpointKind
+
+READ_INTERVAL_S = 1.0
+READ_TIMEOUT_S = 1.0
+
+
+@final
+class ReportReader:
+    """One task an engine, so that an engine that hangs holds up no other's reports."""
+
+    def __init__(self, dispatcher: Dispatcher, backends: BackendFactory) -> None:
+        self._dispatcher = dispatcher
+        self._backends = backends
+        self._endpoints: Mapping[str, Endpoint] = {}
+        self._changed = anyio.Event()
+
+    def set_endpoints(self, endpoints: Mapping[str, Endpoint]) -> None:
+        """Take in the pool's endpoints; without any, :meth:`run` ends."""
+        self._endpoints = endpoints
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Read until the pool has no endpoints."""
+        reading: set[str] = set()
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self._changed.wait()
+                self._changed = anyio.Event()
+                if not self._endpoints:
+                    tasks.cancel_scope.cancel()
+                    return
+                for name, endpoint in self._endpoints.items():
+                    if endpoint.kind is EndpointKind.ENGINE and name not in reading:
+                        reading.add(name)
+                        tasks.start_soon(self._read_engine, name, reading)
+
+    async def _read_engine(self, name: str, reading: set[str]) -> None:
+        while name in self._endpoints:
+            engine = self._backends.engine(name, self._endpoints[name])
+            with anyio.move_on_after(READ_TIMEOUT_S):
+                await self._read_once(name, engine)
+            await anyio.sleep(READ_INTERVAL_S)
+        reading.discard(name)
+
+    async def _read_once(self, name: str, engine: Engine) -> None:
+        load = await engine.load()
+        if isinstance(load, Ok):
+            self._dispatcher.observe_load(name, load.ok_value)
+        events = await engine.cache_events(after=self._dispatcher.cache_sequence(name))
+        if not isinstance(events, Ok):
+            return
+        if self._dispatcher.observe_cache(name, events.ok_value):
+            return
+        contents = await engine.cache_contents()
+        if isinstance(contents, Ok):
+            self._dispatcher.observe_cache(name, contents.ok_value)
--- a/src/bramleylead/scheduling/_view.py
+++ b/src/bramleylead/scheduling/_view.py
@@ -66,7 +66,7 @@
     prefill_s_per_token: float = INITIAL_PREFILL_S_PER_TOKEN
     token_s: float = INITIAL_TOKEN_S
     first_token_s: float = 0.0
-    next_sequence: int = 0
+    next_sequence: int = 1
     granted_count: int = 0
 
     @property
@@ -109,7 +109,7 @@
 
     def observe_cache(self, page: CachePage) -> bool:
         """Take in cache events; ``False`` when some were missed and the contents must be read."""
-        whole = page.complete or not page.events or page.events[0].sequence <= self.next_sequence
+        whole = page.complete or _is_gapless(page, self.next_sequence)
         if page.complete:
             self.cached.clear()
         for event in page.events:
@@ -130,6 +130,14 @@
         self.limit = min(self.limit or endpoint.max_calls, endpoint.max_calls)
 
 
+def _is_gapless(page: CachePage, expected: int) -> bool:
+    for event in page.events:
+        if event.sequence != expected:
+            return False
+        expected += 1
+    return True
+
+
 def new_view(name: str, endpoint: Endpoint) -> EndpointView:
     """Return the view of an endpoint that is not known yet."""
     view = EndpointView(name, endpoint.address, endpoint.max_calls)
