--- /dev/null
+++ b/src/bramleylead/cli/_exit.py
@@ -0,0 +1,21 @@
+"""Exit codes, the same for every command."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+
+class ExitCode(IntEnum):
+    """How a command ended."""
+
+    OK = 0
+    FAILED = 1
+    """It ran and did not reach its aim, such as a bench with a failed check."""
+    USAGE = 2
+    """Unknown command, flag or word."""
+    INVALID = 3
+    """A settings or ticket file has faults."""
+    REFUSED = 4
+    """A node refused the request; its answer is shown."""
+    UNREACHABLE = 5
+    """No node answered, or not in time."""
