Join the parts into a node

Cause: the parts were merged but nothing started them together. Change: process/_node.py starts and stops them in order; estimates of prompts go on from what engines counted.

--- a/src/bramleylead/process/_model_run.py
+++ b/src/bramleylead/process/_model_run.py
@@ -21,6 +21,8 @@
 from bramleylead.scheduling import SlotRequest
 
 EXPECTED_OUTPUT_TOKENS = 200
+MARGIN = 2
+"""The engine's tokenizer may count up to this many times the estimate."""
 
 
 @final
@@ -30,7 +32,7 @@
     def worst_cost(self) -> int:
         """Price of the whole prompt and the longest answer, for each attempt that may be made."""
         call = self._call
-        prompt = 2 * estimate_tokens(self._conversation())
+        prompt = MARGIN * self._prompt_tokens()
         return token_cost(prompt + self._max_output(), call.kind.token_price)
 
     def cost(self, attempt: Attempt) -> int:
@@ -50,7 +52,7 @@
             data_centre=settings.data_centre,
             home_region=call.branch.home_region,
             weight=call.branch.weight,
-            prompt_tokens=estimate_tokens(self._conversation()),
+            prompt_tokens=self._prompt_tokens(),
             expected_output=min(self._max_output(), EXPECTED_OUTPUT_TOKENS),
             attained=call.program.attained,
             cached=dict(call.program.caches),
@@ -95,6 +97,10 @@
             fence=call.log.epoch,
         )
 
+    def _prompt_tokens(self) -> int:
+        """Estimate the prompt: what the last engine counted, and the new messages."""
+        return self._call.program.context_tokens + estimate_tokens(self._call.messages)
+
     def _conversation(self) -> list[tuple[str, str]]:
         history = self._call.program.messages[: self._call.history_length]
         return [*history, *self._call.messages]
--- /dev/null
+++ b/src/bramleylead/process/_node.py
@@ -0,0 +1,387 @@
+"""A node: the parts of one process, joined, started in order and stopped in reverse."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from contextlib import asynccontextmanager
+from types import TracebackType
+from typing import Any
+from typing import Self
+from typing import final
+
+import anyio
+import structlog
+from anyio.abc import TaskGroup
+from result import Err
+from result import Ok
+from result import Result
+
+from bramleylead.backends import BackendFactory
+from bramleylead.connection import Network
+from bramleylead.connection import PeerClient
+from bramleylead.connection import PeerServer
+from bramleylead.errors import ErrorKind
+from bramleylead.errors import Failure
+from bramleylead.metrics import Metrics
+from bramleylead.platform import ObjectStore
+from bramleylead.process._budget import BudgetEscrow
+from bramleylead.process._ending import ProgramEnder
+from bramleylead.process._log import PartitionLog
+from bramleylead.process._membership import Membership
+from bramleylead.process._owner import ProgramOwner
+from bramleylead.process._partition_host import PartitionHost
+from bramleylead.process._parts import OwnerParts
+from bramleylead.process._router import ProgramRouter
+from bramleylead.process._settings import NodeSettings
+from bramleylead.process._store_health import ObservedStore
+from bramleylead.process._sweep import CacheSweep
+from bramleylead.process._ticket_desk import TicketDesk
+from bramleylead.process._tickets import TicketLog
+from bramleylead.promises import Promises
+from bramleylead.request import AddChild
+from bramleylead.request import CallItem
+from bramleylead.request import CallRequest
+from bramleylead.request import EndProgram
+from bramleylead.request import OpenProgram
+from bramleylead.request import ProgramView
+from bramleylead.request import ReadProgram
+from bramleylead.request import ResumeCall
+from bramleylead.request import TicketAccepted
+from bramleylead.request import TicketStatus
+from bramleylead.request import TicketSummary
+from bramleylead.request import find_branch
+from bramleylead.request import key_matches
+from bramleylead.scheduling import NodeScheduler
+from bramleylead.scheduling import RetryBudget
+from bramleylead.version import Config
+from bramleylead.version import Ticket
+from bramleylead.version._validation import validate_ticket
+
+BOOT_ID_BITS = 64
+SETTLE_TRIES = 5
+SETTLE_RETRY_S = 1.0
+RETURN_INTERVAL_S = 10.0
+DRAIN_CHECK_S = 0.05
+LEAVE_SPREADS_S = 0.5
+"""Time in which the balancer and the peers learn that the node leaves, before it hands over."""
+
+log = structlog.get_logger()
+
+
+@final
+class Node:
+    """One node. Implements ``NodeService`` for its HTTP face; a context manager owning its tasks.
+
+    :param wall_clock: seconds since 1970, or virtual time in a trial.
+    :param rng: randomness of this process; also makes its boot id.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        *,
+        network: Network,
+        store: ObjectStore,
+        backends: BackendFactory,
+        wall_clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.metrics = Metrics()
+        self.promises = Promises(self.metrics.registry)
+        self.peer_address = settings.peer_address
+        self._network = network
+        self._store = ObservedStore(store)
+        self._backends = backends
+        self._wall_clock = wall_clock
+        self._rng = rng
+        self._stack = AsyncExitStack()
+        self._stopping = False
+        self._ready = False
+        self._entry_calls = 0
+        self._client = PeerClient(network, node=settings.node, cluster_key=settings.cluster_key)
+        self._server = PeerServer(node=settings.node, cluster_key=settings.cluster_key)
+
+    @property
+    def config(self) -> Config:
+        """The configuration in force."""
+        return self.tickets.config
+
+    @property
+    def stopping(self) -> bool:
+        """Whether the node is stopping and takes no new work."""
+        return self._stopping
+
+    async def __aenter__(self) -> Self:
+        await self._stack.__aenter__()
+        try:
+            await self._start()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> bool | None:
+        self._ready = False
+        return await self._stack.__aexit__(kind, error, trace)
+
+    def alive(self) -> bool:
+        """Whether the process works at all."""
+        return True
+
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return self._ready and not self._stopping and self.config.number > 0
+
+    def branch_of_key(self, key: str) -> str | None:
+        """Return the branch whose callers send this key."""
+        return find_branch(self.config, key)
+
+    def is_operator(self, key: str) -> bool:
+        """Whether this is the operators' key."""
+        return key_matches(key, self.settings.operator_key_sha256)
+
+    async def open_program(self, request: OpenProgram) -> Result[ProgramView, Failure]:
+        """Open a program, noted under its parent first if it is a sub-agent."""
+        if not self.tickets.is_current():
+            detail = "this node can't show that it has the latest ticket in force"
+            return Err(Failure(ErrorKind.NOT_CURRENT, detail))
+        if request.parent:
+            child = AddChild(request.branch, request.parent, request.program)
+            noted = await self._router.view(child)
+            if isinstance(noted, Err):
+                return noted
+        return await self._router.view(request)
+
+    async def read_program(self, request: ReadProgram) -> Result[ProgramView, Failure]:
+        """Read a program's state."""
+        return await self._router.view(request)
+
+    async def end_program(self, request: EndProgram) -> Result[ProgramView, Failure]:
+        """End a program and its sub-agents."""
+        return await self._router.view(request)
+
+    def call(self, request: CallRequest) -> Any:
+        """Run a call, or join it; leaving the context gives up the wait, not the call."""
+        if not request.key and request.number == 0:
+            request = request._replace(key=f"{self._rng.getrandbits(BOOT_ID_BITS):016x}")
+        return self._answer(request)
+
+    def resume(self, request: ResumeCall) -> Any:
+        """Get an answer from an offset."""
+        return self._answer(request)
+
+    async def submit_ticket(self, body: bytes) -> Result[TicketAccepted, Failure]:
+        """Check a ticket's JSON and accept it under its number, or refuse it without effect."""
+        return await self._desk.submit_ticket(body)
+
+    async def ticket_status(self, number: int) -> Result[TicketStatus, Failure]:
+        """Say on which nodes an accepted ticket is in force."""
+        return await self._desk.ticket_status(number)
+
+    async def list_tickets(self) -> Result[tuple[TicketSummary, ...], Failure]:
+        """List the accepted tickets in number order."""
+        return await self._desk.list_tickets()
+
+    async def show_ticket(self, number: int) -> Result[dict[str, Any], Failure]:
+        """Return an accepted ticket's JSON."""
+        return await self._desk.show_ticket(number)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the process's state as JSON-able values, secrets left out."""
+        settings = self.settings
+        return {
+            "node": settings.node,
+            "region": settings.region,
+            "data_centre": settings.data_centre,
+            "stopping": self._stopping,
+            "ready": self.ready(),
+            "entry_calls": self._entry_calls,
+            "ticket": {"number": self.config.number, "current": self.tickets.is_current()},
+            "members": [member._asdict() for member in self._membership.members()],
+            "calls": self._owner.dump(),
+            "budgets": self._escrow.dump(),
+            "scheduling": self._scheduler.dump(),
+            "releases": {
+                "asked": self._ender.releases,
+                "failed": self._ender.releases_failed,
+                "leaks_released": self._sweep.leaks_released,
+            },
+            "violations": [violation._asdict() for violation in self.promises.violations],
+        }
+
+    def explain(self, call: str) -> list[dict[str, Any]]:
+        """Return the remembered scheduling decisions about a call ``program/number``."""
+        return [decision._asdict() for decision in self._scheduler.explain(call)]
+
+    async def stop(self) -> None:
+        """Stop gracefully: leave the balancer, end or hand over what runs, leave the fleet."""
+        self._stopping = True
+        log.info("node_stopping", node=self.settings.node)
+        with anyio.move_on_after(self.settings.stop_grace_s):
+            await anyio.sleep(LEAVE_SPREADS_S)
+            await self._drain()
+        await self._membership.leave()
+        log.info("node_stopped", node=self.settings.node)
+
+    async def _drain(self) -> None:
+        """Wait until no caller's connection and no call is left here."""
+        await self._owner.wait_idle()
+        while self._entry_calls:  # noqa: ASYNC110 - callers end one by one, in no event's order
+            await anyio.sleep(DRAIN_CHECK_S)
+
+    async def _start(self) -> None:
+        """Start the parts, each after those it needs."""
+        boot_id = f"{self._rng.getrandbits(BOOT_ID_BITS):016x}"
+        await self._stack.enter_async_context(self._client)
+        self._membership = self._make_membership(boot_id)
+        self.tickets = self._make_tickets()
+        self._desk = TicketDesk(
+            self.tickets, peers=self._client, membership=self._membership, validate=_validate
+        )
+        self._partitions = self._make_partitions(boot_id)
+        self._scheduler = self._make_scheduler()
+        self._escrow = BudgetEscrow(
+            self._store,
+            lambda: self.config,
+            self.promises,
+            node=self.settings.node,
+            partitions=self.settings.partitions.count,
+        )
+        tasks = await self._stack.enter_async_context(anyio.create_task_group())
+        self._stack.callback(tasks.cancel_scope.cancel)
+        self._make_owner(tasks)
+        await tasks.start(self._network.serve, self.peer_address, self._server.serve_stream)
+        for part in (self._membership, self.tickets, self._scheduler, self._partitions):
+            await self._stack.enter_async_context(part)
+        for loop in (self._ender.run, self._sweep.run, self._return_grants):
+            tasks.start_soon(loop)
+        self._ready = True
+        log.info("node_started", node=self.settings.node, boot_id=boot_id)
+
+    def _make_membership(self, boot_id: str) -> Membership:
+        return Membership(
+            self.settings,
+            peers=self._client,
+            server=self._server,
+            store=self._store,
+            rng=random.Random(self._rng.getrandbits(64)),
+            metrics=self.metrics,
+            boot_id=boot_id,
+        )
+
+    def _make_tickets(self) -> TicketLog:
+        return TicketLog(
+            self.settings,
+            peers=self._client,
+            server=self._server,
+            store=self._store,
+            membership=self._membership,
+            promises=self.promises,
+            metrics=self.metrics,
+            rng=random.Random(self._rng.getrandbits(64)),
+        )
+
+    def _make_partitions(self, boot_id: str) -> PartitionHost:
+        return PartitionHost(
+            self.settings,
+            self._store,
+            self._client,
+            self._server,
+            self._membership,
+            self.promises,
+            self.metrics.registry,
+            wall_clock=self._wall_clock,
+            on_owned=self._on_owned,
+            on_lost=self._on_lost,
+            boot=boot_id,
+        )
+
+    def _make_scheduler(self) -> NodeScheduler:
+        return NodeScheduler(
+            self.settings,
+            client=self._client,
+            server=self._server,
+            config=self.tickets,
+            members=self._membership,
+            backends=self._backends,
+            promises=self.promises,
+        )
+
+    def _make_owner(self, tasks: TaskGroup) -> None:
+        parts = OwnerParts(
+            settings=self.settings,
+            directory=self._partitions,
+            tickets=self.tickets,
+            escrow=self._escrow,
+            scheduler=self._scheduler,
+            backends=self._backends,
+            retries=RetryBudget(),
+            promises=self.promises,
+            metrics=self.metrics,
+            wall_clock=self._wall_clock,
+        )
+        self._tasks = tasks
+        self._owner = ProgramOwner(parts, tasks)
+        self._router = ProgramRouter(
+            self.settings, self._partitions, self._owner, self._client, self.promises
+        )
+        self._router.register(self._server)
+        self._ender = ProgramEnder(parts, self._owner, self._router, self._owned)
+        self._sweep = CacheSweep(parts, self._membership, self._client)
+        self._sweep.register(self._server)
+
+    @asynccontextmanager
+    async def _answer(
+        self, request: CallRequest | ResumeCall
+    ) -> AsyncIterator[AsyncIterator[CallItem]]:
+        self._entry_calls += 1
+        items = self._router.answer(request)
+        try:
+            yield items
+        finally:
+            self._entry_calls -= 1
+            with anyio.CancelScope(shield=True):
+                await items.aclose()
+
+    def _owned(self) -> list[PartitionLog]:
+        return [log for _, log in sorted(self._partitions.table.owned.items())]
+
+    def _on_owned(self, partition: PartitionLog) -> None:
+        self._tasks.start_soon(self._settle_interrupted, partition)
+
+    def _on_lost(self, partition: int) -> None:
+        self._owner.cancel_partition(partition)
+
+    async def _settle_interrupted(self, partition: PartitionLog) -> None:
+        """Give interrupted calls their end; the pass over ended programs does what this can't."""
+        for _ in range(SETTLE_TRIES):
+            if self._partitions.log(partition.number) is not partition:
+                return
+            if await self._owner.settle_interrupted(partition):
+                return
+            await anyio.sleep(SETTLE_RETRY_S)
+
+    async def _return_grants(self) -> None:
+        """Give back, from time to time, what owned partitions do not use of their grants."""
+        while True:
+            await anyio.sleep(RETURN_INTERVAL_S)
+            for partition in self._owned():
+                await self._escrow.return_idle(partition)
+
+
+def _validate(body: bytes, config: Config) -> Result[Ticket, Failure]:
+    """Check a ticket whole, and word every fault in one failure."""
+    checked = validate_ticket(body, config)
+    if isinstance(checked, Ok):
+        return checked
+    detail = "; ".join(str(fault) for fault in checked.err_value)
+    return Err(Failure(ErrorKind.TICKET_INVALID, detail))
--- a/src/bramleylead/process/_owner.py
+++ b/src/bramleylead/process/_owner.py
@@ -199,13 +199,19 @@
                 if call.log.number == partition:
                     call.scope.cancel()
 
-    async def settle_interrupted(self, log: PartitionLog) -> None:
-        """After a takeover, give calls that may not be repeated their final, unknown outcome."""
+    async def settle_interrupted(self, log: PartitionLog) -> bool:
+        """After a takeover, give calls that may not be repeated their final, unknown outcome.
+
+        Returns whether the journal took every such end.
+        """
         for program in list(log.state.programs.values()):
             for record in list(program.calls.values()):
                 interrupted = record.status is CallStatus.INTENDED and not record.repeatable
                 if interrupted and record.number not in self._digests(program.program):
-                    await log.append(self._unknown_end(program, record.number))
+                    ended = await log.append(self._unknown_end(program, record.number))
+                    if isinstance(ended, Err):
+                        return False
+        return True
 
     async def wait_idle(self) -> None:
         """Wait until no call runs here."""
@@ -263,7 +269,7 @@
         over = _admission.check_limits(
             program,
             target.rules.kind,
-            prompt_tokens=_admission.estimate_tokens([*program.messages, *messages]),
+            prompt_tokens=program.context_tokens + _admission.estimate_tokens(messages),
             now_s=self._parts.wall_clock(),
         )
         if over is not None:
--- a/src/bramleylead/process/_run.py
+++ b/src/bramleylead/process/_run.py
@@ -273,7 +273,8 @@
         call = self._call
         status = _status(last, call)
         before = len(call.program.messages)
-        journaled = await call.log.append(self._finished_entry(last, status))
+        entry = self._finished_entry(last, status)
+        journaled = await call.log.append(entry)
         if isinstance(journaled, Err):
             return self._lost_owner(journaled.err_value)
         self._parts.promises.check(
--- a/src/bramleylead/process/_state.py
+++ b/src/bramleylead/process/_state.py
@@ -68,6 +68,7 @@
 class ProgramState:
     """One program: its conversation, its calls by number, and the caches held for it.
 
+    :param context_tokens: length of the conversation as the last engine counted it.
     :param attained: cost served so far, in token units; the scheduler's measure of how long a
         program is.
     """
@@ -85,6 +86,7 @@
     children: list[str] = field(default_factory=list)
     last_number: int = 0
     tokens_used: int = 0
+    context_tokens: int = 0
     attained: float = 0.0
     ended: str = ""
 
@@ -180,6 +182,7 @@
     if record.call_kind is CallKind.MODEL and record.status is CallStatus.DONE:
         program.messages.extend(record.messages)
         program.messages.append(("assistant", entry.answer))
+        program.context_tokens = entry.prompt_tokens + entry.output_tokens
         program.caches[entry.endpoint] = entry.prompt_tokens + entry.output_tokens
 
 
