--- a/src/bramleylead/process/_partition_link.py
+++ b/src/bramleylead/process/_partition_link.py
@@ -159,7 +159,8 @@
         match item:
             case Acked():
                 if item.partition in self._attached:
-                    self._partitions[item.partition].acked(item.epoch, item.sequence, item.digest)
+                    partition = self._partitions[item.partition]
+                    partition.acked(item.epoch, item.sequence, item.digest, item.mark)
             case BeatAck():
                 self._take_beat(item)
             case Attached():
--- a/src/bramleylead/process/_partition_repair.py
+++ b/src/bramleylead/process/_partition_repair.py
@@ -233,7 +233,7 @@
 
     async def _consider_solo(self, partition: OwnedPartition) -> None:
         """Serve alone only when peers confirm that the store is out and not just out of reach."""
-        if partition.mode is not Mode.REPAIRING:
+        if partition.mode is not Mode.REPAIRING or not partition.may_go_solo():
             return
         reachable = await self._context.members.store_reachable_by_peers()
         if reachable is False and partition.mode is Mode.REPAIRING:
--- a/src/bramleylead/process/_replica.py
+++ b/src/bramleylead/process/_replica.py
@@ -158,7 +158,7 @@
             copy.apply_packed(packed)
         copy.tail.mark_flushed(item.flushed)
         replica.heard_s = anyio.current_time()
-        return Acked(item.partition, item.epoch, copy.sequence, copy.digest)
+        return Acked(item.partition, item.epoch, copy.sequence, copy.digest, item.mark)
 
     def _beat(self, item: Beat, reply: Reply, attached: dict[int, Replica]) -> BeatAck:
         now = anyio.current_time()
--- a/testing/process/_partition_fleet.py
+++ b/testing/process/_partition_fleet.py
@@ -226,7 +226,7 @@
         ]
 
     def owner(self, partition: int) -> FleetNode:
-        """The one node that owns a partition."""
+        """Return the one node that owns a partition."""
         names = self.owners(partition)
         assert len(names) == 1, f"partition {partition} has owners {names}"
         return self.nodes[names[0]]
@@ -252,10 +252,10 @@
 
         await self.wait_until(whole, within_s=within_s)
 
-    async def append(self, partition: int, entry: Entry, **options: Any) -> Result[bool, Any]:
+    async def append(self, partition: int, entry: Entry) -> Result[bool, Any]:
         """Append at the present owner."""
         log = self.owner(partition).partitions.log(partition)
-        return await log.append(entry, **options)
+        return await log.append(entry)
 
     def violations(self) -> list[Any]:
         return [each for node in self.all_nodes for each in node.promises.violations]
@@ -271,7 +271,7 @@
 
 
 def opened(program: str) -> ProgramOpened:
-    """An entry that opens a program."""
+    """Return an entry that opens a program."""
     return ProgramOpened(program, "branch", "kind", "", 0.0)
 
 
