--- a/src/bramleylead/request/_http_answers.py
+++ b/src/bramleylead/request/_http_answers.py
@@ -14,6 +14,8 @@
 NO_ERROR = "none"
 JSON_TYPE = "application/json"
 
+_ENCODER = json.JSONEncoder(ensure_ascii=False, separators=(",", ":"))
+
 
 @dataclass(slots=True)
 class CallPlace:
@@ -26,7 +28,7 @@
 
 def encode_json(value: Any) -> bytes:
     """Return compact JSON."""
-    return json.dumps(value, ensure_ascii=False, separators=(",", ":")).encode()
+    return _ENCODER.encode(value).encode()
 
 
 def success_headers(place: CallPlace, *, ran: Ran = Ran.RAN) -> HeaderList:
--- a/src/bramleylead/request/_http_sinks.py
+++ b/src/bramleylead/request/_http_sinks.py
@@ -104,7 +104,7 @@
         self._exchange = exchange
         self._place = place
         self._shape = shape
-        self._lock = anyio.Lock()
+        self._lock = anyio.Lock(fast_acquire=True)
         self._written_at_s = anyio.current_time()
 
     async def write(self, text: str, offset: int) -> None:
