End requests of callers that go silent or stop reading

Cause: a full connection never drains and an idle one never fails, so such a request waited for good, and with it a graceful stop until its grace ran out. Change: keep-alive probes and a limit on unread data on the listener, inherited by connections; the entry counts first-token times and tokens; a failure that says 'not run' after text is always counted, since owners that are lost now have a kind of their own. Conclusion: the regression test hangs without the option (tried on a scratch copy) and passes with.

--- a/src/bramleylead/request/_gather.py
+++ b/src/bramleylead/request/_gather.py
@@ -4,6 +4,8 @@
 
 from typing import final
 
+import anyio
+
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.errors import Ran
@@ -22,6 +24,8 @@
 class AnswerGatherer:
     """The caller's side of one answer.
 
+    ``first_text_s`` is the time to the first new text, in seconds, or ``None`` before it.
+
     :param offset: characters that the caller has from an earlier connection.
     """
 
@@ -30,7 +34,8 @@
         self._place = place
         self._offset = offset
         self._asked_offset = offset
-        self._seen_text = False
+        self._began_s = anyio.current_time()
+        self.first_text_s: float | None = None
         self.end: AnswerEnd | Failure | None = None
 
     @property
@@ -64,7 +69,8 @@
             return ""
         new = chunk.text[self._offset - chunk.offset :]
         self._offset += len(new)
-        self._seen_text = self._seen_text or bool(new)
+        if new and self.first_text_s is None:
+            self.first_text_s = anyio.current_time() - self._began_s
         return new
 
     def _check_end(self, end: AnswerEnd) -> AnswerEnd | Failure:
@@ -82,18 +88,11 @@
         return Failure(ErrorKind.INTERNAL, "the end of the answer is missing: resume it")
 
     def _check_failure(self, failure: Failure) -> Failure:
-        """Correct a failure that says "not run" of a call whose text was seen.
-
-        A stream to the owner that breaks is reported as ``OWNER_UNAVAILABLE`` at any moment; any
-        other such failure is a fault of the owner.
-        """
-        if not self._seen_text or failure.answer.ran is not Ran.NOT_RUN:
+        """Correct a failure that says "not run" of a call whose text was seen."""
+        denied = self.first_text_s is not None and failure.answer.ran is Ran.NOT_RUN
+        detail = f"{self._named()}: {failure.kind.value} after text came"
+        if self._promises.check(Promise.NOT_RUN, not denied, detail):
             return failure
-        self._promises.check(
-            Promise.NOT_RUN,
-            failure.kind is ErrorKind.OWNER_UNAVAILABLE,
-            f"{self._named()}: {failure.kind.value} after text came",
-        )
         return Failure(ErrorKind.ENDPOINT_FAILED, f"{failure.kind.value}: {failure.detail}")
 
     def _named(self) -> str:
--- a/src/bramleylead/request/_http_follow.py
+++ b/src/bramleylead/request/_http_follow.py
@@ -14,6 +14,7 @@
 
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.metrics import Metrics
 from bramleylead.request._gather import AnswerGatherer
 from bramleylead.request._http_routes import HttpRequest
 from bramleylead.request._http_sinks import AnswerSink
@@ -43,6 +44,7 @@
     A caller that goes away ends the wait, not the call: the call's journal goes on without it.
     """
     gatherer = AnswerGatherer(request.service.promises, request.place, offset=offset)
+    metrics = request.service.metrics
     gone = True
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_watch_caller, request, tasks.cancel_scope)
@@ -51,15 +53,24 @@
         gone = False
         tasks.cancel_scope.cancel()
     if gone:
-        request.service.metrics.callers_gone.inc({})
+        metrics.callers_gone.inc({})
         return Err(GONE)
     outcome = gatherer.outcome
+    if gatherer.first_text_s is not None:
+        metrics.first_token_seconds.observe({}, gatherer.first_text_s)
     if isinstance(outcome, AnswerEnd):
+        _count_tokens(metrics, outcome)
         await sink.finish(outcome)
         return Ok(None)
     return await sink.fail(outcome, gatherer.offset)
 
 
+def _count_tokens(metrics: Metrics, end: AnswerEnd) -> None:
+    metrics.tokens.add({"kind": "prompt"}, end.prompt_tokens)
+    metrics.tokens.add({"kind": "cached"}, end.cached_tokens)
+    metrics.tokens.add({"kind": "output"}, end.output_tokens)
+
+
 async def _watch_caller(request: HttpRequest, scope: CancelScope) -> None:
     await request.exchange.wait_gone()
     scope.cancel()
--- a/src/bramleylead/request/_server.py
+++ b/src/bramleylead/request/_server.py
@@ -34,6 +34,10 @@
 HEADER_TIMEOUT_S = 10.0
 KEEP_ALIVE_S = 30
 MAX_HEAD_BYTES = 32_000
+UNREAD_LIMIT_MS = 30_000
+SILENT_AFTER_S = 15
+SILENT_PROBE_INTERVAL_S = 5
+SILENT_PROBES = 3
 HEADERS_TOO_LARGE_HINT = 431
 HEADERS_LATE = Failure(
     ErrorKind.DEADLINE_EXCEEDED, f"headers: not whole after {HEADER_TIMEOUT_S:g} s: send faster"
@@ -208,6 +212,22 @@
             self.transport.close()
 
 
+def _drop_silent_callers(listener: socket.socket) -> None:
+    """Let the kernel end connections whose caller is gone without a word, or reads no more.
+
+    Accepted connections inherit these options. Without them a request to such a caller would wait
+    for good: an idle one has nothing that fails, a full one never drains.
+    """
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, SILENT_AFTER_S),
+        (socket.TCP_KEEPINTVL, SILENT_PROBE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, SILENT_PROBES),
+        (socket.TCP_USER_TIMEOUT, UNREAD_LIMIT_MS),
+    ):
+        listener.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 def _bind(address: str) -> socket.socket:
     """Return a bound socket.
 
@@ -219,6 +239,7 @@
     listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        _drop_silent_callers(listener)
         listener.bind((host, port))
         listener.setblocking(False)
     except OSError:
--- a/src/bramleylead/request/_service.py
+++ b/src/bramleylead/request/_service.py
@@ -141,8 +141,7 @@
 
         Leaving the context closes the iterator; early, it gives up the wait, not the call. A
         failure whose kind says "not run" is passed on as that promise: a call that may have
-        reached its owner before the stream broke is ``OUTCOME_UNKNOWN``, not
-        ``OWNER_UNAVAILABLE``.
+        reached its owner before the stream broke is ``OWNER_LOST``, not ``OWNER_UNAVAILABLE``.
         """
         ...
 
--- a/testing/request/test_http_calls.py
+++ b/testing/request/test_http_calls.py
@@ -161,12 +161,20 @@
         self.assertEqual(json.loads(got.events[-1][1])["error"]["ran"], "ran")
         self.assertEqual(node.promises.violations[0].promise, Promise.NOT_RUN)
 
-    def test_a_stream_to_the_owner_that_breaks_after_text_is_no_broken_promise(self) -> None:
-        node = FakeNode([AnswerChunk(0, "hel", 1), Failure(ErrorKind.OWNER_UNAVAILABLE, "lost")])
+    def test_an_owner_that_is_lost_after_text_leaves_the_outcome_unknown(self) -> None:
+        node = FakeNode([AnswerChunk(0, "hel", 1), Failure(ErrorKind.OWNER_LOST, "lost")])
         got = chat(node, STREAMED, **IN_PROGRAM)
-        self.assertEqual(json.loads(got.events[-1][1])["error"]["ran"], "ran")
+        self.assertEqual(json.loads(got.events[-1][1])["error"]["ran"], "unknown")
         self.assertEqual(node.promises.violations, [])
 
+    def test_first_token_and_tokens_are_counted(self) -> None:
+        node = FakeNode([0.2, *answer("hello", number=2)])
+        chat(node, STREAMED, **IN_PROGRAM)
+        self.assertEqual(node.metrics.tokens.get({"kind": "cached"}), 4)
+        page = node.metrics.render()[0].decode()
+        self.assertIn('first_token_seconds_bucket{le="0.1"} 0', page)
+        self.assertIn('first_token_seconds_bucket{le="0.25"} 1', page)
+
     def test_text_that_comes_twice_is_passed_on_once(self) -> None:
         script = [AnswerChunk(0, "hel", 1), AnswerChunk(1, "ello", 1), end_of("hello")]
         got = chat(FakeNode(script), **IN_PROGRAM)
--- a/testing/request/test_server.py
+++ b/testing/request/test_server.py
@@ -104,6 +104,28 @@
         serve(node, body)
         self.assertEqual([bool(value) for value in found], [True])
 
+    def test_a_caller_that_stops_reading_does_not_hold_its_request(self) -> None:
+        """Regression: a full connection never drained, and its request waited for good."""
+        text = "x" * 60_000
+        chunks = [AnswerChunk(number * len(text), text, 1) for number in range(400)]
+
+        async def body(server: HttpServer, address: str) -> None:
+            content = json.dumps(CHAT).encode()
+            head = (
+                f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+                f"Content-Length: {len(content)}\r\nBramleylead-Program: p-1\r\n"
+                f"Authorization: Bearer {PRAIRIE_KEY}\r\n\r\n"
+            )
+            async with await anyio.connect_tcp(*split_address(address)) as stream:
+                await stream.send(head.encode() + content)
+                await node.left_early.wait()
+            server.stop(grace_s=1)
+
+        node = FakeNode(list(chunks))
+        with unittest.mock.patch.object(_server, "UNREAD_LIMIT_MS", 300):
+            serve(node, body)
+        self.assertEqual(node.metrics.callers_gone.get({}), 1)
+
     def test_a_kill_drops_running_requests(self) -> None:
         node = FakeNode([AnswerChunk(0, "hel", 1), 60.0, end_of("hel")])
 
