Bound what a caller's body may cost, and the requests at once

Cause: a 4 MB body of faulty message parts held up the process for 11.9 s, longer than a takeover waits, since each of 2.6 million faults was worded. A full node read bodies that it would refuse. Change: lists in chat bodies are bounded and end at their first fault; requests.max_running refuses new work before its body is read.

--- a/src/bramleylead/process/_settings.py
+++ b/src/bramleylead/process/_settings.py
@@ -67,6 +67,7 @@
     """Limits on callers' requests."""
 
     max_body_bytes: Annotated[int, Field(gt=0)] = 4_000_000
+    max_running: Annotated[int, Field(ge=1)] = 2_000
     body_timeout_s: Annotated[float, Field(gt=0)] = 10.0
     default_deadline_s: Annotated[float, Field(gt=0)] = 120.0
     stream_progress_s: Annotated[float, Field(gt=0)] = 10.0
--- a/src/bramleylead/request/_http_app.py
+++ b/src/bramleylead/request/_http_app.py
@@ -110,8 +110,9 @@
         branch = self._authenticate(exchange, route.access)
         if isinstance(branch, Err):
             return branch
-        if route.new_work and self._service.stopping:
-            return Err(Failure(ErrorKind.STOPPING, "this node is stopping"))
+        refusal = self._refuse_work() if route.new_work else None
+        if refusal is not None:
+            return Err(refusal)
         request = HttpRequest(
             service=self._service,
             settings=self._settings,
@@ -128,6 +129,15 @@
             log.exception("request_failed", route=route.path, program=place.program)
             return Err(Failure(ErrorKind.INTERNAL, f"{route.path}: an unexpected error"))
 
+    def _refuse_work(self) -> Failure | None:
+        """Return why new work is refused before its body is read, if it is."""
+        if self._service.stopping:
+            return Failure(ErrorKind.STOPPING, "this node is stopping")
+        if self._running > self._settings.max_running:
+            limit = self._settings.max_running
+            return Failure(ErrorKind.OVERLOADED, f"this node serves {limit} requests already")
+        return None
+
     def _authenticate(self, exchange: Exchange, access: Access) -> Result[str, Failure]:
         """Return the caller's branch; empty for operators and public routes."""
         if access is Access.PUBLIC:
--- a/src/bramleylead/request/_http_bodies.py
+++ b/src/bramleylead/request/_http_bodies.py
@@ -23,6 +23,8 @@
 
 MAX_DEADLINE_S = 86_400.0
 MAX_KEY_CHARACTERS = 200
+MAX_MESSAGES = 10_000
+MAX_PARTS = 1_000
 PROGRAM_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$"
 NUMBER_PATTERN = r"[0-9]{1,9}"
 SECONDS_PATTERN = r"[0-9]{1,6}(\.[0-9]{1,6})?"
@@ -47,7 +49,9 @@
     model_config = ConfigDict(strict=True)
 
     role: Literal["system", "developer", "user", "assistant", "tool"]
-    content: str | list[TextPart] | None = None
+    content: str | Annotated[list[TextPart], Field(max_length=MAX_PARTS, fail_fast=True)] | None = (
+        None
+    )
 
     @property
     def text(self) -> str:
@@ -60,6 +64,9 @@
 class ChatBody(BaseModel):
     """A chat-completions request.
 
+    Its lists are bounded and end at their first fault: a body of a million faulty parts would
+    otherwise hold up the node, and with it its heartbeats, while the faults are worded.
+
     Sampling parameters are accepted, since ordinary clients send them, and not passed on; what
     would change the shape of the answer is refused.
     """
@@ -67,7 +74,9 @@
     model_config = ConfigDict(strict=True, extra="allow")
 
     model: Name
-    messages: Annotated[list[ChatMessage], Field(min_length=1, max_length=10_000)]
+    messages: Annotated[
+        list[ChatMessage], Field(min_length=1, max_length=MAX_MESSAGES, fail_fast=True)
+    ]
     stream: bool = False
     n: Literal[1, None] = None
     max_tokens: Annotated[int, Field(ge=1)] | None = None
--- a/testing/request/test_http_bad_input.py
+++ b/testing/request/test_http_bad_input.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import anyio
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
@@ -16,7 +17,9 @@
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.request import CallRequest
+from bramleylead.request._http_bodies import ChatBody
 from bramleylead.standins import run_virtual
+from bramleylead.validation import load_model
 from testing.request.fakes import OPERATOR_KEY
 from testing.request.fakes import SETTINGS
 from testing.request.fakes import Caller
@@ -136,6 +139,29 @@
     def test_arguments_of_a_tool_must_be_an_object(self) -> None:
         self.refused(self.post([1], "/v1/programs/p-1/tools/issue"), ErrorKind.MALFORMED)
 
+    def test_a_million_faulty_parts_are_not_all_worded(self) -> None:
+        """Regression: a 4 MB body of faulty parts held up the node for 12 s."""
+        for path in (b'"messages":[%s]', b'"messages":[{"role":"user","content":[%s]}]'):
+            body = b'{"model":"a",' + path % b",".join([b"{}"] * 100_000) + b"}"
+            self.assertLess(len(load_model(ChatBody, body).err_value), 5)
+
+    def test_a_full_node_refuses_before_it_reads_the_body(self) -> None:
+        async def body() -> Response:
+            caller = Caller(self.node)
+            caller.app._settings = SETTINGS.model_copy(update={"max_running": 2})
+            async with anyio.create_task_group() as tasks:
+                for _ in range(2):
+                    tasks.start_soon(caller.post, CHAT_PATH, CHAT)
+                await anyio.sleep(1)
+                got = await caller.send("POST", CHAT_PATH, [b"{"], {})
+                tasks.cancel_scope.cancel()
+            return got
+
+        self.node.script = [500.0]
+        got = run(body)
+        self.assertEqual((got.error["error_kind"], got.error["ran"]), ("overloaded", "not run"))
+        self.assertEqual(got.headers["retry-after"], "2")
+
     def test_a_stopping_node_takes_no_new_work_but_serves_reads(self) -> None:
         self.node.stopping = True
         got = self.post(CHAT)
