End one-call programs whose refusal no repeat can change

Cause: with an idempotency key any failure left the program open until its idle end, so refusals for a spent budget would pile up as open programs. Change: it stays open only if the failure has a retry hint or may have run. Conclusion: tests show which refusals end it.

--- a/src/bramleylead/request/_http_bodies.py
+++ b/src/bramleylead/request/_http_bodies.py
@@ -43,15 +43,16 @@
     text: str
 
 
+TextParts = Annotated[list[TextPart], Field(max_length=MAX_PARTS, fail_fast=True)]
+
+
 class ChatMessage(BaseModel):
     """One message, as chat-completions clients send it."""
 
     model_config = ConfigDict(strict=True)
 
     role: Literal["system", "developer", "user", "assistant", "tool"]
-    content: str | Annotated[list[TextPart], Field(max_length=MAX_PARTS, fail_fast=True)] | None = (
-        None
-    )
+    content: str | TextParts | None = None
 
     @property
     def text(self) -> str:
--- a/src/bramleylead/request/_http_calls.py
+++ b/src/bramleylead/request/_http_calls.py
@@ -10,6 +10,7 @@
 
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.errors import Ran
 from bramleylead.request._http_bodies import MAX_DEADLINE_S
 from bramleylead.request._http_bodies import NUMBER_PATTERN
 from bramleylead.request._http_bodies import CallHeaders
@@ -154,8 +155,14 @@
 
 
 def _may_come_back(call: CallHeaders, result: Result[None, Failure]) -> bool:
-    """Whether the caller may ask again, under its idempotency key, for an answer still running."""
-    return bool(call.key) and isinstance(result, Err)
+    """Whether the caller may ask again, under its idempotency key, with success.
+
+    Its one-call program is then left open; a refusal that no repeat can change ends it.
+    """
+    if not call.key or isinstance(result, Ok):
+        return False
+    answer = result.err_value.answer
+    return answer.retry_after_s is not None or answer.ran is not Ran.NOT_RUN
 
 
 def _chat_shape(request: HttpRequest, *, model: str) -> ChatShape:
--- a/testing/request/test_http_bad_input.py
+++ b/testing/request/test_http_bad_input.py
@@ -139,7 +139,7 @@
     def test_arguments_of_a_tool_must_be_an_object(self) -> None:
         self.refused(self.post([1], "/v1/programs/p-1/tools/issue"), ErrorKind.MALFORMED)
 
-    def test_a_million_faulty_parts_are_not_all_worded(self) -> None:
+    def test_very_many_faulty_parts_are_not_all_worded(self) -> None:
         """Regression: a 4 MB body of faulty parts held up the node for 12 s."""
         for path in (b'"messages":[%s]', b'"messages":[{"role":"user","content":[%s]}]'):
             body = b'{"model":"a",' + path % b",".join([b"{}"] * 100_000) + b"}"
--- a/testing/request/test_http_calls.py
+++ b/testing/request/test_http_calls.py
@@ -206,6 +206,16 @@
         chat(node, caller=Caller(node, gone_after_s=2.0))
         self.assertIsInstance(node.seen[-1], EndProgram)
 
+    def test_a_one_call_program_with_a_key_stays_open_only_if_a_repeat_can_help(self) -> None:
+        for kind, last in (
+            (ErrorKind.OVERLOADED, CallRequest),
+            (ErrorKind.OWNER_LOST, CallRequest),
+            (ErrorKind.BUDGET_EXHAUSTED, EndProgram),
+        ):
+            node = FakeNode([Failure(kind, "refused")])
+            chat(node, Idempotency_Key="k")
+            self.assertIsInstance(node.seen[-1], last)
+
     def test_a_one_call_program_with_a_key_waits_for_its_caller(self) -> None:
         node = FakeNode([50.0])
         chat(node, caller=Caller(node, gone_after_s=2.0), Idempotency_Key="k")
