Reach engines, services and the object API over HTTP

Engines stream with a progress deadline and resume by call id on a fresh connection; a plain service's call always takes a fresh connection, since a kept one that went silent would turn it into an unknown outcome. Only an explicit statement of the endpoint counts as not run.

Watches now tell the last change of each key: before, a watch that began from the revision of an old object was refused for ever once 10,000 other changes had passed.

--- a/src/bramleylead/backends/__init__.py
+++ b/src/bramleylead/backends/__init__.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from bramleylead.backends._factory import BackendFactory
+from bramleylead.backends._http_engine import HttpEngine
+from bramleylead.backends._http_service import HttpService
+from bramleylead.backends._open import HttpBackends
+from bramleylead.backends._open import backend_kind
 from bramleylead.backends._types import BackendError
 from bramleylead.backends._types import BackendErrorKind
 from bramleylead.backends._types import CacheEvent
@@ -26,10 +30,14 @@
     "Engine",
     "EngineChunk",
     "GenerateCall",
+    "HttpBackends",
+    "HttpEngine",
+    "HttpService",
     "LoadReport",
     "Message",
     "Order",
     "OrderKind",
     "Service",
     "ServiceCall",
+    "backend_kind",
 ]
--- /dev/null
+++ b/src/bramleylead/backends/_http_service.py
@@ -0,0 +1,47 @@
+"""Plain services over HTTP; ``docs/endpoints.md`` describes the format."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from typing import final
+from urllib.parse import quote
+
+from result import Err
+from result import Ok
+from result import Result
+
+from bramleylead.backends._http_errors import error_of_answer
+from bramleylead.backends._http_errors import error_without_answer
+from bramleylead.backends._http_errors import malformed
+from bramleylead.backends._types import BackendError
+from bramleylead.backends._types import ServiceCall
+from bramleylead.connection._http_client import HttpClient
+
+
+@final
+class HttpService:
+    """One plain service. A call is sent at most once: nothing is retried here."""
+
+    def __init__(self, name: str, client: HttpClient) -> None:
+        self._name = name
+        self._client = client
+
+    async def invoke(self, call: ServiceCall, *, timeout_s: float) -> Result[Any, BackendError]:
+        """Run a call and return its JSON answer."""
+        body = json.dumps({"call": call.call, "arguments": call.arguments, "fence": call.fence})
+        answer = await self._client.request(
+            "POST",
+            f"/v1/tools/{quote(call.tool, safe='')}",
+            body=body.encode(),
+            headers={"content-type": "application/json", "idempotency-key": call.call},
+            timeout_s=timeout_s,
+        )
+        if isinstance(answer, Err):
+            return Err(error_without_answer(answer.err_value))
+        if answer.ok_value.status != 200:
+            return Err(error_of_answer(self._name, answer.ok_value))
+        try:
+            return Ok(json.loads(answer.ok_value.body)["value"])
+        except (KeyError, TypeError, ValueError) as error:
+            return Err(malformed(self._name, error))
--- /dev/null
+++ b/src/bramleylead/backends/_http_stream.py
@@ -0,0 +1,222 @@
+"""One streamed call of a model engine over HTTP: progress deadline, resume, cancel."""
+
+from __future__ import annotations
+
+import json
+from contextlib import AsyncExitStack
+from typing import Any
+from typing import final
+
+import anyio
+from result import Err
+from result import Ok
+from result import Result
+
+from bramleylead.backends._http_errors import error_of_answer
+from bramleylead.backends._http_errors import error_without_answer
+from bramleylead.backends._http_errors import malformed
+from bramleylead.backends._sse import EventReader
+from bramleylead.backends._types import BackendError
+from bramleylead.backends._types import BackendErrorKind
+from bramleylead.backends._types import EngineChunk
+from bramleylead.backends._types import GenerateCall
+from bramleylead.connection._http_client import HTTP_ERRORS
+from bramleylead.connection._http_client import HttpAnswer
+from bramleylead.connection._http_client import HttpClient
+from bramleylead.connection._http_client import HttpStream
+
+CHAT_PATH = "/v1/chat/completions"
+CANCEL_PATH = "/v1/calls/cancel"
+CANCEL_TIMEOUT_S = 1.0
+RESUME_TIMEOUT_S = 2.0
+END_TIMEOUT_S = 0.2
+MAX_ERROR_BYTES = 10_000
+DONE = b"[DONE]"
+STREAM_HEADERS = {"content-type": "application/json", "accept": "text/event-stream"}
+
+
+@final
+class HttpEngineStream:
+    """Iterates over the chunks of one call, over one connection after another.
+
+    A connection that stays silent for ``progress_s`` seconds, or breaks, is replaced by a fresh
+    one that resumes after the tokens received; when that gets no answer either, the call is lost.
+    """
+
+    def __init__(
+        self, name: str, client: HttpClient, call: GenerateCall, *, progress_s: float
+    ) -> None:
+        self._name = name
+        self._client = client
+        self._call = call
+        self._progress_s = progress_s
+        self._received = call.resume_from
+        self._ready: list[EngineChunk] = []
+        self._connection = AsyncExitStack()
+        self._stream: HttpStream | None = None
+        self._reader = EventReader()
+        self._sent = False
+        self._answered = False
+        self._done = False
+        self._finished = False
+        self.resumes = 0
+
+    def __aiter__(self) -> HttpEngineStream:
+        return self
+
+    async def __anext__(self) -> Result[EngineChunk, BackendError]:
+        if self._done:
+            raise StopAsyncIteration
+        item = await self._next()
+        self._done = isinstance(item, Err) or item.ok_value.finish != ""
+        return item
+
+    async def aclose(self) -> None:
+        """Close the connection, and cancel the call if it may be running still."""
+        with anyio.CancelScope(shield=True):
+            if self._finished:
+                await self._read_end()
+            await self._connection.aclose()
+            if self._sent and not self._finished:
+                await self._cancel()
+
+    async def _next(self) -> Result[EngineChunk, BackendError]:
+        if self._stream is None:
+            error = await self._connect(self._progress_s)
+            if error is not None and error.kind is BackendErrorKind.LOST and not self._answered:
+                # Attaching by call id on a fresh connection is safe: the call starts only once.
+                error = await self._resume(error.detail)
+            if error is not None:
+                return Err(error)
+        while not self._ready:
+            problem = await self._read_part()
+            if isinstance(problem, BackendError):
+                return Err(problem)
+            if problem:
+                error = await self._resume(problem)
+                if error is not None:
+                    return Err(error)
+        chunk = self._ready.pop(0)
+        self._received += chunk.tokens
+        self._finished = chunk.finish != ""
+        return Ok(chunk)
+
+    async def _connect(self, timeout_s: float) -> BackendError | None:
+        opened = self._client.stream(
+            "POST",
+            CHAT_PATH,
+            body=json.dumps(self._body()).encode(),
+            headers=STREAM_HEADERS,
+            timeout_s=timeout_s,
+        )
+        stream = await self._connection.enter_async_context(opened)
+        if isinstance(stream, Err):
+            self._sent = self._sent or stream.err_value.sent
+            return error_without_answer(stream.err_value)
+        self._sent = True
+        self._answered = True
+        self._reader = EventReader()
+        if stream.ok_value.status != 200:
+            return await self._refusal(stream.ok_value)
+        self._stream = stream.ok_value
+        return None
+
+    async def _refusal(self, stream: HttpStream) -> BackendError:
+        body = bytearray()
+        with anyio.move_on_after(CANCEL_TIMEOUT_S):
+            try:
+                async for part in stream.body:
+                    body += part
+                    if len(body) > MAX_ERROR_BYTES:
+                        break
+            except HTTP_ERRORS:
+                pass
+        answer = HttpAnswer(stream.status, stream.headers, bytes(body))
+        error = error_of_answer(self._name, answer)
+        if error.kind in (BackendErrorKind.REFUSED, BackendErrorKind.STALE_FENCE):
+            self._sent = False
+        return error
+
+    async def _read_part(self) -> BackendError | str:
+        """Read one part of the body; returns why the connection is of no more use, if it is."""
+        assert self._stream is not None
+        with anyio.move_on_after(self._progress_s):
+            try:
+                part = await anext(self._stream.body)
+            except StopAsyncIteration:
+                return "the stream ended early"
+            except HTTP_ERRORS as error:
+                return f"{type(error).__name__}: {error}"
+            return self._take(part)
+        return f"silent for {self._progress_s:g} s"
+
+    def _take(self, part: bytes) -> BackendError | str:
+        try:
+            for event in self._reader.feed(part):
+                if event != DONE:
+                    self._ready.append(_to_chunk(json.loads(event)))
+        except (AttributeError, IndexError, KeyError, TypeError, ValueError) as error:
+            return malformed(self._name, error)
+        return ""
+
+    async def _resume(self, problem: str) -> BackendError | None:
+        """Continue on a fresh connection after the tokens received."""
+        self.resumes += 1
+        await self._client.forget_idle()
+        old, self._connection = self._connection, AsyncExitStack()
+        self._stream = None
+        try:
+            error = await self._connect(min(RESUME_TIMEOUT_S, self._progress_s))
+        finally:
+            with anyio.CancelScope(shield=True):
+                await old.aclose()
+        if error is None:
+            return None
+        detail = f"{self._name}: {problem}; resume: {error.detail}"
+        return BackendError(BackendErrorKind.LOST, detail)
+
+    async def _read_end(self) -> None:
+        """Read the rest of a whole answer, so that its connection can be kept."""
+        assert self._stream is not None
+        with anyio.move_on_after(END_TIMEOUT_S):
+            try:
+                async for _ in self._stream.body:
+                    pass
+            except HTTP_ERRORS:
+                pass
+
+    async def _cancel(self) -> None:
+        body = json.dumps({"call": self._call.call}).encode()
+        await self._client.request("POST", CANCEL_PATH, body=body, timeout_s=CANCEL_TIMEOUT_S)
+
+    def _body(self) -> dict[str, Any]:
+        call = self._call
+        return {
+            "model": call.model,
+            "messages": [message._asdict() for message in call.messages],
+            "max_tokens": call.max_tokens,
+            "stream": True,
+            "stream_options": {"include_usage": True},
+            "bramleylead": {
+                "call": call.call,
+                "program": call.program,
+                "fence": call.fence,
+                "resume_from": self._received,
+            },
+        }
+
+
+def _to_chunk(event: dict[str, Any]) -> EngineChunk:
+    choice = event["choices"][0]
+    usage = event.get("usage") or {}
+    details = usage.get("prompt_tokens_details") or {}
+    tokens = int(event["bramleylead"]["tokens"])
+    if tokens < 0:
+        raise ValueError(f"tokens must not be negative: {tokens}")
+    return EngineChunk(
+        text=str(choice["delta"].get("content") or ""),
+        tokens=tokens,
+        cached_tokens=int(details.get("cached_tokens", 0)),
+        prompt_tokens=int(usage.get("prompt_tokens", 0)),
+        finish=str(choice.get("finish_reason") or ""),
+    )
--- a/src/bramleylead/platform/_memory.py
+++ b/src/bramleylead/platform/_memory.py
@@ -1,7 +1,18 @@
-"""The embedded object API in memory: the default for one machine and for tests."""
+"""The embedded object API in memory: the default for one machine and for tests.
+
+A watch tells the last change of each key, so that any revision can be continued from and no log
+grows. Only deletions are forgotten after a while; a watch that may have missed one is told to
+begin anew, from revision 0 if it has no later one.
+"""
 
 from __future__ import annotations
 
+from bisect import bisect_left
+from bisect import bisect_right
+from bisect import insort
+from collections import OrderedDict
+from collections import deque
+from collections.abc import Iterable
 from collections.abc import Sequence
 from typing import final
 
@@ -20,21 +31,31 @@
 from bramleylead.platform._store import VmEntry
 from bramleylead.platform._store import WatchPage
 
-KEPT_CHANGES = 10_000
+KEPT_DELETIONS = 10_000
 
 
 @final
 class MemoryStore:
     """Objects in a dictionary, with versions, conditional updates and watches."""
 
-    def __init__(self) -> None:
+    def __init__(self, changes: Iterable[Change] = (), *, revision: int = 0) -> None:
         self._objects: dict[str, StoredObject] = {}
-        self._changes: list[Change] = []
-        self._revision = 0
-        self._changed = anyio.Event()
+        self._keys: list[str] = []
+        self._last_changes: OrderedDict[str, Change] = OrderedDict()
+        self._deletions: deque[Change] = deque()
+        self._forgotten_revision = 0
+        self._revision = revision
+        self._waiting: dict[str, anyio.Event] = {}
         self._vms: dict[str, VmEntry] = {}
         self.reads = 0
         self.writes = 0
+        for change in sorted(changes, key=lambda change: change.revision):
+            self._record(change)
+
+    @property
+    def revision(self) -> int:
+        """Revision of the last change."""
+        return self._revision
 
     def set_vm(self, entry: VmEntry) -> None:
         """Add or replace a line of the list of VMs."""
@@ -65,6 +86,17 @@
     ) -> Result[int, StoreError]:
         """Do what :meth:`put` does, at once."""
         self.writes += 1
+        allowed = self.check_put(key, value, expected=expected)
+        if isinstance(allowed, Err):
+            return allowed
+        planned = self.planned(key, value)
+        self._record(planned)
+        return Ok(planned.version)
+
+    def check_put(
+        self, key: str, value: bytes, *, expected: int = ANY_VERSION
+    ) -> Result[None, StoreError]:
+        """Say whether a write would be carried out."""
         if len(value) > MAX_VALUE_BYTES:
             detail = f"{key}: {len(value)} bytes; at most {MAX_VALUE_BYTES} are stored"
             return Err(StoreError(StoreErrorKind.TOO_LARGE, detail))
@@ -72,8 +104,12 @@
         if expected not in (ANY_VERSION, version):
             detail = f"{key}: version is {version}, not {expected}"
             return Err(StoreError(StoreErrorKind.CONFLICT, detail))
-        self._record(key, value, version + 1)
-        return Ok(version + 1)
+        return Ok(None)
+
+    def planned(self, key: str, value: bytes | None) -> Change:
+        """Return the change that the next write or deletion of an object will be."""
+        version = self._version(key) + (0 if value is None else 1)
+        return Change(key, value, version, self._revision + 1)
 
     async def delete(
         self, key: str, *, expected: int = ANY_VERSION, timeout_s: float = 2.0
@@ -85,13 +121,19 @@
     def delete_now(self, key: str, *, expected: int = ANY_VERSION) -> Result[None, StoreError]:
         """Do what :meth:`delete` does, at once."""
         self.writes += 1
+        allowed = self.check_delete(key, expected=expected)
+        if isinstance(allowed, Ok):
+            self._record(self.planned(key, None))
+        return allowed
+
+    def check_delete(self, key: str, *, expected: int = ANY_VERSION) -> Result[None, StoreError]:
+        """Say whether a deletion would be carried out."""
         version = self._version(key)
         if version == 0:
             return Err(StoreError(StoreErrorKind.NOT_FOUND, key))
         if expected not in (ANY_VERSION, version):
             detail = f"{key}: version is {version}, not {expected}"
             return Err(StoreError(StoreErrorKind.CONFLICT, detail))
-        self._record(key, None, version)
         return Ok(None)
 
     async def list(
@@ -100,21 +142,28 @@
         """Read up to ``limit`` objects under ``prefix`` after a key, in key order."""
         self.reads += 1
         await anyio.lowlevel.checkpoint()
-        keys = sorted(key for key in self._objects if key.startswith(prefix) and key > after)
-        return Ok([self._objects[key] for key in keys[:limit]])
+        found = []
+        place = max(bisect_left(self._keys, prefix), bisect_right(self._keys, after))
+        for key in self._keys[place : place + limit]:
+            if not key.startswith(prefix):
+                break
+            found.append(self._objects[key])
+        return Ok(found)
 
     async def watch(
         self, prefix: str, *, after_revision: int, timeout_s: float
     ) -> Result[WatchPage, StoreError]:
         """Wait for changes under ``prefix`` after a revision, at most ``timeout_s`` seconds."""
         self.reads += 1
-        if after_revision < self._revision - KEPT_CHANGES:
-            detail = f"{prefix}: revision {after_revision} is no longer kept; list again"
+        if 0 < after_revision < self._forgotten_revision:
+            detail = f"{prefix}: deletions after revision {after_revision} are no longer known"
             return Err(StoreError(StoreErrorKind.NOT_FOUND, detail))
-        with anyio.move_on_after(timeout_s):
-            while not self._changes_after(prefix, after_revision):
-                await self._changed.wait()
         changes = self._changes_after(prefix, after_revision)
+        with anyio.move_on_after(timeout_s):
+            while not changes:
+                await self._waiting.setdefault(prefix, anyio.Event()).wait()
+                changes = self._changes_after(prefix, after_revision)
+        await anyio.lowlevel.checkpoint()
         return Ok(WatchPage(self._revision, tuple(changes)))
 
     async def vms(self, *, timeout_s: float = 2.0) -> Result[Sequence[VmEntry], StoreError]:
@@ -127,20 +176,36 @@
         found = self._objects.get(key)
         return 0 if found is None else found.version
 
-    def _record(self, key: str, value: bytes | None, version: int) -> None:
-        self._revision += 1
+    def _record(self, change: Change) -> None:
+        key, value = change.key, change.value
+        self._revision = max(self._revision, change.revision)
+        self._last_changes[key] = change
+        self._last_changes.move_to_end(key)
         if value is None:
-            del self._objects[key]
+            self._drop(key)
+            self._deletions.append(change)
+            self._forget_deletions()
         else:
-            self._objects[key] = StoredObject(key, value, version, self._revision)
-        self._changes.append(Change(key, value, version, self._revision))
-        del self._changes[:-KEPT_CHANGES]
-        self._changed.set()
-        self._changed = anyio.Event()
+            if key not in self._objects:
+                insort(self._keys, key)
+            self._objects[key] = StoredObject(key, value, change.version, change.revision)
+        for prefix in [prefix for prefix in self._waiting if key.startswith(prefix)]:
+            self._waiting.pop(prefix).set()
+
+    def _drop(self, key: str) -> None:
+        if self._objects.pop(key, None) is not None:
+            del self._keys[bisect_left(self._keys, key)]
+
+    def _forget_deletions(self) -> None:
+        while len(self._deletions) > KEPT_DELETIONS:
+            oldest = self._deletions.popleft()
+            if self._last_changes.get(oldest.key) is oldest:
+                del self._last_changes[oldest.key]
+                self._forgotten_revision = oldest.revision
 
     def _changes_after(self, prefix: str, revision: int) -> list[Change]:
         found = []
-        for change in reversed(self._changes):
+        for change in reversed(self._last_changes.values()):
             if change.revision <= revision:
                 break
             if change.key.startswith(prefix):
--- a/src/bramleylead/platform/_store.py
+++ b/src/bramleylead/platform/_store.py
@@ -60,6 +60,8 @@
 class WatchPage(NamedTuple):
     """What a watch returned: changes in revision order, and the revision to continue after.
 
+    Of a key that changed more than once, only the last change is certain to show. A watch after
+    revision 0 begins with every object, and its page tells the store's revision.
     An empty page means that the time ran out with nothing new: proof that the view was current.
     """
 
--- a/src/bramleylead/standins/__init__.py
+++ b/src/bramleylead/standins/__init__.py
@@ -10,13 +10,16 @@
 from bramleylead.standins._endpoints import FakeEndpoints
 from bramleylead.standins._engine import FakeEngine
 from bramleylead.standins._engine_ledger import EngineLedger
+from bramleylead.standins._engine_server import serve_engine
 from bramleylead.standins._engine_settings import EngineModelSettings
 from bramleylead.standins._faulty_store import FaultyStore
 from bramleylead.standins._faulty_store import StoreFaults
 from bramleylead.standins._network import FakeNetwork
+from bramleylead.standins._objects_server import serve_objects
 from bramleylead.standins._service import FakeService
 from bramleylead.standins._service import ServiceLedger
 from bramleylead.standins._service import ToolModel
+from bramleylead.standins._tool_server import serve_tool
 from bramleylead.standins._virtual import run_virtual
 from bramleylead.standins._weights import FakeWeightStore
 
@@ -38,4 +41,7 @@
     "count_prompt",
     "count_tokens",
     "run_virtual",
+    "serve_engine",
+    "serve_objects",
+    "serve_tool",
 ]
--- a/src/bramleylead/standins/_engine_view.py
+++ b/src/bramleylead/standins/_engine_view.py
@@ -21,9 +21,9 @@
 from bramleylead.backends import LoadReport
 from bramleylead.backends import Order
 from bramleylead.standins._answer import CHARS_PER_TOKEN
-from bramleylead.standins._engine import EngineStream
 from bramleylead.standins._engine import FakeEngine
-from bramleylead.standins._engine import KvBlock
+from bramleylead.standins._engine_stream import EngineStream
+from bramleylead.standins._engine_stream import KvBlock
 from bramleylead.standins._link import Link
 from bramleylead.standins._link import reach
 
@@ -167,6 +167,9 @@
     async def _next(self) -> Result[EngineChunk, BackendError]:
         if self._stream is None:
             error = await self._connect(self._view.progress_s)
+            if error is not None and error.kind is BackendErrorKind.LOST:
+                # Attaching by call id on a fresh connection is safe: the call starts only once.
+                error = await self._connect(RESUME_ANSWER_S)
             if error is not None:
                 return Err(error)
         while True:
--- a/testing/standins/test_engine.py
+++ b/testing/standins/test_engine.py
@@ -214,6 +214,18 @@
 
         run_trial(body)
 
+    def test_a_kept_connection_that_went_silent_is_replaced(self) -> None:
+        async def body(trial: Trial) -> None:
+            engine = trial.engine_from()
+            await collect(engine, ask("p/1/1"))
+            trial.endpoints.silence(NODE, "10.0.1.1:9000")
+            started = anyio.current_time()
+            text, _, error = await collect(engine, ask("p/2/1"))
+            self.assertEqual((len(text), error), (500, None))
+            self.assertGreater(anyio.current_time() - started, 10)
+
+        run_trial(body)
+
     def test_leaving_the_stream_cancels_the_call(self) -> None:
         async def body(trial: Trial) -> None:
             engine = trial.engine_from()
