Send HTTP answers without Nagle's delay

The listener's socket was made without its protocol number, for which asyncio leaves TCP_NODELAY off on accepted connections. Head and body are two writes, so the body waited for the client's delayed acknowledgement.

--- a/src/bramleylead/request/_server.py
+++ b/src/bramleylead/request/_server.py
@@ -209,7 +209,7 @@
 def _bind(address: str) -> socket.socket:
     host, port = split_address(address)
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((host, port))
