Take up a silent engine stream before the owner gives it up; begin cache events anew after a restart

The owner gives a call up after 10 s without progress, and the client resumed it after 10 s too, so that the resume never came to pass. Now 3 s: a hung engine is told as lost after 5 s (12 s before), in virtual time. A restarted engine's sequence begins at 1, as a new process's would.

--- a/src/bramleylead/backends/_http_engine.py
+++ b/src/bramleylead/backends/_http_engine.py
@@ -33,7 +33,7 @@
 CONTROL_TIMEOUT_S = 2.0
 KV_TIMEOUT_S = 60.0
 ORDER_TIMEOUT_S = 600.0
-PROGRESS_S = 10.0
+PROGRESS_S = 3.0
 
 _T = TypeVar("_T")
 
--- a/src/bramleylead/backends/_types.py
+++ b/src/bramleylead/backends/_types.py
@@ -94,7 +94,10 @@
 
 
 class CacheEvent(NamedTuple):
-    """A program's prefix stored or evicted; sequence numbers show gaps."""
+    """A program's prefix stored or evicted; sequence numbers show gaps.
+
+    :param tokens: what is held of the program after the event; 0 when ``stored`` is false.
+    """
 
     sequence: int
     program: str
@@ -103,7 +106,11 @@
 
 
 class CachePage(NamedTuple):
-    """Cache events since a sequence number, or what the engine holds now when ``complete``."""
+    """Cache events since a sequence number, or what the engine holds now when ``complete``.
+
+    :param next_sequence: number of the next event; if it is lower than the caller's own, the
+        engine has restarted and holds nothing of what the caller knew.
+    """
 
     next_sequence: int
     events: tuple[CacheEvent, ...]
--- a/src/bramleylead/standins/_prefix_cache.py
+++ b/src/bramleylead/standins/_prefix_cache.py
@@ -107,9 +107,12 @@
                 return
 
     def clear(self) -> None:
-        """Lose everything without a word, as a crash does."""
+        """Lose everything without a word, as a crash does; the sequence begins anew."""
         self._held.clear()
         self._pins.clear()
+        self._events.clear()
+        self._sequence = 0
+        self._last_due_s = 0.0
         self.idle_tokens = 0
 
     def _cut(self, program: str, excess: int, now: float) -> None:
@@ -137,7 +140,7 @@
             if late.due_s <= now:
                 found.append(late.event)
         found.reverse()
-        last = found[-1].sequence if found else after
+        last = found[-1].sequence if found else min(after, self._sequence)
         return CachePage(last + 1, tuple(found), complete=False)
 
     def contents(self) -> CachePage:
