--- a/src/bramleylead/standins/_engine_server.py
+++ b/src/bramleylead/standins/_engine_server.py
@@ -195,7 +195,7 @@
 
     async def _wait(self) -> None:
         with anyio.move_on_after(WAITING_COMMENT_S) as waited:
-            await self._stream.changed.wait()
+            await self._stream.wait_changed()
         if waited.cancelled_caught and not self._engine.hung:
             await self._send(": waiting\n\n")
 
--- a/src/bramleylead/standins/_engine_stream.py
+++ b/src/bramleylead/standins/_engine_stream.py
@@ -50,7 +50,7 @@
         self.pinned = False
         self.lost = ""
         self.readers = 0
-        self.changed = anyio.Event()
+        self._changed: anyio.Event | None = None
 
     def take(self, after: int, *, first: bool) -> EngineChunk | None:
         """Return what has come out after so many tokens, if anything."""
@@ -68,5 +68,12 @@
 
     def wake(self) -> None:
         """Let readers look again."""
-        self.changed.set()
-        self.changed = anyio.Event()
+        changed, self._changed = self._changed, None
+        if changed is not None:
+            changed.set()
+
+    async def wait_changed(self) -> None:
+        """Wait until more has come out, or the call was lost."""
+        if self._changed is None:
+            self._changed = anyio.Event()
+        await self._changed.wait()
--- a/src/bramleylead/standins/_engine_view.py
+++ b/src/bramleylead/standins/_engine_view.py
@@ -159,7 +159,8 @@
         self._done = True
         if stream is None:
             return
-        if self._view.link.passes and not self._view.target.hung:
+        link = self._view.link
+        if link.passes and not link.frozen and not self._view.target.hung:
             self._view.target.close(stream)
         else:
             self._view.target.detach(stream)
@@ -181,7 +182,7 @@
             if chunk is not None:
                 return Ok(await self._receive(chunk))
             with anyio.move_on_after(self._view.progress_s) as waited:
-                await stream.changed.wait()
+                await stream.wait_changed()
             if waited.cancelled_caught and (self._broken() or self._view.target.hung):
                 error = await self._reconnect(stream)
                 if error is not None:
--- a/src/bramleylead/standins/_link.py
+++ b/src/bramleylead/standins/_link.py
@@ -49,6 +49,11 @@
         """Whether the network lets nothing through between the two."""
         return self._network.is_cut(self._host, self._endpoint_host)
 
+    @property
+    def frozen(self) -> bool:
+        """Whether the node is frozen, so that nothing leaves it now."""
+        return self._network.is_frozen(self._host)
+
     @property
     def killed(self) -> bool:
         """Whether the node of this link was killed; nothing of it passes any more."""
--- a/src/bramleylead/standins/_network.py
+++ b/src/bramleylead/standins/_network.py
@@ -95,6 +95,10 @@
         if event is not None:
             event.set()
 
+    def is_frozen(self, host: str) -> bool:
+        """Whether a host is frozen."""
+        return host in self._frozen
+
     async def pass_gate(self, host: str) -> None:
         """Wait while a host is frozen; other stand-ins call this for the host's calls."""
         while host in self._frozen:
