--- a/src/bramleylead/standins/_engine_settings.py
+++ b/src/bramleylead/standins/_engine_settings.py
@@ -29,7 +29,8 @@
     :param max_batch: most sequences admitted at once.
     :param kv_tokens: cache memory, in tokens.
     :param kv_token_bytes: size of one token's cache when it is exported.
-    :param kv_bytes_per_s: how fast an exported cache travels.
+    :param kv_bytes_per_s: how fast an exported cache travels within a region.
+    :param kv_between_regions_bytes_per_s: the same between regions.
     :param chunk_tokens: tokens that a client gets at once after the first token.
     :param report_lag_s: age of a load report at least.
     :param report_interval_s: time between two load reports.
@@ -49,6 +50,7 @@
     kv_tokens: Annotated[int, Field(ge=1)] = 1_300_000
     kv_token_bytes: Annotated[int, Field(ge=1)] = 327_680
     kv_bytes_per_s: Annotated[float, Field(gt=0)] = 2.5e9
+    kv_between_regions_bytes_per_s: Annotated[float, Field(gt=0)] = 0.3e9
     chunk_tokens: Annotated[int, Field(ge=1)] = 32
     report_lag_s: Annotated[float, Field(ge=0)] = 0.5
     report_interval_s: Annotated[float, Field(gt=0)] = 1.0
--- a/src/bramleylead/standins/_engine_view.py
+++ b/src/bramleylead/standins/_engine_view.py
@@ -122,7 +122,10 @@
         except ValueError:
             size = len(block)
         self.link.bill(size)
-        await anyio.sleep(size / self.target.settings.kv_bytes_per_s)
+        settings = self.target.settings
+        crosses = self.link.crosses_regions
+        speed = settings.kv_between_regions_bytes_per_s if crosses else settings.kv_bytes_per_s
+        await anyio.sleep(size / speed)
 
     def _lost(self, what: str) -> BackendError:
         return BackendError(BackendErrorKind.LOST, f"{self.target.name}: {what}")
--- a/testing/standins/test_engine.py
+++ b/testing/standins/test_engine.py
@@ -200,7 +200,10 @@
             block = (await engine.export_kv("p")).ok_value
             other_view = trial.endpoints.backends(NODE)
             target = other_view.engine("o", endpoint(EndpointKind.ENGINE, "10.0.1.9:1"))
+            started = anyio.current_time()
             self.assertEqual(await target.import_kv("p", block), Ok(1010))
+            expected_s = 1010 * EXACT.kv_token_bytes / EXACT.kv_between_regions_bytes_per_s
+            self.assertAlmostEqual(anyio.current_time() - started, expected_s, delta=0.1)
             self.assertEqual(other.cache.by_program(), {"p": 1010})
             billed = trial.endpoints.bytes_between_regions
             self.assertEqual(billed, 1010 * EXACT.kv_token_bytes)
