--- a/src/bramleylead/standins/_engine.py
+++ b/src/bramleylead/standins/_engine.py
@@ -100,8 +100,7 @@
         if refusal:
             return Err(BackendError(BackendErrorKind.REFUSED, f"{self.name}: {refusal}"))
         now = anyio.current_time()
-        self.ledger.arrived(call)
-        self._note_leaving(now)
+        self.ledger.arrived(call, after_leaving_s=now - self.leaving_since_s)
         stream = self._new_stream(call, now)
         if self._batch.add(stream.sequence, now):
             self._poke()
@@ -336,10 +335,6 @@
             if stream.readers <= 0:
                 self.close(stream)
 
-    def _note_leaving(self, now: float) -> None:
-        late_s = now - self.leaving_since_s
-        self.ledger.latest_after_leaving_s = max(self.ledger.latest_after_leaving_s, late_s)
-
     def _note_load(self, now: float) -> None:
         used = self._batch.reserved_tokens + self.cache.idle_tokens
         self._loads.note(now, self._batch.running, self._batch.waiting, used)
--- a/src/bramleylead/standins/_engine_ledger.py
+++ b/src/bramleylead/standins/_engine_ledger.py
@@ -58,9 +58,13 @@
     highest_number: dict[str, int] = field(default_factory=dict)
     computed: dict[str, tuple[Message, ...]] = field(default_factory=dict)
 
-    def arrived(self, call: GenerateCall) -> None:
-        """Count a call and check that its program's calls come in order."""
+    def arrived(self, call: GenerateCall, *, after_leaving_s: float) -> None:
+        """Count a call and check that its program's calls come in order.
+
+        :param after_leaving_s: how long its engine has been leaving; negative if it is not.
+        """
         self.calls += 1
+        self.latest_after_leaving_s = max(self.latest_after_leaving_s, after_leaving_s)
         number = split_call(call.call).number
         highest = self.highest_number.get(call.program, 0)
         if number < highest:
