--- a/src/bramleylead/process/_model_run.py
+++ b/src/bramleylead/process/_model_run.py
@@ -21,6 +21,8 @@
 from bramleylead.scheduling import SlotRequest
 
 EXPECTED_OUTPUT_TOKENS = 200
+FIRST_TOKEN_FACTOR = 3
+"""Prefill of a long history, and the engine's own queue, come before the first token."""
 MARGIN = 2
 """The engine's tokenizer may count up to this many times the estimate."""
 
@@ -69,7 +71,7 @@
         engine = self._parts.backends.engine(slot.granted.endpoint, endpoint)
         progress_s = self._parts.settings.requests.stream_progress_s
         follower = _Follower(self._call.buffer)
-        with anyio.move_on_after(progress_s) as scope:
+        with anyio.CancelScope() as scope:
             follower.watch(scope, progress_s, self._call.deadline_at)
             async with engine.generate(self._generate_call(attempt)) as chunks:
                 async for item in chunks:
@@ -81,7 +83,7 @@
                     if item.ok_value.finish:
                         return follower.done(item.ok_value.finish)
         if scope.cancelled_caught:
-            detail = f"no progress within {progress_s} s or past the caller's deadline"
+            detail = "the engine made no progress in time, or the caller's deadline passed"
             return follower.failed(Attempt(Next.UNKNOWN, detail))
         return follower.failed(Attempt(Next.UNKNOWN, "the engine's stream ended early"))
 
@@ -128,10 +130,10 @@
         self._scope = scope
         self._progress_s = progress_s
         self._deadline_at = deadline_at
-        self._extend()
+        self._extend(FIRST_TOKEN_FACTOR * progress_s)
 
     def take(self, chunk: EngineChunk) -> bool:
-        self._extend()
+        self._extend(self._progress_s)
         if self._output_tokens == 0 and chunk.tokens:
             self._first_token_s = anyio.current_time() - self._started
         self._prompt_tokens = chunk.prompt_tokens or self._prompt_tokens
@@ -157,6 +159,6 @@
             first_token_s=self._first_token_s,
         )
 
-    def _extend(self) -> None:
-        due = anyio.current_time() + self._progress_s
+    def _extend(self, seconds: float) -> None:
+        due = anyio.current_time() + seconds
         self._scope.deadline = min(due, self._deadline_at)
--- a/src/bramleylead/process/_node.py
+++ b/src/bramleylead/process/_node.py
@@ -99,6 +99,7 @@
         self._wall_clock = wall_clock
         self._rng = rng
         self._stack = AsyncExitStack()
+        self._leaving = False
         self._stopping = False
         self._ready = False
         self._entry_calls = 0
@@ -139,7 +140,7 @@
 
     def ready(self) -> bool:
         """Whether the balancer should send callers here."""
-        return self._ready and not self._stopping and self.config.number > 0
+        return self._ready and not self._leaving and self.config.number > 0
 
     def branch_of_key(self, key: str) -> str | None:
         """Return the branch whose callers send this key."""
@@ -224,10 +225,11 @@
 
     async def stop(self) -> None:
         """Stop gracefully: leave the balancer, end or hand over what runs, leave the fleet."""
-        self._stopping = True
+        self._leaving = True
         log.info("node_stopping", node=self.settings.node)
+        await anyio.sleep(LEAVE_SPREADS_S)
+        self._stopping = True
         with anyio.move_on_after(self.settings.stop_grace_s):
-            await anyio.sleep(LEAVE_SPREADS_S)
             await self._drain()
         await self._membership.leave()
         log.info("node_stopped", node=self.settings.node)
--- a/src/bramleylead/process/_owner.py
+++ b/src/bramleylead/process/_owner.py
@@ -189,6 +189,11 @@
             detail = f"program {program.program} has no call {request.number}"
             yield Failure(ErrorKind.OUT_OF_ORDER, detail)
             return
+        length = len(program.calls[request.number].answer)
+        if request.offset > length:
+            detail = f"offset {request.offset}: the answer has {length} characters"
+            yield Failure(ErrorKind.MALFORMED, detail)
+            return
         async for item in self._recorded(log, program, request.number, request.offset):
             yield item
 
--- a/src/bramleylead/trials/_judge.py
+++ b/src/bramleylead/trials/_judge.py
@@ -106,9 +106,9 @@
 def _judge_memory(fleet: Fleet) -> None:
     """Every program has ended by now, so every cache must be empty."""
     for address, engine in sorted(fleet.endpoints.engines.items()):
-        held = engine.cache.contents()
+        held = sorted({event.program for event in engine.cache.contents().events})
         if held:
-            names = ", ".join(sorted(held)[:3])
+            names = ", ".join(held[:3])
             detail = f"{address} holds caches of {len(held)} ended programs: {names}"
             _violate(fleet, Promise.ENGINE_MEMORY, detail)
 
