--- a/src/bramleylead/process/_partition.py
+++ b/src/bramleylead/process/_partition.py
@@ -169,7 +169,7 @@
         return anyio.current_time() - self.last_confirmed_s < lease_s
 
     def take_unsent(self) -> list[Append]:
-        """Number the appends that were not sent yet and return them as messages."""
+        """Return the appends that were not sent yet as messages."""
         if self.mode is not Mode.PAIRED:
             return []
         batches: list[Append] = []
