--- a/src/bramleylead/process/_journal_copy.py
+++ b/src/bramleylead/process/_journal_copy.py
@@ -44,17 +44,22 @@
     def pack(self) -> bytes:
         """Return state and tail as the bytes of a snapshot."""
         tail = [list(entry) for entry in self.tail.entries]
-        return msgpack.packb([pack_state(self.state), self.tail.dropped, tail])
+        flushed = [self.tail.flushed, self.tail.flushed_digest, self.tail.dropped]
+        return msgpack.packb([pack_state(self.state), flushed, tail])
+
+    def fork(self) -> JournalCopy:
+        """Return an independent copy at the same place."""
+        return JournalCopy.unpack(self.pack(), sequence=self.sequence, digest=self.digest)
 
     @classmethod
-    def unpack(cls, data: bytes, *, sequence: int, digest: int, flushed: int) -> JournalCopy:
+    def unpack(cls, data: bytes, *, sequence: int, digest: int) -> JournalCopy:
         """Return the copy that :meth:`pack` packed at this place of the journal."""
-        state, dropped, tail = msgpack.unpackb(data)
+        state, (flushed, flushed_digest, dropped), tail = msgpack.unpackb(data)
         copy = cls()
         copy.state = unpack_state(state)
         copy.sequence = sequence
         copy.digest = digest
-        copy.tail = JournalTail(flushed)
+        copy.tail = JournalTail(flushed, flushed_digest)
         for entry in tail:
             copy.tail.add(TailEntry(*entry))
         if dropped:
--- a/src/bramleylead/process/_journal_tail.py
+++ b/src/bramleylead/process/_journal_tail.py
@@ -25,8 +25,9 @@
     state itself holds everything, so that a snapshot takes the place of the dropped segments.
     """
 
-    def __init__(self, flushed: int = 0) -> None:
+    def __init__(self, flushed: int = 0, flushed_digest: int = 0) -> None:
         self.flushed = flushed
+        self.flushed_digest = flushed_digest
         self.entries: deque[TailEntry] = deque()
         self.size_bytes = 0
         self.dropped = False
@@ -52,9 +53,25 @@
             return
         self.flushed = sequence
         while self.entries and self.entries[0].sequence <= sequence:
-            self.size_bytes -= len(self.entries.popleft().packed)
+            entry = self.entries.popleft()
+            self.size_bytes -= len(entry.packed)
+            self.flushed_digest = entry.digest
 
-    def mark_snapshot(self, sequence: int) -> None:
-        """Take in that a snapshot up to a sequence number is in the store."""
+    def gather_again(self) -> None:
+        """Keep entries from here on, since a snapshot of what came before is being written."""
+        self.entries.clear()
+        self.size_bytes = 0
         self.dropped = False
+
+    def mark_snapshot(self, sequence: int, digest: int) -> None:
+        """Take in that a snapshot up to a sequence number is in the store."""
         self.mark_flushed(sequence)
+        self.flushed_digest = digest
+
+    def continues(self, sequence: int) -> bool:
+        """Whether flushed and kept entries together reach to ``sequence`` without a gap."""
+        if self.dropped:
+            return False
+        if not self.entries:
+            return self.flushed == sequence
+        return self.entries[0].sequence == self.flushed + 1
--- a/src/bramleylead/process/_partition.py
+++ b/src/bramleylead/process/_partition.py
@@ -112,6 +112,7 @@
         self.in_doubt = False
         self.solo_entries = 0
         self.broken_because = ""
+        self.preferred_second = ""
         self.last_confirmed_s = NEVER_S
         self._paired_s = NEVER_S
         self._context = context
@@ -288,6 +289,10 @@
             if self.in_doubt:
                 self.break_pair("an append timed out during a handover")
 
+    def begin_close(self) -> None:
+        """Refuse every further append: the node stops, and no other is left."""
+        self.mode = Mode.MOVING
+
     async def wait_drained(self) -> bool:
         """Wait until everything sent is acknowledged; ``False`` when some of it was given up."""
         while self._queue and self._queue[0].first and self.mode is Mode.MOVING:
--- a/src/bramleylead/process/_partition_host.py
+++ b/src/bramleylead/process/_partition_host.py
@@ -17,6 +17,7 @@
 from bramleylead.connection import PeerServer
 from bramleylead.connection import Reply
 from bramleylead.platform._store import ObjectStore
+from bramleylead.process._journal_flush import JournalFlusher
 from bramleylead.process._log import PartitionLog
 from bramleylead.process._members import MemberList
 from bramleylead.process._owner_map import OwnerMap
@@ -29,6 +30,7 @@
 from bramleylead.process._partition_survey import PartitionSurvey
 from bramleylead.process._partition_table import PartitionTable
 from bramleylead.process._partition_takeover import Takeover
+from bramleylead.process._partition_upkeep import PartitionUpkeep
 from bramleylead.process._replica import ReplicaKeeper
 from bramleylead.process._settings import NodeSettings
 from bramleylead.promises import Promises
@@ -77,7 +79,13 @@
         self.keeper = ReplicaKeeper(
             self._context, server, on_silent=self._on_silent, owns=self._owned_epoch
         )
-        self.takeover = Takeover(self._context, server, self.table, self.keeper, self._repair)
+        self.takeover = Takeover(
+            self._context, server, self.table, self.keeper, self._repair, self.owner_map
+        )
+        self.flusher = JournalFlusher(self._context, self.table)
+        self.upkeep = PartitionUpkeep(
+            self._context, self.table, self.keeper, self.takeover, self.flusher
+        )
         self.survey = PartitionSurvey(
             self._context, server, self.table, self.owner_map, self._repair
         )
@@ -94,6 +102,8 @@
             self.table.watch_links,
             self.owner_map.run,
             self.survey.run,
+            self.flusher.run,
+            self.upkeep.run,
         ):
             tasks.start_soon(loop)
         self._stack.callback(tasks.cancel_scope.cancel)
@@ -119,6 +129,13 @@
         """Take in that this address is not the owner; peers and the store are asked again."""
         self.owner_map.forget(partition, address)
 
+    async def leave(self) -> None:
+        """Hand every partition over before a planned stop, and wait until no pair needs this node.
+
+        Membership must say first that this node is leaving. Bound the wait by a cancel scope.
+        """
+        await self.upkeep.leave()
+
     def _here(self, partition: int) -> OwnerIs | None:
         settings = self._context.settings
         owned = self.table.owned.get(partition)
@@ -134,7 +151,7 @@
     async def _answer_owner(self, request: AskOwner, reply: Reply) -> None:
         here = self._here(request.partition)
         epoch = self.owner_map.epoch(request.partition)
-        if here is None or (not here.serving and epoch > here.epoch):
+        if here is None or (not here.serving and epoch >= here.epoch):
             address = self.owner_map.known_address(request.partition)
             holds = here is not None
             here = OwnerIs(request.partition, epoch, "", address, False, holds)
--- a/src/bramleylead/process/_partition_link.py
+++ b/src/bramleylead/process/_partition_link.py
@@ -46,6 +46,7 @@
         self._wake = anyio.Event()
         self._beats: dict[int, float] = {}
         self._last_beat = 0
+        self._confirmed_beat = 0
         self._up = False
 
     @property
@@ -90,6 +91,8 @@
                 return
             self._attached.clear()
             self._attach_sent.clear()
+            self._beats.clear()
+            self._confirmed_beat = 0
             self._up = True
             try:
                 await self._serve(opened.ok_value)
@@ -135,7 +138,7 @@
             self._last_beat += 1
             self._beats[self._last_beat] = anyio.current_time()
             self._beats.pop(self._last_beat - KEPT_BEATS, None)
-            await call.send(Beat(self._last_beat))
+            await call.send(Beat(self._last_beat, self._confirmed_beat))
             await anyio.sleep(self._context.settings.partitions.heartbeat_s)
             self._retry_attaching()
 
@@ -174,6 +177,7 @@
         sent = self._beats.pop(item.number, None)
         if sent is None:
             return
+        self._confirmed_beat = item.number
         for number, epoch in item.refused:
             self._take_refused(number, epoch)
         for number in self._attached:
--- a/src/bramleylead/process/_partition_messages.py
+++ b/src/bramleylead/process/_partition_messages.py
@@ -70,9 +70,13 @@
 
 @message(106)
 class Beat(NamedTuple):
-    """Heartbeat of a link: one a peer, whatever the number of partitions on it."""
+    """Heartbeat of a link: one a peer, whatever the number of partitions on it.
+
+    :param confirmed: number of the last heartbeat whose confirmation arrived.
+    """
 
     number: int
+    confirmed: int
 
 
 @message(107)
@@ -96,7 +100,6 @@
     boot: str
     sequence: int
     digest: int
-    flushed: int
     state_digest: int
     chunks: int
 
--- a/src/bramleylead/process/_partition_repair.py
+++ b/src/bramleylead/process/_partition_repair.py
@@ -75,16 +75,26 @@
     def __init__(self, context: PartitionContext, table: PartitionTable) -> None:
         self._context = context
         self._table = table
+        self._running: set[int] = set()
 
-    async def run(self, partition: OwnedPartition, *, avoid: frozenset[str] = frozenset()) -> None:
-        """Repair until the partition has a pair, or another owner."""
+    async def run(self, partition: OwnedPartition) -> None:
+        """Repair until the partition has a pair, or another owner; only once at a time."""
+        if partition.number in self._running:
+            return
+        self._running.add(partition.number)
+        try:
+            await self._run(partition)
+        finally:
+            self._running.discard(partition.number)
+
+    async def _run(self, partition: OwnedPartition) -> None:
         second = partition.record.second
-        avoided = set(avoid) | ({second.node} if second is not None else set())
+        avoided = {second.node} if second is not None else set()
         pause_s = FIRST_PAUSE_S
         while partition.mode in (Mode.REPAIRING, Mode.SOLO):
             outcome = await self.attempt(partition, avoided)
             if outcome in (Outcome.PAIRED, Outcome.RESUMED):
-                return
+                continue
             if outcome is Outcome.LOST:
                 self._table.retire(partition)
                 self._context.metrics.event("lost")
@@ -113,9 +123,13 @@
             # The snapshot replaces the copy of this epoch: the old pair can't be used again.
             partition.copy_replaced = True
         requested_s = anyio.current_time()
+        sequence = partition.copy.sequence
         installed = await self._install(partition, candidate, found.record.epoch + 1)
         if partition.mode not in (Mode.REPAIRING, Mode.SOLO):
             return Outcome.RESUMED
+        if partition.copy.sequence != sequence:
+            # The pair was whole again for a while: the snapshot lacks what it acknowledged.
+            return Outcome.RESUMED
         if isinstance(installed, Err):
             avoided.add(candidate.node)
             log.info("install_failed", partition=partition.number, peer=candidate.node)
@@ -150,7 +164,8 @@
         wanted = [member for member in others if member.node not in avoided]
         if not wanted:
             avoided.clear()
-        return second_copy(partition.number, here, wanted or others)
+        preferred = [member for member in wanted if member.node == partition.preferred_second]
+        return second_copy(partition.number, here, preferred or wanted or others)
 
     async def _commit(
         self,
@@ -217,7 +232,6 @@
             boot=self._context.boot,
             sequence=copy.sequence,
             digest=copy.digest,
-            flushed=copy.tail.flushed,
             state_digest=state_digest(pack_state(copy.state)),
             chunks=len(chunks),
         )
--- a/src/bramleylead/process/_partition_takeover.py
+++ b/src/bramleylead/process/_partition_takeover.py
@@ -21,6 +21,9 @@
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.platform._store import StoreErrorKind
+from bramleylead.process._entries import GrantForfeited
+from bramleylead.process._owner_map import OwnerMap
+from bramleylead.process._partition import SOLO_MARGIN_S
 from bramleylead.process._partition import Mode
 from bramleylead.process._partition import OwnedPartition
 from bramleylead.process._partition_context import PartitionContext
@@ -35,11 +38,13 @@
 from bramleylead.process._partition_table import PartitionTable
 from bramleylead.process._replica import Replica
 from bramleylead.process._replica import ReplicaKeeper
+from bramleylead.process._state_codec import pack_entry
 
 RETRY_S = 0.5
 HANDOVER_TIMEOUT_S = 1.0
 HANDOVER_ATTEMPTS = 3
 STORE_PROBE_S = 0.5
+SOLO_CLOCK_MARGIN_S = 0.2
 
 log = structlog.get_logger()
 
@@ -55,11 +60,13 @@
         table: PartitionTable,
         keeper: ReplicaKeeper,
         repair: PairRepair,
+        owner_map: OwnerMap,
     ) -> None:
         self._context = context
         self._table = table
         self._keeper = keeper
         self._repair = repair
+        self._owner_map = owner_map
         server.handle(HandedOver, self._take_handover)
 
     def on_silent(self, replica: Replica) -> None:
@@ -76,9 +83,10 @@
             self._keeper.drop(replica)
             self._context.metrics.event("copy_dropped")
             return
-        partition = self._table.create(replica.number, stored, replica.copy)
+        partition = self._table.create(replica.number, stored, replica.copy.fork())
         if await self._form_pair(partition, replica):
             self._keeper.drop(replica)
+            self._owner_map.learn_record(replica.number, partition.record)
             self._context.metrics.event("takeover")
             log.info("partition_taken_over", partition=replica.number, epoch=partition.epoch)
             self._table.serve(partition)
@@ -126,10 +134,16 @@
 
     async def _form_pair(self, partition: OwnedPartition, replica: Replica) -> bool:
         avoided = {replica.owner}
+        forfeited = False
         while True:
+            if self._owner_may_be_solo(replica) and not forfeited:
+                forfeit_grants(partition)
+                forfeited = True
             outcome = await self._repair.attempt(partition, avoided)
             if outcome in (Outcome.PAIRED, Outcome.ALONE):
-                return True
+                if forfeited or not self._owner_may_be_solo(replica):
+                    return True
+                partition.mode = Mode.REPAIRING
             if outcome is Outcome.LOST:
                 self._keeper.drop(replica)
                 self._table.retire(partition)
@@ -140,6 +154,12 @@
                 return False
             await anyio.sleep(RETRY_S / 10)
 
+    def _owner_may_be_solo(self, replica: Replica) -> bool:
+        """Whether the former owner may have served alone and spent grants meanwhile."""
+        settings = self._context.settings.partitions
+        safe_s = settings.takeover_after_s + SOLO_MARGIN_S - SOLO_CLOCK_MARGIN_S
+        return anyio.current_time() - replica.sure_s > safe_s
+
     async def _after_failed_move(
         self, partition: OwnedPartition, record: PartitionRecord, kind: StoreErrorKind
     ) -> bool:
@@ -152,13 +172,16 @@
 
     def _become_second(self, partition: OwnedPartition, stored: StoredRecord) -> None:
         record = stored.record
+        now = anyio.current_time()
+        self._owner_map.learn_record(partition.number, record)
         replica = Replica(
             partition.number,
             record.epoch,
             record.owner.node,
             record.owner.boot,
             partition.copy,
-            anyio.current_time(),
+            now,
+            now,
         )
         self._keeper.keep(replica)
         self._table.retire(partition)
@@ -205,6 +228,14 @@
             partition.break_pair("the second copy is leaving")
 
 
+def forfeit_grants(partition: OwnedPartition) -> None:
+    """Count what is free of each grant as spent: a former owner may have spent it alone."""
+    copy = partition.copy
+    for budget, grant in sorted(copy.state.grants.items()):
+        entry = GrantForfeited(budget, grant.granted, grant.returned, grant.incarnation)
+        copy.apply(entry, pack_entry(entry))
+
+
 def _entitles(record: PartitionRecord, replica: Replica, node: str) -> bool:
     """Whether the partition object lets this copy become the owner.
 
--- a/src/bramleylead/process/_recovery.py
+++ b/src/bramleylead/process/_recovery.py
@@ -70,7 +70,7 @@
     for name in sorted(blobs):
         if name.kind == SEGMENT and name.last > copy.sequence:
             _continue(copy, name, Segment.unpack(blobs[name]))
-    copy.tail = JournalTail(copy.sequence)
+    copy.tail = JournalTail(copy.sequence, copy.digest)
     return copy
 
 
--- a/src/bramleylead/process/_replica.py
+++ b/src/bramleylead/process/_replica.py
@@ -45,6 +45,7 @@
     :param owner: name and ``boot`` of the process that owns the partition at this epoch.
     :param sealed: whether the epoch's entries are refused because a takeover is under way.
     :param heard_s: when the owner last vouched for it, on this node's clock.
+    :param sure_s: a time before which the owner certainly took this pair for whole.
     :param link: the stream that it is attached to; older streams are refused.
     """
 
@@ -54,10 +55,37 @@
     boot: str
     copy: JournalCopy
     heard_s: float
+    sure_s: float
     sealed: bool = False
     link: Reply | None = None
 
 
+class _LinkView:
+    """One stream from an owner: what is attached to it, and what its heartbeats prove.
+
+    A heartbeat that confirms an earlier one was sent after this node had answered that one. Once
+    the owner confirms the later heartbeat too, it has counted the pair as whole since then.
+    """
+
+    def __init__(self, request: LinkOpened, reply: Reply) -> None:
+        self.request = request
+        self.reply = reply
+        self.attached: dict[int, Replica] = {}
+        self._answered_s: dict[int, float] = {}
+        self._sent_after_s: dict[int, float] = {}
+
+    def take_beat(self, beat: Beat, now: float) -> float:
+        """Return a time before which the owner certainly took the pair for whole."""
+        never_s = float("-inf")
+        self._answered_s[beat.number] = now
+        self._sent_after_s[beat.number] = self._answered_s.get(beat.confirmed, never_s)
+        proven = self._sent_after_s.get(beat.confirmed, never_s)
+        for old in [number for number in self._answered_s if number < beat.confirmed]:
+            del self._answered_s[old]
+            del self._sent_after_s[old]
+        return proven
+
+
 @final
 class ReplicaKeeper:
     """All second copies on this node.
@@ -78,6 +106,7 @@
         self._context = context
         self._on_silent = on_silent
         self._owns = owns
+        self._dropped = anyio.Event()
         server.handle(LinkOpened, self._serve_link)
         server.handle(Install, self._install)
         server.handle(Release, self._release)
@@ -90,6 +119,13 @@
         """Give up a second copy."""
         if self.replicas.get(replica.number) is replica:
             del self.replicas[replica.number]
+            self._dropped.set()
+            self._dropped = anyio.Event()
+
+    async def wait_empty(self) -> None:
+        """Wait until this node keeps no second copy."""
+        while self.replicas:
+            await self._dropped.wait()
 
     async def watch_owners(self) -> None:
         """Find owners that fell silent, until cancelled.
@@ -113,36 +149,32 @@
             replica.heard_s = now
 
     async def _serve_link(self, request: LinkOpened, reply: Reply) -> None:
-        attached: dict[int, Replica] = {}
+        view = _LinkView(request, reply)
         async for item in reply:
-            answer = self._answer(item, request, reply, attached)
+            answer = self._answer(item, view)
             if answer is not None:
                 await reply.send(answer)
 
-    def _answer(
-        self, item: Any, request: LinkOpened, reply: Reply, attached: dict[int, Replica]
-    ) -> tuple[Any, ...] | None:
+    def _answer(self, item: Any, view: _LinkView) -> tuple[Any, ...] | None:
         match item:
             case Append():
-                return self._append(item, reply)
+                return self._append(item, view.reply)
             case Beat():
-                return self._beat(item, reply, attached)
+                return self._beat(item, view)
             case Attach():
-                return self._attach(item, request, reply, attached)
-        log.warning("unexpected_message", message=type(item).__name__, peer=reply.peer)
+                return self._attach(item, view)
+        log.warning("unexpected_message", message=type(item).__name__, peer=view.reply.peer)
         return None
 
-    def _attach(
-        self, item: Attach, request: LinkOpened, reply: Reply, attached: dict[int, Replica]
-    ) -> Attached | Refused:
+    def _attach(self, item: Attach, view: _LinkView) -> Attached | Refused:
         replica = self.replicas.get(item.partition)
         if replica is None or replica.sealed or replica.epoch != item.epoch:
             return Refused(item.partition, item.epoch)
-        if (replica.owner, replica.boot) != (request.node, request.boot):
+        if (replica.owner, replica.boot) != (view.request.node, view.request.boot):
             return Refused(item.partition, item.epoch)
-        replica.link = reply
-        replica.heard_s = anyio.current_time()
-        attached[item.partition] = replica
+        replica.link = view.reply
+        replica.heard_s = replica.sure_s = anyio.current_time()
+        view.attached[item.partition] = replica
         return Attached(item.partition, item.epoch, replica.copy.sequence, replica.copy.digest)
 
     def _append(self, item: Append, reply: Reply) -> Acked | Refused:
@@ -160,14 +192,17 @@
         replica.heard_s = anyio.current_time()
         return Acked(item.partition, item.epoch, copy.sequence, copy.digest, item.mark)
 
-    def _beat(self, item: Beat, reply: Reply, attached: dict[int, Replica]) -> BeatAck:
+    def _beat(self, item: Beat, view: _LinkView) -> BeatAck:
         now = anyio.current_time()
+        sure_s = view.take_beat(item, now)
         refused: list[tuple[int, int]] = []
-        for number, replica in list(attached.items()):
-            if self.replicas.get(number) is replica and _vouches(replica, replica.epoch, reply):
+        for number, replica in list(view.attached.items()):
+            known = self.replicas.get(number) is replica
+            if known and _vouches(replica, replica.epoch, view.reply):
                 replica.heard_s = now
+                replica.sure_s = max(replica.sure_s, sure_s)
                 continue
-            del attached[number]
+            del view.attached[number]
             refused.append((number, replica.epoch))
         return BeatAck(item.number, tuple(refused))
 
@@ -177,22 +212,27 @@
             chunk: SnapshotChunk = await reply.receive()
             data += chunk.data
         present = self.replicas.get(request.partition)
+        if present is not None and _is_prepared(present, request):
+            if present.copy.sequence == request.sequence and present.copy.digest == request.digest:
+                await reply.send(Installed(request.partition, request.epoch, self._context.boot))
+                return
+            if present.copy.sequence < request.sequence:
+                self.drop(present)
+                present = None
         known = max(self._owns(request.partition), 0 if present is None else present.epoch)
         if known >= request.epoch or (present is not None and present.sealed):
             detail = f"partition {request.partition}: epoch {known} is known here"
             await reply.fail(Failure(ErrorKind.OWNER_UNAVAILABLE, detail))
             return
-        copy = JournalCopy.unpack(
-            bytes(data),
-            sequence=request.sequence,
-            digest=request.digest,
-            flushed=request.flushed,
-        )
+        copy = JournalCopy.unpack(bytes(data), sequence=request.sequence, digest=request.digest)
         equal = state_digest(pack_state(copy.state)) == request.state_digest
         detail = f"partition {request.partition}: snapshot differs from its digest"
         self._context.promises.require(Promise.HISTORY, equal, detail)
         now = anyio.current_time()
-        self.keep(Replica(request.partition, request.epoch, request.owner, request.boot, copy, now))
+        replica = Replica(
+            request.partition, request.epoch, request.owner, request.boot, copy, now, now
+        )
+        self.keep(replica)
         await reply.send(Installed(request.partition, request.epoch, self._context.boot))
 
     async def _release(self, request: Release, reply: Reply) -> None:
@@ -201,5 +241,15 @@
             self.drop(replica)
 
 
+def _is_prepared(replica: Replica, request: Install) -> bool:
+    """Whether a copy was installed for this epoch before, and never used."""
+    same = (replica.epoch, replica.owner, replica.boot) == (
+        request.epoch,
+        request.owner,
+        request.boot,
+    )
+    return same and replica.link is None and not replica.sealed
+
+
 def _vouches(replica: Replica, epoch: int, link: Reply) -> bool:
     return replica.epoch == epoch and not replica.sealed and replica.link is link
--- /dev/null
+++ b/testing/process/test_journal_recovery.py
@@ -0,0 +1,121 @@
+"""Flushes to the store, and recovery after both copies are lost."""
+
+from __future__ import annotations
+
+import unittest
+
+import anyio
+from result import Ok
+
+from bramleylead.process._entries import ProgramForgotten
+from bramleylead.process._members import MemberState
+from bramleylead.process._partition import OwnedPartition
+from testing.process._partition_fleet import PartitionFleet
+from testing.process._partition_fleet import opened
+from testing.process._partition_fleet import run_fleet
+
+
+async def _kill_pair(fleet: PartitionFleet, number: int) -> None:
+    owner = fleet.owner(number)
+    second = owner.partitions.log(number).record.second.node
+    fleet.kill(owner.name)
+    fleet.kill(second)
+
+
+class PairLossTest(unittest.TestCase):
+    def test_what_was_flushed_survives_the_pair_and_callers_are_told(self) -> None:
+        async def body(fleet: PartitionFleet) -> None:
+            await fleet.append(0, opened("flushed"))
+            await anyio.sleep(7)
+            await fleet.append(0, opened("not flushed"))
+            await _kill_pair(fleet, 0)
+            await fleet.wait_until(lambda: len(fleet.owners(0)) == 1, within_s=20)
+            state = fleet.owner(0).partitions.log(0).state
+            self.assertEqual(list(state.programs), ["flushed"])
+            self.assertEqual(state.incarnation, 2)
+            self.assertEqual(state.programs["flushed"].incarnation, 2)
+            self.assertEqual(await fleet.append(0, opened("after")), Ok(True))
+
+        run_fleet(body, nodes=6)
+
+    def test_a_second_loss_of_the_pair_recovers_the_recovered(self) -> None:
+        async def body(fleet: PartitionFleet) -> None:
+            await fleet.append(0, opened("first"))
+            await anyio.sleep(7)
+            await _kill_pair(fleet, 0)
+            await fleet.wait_owned(20)
+            await fleet.append(0, opened("second"))
+            await anyio.sleep(7)
+            await _kill_pair(fleet, 0)
+            await fleet.wait_owned(20)
+            state = fleet.owner(0).partitions.log(0).state
+            self.assertEqual(sorted(state.programs), ["first", "second"])
+            self.assertEqual(state.incarnation, 3)
+
+        run_fleet(body, nodes=6)
+
+    def test_a_pair_cut_off_together_stops_serving_once_it_is_back(self) -> None:
+        async def body(fleet: PartitionFleet) -> None:
+            await fleet.append(0, opened("p1"))
+            await anyio.sleep(7)
+            owner = fleet.owner(0)
+            log: OwnedPartition = owner.partitions.log(0)
+            pair = [owner.name, log.record.second.node]
+            rest = [name for name in fleet.names if name not in pair]
+            for name in pair:
+                fleet.cut(name, *rest)
+                fleet.nodes[name].store.out = True
+                fleet.set_state(name, MemberState.DEAD)
+            await fleet.wait_until(lambda: len(fleet.owners(0)) == 2, within_s=20)
+            for name in pair:
+                fleet.heal(name, *rest)
+                fleet.nodes[name].store.out = False
+                fleet.set_state(name, MemberState.ALIVE)
+            await fleet.wait_until(lambda: len(fleet.owners(0)) == 1, within_s=20)
+            self.assertIn(fleet.owner(0).name, rest)
+            self.assertEqual(fleet.owner(0).partitions.log(0).state.incarnation, 2)
+
+        run_fleet(body, nodes=6)
+
+
+class TruncationTest(unittest.TestCase):
+    def test_recovery_reads_no_more_for_an_old_journal(self) -> None:
+        async def objects_after(fleet: PartitionFleet, hours: float) -> tuple[int, int]:
+            end = anyio.current_time() + hours * 3600
+            at = 0
+            while anyio.current_time() < end:
+                at += 1
+                await fleet.append(0, opened(f"p{at}" + "x" * 20_000))
+                if at > 5:
+                    await fleet.append(0, ProgramForgotten(f"p{at - 5}" + "x" * 20_000))
+                await anyio.sleep(5)
+            found = [
+                item for item in fleet.store._objects.values() if item.key.startswith("journal/")
+            ]
+            return len(found), sum(len(item.value) for item in found)
+
+        async def body(fleet: PartitionFleet) -> None:
+            young = await objects_after(fleet, 0.2)
+            old = await objects_after(fleet, 2)
+            self.assertLess(young[1], 2_500_000)
+            self.assertLess(old[1], 2_500_000)
+            self.assertLess(old[0], 100)
+
+        run_fleet(body)
+
+    def test_history_larger_than_an_object_is_cut_and_joined(self) -> None:
+        async def body(fleet: PartitionFleet) -> None:
+            names = [f"p{at}" + "x" * 400_000 for at in range(8)]
+            for name in names:
+                await fleet.append(0, opened(name))
+            await anyio.sleep(30)
+            await _kill_pair(fleet, 0)
+            await fleet.wait_owned(30)
+            state = fleet.owner(0).partitions.log(0).state
+            self.assertEqual(sorted(state.programs), sorted(names))
+
+        run_fleet(body, nodes=6)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/testing/process/test_partition_moves.py
@@ -0,0 +1,135 @@
+"""Planned handovers, rebalancing, and a node's planned stop."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+import anyio
+from result import Ok
+
+from bramleylead.process._members import MemberState
+from testing.process._partition_fleet import PartitionFleet
+from testing.process._partition_fleet import opened
+from testing.process._partition_fleet import run_fleet
+
+CALLERS = 4
+
+
+async def _append_steadily(fleet: PartitionFleet, number: int, seen: dict[str, Any]) -> None:
+    """Append every 5 ms at whoever serves, and note the longest time without success."""
+    last_ok = anyio.current_time()
+    at = 0
+    while True:
+        logs = [
+            node.partitions.log(number)
+            for node in fleet.nodes.values()
+            if node.partitions.log(number) is not None
+        ]
+        for log in logs:
+            at += 1
+            outcome = await log.append(opened(f"c{number}-{at}"))
+            if outcome == Ok(True):
+                seen["acked"].append(f"c{number}-{at}")
+                seen["stall"] = max(seen["stall"], anyio.current_time() - last_ok)
+                last_ok = anyio.current_time()
+        await anyio.sleep(0.005)
+
+
+class LeaveTest(unittest.TestCase):
+    def test_a_node_that_stops_hands_over_without_a_stall_and_without_loss(self) -> None:
+        async def body(fleet: PartitionFleet) -> dict[str, Any]:
+            seen: dict[str, Any] = {"acked": [], "stall": 0.0}
+            async with anyio.create_task_group() as tasks:
+                for number in range(12):
+                    tasks.start_soon(_append_steadily, fleet, number, seen)
+                await anyio.sleep(1)
+                for name in ("n1", "n2"):
+                    fleet.set_state(name, MemberState.LEAVING)
+                    with anyio.fail_after(10):
+                        await fleet.nodes[name].partitions.leave()
+                    fleet.kill(name)
+                await anyio.sleep(1)
+                tasks.cancel_scope.cancel()
+            kept: set[str] = set()
+            for number in range(12):
+                kept |= set(fleet.owner(number).partitions.log(number).state.programs)
+            self.assertLessEqual(set(seen["acked"]), kept)
+            return seen
+
+        seen = run_fleet(body, nodes=6, partitions=12)
+        self.assertGreater(len(seen["acked"]), 1000)
+        self.assertLessEqual(seen["stall"], 0.1)
+
+    def test_a_fleet_that_stops_whole_loses_nothing_and_keeps_its_incarnation(self) -> None:
+        async def body(fleet: PartitionFleet) -> None:
+            for number in range(4):
+                self.assertEqual(await fleet.append(number, opened(f"p{number}")), Ok(True))
+            names = sorted(fleet.nodes)
+            for name in names:
+                fleet.set_state(name, MemberState.LEAVING)
+            async with anyio.create_task_group() as tasks:
+                for name in names:
+                    tasks.start_soon(fleet.nodes[name].partitions.leave)
+            for name in names:
+                fleet.kill(name)
+            for name in names:
+                await fleet.start(name)
+            await fleet.wait_owned(60)
+            for number in range(4):
+                state = fleet.owner(number).partitions.log(number).state
+                self.assertEqual(list(state.programs), [f"p{number}"])
+                self.assertEqual(state.incarnation, 1)
+
+        run_fleet(body, partitions=4)
+
+
+class RebalanceTest(unittest.TestCase):
+    def test_a_node_that_joins_gets_its_share_at_a_limited_rate(self) -> None:
+        async def body(fleet: PartitionFleet) -> None:
+            name = "n6"
+            fleet.kill(name)
+            await fleet.wait_owned(30)
+            await fleet.start(name)
+            joined = anyio.current_time()
+            seen: dict[str, Any] = {"acked": [], "stall": 0.0}
+            async with anyio.create_task_group() as tasks:
+                for number in range(24):
+                    tasks.start_soon(_append_steadily, fleet, number, seen)
+                await fleet.wait_until(
+                    lambda: len(fleet.nodes[name].partitions.table.owned) >= 2, within_s=60
+                )
+                self.assertGreater(anyio.current_time() - joined, 3)
+                await anyio.sleep(30)
+                tasks.cancel_scope.cancel()
+            owned = [len(node.partitions.table.owned) for node in fleet.nodes.values()]
+            self.assertEqual(sum(owned), 24)
+            self.assertLessEqual(seen["stall"], 0.1)
+
+        run_fleet(body, nodes=6, partitions=24)
+
+
+class LookupTest(unittest.TestCase):
+    def test_every_node_finds_a_new_owner_by_asking_peers_not_the_store(self) -> None:
+        async def body(fleet: PartitionFleet) -> None:
+            old = fleet.owner(0)
+            second = old.partitions.log(0).record.second.node
+            fleet.kill(old.name)
+            await fleet.wait_until(lambda: fleet.owners(0) == [second], within_s=5)
+            reads = fleet.store.reads
+            address = fleet.address_of(second)
+            for node in fleet.nodes.values():
+                node.partitions.forget_owner(0, fleet.address_of(old.name))
+            await fleet.wait_until(
+                lambda: all(
+                    node.partitions.owner_address(0) == address for node in fleet.nodes.values()
+                ),
+                within_s=2,
+            )
+            self.assertLessEqual(fleet.store.reads - reads, 2)
+
+        run_fleet(body, nodes=6)
+
+
+if __name__ == "__main__":
+    unittest.main()
