--- a/src/bramleylead/process/_journal_copy.py
+++ b/src/bramleylead/process/_journal_copy.py
@@ -47,10 +47,6 @@
         flushed = [self.tail.flushed, self.tail.flushed_digest, self.tail.dropped]
         return msgpack.packb([pack_state(self.state), flushed, tail])
 
-    def fork(self) -> JournalCopy:
-        """Return an independent copy at the same place."""
-        return JournalCopy.unpack(self.pack(), sequence=self.sequence, digest=self.digest)
-
     @classmethod
     def unpack(cls, data: bytes, *, sequence: int, digest: int) -> JournalCopy:
         """Return the copy that :meth:`pack` packed at this place of the journal."""
--- a/src/bramleylead/process/_owner_map.py
+++ b/src/bramleylead/process/_owner_map.py
@@ -16,6 +16,7 @@
 
 from bramleylead.process._partition_context import PartitionContext
 from bramleylead.process._partition_messages import AskOwner
+from bramleylead.process._partition_messages import Assign
 from bramleylead.process._partition_messages import OwnerIs
 from bramleylead.process._partition_record import PartitionRecord
 from bramleylead.process._partition_record import read_record
@@ -25,6 +26,7 @@
 ASK_PAUSE_S = 0.1
 STORE_READS_PER_S = 2.0
 PEERS_ASKED = 2
+UNSERVED_AFTER_S = 10.0
 
 
 class KnownOwner(NamedTuple):
@@ -44,15 +46,16 @@
 
     def __init__(self, context: PartitionContext, *, here: Callable[[int], OwnerIs | None]) -> None:
         self._context = context
-        self._here = here
+        self.here = here
         self._known: dict[int, KnownOwner] = {}
         self._wrong: dict[int, set[str]] = {}
+        self._wrong_since_s: dict[int, float] = {}
         self._wake = anyio.Event()
         self._next_read_s = 0.0
 
     def address(self, partition: int) -> str | None:
         """Return the owner's address, or ``None`` while it is being looked up."""
-        own = self._here(partition)
+        own = self.here(partition)
         if own is not None and own.serving:
             return own.address
         known = self._known.get(partition)
@@ -99,6 +102,7 @@
             self._wake = anyio.Event()
             for partition in sorted(self._wrong):
                 await self._ask(partition)
+                await self._report_unserved(partition)
             await anyio.sleep(ASK_PAUSE_S)
             if self._wrong:
                 self._wake.set()
@@ -133,6 +137,21 @@
         elif answer.address and answer.epoch > self.epoch(answer.partition):
             self.learn(answer.partition, answer.epoch, answer.address)
 
+    async def _report_unserved(self, partition: int) -> None:
+        """Ask the node that should own a partition to look, when nobody serves it for long."""
+        now = anyio.current_time()
+        if partition not in self._wrong:
+            self._wrong_since_s.pop(partition, None)
+            return
+        since = self._wrong_since_s.setdefault(partition, now)
+        if now - since < UNSERVED_AFTER_S:
+            return
+        self._wrong_since_s[partition] = now
+        for member in owners(partition, self._context.members.alive())[:1]:
+            await self._context.client.request(
+                member.address, Assign((partition,)), timeout_s=ASK_TIMEOUT_S
+            )
+
     async def _read(self, partition: int) -> None:
         now = anyio.current_time()
         if now < self._next_read_s:
@@ -142,5 +161,5 @@
         if not isinstance(read, Ok) or read.ok_value is None:
             return
         self.learn_record(partition, read.ok_value.record)
-        # The store's word stands until a caller finds the address wrong again.
-        self._wrong.pop(partition, None)
+        if read.ok_value.record.owner.address not in self._wrong.get(partition, ()):
+            self._wrong.pop(partition, None)
--- a/src/bramleylead/process/_partition.py
+++ b/src/bramleylead/process/_partition.py
@@ -19,7 +19,6 @@
 from bramleylead.process._entries import CallIntended
 from bramleylead.process._entries import Entry
 from bramleylead.process._entries import GrantAdded
-from bramleylead.process._entries import GrantForfeited
 from bramleylead.process._entries import GrantReturning
 from bramleylead.process._entries import RolledBack
 from bramleylead.process._journal_copy import JournalCopy
@@ -408,6 +407,6 @@
     match entry:
         case CallIntended():
             return entry.repeatable
-        case GrantAdded() | GrantReturning() | GrantForfeited() | RolledBack():
+        case GrantAdded() | GrantReturning() | RolledBack():
             return False
     return True
--- a/src/bramleylead/process/_partition_link.py
+++ b/src/bramleylead/process/_partition_link.py
@@ -18,6 +18,7 @@
 from bramleylead.process._partition_messages import Attached
 from bramleylead.process._partition_messages import Beat
 from bramleylead.process._partition_messages import BeatAck
+from bramleylead.process._partition_messages import Detach
 from bramleylead.process._partition_messages import LinkOpened
 from bramleylead.process._partition_messages import Refused
 
@@ -43,6 +44,7 @@
         self._attached: set[int] = set()
         self._attach_sent: dict[int, float] = {}
         self._ready: set[int] = set()
+        self._to_detach: set[int] = set()
         self._wake = anyio.Event()
         self._beats: dict[int, float] = {}
         self._last_beat = 0
@@ -70,6 +72,8 @@
         self._partitions.pop(number, None)
         self._attached.discard(number)
         self._attach_sent.pop(number, None)
+        self._to_detach.add(number)
+        self._wake.set()
 
     def wake(self, partition: OwnedPartition) -> None:
         """Take in that a partition has something to send."""
@@ -109,10 +113,13 @@
 
     async def _send_ready(self, call: PeerCall) -> None:
         self._ready.update(self._partitions)
+        self._to_detach.clear()
         while True:
+            while self._to_detach:
+                await call.send(Detach(self._to_detach.pop()))
             for number in sorted(self._ready):
                 await self._send_one(call, number)
-            if not self._ready:
+            if not self._ready and not self._to_detach:
                 await self._wake.wait()
             self._wake = anyio.Event()
 
--- a/src/bramleylead/process/_partition_messages.py
+++ b/src/bramleylead/process/_partition_messages.py
@@ -23,6 +23,13 @@
     epoch: int
 
 
+@message(116)
+class Detach(NamedTuple):
+    """The sender no longer counts on the receiver's copy: heartbeats stop vouching for it."""
+
+    partition: int
+
+
 @message(102)
 class Attached(NamedTuple):
     """The receiver has it, up to this sequence number and journal digest."""
--- a/src/bramleylead/process/_partition_survey.py
+++ b/src/bramleylead/process/_partition_survey.py
@@ -175,8 +175,7 @@
         if found is None:
             await self._claim(number)
             return
-        if not self._is_alive(found.record.owner) and not self._is_alive(found.record.second):
-            await self._recover(number, found)
+        await self._recover(number, found)
 
     async def _claim(self, number: int) -> None:
         record = PartitionRecord(owner=self._context.holder, epoch=FIRST_EPOCH, token=fresh_token())
@@ -197,16 +196,23 @@
         await self._begin(number, found, recovered.ok_value.copy)
 
     async def _still_held(self, number: int, record: PartitionRecord) -> bool:
-        """Ask both holders themselves: membership may be wrong, and a recovery can lose entries."""
+        """Ask both holders themselves, since a recovery can lose entries.
+
+        Membership may be wrong about a death; and a live holder that does not answer may hold it.
+        """
+        if self._owner_map.here(number) is not None:
+            return True
         for holder in (record.owner, record.second):
             if holder is None or holder.node == self._context.settings.node:
                 continue
             answer = await self._context.client.request(
                 holder.address, AskOwner(number), timeout_s=ASK_TIMEOUT_S
             )
-            if isinstance(answer, Err) or not isinstance(answer.ok_value, OwnerIs):
-                continue
-            if answer.ok_value.serving or answer.ok_value.holds_copy:
+            if isinstance(answer, Ok) and isinstance(answer.ok_value, OwnerIs):
+                held = answer.ok_value.serving or answer.ok_value.holds_copy
+            else:
+                held = self._is_alive(holder)
+            if held:
                 return True
         return False
 
--- a/src/bramleylead/process/_partition_table.py
+++ b/src/bramleylead/process/_partition_table.py
@@ -90,8 +90,10 @@
         self.spawn(self._tell, address, note)
 
     def spawn(self, function: Callable[..., Awaitable[Any]], *arguments: Any) -> None:
-        """Run a task beside the links."""
+        """Run a task beside the links; nothing runs any more once the node has stopped."""
         assert self._tasks is not None, "PartitionTable is used before start()"
+        if self._tasks.cancel_scope.cancel_called:
+            return
         self._tasks.start_soon(function, *arguments)
 
     async def _tell(self, address: str, note: tuple[Any, ...]) -> None:
--- a/src/bramleylead/process/_partition_takeover.py
+++ b/src/bramleylead/process/_partition_takeover.py
@@ -38,7 +38,6 @@
 from bramleylead.process._partition_table import PartitionTable
 from bramleylead.process._replica import Replica
 from bramleylead.process._replica import ReplicaKeeper
-from bramleylead.process._state_codec import pack_entry
 
 RETRY_S = 0.5
 HANDOVER_TIMEOUT_S = 1.0
@@ -83,15 +82,16 @@
             self._keeper.drop(replica)
             self._context.metrics.event("copy_dropped")
             return
-        partition = self._table.create(replica.number, stored, replica.copy.fork())
-        if await self._form_pair(partition, replica):
-            self._keeper.drop(replica)
-            self._owner_map.learn_record(replica.number, partition.record)
-            self._context.metrics.event("takeover")
-            log.info("partition_taken_over", partition=replica.number, epoch=partition.epoch)
-            self._table.serve(partition)
-            if partition.mode is not Mode.PAIRED:
-                await self._repair.run(partition)
+        partition = self._table.create(replica.number, stored, replica.copy)
+        if not await self._form_pair(partition, replica):
+            return
+        self._keeper.drop(replica)
+        self._owner_map.learn_record(replica.number, partition.record)
+        self._context.metrics.event("takeover")
+        log.info("partition_taken_over", partition=replica.number, epoch=partition.epoch)
+        if partition.mode is not Mode.PAIRED:
+            self._table.spawn(self._repair.run, partition)
+        await self._serve(partition, replica)
 
     async def hand_over(self, partition: OwnedPartition, *, leaving: bool) -> bool:
         """Make the second copy the owner and this node its second copy.
@@ -134,16 +134,10 @@
 
     async def _form_pair(self, partition: OwnedPartition, replica: Replica) -> bool:
         avoided = {replica.owner}
-        forfeited = False
         while True:
-            if self._owner_may_be_solo(replica) and not forfeited:
-                forfeit_grants(partition)
-                forfeited = True
             outcome = await self._repair.attempt(partition, avoided)
             if outcome in (Outcome.PAIRED, Outcome.ALONE):
-                if forfeited or not self._owner_may_be_solo(replica):
-                    return True
-                partition.mode = Mode.REPAIRING
+                return True
             if outcome is Outcome.LOST:
                 self._keeper.drop(replica)
                 self._table.retire(partition)
@@ -154,6 +148,16 @@
                 return False
             await anyio.sleep(RETRY_S / 10)
 
+    async def _serve(self, partition: OwnedPartition, replica: Replica) -> None:
+        """Begin to serve, after counting as spent what a former owner may have spent alone."""
+        entries = forfeited_grants(partition) if self._owner_may_be_solo(replica) else []
+        while entries and partition.mode is not Mode.LOST:
+            if isinstance(await partition.append(*entries), Ok):
+                break
+            await anyio.sleep(RETRY_S)
+        if partition.mode is not Mode.LOST:
+            self._table.serve(partition)
+
     def _owner_may_be_solo(self, replica: Replica) -> bool:
         """Whether the former owner may have served alone and spent grants meanwhile."""
         settings = self._context.settings.partitions
@@ -228,12 +232,13 @@
             partition.break_pair("the second copy is leaving")
 
 
-def forfeit_grants(partition: OwnedPartition) -> None:
-    """Count what is free of each grant as spent: a former owner may have spent it alone."""
-    copy = partition.copy
-    for budget, grant in sorted(copy.state.grants.items()):
-        entry = GrantForfeited(budget, grant.granted, grant.returned, grant.incarnation)
-        copy.apply(entry, pack_entry(entry))
+def forfeited_grants(partition: OwnedPartition) -> list[GrantForfeited]:
+    """Return entries that count as spent what is free of each grant."""
+    grants = sorted(partition.state.grants.items())
+    return [
+        GrantForfeited(budget, grant.granted, grant.returned, grant.incarnation)
+        for budget, grant in grants
+    ]
 
 
 def _entitles(record: PartitionRecord, replica: Replica, node: str) -> bool:
--- a/src/bramleylead/process/_replica.py
+++ b/src/bramleylead/process/_replica.py
@@ -22,6 +22,7 @@
 from bramleylead.process._partition_messages import Attached
 from bramleylead.process._partition_messages import Beat
 from bramleylead.process._partition_messages import BeatAck
+from bramleylead.process._partition_messages import Detach
 from bramleylead.process._partition_messages import Install
 from bramleylead.process._partition_messages import Installed
 from bramleylead.process._partition_messages import LinkOpened
@@ -163,6 +164,9 @@
                 return self._beat(item, view)
             case Attach():
                 return self._attach(item, view)
+            case Detach():
+                view.attached.pop(item.partition, None)
+                return None
         log.warning("unexpected_message", message=type(item).__name__, peer=view.reply.peer)
         return None
 
