--- a/src/bramleylead/process/_budget.py
+++ b/src/bramleylead/process/_budget.py
@@ -152,8 +152,19 @@
             reconciled = await self._reconcile(partition, budget, entry.limit)
         if isinstance(reconciled, Ok):
             self._checked[key] = entry.limit
+        elif self._covered(partition, budget, entry.limit):
+            return Ok(None)
         return reconciled
 
+    def _covered(self, partition: PartitionLog, budget: str, limit: int) -> bool:
+        """Whether the journal's own grant may be spent without asking the store.
+
+        It was granted under a limit that has not gone down since, and nothing of it was lost.
+        """
+        grant = partition.state.grant(budget)
+        whole = partition.state.incarnation == grant.incarnation
+        return whole and 0 < grant.limit <= limit and grant.free > 0
+
     async def _reconcile(
         self, partition: PartitionLog, budget: str, limit: int
     ) -> Result[None, Failure]:
@@ -161,7 +172,8 @@
         if isinstance(read, Err):
             return read
         book = read.ok_value
-        taken = await self._take_in(partition, budget, _share(book, partition.number))
+        share = _share(book, partition.number)
+        taken = await self._take_in(partition, budget, share, limit)
         if isinstance(taken, Err):
             return taken
         if book.out > limit and self._free(partition, budget) > 0:
@@ -169,7 +181,7 @@
         return await self._settle_store(partition, budget)
 
     async def _take_in(
-        self, partition: PartitionLog, budget: str, share: Share
+        self, partition: PartitionLog, budget: str, share: Share, limit: int
     ) -> Result[None, Failure]:
         """Bring the journal up to what the store says was granted."""
         grant = partition.state.grant(budget)
@@ -178,8 +190,8 @@
                 budget, share["granted"], share["returned"], partition.state.incarnation
             )
             return (await partition.append(forfeited)).map(lambda _: None)
-        if share["granted"] > grant.granted:
-            return (await partition.append(GrantAdded(budget, share["granted"]))).map(
+        if share["granted"] > grant.granted or grant.limit > limit:
+            return (await partition.append(GrantAdded(budget, share["granted"], limit))).map(
                 lambda _: None
             )
         return Ok(None)
@@ -198,7 +210,8 @@
             if isinstance(granted, Err):
                 return granted
             total = granted.ok_value[str(partition.number)]["granted"]
-            return (await partition.append(GrantAdded(budget, total))).map(lambda _: None)
+            limit = self._config().budgets[budget].limit
+            return (await partition.append(GrantAdded(budget, total, limit))).map(lambda _: None)
 
     def _with_grant(
         self, book: _Book, partition: PartitionLog, budget: str, missing: int
--- a/src/bramleylead/process/_entries.py
+++ b/src/bramleylead/process/_entries.py
@@ -100,10 +100,14 @@
 
 @message(137)
 class GrantAdded(NamedTuple):
-    """The store granted units of a budget; ``total`` is all it ever granted here."""
+    """The store granted units of a budget; ``total`` is all it ever granted here.
+
+    :param limit: the budget's limit when the store was last asked.
+    """
 
     budget: str
     total: int
+    limit: int = 0
 
 
 @message(138)
--- a/src/bramleylead/process/_state.py
+++ b/src/bramleylead/process/_state.py
@@ -104,6 +104,7 @@
     spent: int = 0
     returned: int = 0
     incarnation: int = FIRST_INCARNATION
+    limit: int = 0
 
     @property
     def free(self) -> int:
@@ -223,6 +224,7 @@
 def _add_grant(state: PartitionState, entry: GrantAdded) -> None:
     grant = state.grant(entry.budget)
     grant.granted = max(grant.granted, entry.total)
+    grant.limit = entry.limit
 
 
 def _return_grant(state: PartitionState, entry: GrantReturning) -> None:
