Confirm the owner before every send, model calls included

A former owner that was paused sent it when it woke; only calls that may not be repeated were checked. Change: every send needs the second copy's recent confirmation or, with the store's outage confirmed, solo mode. Conclusion: regression test added.

--- a/src/bramleylead/process/_run.py
+++ b/src/bramleylead/process/_run.py
@@ -195,7 +195,7 @@
     async def _send(self, slot: Slot, number: int) -> Attempt:
         call = self._call
         call.endpoint = slot.granted.endpoint
-        if not call.repeatable and not call.log.may_act():
+        if not await self._confirm_owner():
             return Attempt(Next.NOT_RUN, "the second copy did not confirm this owner in time")
         self._check_before_send(slot.granted.endpoint)
         started = anyio.current_time()
@@ -219,6 +219,21 @@
         )
         return result
 
+    async def _confirm_owner(self) -> bool:
+        """Make sure that this node is still the owner, as the last step before a send.
+
+        A former owner that was paused must send nothing: a call that may not be repeated would
+        run after its outcome was told as unknown, and a model call would run out of order. With
+        the store's outage confirmed, a call that may be repeated needs no second copy.
+        """
+        call = self._call
+        if call.log.may_act():
+            return True
+        confirmed = await call.log.append()
+        if isinstance(confirmed, Err):
+            return False
+        return call.log.may_act() or (call.repeatable and not confirmed.ok_value)
+
     def _check_before_send(self, endpoint: str) -> None:
         call, promises = self._call, self._parts.promises
         promises.require(
@@ -243,10 +258,9 @@
         if number == 0 and last.next is Next.DONE:
             self._parts.retries.succeeded()
         safe = last.next is Next.NOT_RUN or call.repeatable
-        current = call.repeatable or call.log.may_act()
         in_time = call.seconds_left > 0
         last_attempt = number + 1 >= self._parts.settings.requests.attempts
-        return safe and current and in_time and not last_attempt and self._parts.retries.allow()
+        return safe and in_time and not last_attempt and self._parts.retries.allow()
 
     async def _refused(self, failure: Failure, last: Attempt) -> AnswerEnd | Failure:
         """Answer when no slot was given; after a first attempt the journal needs an end."""
--- a/testing/process/test_owner.py
+++ b/testing/process/test_owner.py
@@ -154,6 +154,25 @@
         self.assertEqual(end.answer.ran, Ran.NOT_RUN)
         self.assertEqual(invoked, [])
 
+    def test_a_former_owner_that_was_paused_sends_no_model_call_either(self) -> None:
+        """Fault: a paused owner's late model call reached the engine after the program's next."""
+
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            log = bench.directory.only
+            append = log.append
+
+            async def refuse_barrier(*entries: Any) -> Any:
+                log.fail = not entries
+                return await append(*entries)
+
+            log.append, log.act = refuse_barrier, False
+            return await bench.call(), bench.backends.generated
+
+        end, generated = run_with_owner(body)
+        self.assertEqual(end.answer.ran, Ran.NOT_RUN)
+        self.assertEqual(generated, [])
+
     def test_a_repeatable_tool_call_is_sent_again(self) -> None:
         async def body(bench: Bench) -> Any:
             await bench.open()
