Run a node by a command

Cause: nodes ran only inside trials. Change: run_node joins store, TCP, HTTP back ends, node and HTTP listener, and handles SIGTERM, a second one, and SIGUSR1; port 0 is settled first since peers are told both addresses. Conclusion: nodes can run as processes.

--- a/src/bramleylead/process/_node.py
+++ b/src/bramleylead/process/_node.py
@@ -77,6 +77,7 @@
 
     :param wall_clock: seconds since 1970, or virtual time in a trial.
     :param rng: randomness of this process; also makes its boot id.
+    :param metrics: those of the process, if other parts of it count into them too.
     """
 
     def __init__(
@@ -88,9 +89,10 @@
         backends: BackendFactory,
         wall_clock: Callable[[], float],
         rng: random.Random,
+        metrics: Metrics | None = None,
     ) -> None:
         self.settings = settings
-        self.metrics = Metrics()
+        self.metrics = Metrics() if metrics is None else metrics
         self.promises = Promises(self.metrics.registry)
         self.peer_address = settings.peer_address
         self._network = network
--- /dev/null
+++ b/src/bramleylead/process/_run_node.py
@@ -0,0 +1,191 @@
+"""Runs one node as a process: its store, sockets, HTTP face, signals and stop."""
+
+from __future__ import annotations
+
+import json
+import random
+import signal
+import socket
+import sys
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+from typing import NamedTuple
+from typing import final
+
+import anyio
+import anyio.to_thread
+import structlog
+from anyio.abc import TaskGroup
+
+from bramleylead.backends import HttpBackends
+from bramleylead.connection import Network
+from bramleylead.connection import TcpNetwork
+from bramleylead.connection._tcp import split_address
+from bramleylead.metrics import Metrics
+from bramleylead.platform import ObjectStore
+from bramleylead.platform import open_store
+from bramleylead.process._node import Node
+from bramleylead.process._settings import NodeSettings
+from bramleylead.request import HttpApp
+from bramleylead.request import HttpServer
+
+HTTP_CLOSE_S = 5.0
+"""Time for responses that are still being sent when every call has ended."""
+
+log = structlog.get_logger()
+
+
+class ServedNode(NamedTuple):
+    """A node and the HTTP listener before it."""
+
+    node: Node
+    http: HttpServer
+
+    async def stop(self) -> None:
+        """Stop gracefully: the node drains, and the running HTTP responses end."""
+        await self.node.stop()
+        self.http.stop(grace_s=HTTP_CLOSE_S)
+
+    def kill(self) -> None:
+        """Drop the HTTP listener and every connection to callers at once."""
+        self.http.kill()
+
+
+@asynccontextmanager
+async def serve_node(
+    settings: NodeSettings,
+    *,
+    store: ObjectStore,
+    network: Network,
+    rng: random.Random,
+    metrics: Metrics,
+) -> AsyncIterator[ServedNode]:
+    """Run a node over real sockets, on the asyncio backend; leaving the context ends it at once.
+
+    :raises OSError: if an address can't be bound.
+    """
+    progress_s = settings.requests.stream_progress_s
+    async with (
+        HttpBackends(progress_s=progress_s) as backends,
+        Node(
+            settings,
+            network=network,
+            store=store,
+            backends=backends,
+            wall_clock=time.time,
+            rng=rng,
+            metrics=metrics,
+        ) as node,
+        anyio.create_task_group() as tasks,
+    ):
+        http = HttpServer(HttpApp(node, settings.requests))
+        await tasks.start(http.serve, settings.http_address)
+        try:
+            yield ServedNode(node, http)
+        finally:
+            http.kill()
+            tasks.cancel_scope.cancel()
+
+
+async def run_node(settings: NodeSettings) -> bool:
+    """Run a node until a signal ends it; returns whether it stopped gracefully.
+
+    SIGTERM and SIGINT stop it gracefully, a second one ends it at once, SIGUSR1 writes the state
+    dump to standard output as one line of JSON.
+
+    :raises OSError: if an address can't be bound.
+    :raises ValueError: if the store's location can't be used.
+    """
+    settings = with_free_ports(settings)
+    metrics = Metrics()
+    async with (
+        open_store(settings.store, registry=metrics.registry) as store,
+        serve_node(
+            settings,
+            store=store,
+            network=TcpNetwork(),
+            rng=random.SystemRandom(),
+            metrics=metrics,
+        ) as served,
+    ):
+        log.info(
+            "node_serving",
+            node=settings.node,
+            http_address=settings.http_address,
+            peer_address=settings.peer_address,
+        )
+        return await _Signals(served).run()
+
+
+def with_free_ports(settings: NodeSettings) -> NodeSettings:
+    """Put free ports in place of port 0, since peers are told both addresses."""
+    return settings.model_copy(
+        update={
+            "peer_address": free_address(settings.peer_address),
+            "http_address": free_address(settings.http_address),
+        }
+    )
+
+
+def free_address(address: str) -> str:
+    """Return the address with a free port if its port is 0, else unchanged."""
+    host, port = split_address(address)
+    if port:
+        return address
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    with socket.socket(family, socket.SOCK_STREAM) as probe:
+        probe.bind((host, 0))
+        found = probe.getsockname()[1]
+    return f"{address.rpartition(':')[0]}:{found}"
+
+
+def dump_line(state: dict[str, Any]) -> str:
+    """Return a state dump as one line."""
+    return json.dumps(state, ensure_ascii=False, separators=(",", ":")) + "\n"
+
+
+@final
+class _Signals:
+    """Does what the signals of one node's process ask for."""
+
+    def __init__(self, served: ServedNode) -> None:
+        self._served = served
+        self._stopping = False
+        self._graceful = False
+
+    async def run(self) -> bool:
+        """Handle signals until the node has stopped; returns whether it did so gracefully."""
+        wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
+        async with anyio.create_task_group() as tasks:
+            with anyio.open_signal_receiver(*wanted) as signals:
+                async for number in signals:
+                    if number is signal.SIGUSR1:
+                        tasks.start_soon(self._write_dump)
+                    else:
+                        self._end(tasks)
+        return self._graceful
+
+    def _end(self, tasks: TaskGroup) -> None:
+        if self._stopping:
+            log.warning("node_ended_at_once", node=self._served.node.settings.node)
+            tasks.cancel_scope.cancel()
+            return
+        self._stopping = True
+        tasks.start_soon(self._stop, tasks)
+
+    async def _stop(self, tasks: TaskGroup) -> None:
+        await self._served.stop()
+        self._graceful = True
+        tasks.cancel_scope.cancel()
+
+    async def _write_dump(self) -> None:
+        """Write the dump on a thread, so that a reader that is slow can't hold up the node."""
+        line = dump_line(self._served.node.dump())
+        await anyio.to_thread.run_sync(_write, line, abandon_on_cancel=True)
+
+
+def _write(line: str) -> None:
+    sys.stdout.write(line)
+    sys.stdout.flush()
