--- a/src/bramleylead/process/_run_node.py
+++ b/src/bramleylead/process/_run_node.py
@@ -18,6 +18,7 @@
 import anyio.to_thread
 import structlog
 from anyio.abc import TaskGroup
+from anyio.abc import TaskStatus
 
 from bramleylead.backends import HttpBackends
 from bramleylead.connection import Network
@@ -38,15 +39,20 @@
 
 
 class ServedNode(NamedTuple):
-    """A node and the HTTP listener before it."""
+    """A node and the HTTP listener before it.
+
+    :param closed: set when the HTTP listener and all its connections are closed.
+    """
 
     node: Node
     http: HttpServer
+    closed: anyio.Event
 
     async def stop(self) -> None:
         """Stop gracefully: the node drains, and the running HTTP responses end."""
         await self.node.stop()
         self.http.stop(grace_s=HTTP_CLOSE_S)
+        await self.closed.wait()
 
     def kill(self) -> None:
         """Drop the HTTP listener and every connection to callers at once."""
@@ -81,14 +87,28 @@
         anyio.create_task_group() as tasks,
     ):
         http = HttpServer(HttpApp(node, settings.requests))
-        await tasks.start(http.serve, settings.http_address)
+        closed = anyio.Event()
+        await tasks.start(_serve_http, http, settings.http_address, closed)
         try:
-            yield ServedNode(node, http)
+            yield ServedNode(node, http, closed)
         finally:
             http.kill()
             tasks.cancel_scope.cancel()
 
 
+async def _serve_http(
+    http: HttpServer,
+    address: str,
+    closed: anyio.Event,
+    *,
+    task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    try:
+        await http.serve(address, task_status=task_status)
+    finally:
+        closed.set()
+
+
 async def run_node(settings: NodeSettings) -> bool:
     """Run a node until a signal ends it; returns whether it stopped gracefully.
 
--- a/src/bramleylead/trials/_caller.py
+++ b/src/bramleylead/trials/_caller.py
@@ -19,7 +19,6 @@
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.errors import Ran
-from bramleylead.process._node import Node
 from bramleylead.promises import Promise
 from bramleylead.promises import Violation
 from bramleylead.request import AnswerChunk
@@ -32,8 +31,9 @@
 from bramleylead.request import ReadProgram
 from bramleylead.standins import answer_to
 from bramleylead.trials._deployments import MODEL
-from bramleylead.trials._fleet import Fleet
-from bramleylead.trials._fleet import Host
+from bramleylead.trials._target import CallerHost
+from bramleylead.trials._target import CallerNode
+from bramleylead.trials._target import TrialFleet
 
 CLIENT_DELAY_S = 0.001
 READ_TIMEOUT_S = 20.0
@@ -45,6 +45,9 @@
 MAX_OUTPUT_TOKENS = 200
 
 
+Ask = Callable[[CallerNode], Awaitable[Result[Any, Failure] | None]]
+
+
 class ProgramEnd(StrEnum):
     """How a program ended for its caller."""
 
@@ -104,7 +107,7 @@
 class Caller:
     """Runs one program through whichever nodes are ready."""
 
-    def __init__(self, fleet: Fleet, plan: Plan, rng: random.Random) -> None:
+    def __init__(self, fleet: TrialFleet, plan: Plan, rng: random.Random) -> None:
         self._fleet = fleet
         self._rng = rng
         self._incarnation = 0
@@ -187,7 +190,7 @@
         if effects and call not in self._fleet.endpoints.service_ledger.harmless:
             self._violate(Promise.NOT_RUN, f"{call} ran {effects} times: {failure}")
 
-    async def _call_once(self, host: Host, step: Step, key: str) -> AnswerEnd | Failure:
+    async def _call_once(self, host: CallerHost, step: Step, key: str) -> AnswerEnd | Failure:
         """Make one try at one node; a connection that breaks or stays silent raises."""
         node = host.node
         if node is None:
@@ -302,9 +305,7 @@
         plan = self.seen.plan
         await self._ask(lambda node: node.end_program(EndProgram(plan.branch, plan.program)))
 
-    async def _ask(
-        self, ask: Callable[[Node], Awaitable[Result[Any, Failure]]]
-    ) -> Result[Any, Failure]:
+    async def _ask(self, ask: Ask) -> Result[Any, Failure]:
         """Make a short request, at other nodes when it fails, until it has an answer."""
         give_up_at = anyio.current_time() + GIVE_UP_AFTER_S
         last = Err(Failure(ErrorKind.OWNER_UNAVAILABLE, "no node answered in time"))
@@ -320,9 +321,7 @@
             await anyio.sleep(self._wait_s(answered.err_value))
         return last
 
-    async def _ask_once(
-        self, host: Host, ask: Callable[[Node], Awaitable[Result[Any, Failure]]]
-    ) -> Result[Any, Failure] | None:
+    async def _ask_once(self, host: CallerHost, ask: Ask) -> Result[Any, Failure] | None:
         node, result = host.node, None
         if node is None:
             return None
@@ -339,7 +338,7 @@
             tasks.cancel_scope.cancel()
         return result
 
-    async def _host(self) -> Host:
+    async def _host(self) -> CallerHost:
         """Return a ready node, as the balancer picks them."""
         while True:
             ready = self._fleet.ready()
@@ -347,7 +346,7 @@
                 return self._rng.choice(ready)
             await anyio.sleep(NO_NODE_WAIT_S)
 
-    def _note_cut(self, host: Host, step: Step) -> None:
+    def _note_cut(self, host: CallerHost, step: Step) -> None:
         """Count a violation if a planned stop broke this request."""
         if host.stopping and host.broken.is_set():
             call = f"{self.seen.plan.program}/{self._number}"
--- a/src/bramleylead/trials/_judge.py
+++ b/src/bramleylead/trials/_judge.py
@@ -12,6 +12,7 @@
 from bramleylead.promises import Violation
 from bramleylead.trials._caller import Observed
 from bramleylead.trials._fleet import Fleet
+from bramleylead.trials._target import TrialFleet
 
 LEAVING_BOUND_S = 3.0
 TICKET_BOUND_S = 3.0
@@ -46,22 +47,27 @@
     """Add to the fleet's violations what the ledgers show once the faults are over."""
     await anyio.sleep(SETTLE_S)
     fleet.collect_violations()
+    judge_ledgers(fleet, seen)
+    _judge_leaving(fleet)
+    judge_memory(fleet)
+    _judge_tickets(fleet)
+
+
+def judge_ledgers(fleet: TrialFleet, seen: Sequence[Observed]) -> None:
+    """Add what the ledgers of the stand-ins show, whenever it is asked for."""
     _judge_effects(fleet)
     _judge_order(fleet)
     _judge_budgets(fleet, seen)
-    _judge_leaving(fleet)
-    _judge_memory(fleet)
-    _judge_tickets(fleet)
 
 
-def _judge_effects(fleet: Fleet) -> None:
+def _judge_effects(fleet: TrialFleet) -> None:
     ledger = fleet.endpoints.service_ledger
     for call, count in sorted(ledger.effects.items()):
         if count > 1 and call not in ledger.harmless:
             _violate(fleet, Promise.AT_MOST_ONCE, f"{call} took effect {count} times")
 
 
-def _judge_order(fleet: Fleet) -> None:
+def _judge_order(fleet: TrialFleet) -> None:
     ledger = fleet.endpoints.engine_ledger
     if ledger.out_of_order:
         detail = f"{ledger.out_of_order} model calls came after a later call of their program"
@@ -70,7 +76,7 @@
         _violate(fleet, Promise.HISTORY, f"{ledger.diverged} prompts left their conversation")
 
 
-def _judge_budgets(fleet: Fleet, seen: Sequence[Observed]) -> None:
+def _judge_budgets(fleet: TrialFleet, seen: Sequence[Observed]) -> None:
     """Add up the prices of the tools that took effect: a lower bound of what was spent."""
     ledger = fleet.endpoints.service_ledger
     ticket = fleet.deployment.ticket
@@ -103,8 +109,8 @@
         _violate(fleet, Promise.LEAVING_ENDPOINT, detail)
 
 
-def _judge_memory(fleet: Fleet) -> None:
-    """Every program has ended by now, so every cache must be empty."""
+def judge_memory(fleet: TrialFleet) -> None:
+    """Add the caches of ended programs: all have ended by now, so every cache must be empty."""
     for address, engine in sorted(fleet.endpoints.engines.items()):
         held = sorted({event.program for event in engine.cache.contents().events})
         if held:
@@ -123,5 +129,5 @@
         _violate(fleet, Promise.TICKETS, f"numbers in force differ long after: {numbers}")
 
 
-def _violate(fleet: Fleet, promise: Promise, detail: str) -> None:
+def _violate(fleet: TrialFleet, promise: Promise, detail: str) -> None:
     fleet.violations.append(Violation(promise, detail))
