--- a/src/bramleylead/process/_partition.py
+++ b/src/bramleylead/process/_partition.py
@@ -19,7 +19,6 @@
 from bramleylead.process._entries import CallIntended
 from bramleylead.process._entries import Entry
 from bramleylead.process._entries import GrantAdded
-from bramleylead.process._entries import GrantForfeited
 from bramleylead.process._entries import GrantReturning
 from bramleylead.process._entries import RolledBack
 from bramleylead.process._journal_copy import JournalCopy
@@ -112,6 +111,7 @@
         self.in_doubt = False
         self.solo_entries = 0
         self.broken_because = ""
+        self.preferred_second = ""
         self.last_confirmed_s = NEVER_S
         self._paired_s = NEVER_S
         self._context = context
@@ -169,7 +169,7 @@
         return anyio.current_time() - self.last_confirmed_s < lease_s
 
     def take_unsent(self) -> list[Append]:
-        """Number the appends that were not sent yet and return them as messages."""
+        """Return the appends that were not sent yet as messages."""
         if self.mode is not Mode.PAIRED:
             return []
         batches: list[Append] = []
@@ -288,6 +288,10 @@
             if self.in_doubt:
                 self.break_pair("an append timed out during a handover")
 
+    def begin_close(self) -> None:
+        """Refuse every further append: the node stops, and no other is left."""
+        self.mode = Mode.MOVING
+
     async def wait_drained(self) -> bool:
         """Wait until everything sent is acknowledged; ``False`` when some of it was given up."""
         while self._queue and self._queue[0].first and self.mode is Mode.MOVING:
@@ -403,6 +407,6 @@
     match entry:
         case CallIntended():
             return entry.repeatable
-        case GrantAdded() | GrantReturning() | GrantForfeited() | RolledBack():
+        case GrantAdded() | GrantReturning() | RolledBack():
             return False
     return True
