End an interrupted call before its caller is told so

Change: the owner journals the unknown end before it answers; a second end of one call changes nothing, so that the passes over interrupted calls don't pay twice; a resume of an interrupted model call asks for a retry. Conclusion: callers can go on after an unknown outcome at once.

--- a/src/bramleylead/process/_owner.py
+++ b/src/bramleylead/process/_owner.py
@@ -385,16 +385,33 @@
         self, log: PartitionLog, program: ProgramState, number: int, offset: int
     ) -> AsyncIterator[CallItem]:
         """Yield a journaled answer once the second copy has confirmed this owner."""
-        confirmed = await log.append()
+        confirmed = await self._confirm_record(log, program, number)
         if isinstance(confirmed, Err):
             yield confirmed.err_value
             return
         record = program.calls[number]
+        if record.status is CallStatus.INTENDED:
+            detail = f"call {program.program}/{number} was interrupted by a change of owner"
+            yield Failure(ErrorKind.OWNER_LOST, detail)
+            return
         yield AnswerStart(number, program.incarnation)
         if record.status is CallStatus.DONE and offset < len(record.answer):
             yield AnswerChunk(offset, record.answer[offset:], record.output_tokens)
         yield _admission.recorded_end(program, record, durable=confirmed.ok_value)
 
+    async def _confirm_record(
+        self, log: PartitionLog, program: ProgramState, number: int
+    ) -> Result[bool, Failure]:
+        """Have the second copy confirm this owner before a record is shown.
+
+        A call that may not be repeated and was interrupted gets its end first: told that its
+        outcome is unknown, the caller goes on with the next number, which must be free by then.
+        """
+        record = program.calls[number]
+        if record.status is CallStatus.INTENDED and not record.repeatable:
+            return await log.append(self._unknown_end(program, number))
+        return await log.append()
+
     def _digests(self, program: str) -> dict[int, str]:
         return {number: call.digest for number, call in self._running.get(program, {}).items()}
 
--- a/src/bramleylead/process/_state.py
+++ b/src/bramleylead/process/_state.py
@@ -166,6 +166,8 @@
 def _finish(state: PartitionState, entry: CallFinished) -> None:
     program = state.programs[entry.program]
     record = program.calls[entry.number]
+    if record.status is not CallStatus.INTENDED:
+        return  # two passes over interrupted calls may both end one: it must be paid once
     _settle(state, record, spent=entry.spent)
     record.status = CallStatus(entry.status)
     record.answer = entry.answer
--- a/testing/process/test_owner.py
+++ b/testing/process/test_owner.py
@@ -212,6 +212,57 @@
         self.assertEqual(status, CallStatus.UNKNOWN)
 
 
+class InterruptedTest(unittest.TestCase):
+    """Calls that a takeover found under way, asked for before the pass over them has come by."""
+
+    async def _interrupt(self, bench: Bench) -> Any:
+        await bench.open()
+        bench.backends.service_script = [30.0]
+        with anyio.move_on_after(1):
+            await bench.tool("issue", number=1)
+        bench.owner._running.clear()
+        return bench.directory.only
+
+    def test_a_retry_ends_the_call_so_that_the_next_number_is_free(self) -> None:
+        """Fault: the caller was told "unknown", went on, and was refused as a mismatch."""
+
+        async def body(bench: Bench) -> Any:
+            await self._interrupt(bench)
+            retried = await bench.tool("issue", number=1)
+            view = await bench.owner.read(ReadProgram("school", "p1", history=False))
+            number = view.ok_value.next_number
+            return retried, number, await bench.tool("look_up", number=number)
+
+        retried, number, following = run_with_owner(body)
+        self.assertEqual((retried.kind, number), (ErrorKind.OUTCOME_UNKNOWN, 2))
+        self.assertIsInstance(following, AnswerEnd)
+
+    def test_an_end_from_the_retry_and_one_from_the_pass_are_paid_once(self) -> None:
+        async def body(bench: Bench) -> Any:
+            log = await self._interrupt(bench)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(bench.owner.settle_interrupted, log)
+                await bench.tool("issue", number=1)
+            return log.state.grants["fees"]
+
+        grant = run_with_owner(body)
+        self.assertEqual((grant.reserved, grant.spent), (0, 10))
+
+    def test_resuming_an_interrupted_model_call_asks_for_a_retry(self) -> None:
+        """Fault: it was answered as if it could never run again."""
+
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            bench.backends.engine_script = [[EngineChunk("Hel", 1, 0, 7), 1000.0]]
+            with anyio.move_on_after(1):
+                await bench.call(number=1)
+            bench.owner._running.clear()
+            request = ResumeCall("school", "p1", 1, 0, 5.0)
+            return [item async for item in bench.owner.resume(request)][-1]
+
+        self.assertEqual(run_with_owner(body).kind, ErrorKind.OWNER_LOST)
+
+
 class EngineFailureTest(unittest.TestCase):
     def test_a_broken_stream_goes_on_at_another_engine_without_a_seam(self) -> None:
         async def body(bench: Bench) -> Any:
