Hand partitions over before a node stops

Cause: a graceful stop waited for calls while the node went on taking them as owner, up to 5 s in the demo, and then left its partitions to be taken over as after a crash. Change: a stopping node tells its peers, hands each partition over at a moment without calls in it, refuses new calls after 2 s of waiting for such moments, and drains; the demo's callers count requests that a planned stop cuts off.

--- a/src/bramleylead/process/_node.py
+++ b/src/bramleylead/process/_node.py
@@ -65,6 +65,8 @@
 SETTLE_RETRY_S = 1.0
 RETURN_INTERVAL_S = 10.0
 DRAIN_CHECK_S = 0.05
+IDLE_WAIT_S = 2.0
+"""How long a stop waits for a moment without calls in each partition before it refuses new ones."""
 LEAVE_SPREADS_S = 0.5
 """Time in which the balancer and the peers learn that the node leaves, before it hands over."""
 
@@ -226,15 +228,24 @@
         return [decision._asdict() for decision in self._scheduler.explain(call)]
 
     async def stop(self) -> None:
-        """Stop gracefully: leave the balancer, end or hand over what runs, leave the fleet."""
+        """Stop gracefully: leave the balancer, hand over what is owned, let end what runs."""
         self._leaving = True
         log.info("node_stopping", node=self.settings.node)
         await anyio.sleep(LEAVE_SPREADS_S)
         self._stopping = True
-        with anyio.move_on_after(self.settings.stop_grace_s):
-            await self._drain()
         await self._membership.leave()
-        log.info("node_stopped", node=self.settings.node)
+        with anyio.move_on_after(self.settings.stop_grace_s) as grace:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._close_owner)
+                await self._partitions.leave(self._owner.is_idle)
+                tasks.cancel_scope.cancel()
+            await self._drain()
+        log.info("node_stopped", node=self.settings.node, in_time=not grace.cancelled_caught)
+
+    async def _close_owner(self) -> None:
+        """Start no call here once the partitions that were idle now and then have gone."""
+        await anyio.sleep(IDLE_WAIT_S)
+        self._owner.begin_close()
 
     async def _drain(self) -> None:
         """Wait until no caller's connection and no call is left here."""
--- a/src/bramleylead/process/_owner.py
+++ b/src/bramleylead/process/_owner.py
@@ -68,6 +68,7 @@
         self._tasks = tasks
         self._running: dict[str, dict[int, RunningCall]] = {}
         self._idle = anyio.Event()
+        self._closing = False
 
     @property
     def running_calls(self) -> int:
@@ -78,6 +79,18 @@
         """Whether a call of the program runs on this node."""
         return program in self._running
 
+    def is_idle(self, partition: int) -> bool:
+        """Whether no call of a partition runs on this node."""
+        return not any(
+            call.log.number == partition
+            for calls in self._running.values()
+            for call in calls.values()
+        )
+
+    def begin_close(self) -> None:
+        """Start no further call here; entries ask the partitions' next owners."""
+        self._closing = True
+
     async def open(self, request: OpenProgram) -> Result[ProgramView, Failure]:
         """Open a program; the same one again returns what there is."""
         found = self._partition(request.program)
@@ -265,6 +278,8 @@
         target: _Target,
         decision: _admission.Start,
     ) -> RunningCall | Failure:
+        if self._closing:
+            return Failure(ErrorKind.STOPPING, "the program's owner is stopping")
         if not self._parts.tickets.is_current():
             detail = "this node can't show that it has the latest ticket in force"
             return Failure(ErrorKind.NOT_CURRENT, detail)
--- a/src/bramleylead/process/_partition_host.py
+++ b/src/bramleylead/process/_partition_host.py
@@ -129,12 +129,14 @@
         """Take in that this address is not the owner; peers and the store are asked again."""
         self.owner_map.forget(partition, address)
 
-    async def leave(self) -> None:
+    async def leave(self, idle: Callable[[int], bool] = lambda _: True) -> None:
         """Hand every partition over before a planned stop, and wait until no pair needs this node.
 
         Membership must say first that this node is leaving. Bound the wait by a cancel scope.
+
+        :param idle: whether a partition may go now; one with running calls would cut them off.
         """
-        await self.upkeep.leave()
+        await self.upkeep.leave(idle)
 
     def _here(self, partition: int) -> OwnerIs | None:
         settings = self._context.settings
--- a/src/bramleylead/process/_partition_upkeep.py
+++ b/src/bramleylead/process/_partition_upkeep.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import final
 
 import anyio
@@ -33,6 +34,10 @@
 log = structlog.get_logger()
 
 
+def _always(_: int) -> bool:
+    return True
+
+
 @final
 class PartitionUpkeep:
     """Moves and audits the partitions that this node owns."""
@@ -68,16 +73,20 @@
             await self._audit()
             await self._move_some()
 
-    async def leave(self) -> None:
+    async def leave(self, idle: Callable[[int], bool] = _always) -> None:
         """Hand everything over and wait until no pair needs this node; cancel it to stop waiting.
 
+        :param idle: whether a partition may go now; one with running calls would cut them off.
+
         With no other node left, the journals are flushed whole and closed, so that the next start
         of the fleet loses nothing.
         """
         self._leaving = True
         while self._table.owned:
             for partition in list(self._table.owned.values()):
-                await self._give_up(partition)
+                # No wait may come between this look and the start of the handover.
+                if idle(partition.number):
+                    await self._give_up(partition)
             await anyio.sleep(LEAVE_POLL_S)
         await self._keeper.wait_empty()
 
--- a/src/bramleylead/trials/_http_node.py
+++ b/src/bramleylead/trials/_http_node.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Mapping
 from contextlib import asynccontextmanager
 from typing import Any
@@ -17,6 +18,7 @@
 from bramleylead.connection._http_client import HTTP_ERRORS
 from bramleylead.connection._http_client import HttpAnswer
 from bramleylead.connection._http_client import HttpClient
+from bramleylead.connection._http_client import HttpFailure
 from bramleylead.connection._http_client import HttpStream
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
@@ -42,11 +44,15 @@
     """Speaks to one node for all branches of a trial. Implements ``CallerNode``.
 
     :param keys: each branch's key.
+    :param on_cut: called when a request that was sent breaks off without its whole answer.
     """
 
-    def __init__(self, address: str, keys: Mapping[str, str]) -> None:
+    def __init__(
+        self, address: str, keys: Mapping[str, str], on_cut: Callable[[str], None]
+    ) -> None:
         self._client = HttpClient(address)
         self._keys = keys
+        self._on_cut = on_cut
 
     async def aclose(self) -> None:
         """Close every connection."""
@@ -87,7 +93,8 @@
             headers={**self._key(request.branch), **_call_headers(request)},
             timeout_s=request.deadline_s,
         ) as opened:
-            yield _items(opened.ok_value if isinstance(opened, Ok) else None)
+            self._note_broken(opened)
+            yield self._items(opened.ok_value if isinstance(opened, Ok) else None)
 
     async def _view(
         self, method: str, target: str, branch: str, body: Any = None
@@ -99,8 +106,30 @@
             headers=self._key(branch),
             timeout_s=REQUEST_TIMEOUT_S,
         )
+        self._note_broken(answered)
         return None if isinstance(answered, Err) else _read_view(answered.ok_value)
 
+    def _note_broken(self, answered: Result[Any, HttpFailure]) -> None:
+        if isinstance(answered, Err) and answered.err_value.sent:
+            self._on_cut(answered.err_value.detail)
+
+    async def _items(self, stream: HttpStream | None) -> AsyncIterator[CallItem]:
+        """Yield what the events of an answer say; a connection that breaks ends it early."""
+        if stream is None:
+            return
+        try:
+            if stream.status >= FIRST_ERROR_STATUS:
+                body = b"".join([part async for part in stream.body])
+                yield _failure(json.loads(body)["error"])
+                return
+            reader = EventReader()
+            async for part in stream.body:
+                for data in reader.feed(part):
+                    if data != DONE:
+                        yield _item(json.loads(data))
+        except HTTP_ERRORS as error:
+            self._on_cut(f"in the middle of an answer: {error or type(error).__name__}")
+
     def _key(self, branch: str) -> dict[str, str]:
         return {"authorization": f"Bearer {self._keys[branch]}"}
 
@@ -136,23 +165,6 @@
     return Ok(ProgramView(**fields))
 
 
-async def _items(stream: HttpStream | None) -> AsyncIterator[CallItem]:
-    """Yield what the events of an answer say; a connection that breaks ends it early."""
-    if stream is None:
-        return
-    try:
-        if stream.status >= FIRST_ERROR_STATUS:
-            yield _failure(json.loads(b"".join([part async for part in stream.body]))["error"])
-            return
-        reader = EventReader()
-        async for part in stream.body:
-            for data in reader.feed(part):
-                if data != DONE:
-                    yield _item(json.loads(data))
-    except HTTP_ERRORS:
-        return
-
-
 def _item(event: dict[str, Any]) -> CallItem:
     if "error" in event:
         return _failure(event["error"])
--- a/src/bramleylead/trials/_live.py
+++ b/src/bramleylead/trials/_live.py
@@ -25,6 +25,7 @@
 from bramleylead.process._run_node import ServedNode
 from bramleylead.process._run_node import serve_node
 from bramleylead.process._settings import NodeSettings
+from bramleylead.promises import Promise
 from bramleylead.promises import Violation
 from bramleylead.standins import EngineLedger
 from bramleylead.standins import EngineModelSettings
@@ -103,9 +104,12 @@
     :param broken: never set here: a connection that breaks shows itself to its caller.
     """
 
-    def __init__(self, settings: NodeSettings, keys: dict[str, str]) -> None:
+    def __init__(
+        self, settings: NodeSettings, keys: dict[str, str], violations: list[Violation]
+    ) -> None:
         self.settings = settings
-        self.node = HttpNode(settings.http_address, keys)
+        self.node = HttpNode(settings.http_address, keys, self._note_cut)
+        self._violations = violations
         self.broken = anyio.Event()
         self.stopping = False
         self.up = False
@@ -114,6 +118,12 @@
         self.scope = anyio.CancelScope()
         self.ended = anyio.Event()
 
+    def _note_cut(self, detail: str) -> None:
+        """Count a violation if a planned stop broke a request off."""
+        if self.stopping:
+            found = f"a request was cut off by {self.settings.node}: {detail}"
+            self._violations.append(Violation(Promise.GRACEFUL_STOP, found))
+
 
 @final
 class LiveFleet:
@@ -127,7 +137,7 @@
         self.violations: list[Violation] = []
         self.node_violations: list[Violation] = []
         self.hosts = {
-            name: LiveHost(settings, example.keys)
+            name: LiveHost(settings, example.keys, self.violations)
             for name, settings in example.deployment.nodes.items()
         }
         self._store = store
