--- a/src/bramleylead/process/_entries.py
+++ b/src/bramleylead/process/_entries.py
@@ -27,6 +27,7 @@
     :param digest: hash of the request, to tell a retry from another call under the same number.
     :param reserved: budget units set aside for the worst case.
     :param messages: the conversation's new messages.
+    :param endpoint: where it is sent first. An engine may hold a cache of it whatever follows.
     """
 
     program: str
@@ -40,6 +41,7 @@
     reserved: int
     messages: tuple[tuple[str, str], ...]
     at_s: float
+    endpoint: str = ""
 
 
 @message(132)
--- a/src/bramleylead/process/_run.py
+++ b/src/bramleylead/process/_run.py
@@ -160,7 +160,7 @@
                     return await self._refused(granted.err_value, last)
                 slot = granted.ok_value
                 if not self._call.intended:
-                    failure = await self._journal_intent(budget, units)
+                    failure = await self._journal_intent(budget, units, slot.granted.endpoint)
                     if failure is not None:
                         return failure
                 last = await self._send(slot, number)
@@ -169,7 +169,7 @@
             self._parts.metrics.retries.inc({"cause": last.next.value})
         return await self._settle(last)
 
-    async def _journal_intent(self, budget: str, units: int) -> Failure | None:
+    async def _journal_intent(self, budget: str, units: int, endpoint: str) -> Failure | None:
         call = self._call
         entry = CallIntended(
             program=call.program.program,
@@ -183,6 +183,7 @@
             reserved=units,
             messages=call.messages,
             at_s=self._parts.wall_clock(),
+            endpoint=endpoint,
         )
         journaled = await call.log.append(entry)
         if isinstance(journaled, Err):
--- a/src/bramleylead/process/_state.py
+++ b/src/bramleylead/process/_state.py
@@ -161,6 +161,7 @@
     )
     program.last_at_s = entry.at_s
     state.grant(entry.budget).reserved += entry.reserved
+    _note_cache(program, entry.call_kind, entry.endpoint)
 
 
 def _finish(state: PartitionState, entry: CallFinished) -> None:
@@ -181,6 +182,7 @@
     program.last_number = max(program.last_number, entry.number)
     program.tokens_used += entry.prompt_tokens - entry.cached_tokens + entry.output_tokens
     program.attained += entry.prompt_tokens - entry.cached_tokens + entry.output_tokens
+    _note_cache(program, record.call_kind, entry.endpoint)
     if record.call_kind is CallKind.MODEL and record.status is CallStatus.DONE:
         program.messages.extend(record.messages)
         program.messages.append(("assistant", entry.answer))
@@ -188,6 +190,12 @@
         program.caches[entry.endpoint] = entry.prompt_tokens + entry.output_tokens
 
 
+def _note_cache(program: ProgramState, kind: CallKind, endpoint: str) -> None:
+    """Remember that an engine may hold a cache, of 0 known tokens, so that it is released."""
+    if kind is CallKind.MODEL and endpoint:
+        program.caches.setdefault(endpoint, 0)
+
+
 def _settle(state: PartitionState, record: CallRecord, *, spent: int) -> None:
     grant = state.grant(record.budget)
     grant.reserved -= record.reserved
--- a/testing/process/test_owner.py
+++ b/testing/process/test_owner.py
@@ -263,6 +263,37 @@
         self.assertEqual(run_with_owner(body).kind, ErrorKind.OWNER_LOST)
 
 
+class EngineMemoryTest(unittest.TestCase):
+    """Fault: a cache built by a call that did not end well was left to the sweep for minutes."""
+
+    def _caches(self, script: list[Any], *, end: bool) -> dict[str, int]:
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            bench.backends.engine_script = script
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(bench.call)
+                await anyio.sleep(1)
+                if end:
+                    await bench.owner.end(EndProgram("school", "p1"))
+                tasks.cancel_scope.cancel()
+            await anyio.sleep(1)
+            return bench.directory.only.state.programs["p1"].caches
+
+        return run_with_owner(body)
+
+    def test_the_engine_of_an_interrupted_call_is_known_to_the_next_owner(self) -> None:
+        caches = self._caches([[EngineChunk("Hel", 1, 0, 7), 1000.0]], end=False)
+        self.assertEqual(caches, {"e1": 0})
+
+    def test_the_engine_of_a_cancelled_call_is_asked_for_its_release(self) -> None:
+        caches = self._caches([[EngineChunk("Hel", 1, 0, 7), 5.0]], end=True)
+        self.assertEqual(caches, {"e1": 0})
+
+    def test_the_engine_of_a_failed_first_attempt_is_kept_in_mind(self) -> None:
+        caches = self._caches([[EngineChunk("Hel", 1, 0, 7), LOST]], end=False)
+        self.assertEqual(sorted(caches), ["e1", "e2"])
+
+
 class EngineFailureTest(unittest.TestCase):
     def test_a_broken_stream_goes_on_at_another_engine_without_a_seam(self) -> None:
         async def body(bench: Bench) -> Any:
