Show partitions, tickets and the way of a call in dumps

Cause: a dump told nothing of partitions, and no route said why a call went where it went. Conclusion: an operator can follow one call through the fleet.

--- a/src/bramleylead/process/_node.py
+++ b/src/bramleylead/process/_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import AsyncIterator
 from collections.abc import Callable
@@ -34,6 +35,7 @@
 from bramleylead.process._owner import ProgramOwner
 from bramleylead.process._partition_host import PartitionHost
 from bramleylead.process._parts import OwnerParts
+from bramleylead.process._place import partition_of
 from bramleylead.process._router import ProgramRouter
 from bramleylead.process._settings import NodeSettings
 from bramleylead.process._store_health import ObservedStore
@@ -210,8 +212,9 @@
             "stopping": self._stopping,
             "ready": self.ready(),
             "entry_calls": self._entry_calls,
-            "ticket": {"number": self.config.number, "current": self.tickets.is_current()},
+            "tickets": self._dump_tickets(),
             "members": [member._asdict() for member in self._membership.members()],
+            "partitions": self._partitions.dump(),
             "calls": self._owner.dump(),
             "budgets": self._escrow.dump(),
             "scheduling": self._scheduler.dump(),
@@ -223,9 +226,31 @@
             "violations": [violation._asdict() for violation in self.promises.violations],
         }
 
-    def explain(self, call: str) -> list[dict[str, Any]]:
-        """Return the remembered scheduling decisions about a call ``program/number``."""
-        return [decision._asdict() for decision in self._scheduler.explain(call)]
+    def explain(self, program: str, number: int) -> dict[str, Any]:
+        """Return what this node knows of a call, and why it went where it went."""
+        partition = partition_of(program, self.settings.partitions.count)
+        here = self._partitions.log(partition) is not None
+        decisions = self._scheduler.explain(f"{program}/{number}")
+        return {
+            "call": f"{program}/{number}",
+            "node": self.settings.node,
+            "partition": partition,
+            "owned_here": here,
+            "owner_address": self._partitions.owner_address(partition),
+            "record": self._owner.describe(program, number) if here else None,
+            "decisions": [decision._asdict() for decision in decisions],
+        }
+
+    def _dump_tickets(self) -> dict[str, Any]:
+        applied = self.tickets.applied
+        age_s = self.tickets.age_s
+        return {
+            "number": applied.number,
+            "current": self.tickets.is_current(),
+            "proof_age_s": round(age_s, 3) if math.isfinite(age_s) else None,
+            "waiting": applied.waiting,
+            "stuck": applied.stuck,
+        }
 
     async def stop(self) -> None:
         """Stop gracefully: leave the balancer, hand over what is owned, let end what runs."""
--- a/src/bramleylead/process/_owner.py
+++ b/src/bramleylead/process/_owner.py
@@ -26,6 +26,7 @@
 from bramleylead.process._place import partition_of
 from bramleylead.process._run import CallRun
 from bramleylead.process._run import RunningCall
+from bramleylead.process._state import CallRecord
 from bramleylead.process._state import CallStatus
 from bramleylead.process._state import ProgramState
 from bramleylead.process._tool_run import ToolRun
@@ -253,6 +254,24 @@
             for call in calls.values()
         ]
 
+    def describe(self, name: str, number: int) -> dict[str, Any] | None:
+        """Return what this owner knows of a call, without its content; ``None`` for no such call.
+
+        :param name: its program.
+        """
+        log = self._partition(name)
+        program = log.ok_value.state.programs.get(name) if isinstance(log, Ok) else None
+        record = None if program is None else program.calls.get(number)
+        running = self._running.get(name, {}).get(number)
+        if record is None and running is None:
+            return None
+        return {
+            "running": running is not None,
+            "endpoint": running.endpoint if running is not None else "",
+            "avoided": list(running.avoid) if running is not None else [],
+            **({} if record is None else _plain_record(record)),
+        }
+
     def _start_or_join(
         self,
         log: PartitionLog,
@@ -500,6 +519,13 @@
     repeatable: bool
 
 
+def _plain_record(record: CallRecord) -> dict[str, Any]:
+    shown = ("status", "call_kind", "target", "repeatable", "finish", "spent", "reserved")
+    counts = ("prompt_tokens", "cached_tokens", "output_tokens")
+    plain = {name: getattr(record, name) for name in (*shown, *counts)}
+    return {**plain, "endpoint": record.endpoint} if record.endpoint else plain
+
+
 def view(program: ProgramState, *, history: bool) -> ProgramView:
     """Return a program's state as its caller may see it."""
     calls = tuple(
--- a/src/bramleylead/process/_partition_host.py
+++ b/src/bramleylead/process/_partition_host.py
@@ -24,6 +24,7 @@
 from bramleylead.process._partition import OwnedPartition
 from bramleylead.process._partition_context import PartitionContext
 from bramleylead.process._partition_context import PartitionMetrics
+from bramleylead.process._partition_dump import dump_partitions
 from bramleylead.process._partition_messages import AskOwner
 from bramleylead.process._partition_messages import OwnerIs
 from bramleylead.process._partition_repair import PairRepair
@@ -129,6 +130,10 @@
         """Take in that this address is not the owner; peers and the store are asked again."""
         self.owner_map.forget(partition, address)
 
+    def dump(self) -> dict[str, Any]:
+        """Return the partitions of this node for the state dump."""
+        return dump_partitions(self.table, self.keeper)
+
     async def leave(self, idle: Callable[[int], bool] = lambda _: True) -> None:
         """Hand every partition over before a planned stop, and wait until no pair needs this node.
 
--- a/src/bramleylead/request/_http_operators.py
+++ b/src/bramleylead/request/_http_operators.py
@@ -74,6 +74,16 @@
     return await request.respond_json(200, request.service.dump())
 
 
+@route("GET", "/dump/calls/{program}/{number}", access=Access.OPERATOR)
+async def explain_call(request: HttpRequest) -> Result[None, Failure]:
+    """Say what this node knows of one call, and why it went where it went."""
+    number = _read_number(request, "call number")
+    if isinstance(number, Err):
+        return number
+    found = request.service.explain(request.arguments["program"], number.ok_value)
+    return await request.respond_json(200, found)
+
+
 @route("GET", "/metrics", access=Access.PUBLIC)
 async def show_metrics(request: HttpRequest) -> Result[None, Failure]:
     """Send the metrics in the format that the scraper asks for."""
@@ -108,9 +118,9 @@
     return await request.respond_json(status, body)
 
 
-def _read_number(request: HttpRequest) -> Result[int, Failure]:
+def _read_number(request: HttpRequest, name: str = "ticket number") -> Result[int, Failure]:
     number = request.arguments["number"]
     if re.fullmatch(NUMBER_PATTERN, number):
         return Ok(int(number))
-    detail = f"ticket number: {number}: must be a whole number"
+    detail = f"{name}: {number}: must be a whole number"
     return Err(Failure(ErrorKind.MALFORMED, detail))
--- a/src/bramleylead/request/_service.py
+++ b/src/bramleylead/request/_service.py
@@ -116,6 +116,10 @@
         """Return the process's state as JSON-able values, secrets left out."""
         ...
 
+    def explain(self, program: str, number: int) -> dict[str, Any]:
+        """Return what the node knows of a call, and why it went where it went."""
+        ...
+
     def branch_of_key(self, key: str) -> str | None:
         """Return the branch whose callers send this key."""
         ...
--- a/testing/request/fakes.py
+++ b/testing/request/fakes.py
@@ -98,6 +98,7 @@
         self.left_early = anyio.Event()
         self.open_result: Failure | None = None
         self.tickets: dict[int, bytes] = {}
+        self.http_address = "127.0.0.1:1"
 
     def alive(self) -> bool:
         return True
@@ -106,7 +107,10 @@
         return self.is_ready
 
     def dump(self) -> dict[str, Any]:
-        return {"node": "fake"}
+        return {"node": "fake", "members": [{"node": "fake", "http_address": self.http_address}]}
+
+    def explain(self, program: str, number: int) -> dict[str, Any]:
+        return {"call": f"{program}/{number}", "node": "fake"}
 
     def branch_of_key(self, key: str) -> str | None:
         return find_branch(self.config, key)
