--- a/src/bramleylead/process/_partition_host.py
+++ b/src/bramleylead/process/_partition_host.py
@@ -24,6 +24,7 @@
 from bramleylead.process._partition import OwnedPartition
 from bramleylead.process._partition_context import PartitionContext
 from bramleylead.process._partition_context import PartitionMetrics
+from bramleylead.process._partition_dump import dump_partitions
 from bramleylead.process._partition_messages import AskOwner
 from bramleylead.process._partition_messages import OwnerIs
 from bramleylead.process._partition_repair import PairRepair
@@ -129,12 +130,18 @@
         """Take in that this address is not the owner; peers and the store are asked again."""
         self.owner_map.forget(partition, address)
 
-    async def leave(self) -> None:
+    def dump(self) -> dict[str, Any]:
+        """Return the partitions of this node for the state dump."""
+        return dump_partitions(self.table, self.keeper)
+
+    async def leave(self, idle: Callable[[int], bool] = lambda _: True) -> None:
         """Hand every partition over before a planned stop, and wait until no pair needs this node.
 
         Membership must say first that this node is leaving. Bound the wait by a cancel scope.
+
+        :param idle: whether a partition may go now; one with running calls would cut them off.
         """
-        await self.upkeep.leave()
+        await self.upkeep.leave(idle)
 
     def _here(self, partition: int) -> OwnerIs | None:
         settings = self._context.settings
