--- a/src/bramleylead/process/_partition_messages.py
+++ b/src/bramleylead/process/_partition_messages.py
@@ -23,6 +23,13 @@
     epoch: int
 
 
+@message(116)
+class Detach(NamedTuple):
+    """The sender no longer counts on the receiver's copy: heartbeats stop vouching for it."""
+
+    partition: int
+
+
 @message(102)
 class Attached(NamedTuple):
     """The receiver has it, up to this sequence number and journal digest."""
@@ -70,9 +77,13 @@
 
 @message(106)
 class Beat(NamedTuple):
-    """Heartbeat of a link: one a peer, whatever the number of partitions on it."""
+    """Heartbeat of a link: one a peer, whatever the number of partitions on it.
+
+    :param confirmed: number of the last heartbeat whose confirmation arrived.
+    """
 
     number: int
+    confirmed: int
 
 
 @message(107)
@@ -96,7 +107,6 @@
     boot: str
     sequence: int
     digest: int
-    flushed: int
     state_digest: int
     chunks: int
 
--- a/src/bramleylead/process/_partition_takeover.py
+++ b/src/bramleylead/process/_partition_takeover.py
@@ -21,6 +21,9 @@
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.platform._store import StoreErrorKind
+from bramleylead.process._entries import GrantForfeited
+from bramleylead.process._owner_map import OwnerMap
+from bramleylead.process._partition import SOLO_MARGIN_S
 from bramleylead.process._partition import Mode
 from bramleylead.process._partition import OwnedPartition
 from bramleylead.process._partition_context import PartitionContext
@@ -40,6 +43,7 @@
 HANDOVER_TIMEOUT_S = 1.0
 HANDOVER_ATTEMPTS = 3
 STORE_PROBE_S = 0.5
+SOLO_CLOCK_MARGIN_S = 0.2
 
 log = structlog.get_logger()
 
@@ -55,11 +59,13 @@
         table: PartitionTable,
         keeper: ReplicaKeeper,
         repair: PairRepair,
+        owner_map: OwnerMap,
     ) -> None:
         self._context = context
         self._table = table
         self._keeper = keeper
         self._repair = repair
+        self._owner_map = owner_map
         server.handle(HandedOver, self._take_handover)
 
     def on_silent(self, replica: Replica) -> None:
@@ -77,13 +83,15 @@
             self._context.metrics.event("copy_dropped")
             return
         partition = self._table.create(replica.number, stored, replica.copy)
-        if await self._form_pair(partition, replica):
-            self._keeper.drop(replica)
-            self._context.metrics.event("takeover")
-            log.info("partition_taken_over", partition=replica.number, epoch=partition.epoch)
-            self._table.serve(partition)
-            if partition.mode is not Mode.PAIRED:
-                await self._repair.run(partition)
+        if not await self._form_pair(partition, replica):
+            return
+        self._keeper.drop(replica)
+        self._owner_map.learn_record(replica.number, partition.record)
+        self._context.metrics.event("takeover")
+        log.info("partition_taken_over", partition=replica.number, epoch=partition.epoch)
+        if partition.mode is not Mode.PAIRED:
+            self._table.spawn(self._repair.run, partition)
+        await self._serve(partition, replica)
 
     async def hand_over(self, partition: OwnedPartition, *, leaving: bool) -> bool:
         """Make the second copy the owner and this node its second copy.
@@ -140,6 +148,22 @@
                 return False
             await anyio.sleep(RETRY_S / 10)
 
+    async def _serve(self, partition: OwnedPartition, replica: Replica) -> None:
+        """Begin to serve, after counting as spent what a former owner may have spent alone."""
+        entries = forfeited_grants(partition) if self._owner_may_be_solo(replica) else []
+        while entries and partition.mode is not Mode.LOST:
+            if isinstance(await partition.append(*entries), Ok):
+                break
+            await anyio.sleep(RETRY_S)
+        if partition.mode is not Mode.LOST:
+            self._table.serve(partition)
+
+    def _owner_may_be_solo(self, replica: Replica) -> bool:
+        """Whether the former owner may have served alone and spent grants meanwhile."""
+        settings = self._context.settings.partitions
+        safe_s = settings.takeover_after_s + SOLO_MARGIN_S - SOLO_CLOCK_MARGIN_S
+        return anyio.current_time() - replica.sure_s > safe_s
+
     async def _after_failed_move(
         self, partition: OwnedPartition, record: PartitionRecord, kind: StoreErrorKind
     ) -> bool:
@@ -152,13 +176,16 @@
 
     def _become_second(self, partition: OwnedPartition, stored: StoredRecord) -> None:
         record = stored.record
+        now = anyio.current_time()
+        self._owner_map.learn_record(partition.number, record)
         replica = Replica(
             partition.number,
             record.epoch,
             record.owner.node,
             record.owner.boot,
             partition.copy,
-            anyio.current_time(),
+            now,
+            now,
         )
         self._keeper.keep(replica)
         self._table.retire(partition)
@@ -205,6 +232,15 @@
             partition.break_pair("the second copy is leaving")
 
 
+def forfeited_grants(partition: OwnedPartition) -> list[GrantForfeited]:
+    """Return entries that count as spent what is free of each grant."""
+    grants = sorted(partition.state.grants.items())
+    return [
+        GrantForfeited(budget, grant.granted, grant.returned, grant.incarnation)
+        for budget, grant in grants
+    ]
+
+
 def _entitles(record: PartitionRecord, replica: Replica, node: str) -> bool:
     """Whether the partition object lets this copy become the owner.
 
