Take the program of a tool call's path for its number

Cause: a tool call with Bramleylead-Call and no Bramleylead-Program was refused as malformed, though its path names the program. Change: the path's program goes before the header's.

--- a/src/bramleylead/request/_http_bodies.py
+++ b/src/bramleylead/request/_http_bodies.py
@@ -133,9 +133,12 @@
 
 
 def read_call_headers(
-    headers: dict[str, str], *, default_deadline_s: float
+    headers: dict[str, str], *, default_deadline_s: float, path_program: str = ""
 ) -> Result[CallHeaders, Failure]:
-    """Read the headers that place a call in a program."""
+    """Read the headers that place a call in a program.
+
+    :param path_program: the program that the request's path names; it goes before the header.
+    """
     faults: list[str] = []
 
     def take(name: str, pattern: str, allowed: str, default: str) -> str:
@@ -147,7 +150,8 @@
 
     key_pattern = rf"[\x20-\x7e]{{1,{MAX_KEY_CHARACTERS}}}"
     found = CallHeaders(
-        program=take("Bramleylead-Program", PROGRAM_PATTERN, f"like {PROGRAM_PATTERN}", ""),
+        program=path_program
+        or take("Bramleylead-Program", PROGRAM_PATTERN, f"like {PROGRAM_PATTERN}", ""),
         number=int(take("Bramleylead-Call", NUMBER_PATTERN, "a whole number", "0")),
         key=take("Idempotency-Key", key_pattern, f"1 to {MAX_KEY_CHARACTERS} ASCII", ""),
         incarnation=int(take("Bramleylead-Incarnation", NUMBER_PATTERN, "a whole number", "0")),
--- a/src/bramleylead/request/_http_calls.py
+++ b/src/bramleylead/request/_http_calls.py
@@ -70,7 +70,7 @@
     headers = _read_headers(request)
     if isinstance(headers, Err):
         return headers
-    call = headers.ok_value._replace(program=request.arguments["program"])
+    call = headers.ok_value
     _place_call(request, call)
     body = await request.read_model(ToolBody)
     if isinstance(body, Err):
@@ -144,7 +144,9 @@
 
 def _read_headers(request: HttpRequest) -> Result[CallHeaders, Failure]:
     return read_call_headers(
-        request.exchange.headers, default_deadline_s=request.settings.default_deadline_s
+        request.exchange.headers,
+        default_deadline_s=request.settings.default_deadline_s,
+        path_program=request.arguments.get("program", ""),
     )
 
 
--- /dev/null
+++ b/testing/asgi_client.py
@@ -0,0 +1,122 @@
+"""A small caller of an ASGI application: sends one request and keeps what came back."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import MutableMapping
+from typing import Any
+from typing import NamedTuple
+
+import anyio
+
+Application = Callable[..., Awaitable[None]]
+
+
+class RawRequest(NamedTuple):
+    """One request as it goes over the wire.
+
+    :param target: path and query.
+    :param gone_after_s: when the caller closes the connection; ``None`` to wait for the end.
+    """
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    gone_after_s: float | None = None
+
+
+class RawResponse(NamedTuple):
+    """What the caller got.
+
+    :param status: 0 if the connection ended before a response began.
+    :param first_byte_s: time from the request to the response's first byte of body.
+    :param longest_gap_s: longest time between two parts of the body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    whole: bool
+    first_byte_s: float = 0.0
+    longest_gap_s: float = 0.0
+
+    @property
+    def named(self) -> Mapping[str, str]:
+        """The headers by name."""
+        return dict(self.headers)
+
+
+async def send(app: Application, request: RawRequest) -> RawResponse:
+    """Send one request as uvicorn would hand it over, and gather the response."""
+    return await _Exchange(app, request).run()
+
+
+class _Exchange:
+    """One request under way."""
+
+    def __init__(self, app: Application, request: RawRequest) -> None:
+        self._app = app
+        self._request = request
+        self._began_s = anyio.current_time()
+        self._sent = False
+        self._gone = False
+        self._status = 0
+        self._headers: tuple[tuple[str, str], ...] = ()
+        self._body = bytearray()
+        self._whole = False
+        self._part_times_s: list[float] = []
+
+    async def run(self) -> RawResponse:
+        path, _, query = self._request.target.partition("?")
+        headers = list(self._request.headers)
+        if self._request.body:
+            headers.append(("content-length", str(len(self._request.body))))
+        scope = {
+            "type": "http",
+            "method": self._request.method,
+            "path": path,
+            "query_string": query.encode(),
+            "headers": [(name.encode(), value.encode()) for name, value in headers],
+        }
+        await self._app(scope, self._receive, self._send)
+        return self._response()
+
+    async def _receive(self) -> dict[str, Any]:
+        if not self._sent:
+            self._sent = True
+            return {"type": "http.request", "body": self._request.body, "more_body": False}
+        if self._request.gone_after_s is None:
+            await anyio.sleep_forever()
+        else:
+            await anyio.sleep_until(self._began_s + self._request.gone_after_s)
+        self._gone = True
+        return {"type": "http.disconnect"}
+
+    async def _send(self, event: MutableMapping[str, Any]) -> None:
+        if self._gone:
+            return
+        if event["type"] == "http.response.start":
+            self._status = event["status"]
+            self._headers = tuple(
+                (name.decode(), value.decode("latin-1")) for name, value in event["headers"]
+            )
+            return
+        if event["body"]:
+            self._part_times_s.append(anyio.current_time())
+        self._body += event["body"]
+        self._whole = not event.get("more_body", False)
+
+    def _response(self) -> RawResponse:
+        times_s = self._part_times_s
+        gaps_s = [later - earlier for earlier, later in zip(times_s, times_s[1:], strict=False)]
+        return RawResponse(
+            self._status,
+            self._headers,
+            bytes(self._body),
+            self._whole,
+            first_byte_s=times_s[0] - self._began_s if times_s else 0.0,
+            longest_gap_s=max(gaps_s, default=0.0),
+        )
--- /dev/null
+++ b/testing/golden/__init__.py
@@ -0,0 +1,1 @@
+"""Golden files: whole sessions at the callers' side, kept as raw requests and answers."""
--- a/testing/request/test_http_calls.py
+++ b/testing/request/test_http_calls.py
@@ -236,6 +236,15 @@
         self.assertEqual((call.call_kind, call.target), (CallKind.TOOL, "issue"))
         self.assertEqual((call.arguments, call.key), ({"candidate": "ann"}, "k"))
 
+    def test_a_tool_call_by_number_needs_no_program_header_beside_its_path(self) -> None:
+        """Fault: the number was refused, since only the header was asked for the program."""
+        node = FakeNode()
+        caller = Caller(node)
+        path = "/v1/programs/p-1/tools/issue"
+        got = run(lambda: caller.post(path, {}, Bramleylead_Call="2"))
+        self.assertEqual(got.status, 200)
+        self.assertEqual((node.seen[0].program, node.seen[0].number), ("p-1", 2))
+
     def test_an_unknown_outcome_is_said_so(self) -> None:
         node = FakeNode([Failure(ErrorKind.OUTCOME_UNKNOWN, "the reply was lost")])
         got = run(lambda: Caller(node).post("/v1/programs/p-1/tools/issue", {}))
