Hand partitions over in a planned stop

Cause: a node's stop told membership and left its partitions to be taken over as after a crash; with every node of a fleet stopped in turn, the history was lost: the next start answered history_rolled_back with an empty conversation.

--- a/src/bramleylead/process/_node.py
+++ b/src/bramleylead/process/_node.py
@@ -231,7 +231,8 @@
         self._stopping = True
         with anyio.move_on_after(self.settings.stop_grace_s):
             await self._drain()
-        await self._membership.leave()
+            await self._membership.leave()
+            await self._partitions.leave()
         log.info("node_stopped", node=self.settings.node)
 
     async def _drain(self) -> None:
