Serve a silent relay node's children at once, also at first contact

A parent that took over a dead node's children did not know their numbers and sent them the proof alone, so that everyone below them waited for the next push. It now sends what their member records lack, and a receiver that is still behind asks the sender before it passes the push on.

--- a/src/bramleylead/process/_ticket_spread.py
+++ b/src/bramleylead/process/_ticket_spread.py
@@ -86,12 +86,14 @@
         proof = self._currency.state()
         heard = self._heard.get(child.node)
         if heard is None:
-            return Pushed(push, root, proof, 0, 0.0, [])
-        tickets = self._applied.bodies_after(heard.number, limit_bytes=PUSHED_BYTES)
-        if heard.number + len(tickets) != proof.number:
-            tickets = []
+            return Pushed(push, root, proof, 0, 0.0, self._lacked(child.ticket))
         held_s = anyio.current_time() - heard.at
-        return Pushed(push, root, proof, heard.tick, held_s, tickets)
+        return Pushed(push, root, proof, heard.tick, held_s, self._lacked(heard.number))
+
+    def _lacked(self, number: int) -> list[bytes]:
+        """Return all tickets after a number, or none if they are too many for a push."""
+        tickets = self._applied.bodies_after(number, limit_bytes=PUSHED_BYTES)
+        return tickets if number + len(tickets) == self._applied.number else []
 
     def _current_relay(self) -> Relay:
         """Return the relay over this data centre's members; built anew when they changed."""
--- a/src/bramleylead/process/_tickets.py
+++ b/src/bramleylead/process/_tickets.py
@@ -365,7 +365,16 @@
         if pushed.push not in self._pushes_seen:
             self._pushes_seen.append(pushed.push)
             assert self._tasks is not None
-            self._tasks.start_soon(self._spread.pass_on, pushed.push, pushed.root)
+            self._tasks.start_soon(self._pass_on, pushed, reply.peer)
+
+    async def _pass_on(self, pushed: Pushed, sender: str) -> None:
+        """Pass a push on; a sender that did not know what this node lacked is asked for it first.
+
+        Otherwise everyone below this node would wait for the next push.
+        """
+        if pushed.proof.number > self._applied.number:
+            await self._pull_from(self._membership.get(sender))
+        await self._spread.pass_on(pushed.push, pushed.root)
 
     async def _on_tickets_asked(self, request: TicketsAsked, reply: Reply) -> None:
         tickets = self._applied.bodies_after(request.after, limit_bytes=GIVEN_BYTES)
--- a/testing/process/fleet.py
+++ b/testing/process/fleet.py
@@ -25,6 +25,7 @@
 from bramleylead.platform import VmEntry
 from bramleylead.process._membership import Membership
 from bramleylead.process._settings import NodeSettings
+from bramleylead.process._settings import TicketSettings
 from bramleylead.process._store_health import ObservedStore
 from bramleylead.process._ticket_desk import TicketDesk
 from bramleylead.process._tickets import TicketLog
@@ -66,6 +67,7 @@
         self.store_out = False
         self.cut_from_store: set[str] = set()
         self.seed = seed
+        self.tickets = TicketSettings()
         self.nodes: dict[str, Membership] = {}
         self.logs: dict[str, Any] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
@@ -79,6 +81,7 @@
             http_address=f"{host(i)}:8000",
             cluster_key=KEY,
             operator_key_sha256="0" * 64,
+            tickets=self.tickets,
         )
 
     def list_vm(self, settings: NodeSettings) -> None:
--- a/testing/process/test_tickets.py
+++ b/testing/process/test_tickets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 from typing import Any
 
@@ -12,6 +13,9 @@
 from bramleylead.errors import ErrorKind
 from bramleylead.platform import StoreError
 from bramleylead.platform import StoreErrorKind
+from bramleylead.process._relay import make_relay
+from bramleylead.process._rendezvous import watchers
+from bramleylead.process._settings import TicketSettings
 from bramleylead.process._ticket_store import SNAPSHOT_KEY
 from bramleylead.process._ticket_store import ticket_key
 from bramleylead.request import TicketAccepted
@@ -27,6 +31,15 @@
 SPREAD_S = 3.0
 
 
+def second_in_chain(fleet: TicketFleet, data_centre: str) -> int:
+    """Return the node that the data centre's watcher pushes to when each pushes to one."""
+    members = next(iter(fleet.nodes.values())).members()
+    near = [member for member in members if member.data_centre == data_centre]
+    root = watchers(near, data_centre, 1)[0].node
+    chain = make_relay("tree", near, 1, random.Random(0))
+    return int(chain.children(root, root)[0].node.removeprefix("n"))
+
+
 class SubmitTest(unittest.TestCase):
     def test_an_accepted_ticket_is_in_force_everywhere_within_three_seconds(self) -> None:
         async def body(seed: int) -> None:
@@ -291,6 +304,22 @@
             for seed in SEEDS:
                 run_virtual(lambda seed=seed, relay=relay: body(seed, relay), seed=seed)
 
+    def test_the_children_of_a_dead_relay_node_are_served_by_its_parent(self) -> None:
+        async def body(seed: int) -> None:
+            fleet = TicketFleet(seed=seed)
+            fleet.tickets = TicketSettings(watchers_per_data_centre=1, fanout=1)
+            async with running(fleet, 24):
+                await until(fleet.all_current, limit_s=5)
+                await anyio.sleep(2)
+                for centre in range(4):
+                    fleet.kill(second_in_chain(fleet, f"d{centre}"))
+                submitter = fleet.desks[min(fleet.desks)]
+                await submitter.submit_ticket(ticket_body(1))
+                await until(lambda: fleet.all_at(1), limit_s=0.6)
+
+        for seed in SEEDS:
+            run_virtual(lambda seed=seed: body(seed), seed=seed)
+
     def test_a_new_node_reads_a_snapshot_and_few_tickets(self) -> None:
         async def body() -> None:
             fleet = TicketFleet(seed=1)
