--- a/src/bramleylead/process/_admission.py
+++ b/src/bramleylead/process/_admission.py
@@ -1,4 +1,4 @@
-"""Decides what becomes of a call request: refuse it, answer it from the journal, join it, or start it."""
+"""Decides whether a call request is refused, answered from the journal, joined or run."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 class Start(NamedTuple):
-    """Run the call under this number; ``again`` when the journal has an unfinished or failed attempt."""
+    """Run the call under this number, ``again`` after an unfinished or failed attempt."""
 
     number: int
     again: bool
--- a/src/bramleylead/process/_log.py
+++ b/src/bramleylead/process/_log.py
@@ -15,17 +15,30 @@
     """One partition that this node owns: its state, and the journal that both copies keep."""
 
     number: int
-    epoch: int
-    state: PartitionState
+
+    @property
+    def epoch(self) -> int:
+        """The fencing number of this owner's orders; it can rise while the partition is owned."""
+        ...
+
+    @property
+    def state(self) -> PartitionState:
+        """The state after every acknowledged entry. Only entries change it."""
+        ...
 
     async def append(self, *entries: Entry) -> Result[bool, Failure]:
         """Journal entries and apply them to the state, all or none.
 
-        With no entries it is a barrier: it confirms with the second copy that this node is still the owner.
+        With no entries it is a barrier: it confirms with the second copy that this node is still
+        the owner.
+
+        ``Ok(True)`` when both copies hold them. ``Ok(False)`` when this node alone does, since the
+        second copy is lost and peers confirm the store's outage, or since there is no other node;
+        only entries that may be lost get this answer.
 
-        ``Ok(True)`` when both copies hold them; ``Ok(False)`` when only this node does and the
-        store's outage is confirmed by peers. ``Err`` when this node may no longer own the
-        partition: nothing may be acted on.
+        ``Err``: the entries are not in this node's state and never will be, but a successor's may
+        hold them. Nothing that depends on them may be done. ``NOT_DURABLE``: no second copy
+        confirmed in time. ``OWNER_UNAVAILABLE``: another node owns the partition now.
         """
         ...
 
--- a/src/bramleylead/request/__init__.py
+++ b/src/bramleylead/request/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bramleylead.request._answer import AnswerBuffer
-from bramleylead.request._answer import AnswerItem
+from bramleylead.request._http_app import HttpApp
 from bramleylead.request._keys import find_branch
 from bramleylead.request._keys import hash_key
 from bramleylead.request._keys import key_matches
@@ -14,10 +14,12 @@
 from bramleylead.request._messages import CallKind
 from bramleylead.request._messages import CallRequest
 from bramleylead.request._messages import EndProgram
+from bramleylead.request._messages import LivePrograms
 from bramleylead.request._messages import OpenProgram
 from bramleylead.request._messages import ProgramView
 from bramleylead.request._messages import ReadProgram
 from bramleylead.request._messages import ResumeCall
+from bramleylead.request._server import HttpServer
 from bramleylead.request._service import CallItem
 from bramleylead.request._service import NodeService
 from bramleylead.request._service import NodeTicket
@@ -31,12 +33,14 @@
     "AnswerBuffer",
     "AnswerChunk",
     "AnswerEnd",
-    "AnswerItem",
     "AnswerStart",
     "CallItem",
     "CallKind",
     "CallRequest",
     "EndProgram",
+    "HttpApp",
+    "HttpServer",
+    "LivePrograms",
     "NodeService",
     "NodeTicket",
     "OpenProgram",
