Harden calls between nodes

The cluster key was sent in clear, idle connections to every probed peer were pinged for good, a silent stream cost a request its whole time, and a slow reader of one call let memory grow without a bound.

--- /dev/null
+++ b/src/bramleylead/connection/_handshake.py
@@ -0,0 +1,125 @@
+"""Mutual proof of the cluster key at the start of a connection.
+
+Both sides send a nonce and an HMAC over both nonces and both names, so that the key is never on
+the wire, a recorded handshake is of no use, and neither side's proof can be sent back to it.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import secrets
+from typing import Any
+from typing import NamedTuple
+
+import msgpack
+
+from bramleylead.connection._codec import MessageError
+from bramleylead.connection._codec import from_plain
+from bramleylead.connection._codec import message
+from bramleylead.connection._codec import to_plain
+from bramleylead.connection._frames import Frame
+from bramleylead.connection._frames import FrameKind
+from bramleylead.connection._frames import FrameStream
+
+PROTOCOL_VERSION = 2
+OLDEST_VERSION = 2
+NONCE_BYTES = 16
+
+
+@message(1)
+class Hello(NamedTuple):
+    """First message of a connection: who speaks, in which protocol version."""
+
+    version: int
+    node: str
+    nonce: bytes
+
+
+@message(4)
+class Challenge(NamedTuple):
+    """The server's answer: its own nonce, and its proof of the key."""
+
+    version: int
+    node: str
+    nonce: bytes
+    proof: bytes
+
+
+@message(5)
+class Proven(NamedTuple):
+    """The client's proof of the key; calls may follow at once."""
+
+    proof: bytes
+
+
+@message(6)
+class Rejected(NamedTuple):
+    """Tells the other side why this one ends the connection."""
+
+    reason: str
+
+
+async def greet(frames: FrameStream, *, node: str, key: str) -> str:
+    """Prove the key as the client of a connection; return the server's name.
+
+    :raises MessageError: if the server speaks no known version or does not hold the key.
+    """
+    hello = Hello(PROTOCOL_VERSION, node, secrets.token_bytes(NONCE_BYTES))
+    _send(frames, hello)
+    challenge = await _receive(frames, Challenge)
+    await _check_version(frames, challenge.version)
+    proof = _proof(key, "server", hello, challenge)
+    if not hmac.compare_digest(proof, challenge.proof):
+        await _reject(frames, f"node {challenge.node} does not hold the cluster key")
+    _send(frames, Proven(_proof(key, "client", hello, challenge)))
+    return challenge.node
+
+
+async def answer_greeting(frames: FrameStream, *, node: str, key: str) -> str:
+    """Prove the key as the server of a connection; return the client's name.
+
+    :raises MessageError: if the client speaks no known version or does not hold the key.
+    """
+    hello = await _receive(frames, Hello)
+    await _check_version(frames, hello.version)
+    challenge = Challenge(PROTOCOL_VERSION, node, secrets.token_bytes(NONCE_BYTES), b"")
+    proof = _proof(key, "server", hello, challenge)
+    _send(frames, challenge._replace(proof=proof))
+    proven = await _receive(frames, Proven)
+    if not hmac.compare_digest(_proof(key, "client", hello, challenge), proven.proof):
+        await _reject(frames, f"node {hello.node} does not hold the cluster key")
+    return hello.node
+
+
+def _proof(key: str, side: str, hello: Hello, challenge: Challenge) -> bytes:
+    said = [side, hello.version, hello.node, hello.nonce]
+    said += [challenge.version, challenge.node, challenge.nonce]
+    return hmac.digest(key.encode(), msgpack.packb(said), hashlib.sha256)
+
+
+async def _check_version(frames: FrameStream, version: int) -> None:
+    if version < OLDEST_VERSION:
+        await _reject(frames, f"protocol version {version}; allowed is {OLDEST_VERSION} or later")
+
+
+async def _reject(frames: FrameStream, reason: str) -> None:
+    _send(frames, Rejected(reason))
+    await frames.wait_sent()
+    raise MessageError(reason)
+
+
+def _send(frames: FrameStream, item: tuple[Any, ...]) -> None:
+    frames.send_nowait(Frame(0, FrameKind.HELLO, to_plain(item)))
+
+
+async def _receive(frames: FrameStream, expected: type) -> Any:
+    frame = await frames.receive()
+    if frame.kind is not FrameKind.HELLO:
+        raise MessageError(f"a connection must begin with its handshake, not {frame.kind.name}")
+    item = from_plain(frame.body)
+    if isinstance(item, Rejected):
+        raise MessageError(f"the peer ended the handshake: {item.reason}")
+    if not isinstance(item, expected):
+        raise MessageError(f"{type(item).__name__} came where {expected.__name__} must")
+    return item
--- a/src/bramleylead/process/_membership.py
+++ b/src/bramleylead/process/_membership.py
@@ -285,7 +285,9 @@
     async def _ask_helper(self, helper: Member, member: Member, reached: list[bool]) -> None:
         request = ProbeFor(member.node, member.address)
         timeout_s = 2 * self._settings.probe_timeout_s
-        answer = await self._peers.request(helper.address, request, timeout_s=timeout_s)
+        answer = await self._peers.request(
+            helper.address, request, timeout_s=timeout_s, idempotent=True
+        )
         if isinstance(answer, Ok) and isinstance(answer.ok_value, ProbedFor):
             self._heard_at = anyio.current_time()
             reached.append(answer.ok_value.reached)
@@ -389,7 +391,7 @@
         self._viewed_at = now
         asked = ViewAsked(self._table.buckets)
         timeout_s = 4 * self._settings.probe_timeout_s
-        answer = await self._peers.request(address, asked, timeout_s=timeout_s)
+        answer = await self._peers.request(address, asked, timeout_s=timeout_s, idempotent=True)
         if isinstance(answer, Err) or not isinstance(answer.ok_value, ViewGiven):
             return
         view = answer.ok_value
@@ -398,7 +400,7 @@
             self._take(record)
         if better:
             given = ViewGiven(better, self._table.buckets)
-            await self._peers.request(address, given, timeout_s=timeout_s)
+            await self._peers.request(address, given, timeout_s=timeout_s, idempotent=True)
 
     # Handlers
 
--- a/src/bramleylead/process/_store_poll.py
+++ b/src/bramleylead/process/_store_poll.py
@@ -30,7 +30,9 @@
     heard: dict[str, list[bool]] = {}
 
     async def ask(member: Member) -> None:
-        answer = await peers.request(member.address, StoreAsked(), timeout_s=ASK_TIMEOUT_S)
+        answer = await peers.request(
+            member.address, StoreAsked(), timeout_s=ASK_TIMEOUT_S, idempotent=True
+        )
         if isinstance(answer, Ok) and isinstance(answer.ok_value, StoreHeard):
             ok = answer.ok_value.ok
             if ok is not None:
--- a/src/bramleylead/process/_ticket_desk.py
+++ b/src/bramleylead/process/_ticket_desk.py
@@ -133,7 +133,7 @@
         async def ask(member: Member) -> None:
             async with limiter:
                 answer = await self._peers.request(
-                    member.address, NumberAsked(), timeout_s=ASK_TIMEOUT_S
+                    member.address, NumberAsked(), timeout_s=ASK_TIMEOUT_S, idempotent=True
                 )
             if isinstance(answer, Ok) and isinstance(answer.ok_value, NumberGiven):
                 heard.append(NodeTicket(member.node, answer.ok_value.number, 0.0))
--- a/src/bramleylead/process/_ticket_spread.py
+++ b/src/bramleylead/process/_ticket_spread.py
@@ -74,7 +74,9 @@
 
     async def _push(self, push: int, root: str, child: Member) -> None:
         message = self._message(push, root, child)
-        answer = await self._peers.request(child.address, message, timeout_s=PUSH_TIMEOUT_S)
+        answer = await self._peers.request(
+            child.address, message, timeout_s=PUSH_TIMEOUT_S, idempotent=True
+        )
         if isinstance(answer, Err) or not isinstance(answer.ok_value, PushTaken):
             self._heard.pop(child.node, None)
             await self._serve(push, root, child.node)
--- a/src/bramleylead/process/_tickets.py
+++ b/src/bramleylead/process/_tickets.py
@@ -312,7 +312,9 @@
             return
         asked_at = anyio.current_time()
         request = TicketsAsked(self._applied.number)
-        answer = await self._peers.request(member.address, request, timeout_s=PULL_TIMEOUT_S)
+        answer = await self._peers.request(
+            member.address, request, timeout_s=PULL_TIMEOUT_S, idempotent=True
+        )
         if isinstance(answer, Err) or not isinstance(answer.ok_value, TicketsGiven):
             return
         given = answer.ok_value
