--- a/src/bramleylead/process/_news.py
+++ b/src/bramleylead/process/_news.py
@@ -9,7 +9,7 @@
 
 PIGGYBACK_BYTES = 1_200
 RECORD_OVERHEAD_BYTES = 24
-COPIES_PER_LOG2 = 3
+COPIES_PER_LOG2 = 2
 
 
 @final
