--- a/src/bramleylead/process/_membership.py
+++ b/src/bramleylead/process/_membership.py
@@ -22,13 +22,12 @@
 import structlog
 from anyio.abc import TaskGroup
 from result import Err
-from result import Ok
 
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import Reply
 from bramleylead.metrics import Metrics
-from bramleylead.platform import VmEntry
+from bramleylead.process._indirect_probes import IndirectProbes
 from bramleylead.process._member_table import MemberTable
 from bramleylead.process._members import Member
 from bramleylead.process._members import MemberState
@@ -36,26 +35,21 @@
 from bramleylead.process._membership_messages import News
 from bramleylead.process._membership_messages import Probe
 from bramleylead.process._membership_messages import ProbeAnswer
-from bramleylead.process._membership_messages import ProbedFor
-from bramleylead.process._membership_messages import ProbeFor
-from bramleylead.process._membership_messages import StoreAsked
-from bramleylead.process._membership_messages import StoreHeard
-from bramleylead.process._membership_messages import ViewAsked
-from bramleylead.process._membership_messages import ViewGiven
 from bramleylead.process._membership_messages import news_of
 from bramleylead.process._news import NewsQueue
 from bramleylead.process._settings import NodeSettings
 from bramleylead.process._store_health import ObservedStore
-from bramleylead.process._store_poll import poll_peers
+from bramleylead.process._store_poll import StorePoll
+from bramleylead.process._view_exchange import ViewExchange
+from bramleylead.process._vm_list import VmList
 
 SPREAD_FANOUT = 3
 SPREAD_GATHER_S = 0.02
-VIEW_INTERVAL_S = 5.0
+VIEW_TIMEOUT_PROBES = 4
 RETRY_SHARE = 0.2
 PAUSE_FACTOR = 3.0
 JOIN_PROBES = 3
 JOIN_RETRY_S = 0.5
-STORE_POLL_S = 0.5
 
 log = structlog.get_logger()
 
@@ -101,14 +95,14 @@
         )
         self._table = MemberTable(own)
         self._news = NewsQueue()
-        self._listed: dict[str, VmEntry] = {}
-        self._centres_seen: set[str] = set()
+        timeout_s = VIEW_TIMEOUT_PROBES * self._settings.probe_timeout_s
+        self._views = ViewExchange(self._table, self._take, peers, server, timeout_s=timeout_s)
+        self._vms = VmList(store, rng, interval_s=self._settings.vm_list_interval_s)
         self._round: list[str] = []
         self._heard_at = float("-inf")
-        self._viewed_at = float("-inf")
         self._spread = anyio.Event()
-        self._store_polled: tuple[float, bool | None] = (float("-inf"), None)
-        self._store_lock = anyio.Lock()
+        self._indirect = IndirectProbes(self._settings, self._probe, peers, server, rng)
+        self._store_poll = StorePoll(store, peers, server)
         self._tasks: TaskGroup | None = None
         self.facts: Callable[[], Facts] = _no_facts
         self.on_facts: list[FactsHeard] = []
@@ -118,15 +112,11 @@
 
     def _register(self, server: PeerServer) -> None:
         server.handle(Probe, self._on_probe)
-        server.handle(ProbeFor, self._on_probe_for)
-        server.handle(ViewAsked, self._on_view_asked)
-        server.handle(ViewGiven, self._on_view_given)
-        server.handle(StoreAsked, self._on_store_asked)
 
     async def __aenter__(self) -> Self:
         self._tasks = anyio.create_task_group()
         await self._tasks.__aenter__()
-        self._tasks.start_soon(self._run_list)
+        self._tasks.start_soon(self._vms.run)
         self._tasks.start_soon(self._run_join)
         self._tasks.start_soon(self._run_probes)
         self._tasks.start_soon(self._run_spread)
@@ -170,7 +160,7 @@
 
     def knows_others(self) -> bool:
         """Whether another member is known, or another VM is listed."""
-        return bool(self._table.others()) or any(n != self.self_name for n in self._listed)
+        return bool(self._table.others()) or bool(self._vms.others(self.self_name))
 
     @property
     def has_heard_peer(self) -> bool:
@@ -191,33 +181,20 @@
 
     async def store_reachable_by_peers(self) -> bool | None:
         """Ask a few peers, first in other data centres, whether the store answers them."""
-        async with self._store_lock:
-            at, answer = self._store_polled
-            if anyio.current_time() - at < STORE_POLL_S:
-                return answer
-            at = anyio.current_time()
-            answer = await poll_peers(
-                self._peers, self._table.own, self._table.others(), self._data_centres()
-            )
-            self._store_polled = (at, answer)
-            return answer
+        centres = self._vms.data_centres | self._table.data_centres()
+        return await self._store_poll.ask(self._table.own, self._table.others(), centres)
 
     @property
     def store_polled_at(self) -> float:
         """When peers were last asked for the store, by this node's clock."""
-        return self._store_polled[0]
-
-    def _data_centres(self) -> set[str]:
-        """Return the data centres of members, dead ones too, and of listed VMs."""
-        listed = {vm.data_centre for vm in self._listed.values()}
-        return self._centres_seen | listed | self._table.data_centres()
+        return self._store_poll.asked_at
 
     # Probing
 
     async def _run_probes(self) -> None:
         while True:
             await anyio.sleep(self._settings.probe_interval_s * self._rng.uniform(0.9, 1.1))
-            self._centres_seen |= self._table.data_centres()
+            self._vms.note_data_centres(self._table.data_centres())
             self._table.forget_old()
             target = self._next_target()
             if target is not None:
@@ -241,7 +218,7 @@
         started = anyio.current_time()
         if await self._probe(member.node, member.address):
             return
-        helped = await self._probe_through_others(member)
+        helped = await self._indirect.reaches(member, self._table.others())
         took_s = anyio.current_time() - started
         if helped or took_s > PAUSE_FACTOR * 3 * self._settings.probe_timeout_s:
             return
@@ -261,7 +238,7 @@
         if isinstance(answer, Err) or not isinstance(answer.ok_value, ProbeAnswer):
             return False
         self._hear(answer.ok_value.responder, answer.ok_value.facts, answer.ok_value.news)
-        await self._even_out(address, answer.ok_value.digest)
+        await self._views.even_out(address, answer.ok_value.digest)
         if answer.ok_value.responder.node != node:
             self._note_replaced(node, address)
             return False
@@ -273,29 +250,10 @@
         if known is not None and known.address == address and node != self.self_name:
             self._take(news_of(known)._replace(state=MemberState.DEAD))
 
-    async def _probe_through_others(self, member: Member) -> bool:
-        others = [m for m in self._table.others() if m.node != member.node]
-        count = min(self._settings.indirect_probes, len(others))
-        reached: list[bool] = []
-        async with anyio.create_task_group() as tasks:
-            for helper in self._rng.sample(others, count):
-                tasks.start_soon(self._ask_helper, helper, member, reached)
-        return any(reached)
-
-    async def _ask_helper(self, helper: Member, member: Member, reached: list[bool]) -> None:
-        request = ProbeFor(member.node, member.address)
-        timeout_s = 2 * self._settings.probe_timeout_s
-        answer = await self._peers.request(
-            helper.address, request, timeout_s=timeout_s, idempotent=True
-        )
-        if isinstance(answer, Ok) and isinstance(answer.ok_value, ProbedFor):
-            self._heard_at = anyio.current_time()
-            reached.append(answer.ok_value.reached)
-
     async def _retry_unseen(self) -> None:
         """Try a listed VM that is not a member, or one that is believed dead."""
         known = {member.node for member in self._table.listed()}
-        unseen = [vm for vm in self._listed.values() if vm.node not in known]
+        unseen = [vm for vm in self._vms.others(self.self_name) if vm.node not in known]
         if unseen:
             vm = self._rng.choice(unseen)
             await self._probe(vm.node, vm.address)
@@ -366,42 +324,14 @@
 
     # Joining
 
-    async def _run_list(self) -> None:
-        while True:
-            found = await self._store.vms()
-            if isinstance(found, Ok):
-                self._listed = {vm.node: vm for vm in found.ok_value}
-                self._centres_seen = set()
-            interval_s = self._settings.vm_list_interval_s if self._listed else JOIN_RETRY_S
-            await anyio.sleep(interval_s * self._rng.uniform(0.9, 1.1))
-
     async def _run_join(self) -> None:
         """Probe listed VMs until one has answered; it then tells the rest of the fleet."""
         while not self._table.others():
-            vms = [vm for vm in self._listed.values() if vm.node != self.self_name]
+            vms = self._vms.others(self.self_name)
             for vm in self._rng.sample(vms, min(JOIN_PROBES, len(vms))):
                 self._start(self._probe, vm.node, vm.address)
             await anyio.sleep(JOIN_RETRY_S)
 
-    async def _even_out(self, address: str, digest: int) -> None:
-        """Exchange the records that differ, at most once an interval."""
-        now = anyio.current_time()
-        if digest == self._table.digest or now - self._viewed_at < VIEW_INTERVAL_S:
-            return
-        self._viewed_at = now
-        asked = ViewAsked(self._table.buckets)
-        timeout_s = 4 * self._settings.probe_timeout_s
-        answer = await self._peers.request(address, asked, timeout_s=timeout_s, idempotent=True)
-        if isinstance(answer, Err) or not isinstance(answer.ok_value, ViewGiven):
-            return
-        view = answer.ok_value
-        better = self._table.newer_than(view.records, view.buckets)
-        for record in view.records:
-            self._take(record)
-        if better:
-            given = ViewGiven(better, self._table.buckets)
-            await self._peers.request(address, given, timeout_s=timeout_s, idempotent=True)
-
     # Handlers
 
     async def _on_probe(self, probe: Probe, reply: Reply) -> None:
@@ -413,21 +343,6 @@
         own = news_of(self._table.own)
         await reply.send(ProbeAnswer(own, self.facts(), news, self._table.digest))
 
-    async def _on_probe_for(self, request: ProbeFor, reply: Reply) -> None:
-        await reply.send(ProbedFor(await self._probe(request.target, request.address)))
-
-    async def _on_view_asked(self, request: ViewAsked, reply: Reply) -> None:
-        records = self._table.differing(request.buckets)
-        await reply.send(ViewGiven(records, self._table.buckets))
-
-    async def _on_view_given(self, request: ViewGiven, reply: Reply) -> None:
-        for record in request.records:
-            self._take(record)
-        await reply.send(ViewGiven([], self._table.buckets))
-
-    async def _on_store_asked(self, request: StoreAsked, reply: Reply) -> None:
-        await reply.send(StoreHeard(await self._store.try_now()))
-
     def _start(self, function: Callable[..., Any], *args: Any) -> None:
         if self._tasks is not None:
             self._tasks.start_soon(function, *args)
--- a/src/bramleylead/process/_ticket_desk.py
+++ b/src/bramleylead/process/_ticket_desk.py
@@ -18,11 +18,11 @@
 from bramleylead.errors import Failure
 from bramleylead.process._applied_tickets import digest_of
 from bramleylead.process._members import Member
+from bramleylead.process._members import MemberState
 from bramleylead.process._membership import Membership
 from bramleylead.process._ticket_messages import NumberAsked
 from bramleylead.process._ticket_messages import NumberGiven
 from bramleylead.process._tickets import TicketLog
-from bramleylead.process._tickets import is_live
 from bramleylead.request import NodeTicket
 from bramleylead.request import TicketAccepted
 from bramleylead.request import TicketState
@@ -167,6 +167,11 @@
         return held.map(json.loads)
 
 
+def is_live(member: Member) -> bool:
+    """Whether a member should have the latest ticket in force."""
+    return member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+
+
 def canonical(ticket: Ticket) -> bytes:
     """Return the bytes that stand for a ticket: its JSON without spaces, in the schema's order."""
     return ticket.model_dump_json().encode()
--- a/src/bramleylead/process/_tickets.py
+++ b/src/bramleylead/process/_tickets.py
@@ -25,9 +25,9 @@
 from bramleylead.process._currency import Currency
 from bramleylead.process._currency import Ticks
 from bramleylead.process._members import Member
-from bramleylead.process._members import MemberState
 from bramleylead.process._membership import Membership
 from bramleylead.process._membership_messages import Facts
+from bramleylead.process._peer_numbers import PeerNumbers
 from bramleylead.process._rendezvous import watchers
 from bramleylead.process._settings import NodeSettings
 from bramleylead.process._store_health import ObservedStore
@@ -42,6 +42,7 @@
 from bramleylead.process._ticket_store import dump_config
 from bramleylead.process._ticket_store import load_config
 from bramleylead.process._ticket_store import number_of
+from bramleylead.process._ticket_wakeup import TicketWakeup
 from bramleylead.promises import Promises
 from bramleylead.version import Config
 
@@ -87,10 +88,9 @@
         self._spread = TicketSpread(
             peers, membership, self._applied, self._currency, self._settings, rng, relay=relay
         )
+        self._wakeup = TicketWakeup(self._store, self.learn, wait_s=self._settings.watch_s)
         self._pushes_seen: deque[int] = deque(maxlen=REMEMBERED_PUSHES)
-        self._highest_heard = 0
-        self._behind_since: float | None = None
-        self._caught_up = False
+        self._numbers = PeerNumbers()
         self._started_at = 0.0
         self._loaded = False
         self._pull_now = anyio.Event()
@@ -142,7 +142,7 @@
     def is_current(self) -> bool:
         """Whether this node may act on its configuration; see the module ``_currency``."""
         bound_s = self._settings.current_within_s
-        if not self._caught_up_since_start() or self._is_behind():
+        if not self._caught_up_since_start() or self._numbers.is_behind(bound_s):
             return False
         return min(self._currency.age_s, self._currency.outage_age_s) <= bound_s
 
@@ -177,13 +177,12 @@
 
     async def _run_watch(self) -> None:
         await self._load()
-        revision: int | None = None
         while True:
             if not self._is_watcher():
                 await anyio.sleep(self._settings.watch_s)
             elif await self.refresh():
                 self._start_push()
-                revision = await self._watch(revision)
+                await self._wakeup.wait()
             else:
                 await self._sit_out()
 
@@ -198,28 +197,6 @@
         if await self._membership.store_reachable_by_peers() is False:
             self._currency.note_outage(self._membership.store_polled_at)
 
-    async def _watch(self, revision: int | None) -> int | None:
-        """Wait for a change, as a wake-up only: proofs come from reads of the next key."""
-        if revision is None:
-            revision = await self._store.current_revision()
-        if revision is None:
-            await anyio.sleep(STORE_RETRY_S)
-            return None
-        timeout_s = self._settings.watch_s
-        started = anyio.current_time()
-        found = await self._store.watch(after_revision=revision, timeout_s=timeout_s)
-        if isinstance(found, Err):
-            await anyio.sleep(STORE_RETRY_S)
-            return None
-        page = found.ok_value
-        for change in page.changes:
-            number = number_of(change.key)
-            if number is not None and change.value is not None:
-                self.learn(number, change.value)
-        if not page.changes and anyio.current_time() - started < timeout_s / 2:
-            await anyio.sleep(timeout_s / 2)
-        return page.revision
-
     async def _load(self) -> bool:
         """Read the snapshot and the tickets after it, in pages."""
         snapshot = await self._store.read_snapshot()
@@ -259,19 +236,9 @@
         self._hear_number(facts.ticket)
 
     def _hear_number(self, number: int) -> None:
-        self._highest_heard = max(self._highest_heard, number)
-        if self._highest_heard <= self._applied.number:
-            self._caught_up = True
-            return
-        if self._behind_since is None:
-            self._behind_since = anyio.current_time()
-        self._pull_now.set()
-
-    def _is_behind(self) -> bool:
-        """Whether a peer has had a later ticket for longer than the bound."""
-        if self._behind_since is None:
-            return False
-        return anyio.current_time() - self._behind_since > self._settings.current_within_s
+        self._numbers.hear(number, applied=self._applied.number)
+        if self._numbers.highest > self._applied.number:
+            self._pull_now.set()
 
     def _caught_up_since_start(self) -> bool:
         """Whether this node, since its start, has had all tickets that a peer had.
@@ -279,9 +246,9 @@
         The store may answer a restarted node with an old state; its peers remember. Where listed
         VMs are all silent, the node waits for them a while and then goes by the store alone.
         """
-        if self._caught_up or not self._membership.knows_others():
+        if self._numbers.caught_up or not self._membership.knows_others():
             return True
-        silent = self._highest_heard == 0 and not self._membership.has_heard_peer
+        silent = self._numbers.highest == 0 and not self._membership.has_heard_peer
         return silent and anyio.current_time() - self._started_at > JOIN_ALONE_S
 
     async def _run_pull(self) -> None:
@@ -297,7 +264,7 @@
     def _needs_pull(self) -> bool:
         stale_s = STALE_SHARE * self._settings.current_within_s
         stale = min(self._currency.age_s, self._currency.outage_age_s) > stale_s
-        return stale or self._highest_heard > self._applied.number
+        return stale or self._numbers.highest > self._applied.number
 
     def _pull_source(self) -> Member | None:
         own = self._membership.self_name
@@ -339,9 +306,7 @@
             return
         self._currency.note_applied(number)
         self._metrics.ticket_in_force.set({}, number)
-        if number >= self._highest_heard:
-            self._caught_up = self._caught_up or self._highest_heard > 0
-            self._behind_since = None
+        self._numbers.note_applied(number)
         if number // SNAPSHOT_EVERY > before // SNAPSHOT_EVERY and self._is_snapshot_writer():
             assert self._tasks is not None
             self._tasks.start_soon(self._store.write_snapshot, self._applied.config)
@@ -388,8 +353,3 @@
 
     async def _on_number_asked(self, request: NumberAsked, reply: Reply) -> None:
         await reply.send(NumberGiven(self._applied.number, self._applied.stuck))
-
-
-def is_live(member: Member) -> bool:
-    """Whether a member should have the latest ticket in force."""
-    return member.state in (MemberState.ALIVE, MemberState.SUSPECT)
