Race probes over a fresh stream, and check a ticket's number before its content

A ticket whose predecessor is missing is told the next number, not faults that the predecessor would have cured.

--- a/src/bramleylead/process/_membership.py
+++ b/src/bramleylead/process/_membership.py
@@ -234,7 +234,9 @@
             news.append(news_of(known))
         own = self._table.own
         probe = Probe(node, news_of(own), self.facts(), news, self._table.digest)
-        answer = await self._peers.request(address, probe, timeout_s=self._settings.probe_timeout_s)
+        answer = await self._peers.request(
+            address, probe, timeout_s=self._settings.probe_timeout_s, idempotent=True
+        )
         if isinstance(answer, Err) or not isinstance(answer.ok_value, ProbeAnswer):
             return False
         self._hear(answer.ok_value.responder, answer.ok_value.facts, answer.ok_value.news)
--- a/src/bramleylead/process/_ticket_desk.py
+++ b/src/bramleylead/process/_ticket_desk.py
@@ -66,15 +66,14 @@
             return Err(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
         if number is not None and number <= self._log.config.number:
             return await self._compare(number, body)
+        wanted = self._log.config.number + 1
+        if number is not None and number != wanted:
+            detail = f"number: {number} is not the next ticket; allowed is {wanted}"
+            return Err(Failure(ErrorKind.TICKET_INVALID, detail))
         checked = self._validate(body, self._log.config)
         if isinstance(checked, Err):
             return checked
-        ticket = checked.ok_value
-        wanted = self._log.config.number + 1
-        if ticket.number != wanted:
-            detail = f"number: {ticket.number} is not the next ticket; allowed is {wanted}"
-            return Err(Failure(ErrorKind.TICKET_INVALID, detail))
-        return await self._create(ticket)
+        return await self._create(checked.ok_value)
 
     async def _create(self, ticket: Ticket) -> Result[TicketAccepted, Failure]:
         body = canonical(ticket)
--- a/src/bramleylead/process/_tickets.py
+++ b/src/bramleylead/process/_tickets.py
@@ -146,6 +146,19 @@
             return False
         return min(self._currency.age_s, self._currency.outage_age_s) <= bound_s
 
+    def dump(self) -> dict[str, object]:
+        """Return the log's state for the node's dump."""
+        return {
+            "number": self._applied.number,
+            "current": self.is_current(),
+            "proof": self._currency.state()._asdict(),
+            "highest_heard": self._numbers.highest,
+            "caught_up": self._numbers.caught_up,
+            "waiting": self._applied.waiting,
+            "stuck": self._applied.stuck,
+            "watches_store": self._is_watcher(),
+        }
+
     async def wait_changed(self, after_number: int) -> None:
         """Wait until a ticket above ``after_number`` is in force."""
         await self._applied.wait_changed(after_number)
--- a/testing/process/test_membership.py
+++ b/testing/process/test_membership.py
@@ -133,6 +133,37 @@
         for seed in SEEDS:
             run_virtual(lambda seed=seed: body(seed), seed=seed)
 
+    def test_silent_streams_raise_no_suspicion_while_new_ones_work(self) -> None:
+        async def body(seed: int) -> None:
+            fleet = Fleet(seed=seed)
+            async with running(fleet, 6):
+                for _ in range(40):
+                    for other in range(1, 6):
+                        fleet.network.silence(host(0), host(other))
+                    await anyio.sleep(1.7)
+                    for name, node in fleet.nodes.items():
+                        self.assertEqual([m for m in node.members() if m.incarnation], [], name)
+
+        for seed in SEEDS:
+            run_virtual(lambda seed=seed: body(seed), seed=seed)
+
+    def test_a_flapping_node_costs_no_other_its_place(self) -> None:
+        async def body(seed: int) -> None:
+            fleet = Fleet(seed=seed)
+            async with running(fleet, 8):
+                for _ in range(10):
+                    fleet.network.freeze(host(3))
+                    await anyio.sleep(2.5)
+                    fleet.network.thaw(host(3))
+                    await anyio.sleep(1.5)
+                    for node in fleet.nodes.values():
+                        dead = [m for m in node._table.dead() if m.node != "n3"]
+                        self.assertEqual(dead, [])
+                await until(fleet.agreed, limit_s=12)
+
+        for seed in SEEDS:
+            run_virtual(lambda seed=seed: body(seed), seed=seed)
+
     def test_a_stale_list_of_vms_decides_nothing(self) -> None:
         async def body() -> None:
             fleet = Fleet(seed=5)
