--- a/src/bramleylead/process/_ticket_spread.py
+++ b/src/bramleylead/process/_ticket_spread.py
@@ -74,7 +74,9 @@
 
     async def _push(self, push: int, root: str, child: Member) -> None:
         message = self._message(push, root, child)
-        answer = await self._peers.request(child.address, message, timeout_s=PUSH_TIMEOUT_S)
+        answer = await self._peers.request(
+            child.address, message, timeout_s=PUSH_TIMEOUT_S, idempotent=True
+        )
         if isinstance(answer, Err) or not isinstance(answer.ok_value, PushTaken):
             self._heard.pop(child.node, None)
             await self._serve(push, root, child.node)
@@ -86,12 +88,14 @@
         proof = self._currency.state()
         heard = self._heard.get(child.node)
         if heard is None:
-            return Pushed(push, root, proof, 0, 0.0, [])
-        tickets = self._applied.bodies_after(heard.number, limit_bytes=PUSHED_BYTES)
-        if heard.number + len(tickets) != proof.number:
-            tickets = []
+            return Pushed(push, root, proof, 0, 0.0, self._lacked(child.ticket))
         held_s = anyio.current_time() - heard.at
-        return Pushed(push, root, proof, heard.tick, held_s, tickets)
+        return Pushed(push, root, proof, heard.tick, held_s, self._lacked(heard.number))
+
+    def _lacked(self, number: int) -> list[bytes]:
+        """Return all tickets after a number, or none if they are too many for a push."""
+        tickets = self._applied.bodies_after(number, limit_bytes=PUSHED_BYTES)
+        return tickets if number + len(tickets) == self._applied.number else []
 
     def _current_relay(self) -> Relay:
         """Return the relay over this data centre's members; built anew when they changed."""
