--- a/src/bramleylead/scheduling/_dispatcher.py
+++ b/src/bramleylead/scheduling/_dispatcher.py
@@ -204,6 +204,7 @@
             with anyio.move_on_after(max(0.0, wake_at - now)):
                 await call.granted.wait()
             if not call.granted.is_set():
+                call.reconsider_at = float("inf")
                 self._pump()
         if call.refusal is not None:
             self._queue.pop(call.serial, None)
