Keep engines just full by their prefill backlog and memory

Cause: engines compute prompts one after another and let calls wait when memory is full; a level of calls says nothing of either, and one learned from token gaps fell to its floor because every prefill stretches the gaps of the others. Change: a view of each engine's prefill backlog (speed learned from first tokens), of the memory its calls reserve and of the prefixes that it holds; placement weighs backlog, rebuilding and what the call would push out; the rest waits in our queue.

--- a/src/bramleylead/scheduling/_baselines.py
+++ b/src/bramleylead/scheduling/_baselines.py
@@ -55,6 +55,10 @@
         self._started()
         return Choice(call, endpoint, type(self).__name__)
 
+    def wake_at(self) -> float:
+        """Return infinity: nothing changes without an event."""
+        return float("inf")
+
     def finished(
         self, call: Waiting, endpoint: EndpointView, report: SlotFinished | None, now: float
     ) -> None:
--- a/src/bramleylead/scheduling/_choice.py
+++ b/src/bramleylead/scheduling/_choice.py
@@ -1,5 +1,10 @@
 """Which engine of a pool a call goes to: its expected cost there, or waiting for the cache.
 
+Prefill is what a model engine does one call after another, so the expected start at an engine is
+the prefill that it has been given and not yet done. An engine takes a call while that backlog is
+short and its memory holds the calls that run; what is over waits in the dispatcher's queue, where
+its order can still be changed.
+
 Waiting for the engine that holds a prefix is delay scheduling (Zaharia et al., "Delay Scheduling",
 2010). The wait is bounded by the time that rebuilding the prefix takes, as in the ski-rental
 problem: the call never loses more than twice what the better of the two would have cost.
@@ -25,13 +30,19 @@
     :param rebuild: on the prefill time of tokens that are not cached there.
     :param load_s: seconds a call that is already there.
     :param memory_s: seconds for a cache that is full.
+    :param evict: on the prefill time of tokens that the call pushes out of the cache.
     :param wait_for_cache: bound of the wait for the holder, in units of the rebuild time; 0: never.
+    :param backlog_s: prefill that an engine is given ahead.
+    :param memory_limit: whether running calls must fit into the engine's memory.
     """
 
     rebuild: float
     load_s: float
     memory_s: float
+    evict: float
     wait_for_cache: float
+    backlog_s: float
+    memory_limit: bool
 
 
 class Placement(NamedTuple):
@@ -42,50 +53,68 @@
     rebuild_s: float
 
 
+def can_start(view: EndpointView, call: Waiting, weights: ChoiceWeights, now: float) -> bool:
+    """Whether an engine takes the call now; an idle one always does."""
+    if not view.has_room:
+        return False
+    if not view.running:
+        return True
+    if view.backlog_s(now) > weights.backlog_s:
+        return False
+    fits = view.reserved_tokens + call.reserve <= view.memory_tokens
+    return fits or not weights.memory_limit or view.memory_tokens == 0
+
+
 def best_with_room(
-    views: Iterable[EndpointView], request: SlotRequest, weights: ChoiceWeights, now: float
+    views: Iterable[EndpointView], call: Waiting, weights: ChoiceWeights, now: float
 ) -> Placement | None:
     """Return the cheapest endpoint that can start the call now."""
     best: Placement | None = None
     for view in views:
-        if not view.has_room:
+        if not can_start(view, call, weights, now):
             continue
-        placement = _placement(view, request, weights, now)
+        placement = _placement(view, call.request, weights, now)
         if best is None or placement.cost_s < best.cost_s:
             best = placement
     return best
 
 
-def holder_worth_waiting_for(
+def wait_for_holder_s(
     views: Iterable[EndpointView],
     call: Waiting,
     instead: Placement,
     weights: ChoiceWeights,
     now: float,
-) -> EndpointView | None:
-    """Return a full endpoint that holds the prefix and should free soon enough, or ``None``."""
+) -> float:
+    """Return how long to wait for a busy endpoint that holds the prefix; 0: start now."""
     bound_s = weights.wait_for_cache * instead.rebuild_s
     waited_s = now - call.enqueued_at
     if waited_s >= bound_s:
-        return None
-    best: EndpointView | None = None
+        return 0.0
+    best_s = 0.0
     best_cost_s = instead.cost_s
     for view in views:
-        if view.has_room or not view.open or view.holds(call.request) == 0:
+        if view.holds(call.request) == 0 or can_start(view, call, weights, now):
             continue
-        free_s = expected_free_s(view, now)
+        free_s = room_in_s(view, weights, now)
         if waited_s + free_s > bound_s:
             continue
         cost_s = free_s + _placement(view, call.request, weights, now).cost_s
         if cost_s < best_cost_s:
-            best, best_cost_s = view, cost_s
-    return best
+            best_s, best_cost_s = free_s, cost_s
+    return best_s
+
 
+def room_in_s(view: EndpointView, weights: ChoiceWeights, now: float) -> float:
+    """Return when an engine that takes nothing now should take the next call, from now.
 
-def expected_free_s(view: EndpointView, now: float) -> float:
-    """Return when the next of the endpoint's calls should end, from now."""
-    ends = [call.expected_end for call in view.running.values()]
-    return max(0.0, min(ends, default=now) - now)
+    Its backlog tells; when memory or its level is what is full, a running call has to end first.
+    """
+    over_s = view.backlog_s(now) - weights.backlog_s
+    if over_s > 0:
+        return over_s
+    left = [call.request.expected_output * view.token_s for call in view.running.values()]
+    return min(left, default=0.0)
 
 
 def _placement(
@@ -93,8 +122,8 @@
 ) -> Placement:
     prefill_s = rebuild_s(view, request)
     busy = view.outstanding + _foreign(view, now)
-    cost_s = weights.rebuild * prefill_s + weights.load_s * busy
-    cost_s += weights.memory_s * _fullness(view, request)
+    cost_s = view.backlog_s(now) + weights.rebuild * prefill_s + weights.load_s * busy
+    cost_s += _memory_cost_s(view, request, weights)
     return Placement(view, cost_s, prefill_s)
 
 
@@ -106,9 +135,13 @@
     return view.foreign * REPORT_TRUST_S / (REPORT_TRUST_S + age_s)
 
 
-def _fullness(view: EndpointView, request: SlotRequest) -> float:
-    """Return the share of cache memory in use, 0 where the call's prefix is held already."""
-    report = view.report
-    if report is None or report.kv_total_tokens == 0 or view.holds(request) > 0:
+def _memory_cost_s(view: EndpointView, request: SlotRequest, weights: ChoiceWeights) -> float:
+    """Return the cost of the memory that a new prefix takes, and of what it pushes out."""
+    total = view.memory_tokens
+    if total == 0:
         return 0.0
-    return min(1.0, report.kv_used_tokens / report.kv_total_tokens)
+    added = request.prompt_tokens - view.holds(request)
+    after = view.held_tokens + added
+    pushed_out = min(added, max(0, after - total))
+    cost_s = weights.evict * pushed_out * view.prefill_s_per_token
+    return cost_s + weights.memory_s * min(1.0, after / total) * added / total
--- a/src/bramleylead/scheduling/_default.py
+++ b/src/bramleylead/scheduling/_default.py
@@ -13,8 +13,8 @@
 from bramleylead.scheduling._choice import ChoiceWeights
 from bramleylead.scheduling._choice import Placement
 from bramleylead.scheduling._choice import best_with_room
-from bramleylead.scheduling._choice import expected_free_s
-from bramleylead.scheduling._choice import holder_worth_waiting_for
+from bramleylead.scheduling._choice import room_in_s
+from bramleylead.scheduling._choice import wait_for_holder_s
 from bramleylead.scheduling._chooser import ChooserParameters
 from bramleylead.scheduling._fairness import FairQueue
 from bramleylead.scheduling._news import DrainEstimate
@@ -25,7 +25,6 @@
 from bramleylead.scheduling._policy import Choice
 from bramleylead.scheduling._policy import Endpoints
 from bramleylead.scheduling._policy import policy
-from bramleylead.scheduling._speed import expected_duration_s
 from bramleylead.scheduling._speed import learn_speed
 from bramleylead.scheduling._types import SlotFinished
 from bramleylead.scheduling._types import SlotRequest
@@ -46,6 +45,9 @@
     :param rebuild_weight: weight of recomputed prefixes against waiting and load.
     :param load_s: cost of each call that already runs at an engine.
     :param memory_s: cost of an engine whose cache is full, for a prefix that it does not hold.
+    :param evict_weight: weight of prefixes that a call pushes out of an engine's memory.
+    :param backlog_s: prefill that an engine is given ahead; the rest waits in the queue.
+    :param memory_limit: keep running calls within an engine's memory.
     :param wait_for_cache: longest wait for the engine that holds the prefix, in rebuild times.
     :param adaptive_level: learn how many calls an engine is given; else ``max_calls``.
     :param output_cost: work of an output token against a prefilled one.
@@ -57,9 +59,12 @@
     aging_tokens_per_s: Annotated[float, Field(ge=0)] = 2_000.0
     rebuild_weight: Annotated[float, Field(ge=0)] = 1.0
     load_s: Annotated[float, Field(ge=0)] = 0.05
-    memory_s: Annotated[float, Field(ge=0)] = 0.1
+    memory_s: Annotated[float, Field(ge=0)] = 1.0
+    evict_weight: Annotated[float, Field(ge=0)] = 1.0
+    backlog_s: Annotated[float, Field(ge=0)] = 1.0
+    memory_limit: bool = True
     wait_for_cache: Annotated[float, Field(ge=0)] = 1.0
-    adaptive_level: bool = True
+    adaptive_level: bool = False
     token_gap_s: Annotated[float, Field(gt=0)] = 0.042
     first_token_s: Annotated[float, Field(gt=0)] = 0.5
     min_calls: Annotated[int, Field(ge=1)] = 2
@@ -86,7 +91,10 @@
             parameters.rebuild_weight,
             parameters.load_s,
             parameters.memory_s,
+            parameters.evict_weight,
             parameters.wait_for_cache,
+            parameters.backlog_s,
+            parameters.memory_limit,
         )
         self._admission = Admission(
             AdmissionTargets(parameters.token_gap_s, parameters.first_token_s, parameters.min_calls)
@@ -95,14 +103,16 @@
             parameters.max_queue, parameters.new_program_wait_s, parameters.deadline_share
         )
         self._drain = DrainEstimate()
+        self._wake_at = float("inf")
 
     def admit(self, call: Waiting, endpoints: Endpoints, now: float) -> Failure | None:
         """Refuse the call, or queue it; a full queue gives up its youngest program's call."""
         if self._parameters.shed:
-            refusal = self._refuse(call, endpoints)
+            refusal = self._refuse(call)
             if refusal is not None:
                 return refusal
         self._queue.add(call)
+        self._drain.queued(now)
         return None
 
     def remove(self, call: Waiting) -> None:
@@ -111,30 +121,37 @@
 
     def next(self, endpoints: Endpoints, now: float) -> Choice | None:
         """Start the first call in order that does not do better by waiting for its cache."""
+        self._wake_at = float("inf")
         if not any(view.has_room for view in endpoints.values()):
             return None
         for call in self._queue.candidates():
             views = usable(endpoints.values(), call.request)
-            placement = best_with_room(views, call.request, self._weights, now)
+            placement = best_with_room(views, call, self._weights, now)
             if placement is None:
+                self._look_again(
+                    min((self._room_in_s(view, now) for view in views), default=1.0), now
+                )
                 continue
-            holder = holder_worth_waiting_for(views, call, placement, self._weights, now)
-            if holder is not None:
-                call.reconsider_at = now + max(MIN_HOLD_S, expected_free_s(holder, now))
+            wait_s = wait_for_holder_s(views, call, placement, self._weights, now)
+            if wait_s > 0:
+                self._look_again(wait_s, now)
                 continue
             return self._choose(call, placement, now)
         return None
 
+    def wake_at(self) -> float:
+        """Return when an engine's backlog should be short enough for the next call."""
+        return self._wake_at
+
     def finished(
         self, call: Waiting, endpoint: EndpointView, report: SlotFinished | None, now: float
     ) -> None:
         """Settle the branch's charge and learn the engine's speed and level."""
-        self._drain.finished(now - call.granted_at)
         if report is None or not report.ok:
             return
         prefilled = report.prompt_tokens - report.cached_tokens
         self._queue.settle(call, self._cost(prefilled, report.output_tokens))
-        learn_speed(endpoint, report)
+        learn_speed(endpoint, call, report)
         if self._parameters.adaptive_level:
             self._admission.finished(call, endpoint, report, now)
 
@@ -151,19 +168,21 @@
         held = view.holds(call.request)
         missing = call.request.prompt_tokens - held
         self._queue.start(call, self._cost(missing, call.request.expected_output))
-        call.expected_end = now + expected_duration_s(view, call.request)
+        self._drain.started(now, left=len(self._queue))
         reason = (
             f"cost {placement.cost_s:.3f} s: {held} of {call.request.prompt_tokens} prompt tokens "
             f"cached, {view.outstanding} calls running of {int(view.limit)}"
         )
         return Choice(call, view, reason)
 
-    def _refuse(self, call: Waiting, endpoints: Endpoints) -> Failure | None:
-        views = [view for view in endpoints.values() if view.open]
-        slots = sum(int(view.limit) for view in views)
-        free = sum(max(0, int(view.limit) - view.outstanding) for view in views)
-        ahead = self._ahead_of(call.request)
-        wait_s = self._drain.expected_wait_s(ahead, free=free, slots=slots)
+    def _look_again(self, wait_s: float, now: float) -> None:
+        self._wake_at = min(self._wake_at, now + max(MIN_HOLD_S, wait_s))
+
+    def _room_in_s(self, view: EndpointView, now: float) -> float:
+        return room_in_s(view, self._weights, now)
+
+    def _refuse(self, call: Waiting) -> Failure | None:
+        wait_s = self._drain.expected_wait_s(self._ahead_of(call.request))
         refusal = refusal_on_arrival(call, wait_s, self._bounds)
         if refusal is not None or len(self._queue) < self._bounds.queue:
             return refusal
@@ -173,7 +192,7 @@
             return failure
         self._queue.remove(victim)
         victim.refusal = failure
-        victim.granted.set()
+        victim.signal.set()
         return None
 
     def _ahead_of(self, request: SlotRequest) -> int:
--- a/src/bramleylead/scheduling/_dispatcher.py
+++ b/src/bramleylead/scheduling/_dispatcher.py
@@ -147,9 +147,8 @@
             slots=slots,
             running=running,
             queued=queued,
-            expected_wait_s=self._drain.expected_wait_s(
-                queued, free=max(0, slots - running), slots=slots
-            ),
+            expected_wait_s=self._drain.expected_wait_s(queued) + _least_backlog_s(views),
+            memory_share=_memory_share(views),
         )
 
     def explain(self, call: str) -> list[Decision]:
@@ -186,7 +185,7 @@
             serial=self._serial,
             enqueued_at=now - request.waited_s,
             deadline_at=now + request.deadline_s,
-            granted=anyio.Event(),
+            signal=anyio.Event(),
         )
 
     async def _wait(self, call: Waiting) -> Failure | None:
@@ -195,30 +194,40 @@
             self._note(call, "refused", refusal.detail)
             return refusal
         self._queue[call.serial] = call
+        self._drain.queued(call.enqueued_at + call.request.waited_s)
         self._pump()
-        while not call.granted.is_set():
+        while not call.decided:
             now = anyio.current_time()
             if now >= call.deadline_at:
                 return self._expire(call)
-            wake_at = min(call.deadline_at, call.reconsider_at, self._readmission())
-            with anyio.move_on_after(max(0.0, wake_at - now)):
-                await call.granted.wait()
-            if not call.granted.is_set():
-                call.reconsider_at = float("inf")
+            with anyio.move_on_after(self._wake_at(call) - now):
+                await call.signal.wait()
+            if not call.decided:
+                call.signal = anyio.Event()
                 self._pump()
         if call.refusal is not None:
             self._queue.pop(call.serial, None)
             self._note(call, "shed", call.refusal.detail)
         return call.refusal
 
+    def _wake_at(self, call: Waiting) -> float:
+        """Return when a queued call looks again; only the oldest keeps the queue's timer."""
+        if call is not next(iter(self._queue.values())):
+            return call.deadline_at
+        readmission_at = self._health.next_readmission(self.endpoints)
+        return min(call.deadline_at, readmission_at, self._policy.wake_at())
+
+    def _hand_on_timer(self) -> None:
+        """Wake the oldest queued call, so that it keeps the queue's timer."""
+        oldest = next(iter(self._queue.values()), None)
+        if oldest is not None:
+            oldest.signal.set()
+
     def _refusal(self, call: Waiting) -> Failure | None:
         if all(view.leaving for view in self.endpoints.values()):
             return Failure(ErrorKind.OVERLOADED, f"pool {self.name} has no endpoint that stays")
         return self._policy.admit(call, self.endpoints, anyio.current_time())
 
-    def _readmission(self) -> float:
-        return self._health.next_readmission(self.endpoints)
-
     def _expire(self, call: Waiting) -> Failure:
         self._policy.remove(call)
         self._queue.pop(call.serial, None)
@@ -249,11 +258,14 @@
         call.endpoint = view
         call.granted_at = now
         call.reason = reason
-        view.running[call.serial] = call
-        view.granted_count += 1
+        view.begin(call, now)
+        was_oldest = call is next(iter(self._queue.values()))
         del self._queue[call.serial]
+        self._drain.started(now, left=len(self._queue))
         self._note(call, "granted", reason)
-        call.granted.set()
+        call.signal.set()
+        if was_oldest:
+            self._hand_on_timer()
 
     def _granted(self, call: Waiting) -> SlotGranted:
         assert call.endpoint is not None
@@ -265,13 +277,13 @@
             self._policy.remove(call)
         view = call.endpoint
         if view is None:
+            self._hand_on_timer()
             return
-        view.running.pop(call.serial, None)
+        view.end(call)
         now = anyio.current_time()
         report = held.report if held is not None else None
         if report is not None and report.prompt_tokens > 0:
             view.remember(call.request.program, report.prompt_tokens + report.output_tokens)
-        self._drain.finished(now - call.granted_at)
         self._policy.finished(call, view, report, now)
         if report is not None:
             self._judge(view, report, now)
@@ -289,3 +301,14 @@
         endpoint = call.endpoint.name if call.endpoint is not None else ""
         waited_s = now - call.enqueued_at
         self.decisions.add(Decision(now, call.request.call, action, endpoint, waited_s, reason))
+
+
+def _least_backlog_s(views: list[EndpointView]) -> float:
+    now = anyio.current_time()
+    return min((view.backlog_s(now) for view in views), default=0.0)
+
+
+def _memory_share(views: list[EndpointView]) -> float:
+    total = sum(view.memory_tokens for view in views)
+    held = sum(view.held_tokens for view in views if view.memory_tokens)
+    return held / total if total else 0.0
--- a/src/bramleylead/scheduling/_fairness.py
+++ b/src/bramleylead/scheduling/_fairness.py
@@ -76,6 +76,8 @@
 
         While the branch's own calls start, every other backlogged branch starts as many, by weight.
         """
+        if not self._queued:
+            return 0
         own = self.queued_of(branch) + 1
         weight = self._weight(branch)
         shares = (
--- a/src/bramleylead/scheduling/_news.py
+++ b/src/bramleylead/scheduling/_news.py
@@ -7,9 +7,9 @@
 
 from bramleylead.connection import message
 
-DURATION_WEIGHT = 0.05
-"""Weight of a new duration in the moving average."""
-FIRST_DURATION_S = 1.0
+GAP_WEIGHT = 0.1
+"""Weight of a new gap between starts in the moving average."""
+FIRST_GAP_S = 0.1
 
 
 @message(44)
@@ -18,6 +18,7 @@
 
     :param slots: calls that its open endpoints take at once.
     :param expected_wait_s: wait of a call that comes now.
+    :param memory_share: part of the engines' cache memory that is believed to be in use.
     """
 
     pool: str
@@ -26,30 +27,31 @@
     running: int
     queued: int
     expected_wait_s: float
+    memory_share: float = 0.0
 
 
 @final
 class DrainEstimate:
-    """How fast a queue drains: a pool's slots, each freed once a mean call's duration.
+    """How fast a queue drains: the time between starts, seen only while calls are queued.
 
-    Starts a second would tell the arrival rate instead whenever the queue is empty.
+    Starts in an empty queue's time would tell the arrival rate instead.
     """
 
     def __init__(self) -> None:
-        self._mean_s = FIRST_DURATION_S
-        self._seen = False
-
-    def finished(self, duration_s: float) -> None:
-        """Take in how long a call held its slot."""
-        if not self._seen:
-            self._seen = True
-            self._mean_s = duration_s
-            return
-        self._mean_s += DURATION_WEIGHT * (duration_s - self._mean_s)
-
-    def expected_wait_s(self, ahead: int, *, free: int, slots: int) -> float:
-        """Return the wait of a call with ``ahead`` others before it and ``free`` slots open."""
-        behind = ahead + 1 - free
-        if behind <= 0:
-            return 0.0
-        return behind * self._mean_s / max(1, slots)
+        self._gap_s = FIRST_GAP_S
+        self._since: float | None = None
+
+    def queued(self, now: float) -> None:
+        """Take in that a call has to wait."""
+        if self._since is None:
+            self._since = now
+
+    def started(self, now: float, *, left: int) -> None:
+        """Take in that a call started, with ``left`` calls still queued."""
+        if self._since is not None:
+            self._gap_s += GAP_WEIGHT * (now - self._since - self._gap_s)
+        self._since = now if left else None
+
+    def expected_wait_s(self, ahead: int) -> float:
+        """Return the wait of a call with ``ahead`` others before it."""
+        return ahead * self._gap_s
--- a/src/bramleylead/scheduling/_policy.py
+++ b/src/bramleylead/scheduling/_policy.py
@@ -45,6 +45,10 @@
         """Take the next call that should start now out of the queue."""
         ...
 
+    def wake_at(self) -> float:
+        """Return when :meth:`next` may find something without an event, after it found nothing."""
+        ...
+
     def finished(
         self, call: Waiting, endpoint: EndpointView, report: SlotFinished | None, now: float
     ) -> None:
--- a/src/bramleylead/scheduling/_view.py
+++ b/src/bramleylead/scheduling/_view.py
@@ -26,20 +26,35 @@
 
 @dataclass(slots=True, eq=False)
 class Waiting:
-    """A call in a dispatcher's queue, and later the slot that it holds."""
+    """A call in a dispatcher's queue, and later the slot that it holds.
+
+    :param signal: set when the call is decided, or must look after the queue's timer.
+    :param missing: prompt tokens that its engine was believed not to hold when it started.
+    :param backlog_s: prefill time that its engine had before it.
+    """
 
     request: SlotRequest
     serial: int
     enqueued_at: float
     deadline_at: float
-    granted: anyio.Event
+    signal: anyio.Event
     endpoint: EndpointView | None = None
     granted_at: float = 0.0
     reason: str = ""
     refusal: Failure | None = None
-    reconsider_at: float = float("inf")
     charged: float = 0.0
-    expected_end: float = 0.0
+    missing: int = 0
+    backlog_s: float = 0.0
+
+    @property
+    def decided(self) -> bool:
+        """Whether it has a slot or is refused."""
+        return self.endpoint is not None or self.refusal is not None
+
+    @property
+    def reserve(self) -> int:
+        """Tokens of engine memory that it needs while it runs."""
+        return self.request.prompt_tokens + self.request.expected_output
 
 
 @final
@@ -49,6 +64,10 @@
 
     :param limit: calls that it is given at once, at most ``max_calls``.
     :param probing: whether it was ejected and gets one call at a time until one goes well.
+    :param evicted: programs known not to be held, whatever their owners remember.
+    :param prefill_until: when it should have computed the prompts that it was given.
+    :param reserved_tokens: memory that its running calls need.
+    :param held_tokens: sum of ``cached``.
     :param cached: tokens of each program's prefix that it is believed to hold, oldest use first.
     """
 
@@ -61,10 +80,14 @@
     probing: bool = False
     running: dict[int, Waiting] = field(default_factory=dict)
     cached: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    evicted: OrderedDict[str, bool] = field(default_factory=OrderedDict)
     report: LoadReport | None = None
     reported_at: float = 0.0
     prefill_s_per_token: float = INITIAL_PREFILL_S_PER_TOKEN
     token_s: float = INITIAL_TOKEN_S
+    prefill_until: float = 0.0
+    reserved_tokens: int = 0
+    held_tokens: int = 0
     first_token_s: float = 0.0
     next_sequence: int = 1
     granted_count: int = 0
@@ -96,22 +119,54 @@
     def holds(self, request: SlotRequest) -> int:
         """Tokens of the call's prefix believed to be cached here."""
         known = self.cached.get(request.program)
-        if known is None:
+        if known is None and request.program not in self.evicted:
             known = request.cached.get(self.name, 0)
-        return min(known, request.prompt_tokens)
+        return min(known or 0, request.prompt_tokens)
 
     def remember(self, program: str, tokens: int) -> None:
         """Take in that a program's prefix is cached here; 0 tokens: it is not."""
-        self.cached[program] = tokens
-        self.cached.move_to_end(program)
+        self.held_tokens += tokens - self.cached.pop(program, 0)
+        self.evicted.pop(program, None)
+        if tokens > 0:
+            self.cached[program] = tokens
+        else:
+            self.evicted[program] = True
+        while len(self.evicted) > KEPT_PREFIXES:
+            self.evicted.popitem(last=False)
         while len(self.cached) > KEPT_PREFIXES:
-            self.cached.popitem(last=False)
+            self.held_tokens -= self.cached.popitem(last=False)[1]
+
+    def begin(self, call: Waiting, now: float) -> None:
+        """Take in that a call starts here; its prompt counts as held from now on."""
+        call.missing = call.request.prompt_tokens - self.holds(call.request)
+        call.backlog_s = self.backlog_s(now)
+        self.prefill_until = now + call.backlog_s + call.missing * self.prefill_s_per_token
+        self.reserved_tokens += call.reserve
+        self.running[call.serial] = call
+        self.granted_count += 1
+        if call.request.prompt_tokens > 0:
+            self.remember(call.request.program, call.request.prompt_tokens)
+
+    def end(self, call: Waiting) -> None:
+        """Take in that a call no longer runs here."""
+        if self.running.pop(call.serial, None) is not None:
+            self.reserved_tokens -= call.reserve
+
+    def backlog_s(self, now: float) -> float:
+        """Return the prefill time still before a call that starts now."""
+        return max(0.0, self.prefill_until - now) if self.running else 0.0
+
+    @property
+    def memory_tokens(self) -> int:
+        """Cache memory in tokens, 0 while no report has come."""
+        return 0 if self.report is None else self.report.kv_total_tokens
 
     def observe_cache(self, page: CachePage) -> bool:
         """Take in cache events; ``False`` when some were missed and the contents must be read."""
         whole = page.complete or _is_gapless(page, self.next_sequence)
         if page.complete:
             self.cached.clear()
+            self.held_tokens = 0
         for event in page.events:
             self.remember(event.program, event.tokens if event.stored else 0)
         self.next_sequence = page.next_sequence
