Finish what has begun: two tiers in the queue, and a bound on prefixes in use

Cause: over capacity every program lost its cache to the others in turn, and held new programs blocked calls that could start. Change: calls of programs under way stand before new programs; a new one waits while the prefixes in use fill an engine.

--- a/src/bramleylead/scheduling/_choice.py
+++ b/src/bramleylead/scheduling/_choice.py
@@ -33,6 +33,9 @@
     :param evict: on the prefill time of tokens that the call pushes out of the cache.
     :param wait_for_cache: bound of the wait for the holder, in units of the rebuild time; 0: never.
     :param backlog_s: prefill that an engine is given ahead.
+    :param working_set_s: a prefix counts as in use for so long after its last call.
+    :param working_set_share: part of the memory that prefixes in use may take before a new program
+        has to wait; 0: no bound.
     :param memory_limit: whether running calls must fit into the engine's memory.
     """
 
@@ -43,6 +46,8 @@
     wait_for_cache: float
     backlog_s: float
     memory_limit: bool
+    working_set_s: float
+    working_set_share: float
 
 
 class Placement(NamedTuple):
@@ -61,10 +66,25 @@
         return True
     if view.backlog_s(now) > weights.backlog_s:
         return False
+    if _is_new(call) and _is_working_set_full(view, call, weights, now):
+        return False
     fits = view.reserved_tokens + call.reserve <= view.memory_tokens
     return fits or not weights.memory_limit or view.memory_tokens == 0
 
 
+def _is_new(call: Waiting) -> bool:
+    return call.request.attained == 0
+
+
+def _is_working_set_full(
+    view: EndpointView, call: Waiting, weights: ChoiceWeights, now: float
+) -> bool:
+    if weights.working_set_share == 0 or view.memory_tokens == 0:
+        return False
+    in_use = view.in_use.tokens(now, weights.working_set_s) + call.reserve
+    return in_use > weights.working_set_share * view.memory_tokens
+
+
 def best_with_room(
     views: Iterable[EndpointView], call: Waiting, weights: ChoiceWeights, now: float
 ) -> Placement | None:
--- a/src/bramleylead/scheduling/_default.py
+++ b/src/bramleylead/scheduling/_default.py
@@ -16,7 +16,9 @@
 from bramleylead.scheduling._choice import room_in_s
 from bramleylead.scheduling._choice import wait_for_holder_s
 from bramleylead.scheduling._chooser import ChooserParameters
+from bramleylead.scheduling._fairness import TIERS
 from bramleylead.scheduling._fairness import FairQueue
+from bramleylead.scheduling._fairness import tier_of
 from bramleylead.scheduling._news import DrainEstimate
 from bramleylead.scheduling._overload import OverloadBounds
 from bramleylead.scheduling._overload import overloaded
@@ -40,7 +42,8 @@
     """Weights and limits of the policy; times in seconds, work in tokens.
 
     :param between_branches: share by branch.
-    :param short_first: the program that was served least goes first.
+    :param order: within a branch, ``attained``: the program that was served least goes first;
+        ``work``: the call with the least to rebuild; ``arrival``: the oldest call.
     :param aging_tokens_per_s: attained service that a second of waiting makes up for.
     :param rebuild_weight: weight of recomputed prefixes against waiting and load.
     :param load_s: cost of each call that already runs at an engine.
@@ -48,6 +51,9 @@
     :param evict_weight: weight of prefixes that a call pushes out of an engine's memory.
     :param backlog_s: prefill that an engine is given ahead; the rest waits in the queue.
     :param memory_limit: keep running calls within an engine's memory.
+    :param working_set_s: a prefix counts as in use for so long after its last call.
+    :param working_set_share: part of the memory that prefixes in use may take before a new program
+        has to wait; 0: no bound.
     :param wait_for_cache: longest wait for the engine that holds the prefix, in rebuild times.
     :param adaptive_level: learn how many calls an engine is given; else ``max_calls``.
     :param output_cost: work of an output token against a prefilled one.
@@ -55,7 +61,7 @@
     """
 
     between_branches: bool = True
-    short_first: bool = True
+    order: Annotated[str, Field(pattern="^(attained|work|arrival)$")] = "attained"
     aging_tokens_per_s: Annotated[float, Field(ge=0)] = 2_000.0
     rebuild_weight: Annotated[float, Field(ge=0)] = 1.0
     load_s: Annotated[float, Field(ge=0)] = 0.05
@@ -63,6 +69,8 @@
     evict_weight: Annotated[float, Field(ge=0)] = 1.0
     backlog_s: Annotated[float, Field(ge=0)] = 1.0
     memory_limit: bool = True
+    working_set_s: Annotated[float, Field(gt=0)] = 60.0
+    working_set_share: Annotated[float, Field(ge=0)] = 0.9
     wait_for_cache: Annotated[float, Field(ge=0)] = 1.0
     adaptive_level: bool = False
     token_gap_s: Annotated[float, Field(gt=0)] = 0.042
@@ -84,7 +92,7 @@
         self._parameters = parameters
         self._queue = FairQueue(
             between_branches=parameters.between_branches,
-            short_first=parameters.short_first,
+            order=parameters.order,
             aging_tokens_per_s=parameters.aging_tokens_per_s,
         )
         self._weights = ChoiceWeights(
@@ -95,6 +103,8 @@
             parameters.wait_for_cache,
             parameters.backlog_s,
             parameters.memory_limit,
+            parameters.working_set_s,
+            parameters.working_set_share,
         )
         self._admission = Admission(
             AdmissionTargets(parameters.token_gap_s, parameters.first_token_s, parameters.min_calls)
@@ -102,17 +112,19 @@
         self._bounds = OverloadBounds(
             parameters.max_queue, parameters.new_program_wait_s, parameters.deadline_share
         )
-        self._drain = DrainEstimate()
+        self._drains = [DrainEstimate() for _ in TIERS]
         self._wake_at = float("inf")
 
     def admit(self, call: Waiting, endpoints: Endpoints, now: float) -> Failure | None:
         """Refuse the call, or queue it; a full queue gives up its youngest program's call."""
+        held = max((view.holds(call.request) for view in endpoints.values()), default=0)
+        call.missing = call.request.prompt_tokens - held
         if self._parameters.shed:
             refusal = self._refuse(call)
             if refusal is not None:
                 return refusal
         self._queue.add(call)
-        self._drain.queued(now)
+        self._drains[tier_of(call)].queued(now)
         return None
 
     def remove(self, call: Waiting) -> None:
@@ -124,21 +136,26 @@
         self._wake_at = float("inf")
         if not any(view.has_room for view in endpoints.values()):
             return None
-        for call in self._queue.candidates():
-            views = usable(endpoints.values(), call.request)
-            placement = best_with_room(views, call, self._weights, now)
-            if placement is None:
-                self._look_again(
-                    min((self._room_in_s(view, now) for view in views), default=1.0), now
-                )
-                continue
-            wait_s = wait_for_holder_s(views, call, placement, self._weights, now)
-            if wait_s > 0:
-                self._look_again(wait_s, now)
-                continue
-            return self._choose(call, placement, now)
+        for tier in TIERS:
+            for call in self._queue.candidates(tier):
+                choice = self._try(call, endpoints, now)
+                if choice is not None:
+                    return choice
         return None
 
+    def _try(self, call: Waiting, endpoints: Endpoints, now: float) -> Choice | None:
+        views = usable(endpoints.values(), call.request)
+        placement = best_with_room(views, call, self._weights, now)
+        if placement is None:
+            soonest_s = min((room_in_s(view, self._weights, now) for view in views), default=1.0)
+            self._look_again(soonest_s, now)
+            return None
+        wait_s = wait_for_holder_s(views, call, placement, self._weights, now)
+        if wait_s > 0:
+            self._look_again(wait_s, now)
+            return None
+        return self._choose(call, placement, now)
+
     def wake_at(self) -> float:
         """Return when an engine's backlog should be short enough for the next call."""
         return self._wake_at
@@ -168,7 +185,8 @@
         held = view.holds(call.request)
         missing = call.request.prompt_tokens - held
         self._queue.start(call, self._cost(missing, call.request.expected_output))
-        self._drain.started(now, left=len(self._queue))
+        tier = tier_of(call)
+        self._drains[tier].started(now, left=self._queue.queued(tier))
         reason = (
             f"cost {placement.cost_s:.3f} s: {held} of {call.request.prompt_tokens} prompt tokens "
             f"cached, {view.outstanding} calls running of {int(view.limit)}"
@@ -178,11 +196,8 @@
     def _look_again(self, wait_s: float, now: float) -> None:
         self._wake_at = min(self._wake_at, now + max(MIN_HOLD_S, wait_s))
 
-    def _room_in_s(self, view: EndpointView, now: float) -> float:
-        return room_in_s(view, self._weights, now)
-
     def _refuse(self, call: Waiting) -> Failure | None:
-        wait_s = self._drain.expected_wait_s(self._ahead_of(call.request))
+        wait_s = self._drains[tier_of(call)].expected_wait_s(self._queue.ahead_of(call))
         refusal = refusal_on_arrival(call, wait_s, self._bounds)
         if refusal is not None or len(self._queue) < self._bounds.queue:
             return refusal
@@ -195,11 +210,5 @@
         victim.signal.set()
         return None
 
-    def _ahead_of(self, request: SlotRequest) -> int:
-        """Return the queued calls that go before one more call of this branch."""
-        if not self._parameters.between_branches:
-            return len(self._queue)
-        return self._queue.ahead_of(request.branch)
-
     def _cost(self, prefilled: int, output: int) -> float:
         return prefilled + self._parameters.output_cost * output
--- a/src/bramleylead/scheduling/_dispatcher.py
+++ b/src/bramleylead/scheduling/_dispatcher.py
@@ -283,7 +283,9 @@
         now = anyio.current_time()
         report = held.report if held is not None else None
         if report is not None and report.prompt_tokens > 0:
-            view.remember(call.request.program, report.prompt_tokens + report.output_tokens)
+            held = report.prompt_tokens + report.output_tokens
+            view.remember(call.request.program, held)
+            view.in_use.touch(call.request.program, held, now)
         self._policy.finished(call, view, report, now)
         if report is not None:
             self._judge(view, report, now)
--- a/src/bramleylead/scheduling/_fairness.py
+++ b/src/bramleylead/scheduling/_fairness.py
@@ -6,8 +6,11 @@
 tag goes first. A branch that comes back after a pause starts at the current virtual time, so it
 neither saves up credit nor pays for shares that were lent to it.
 
+Calls of programs under way stand before first calls of new programs, in two tiers: what has begun
+is finished first, and a new program that has to wait never blocks a call that could start.
+
 Within a branch: least attained service of the whole program first ("Autellix", Luo et al., 2025),
-aged by waiting time, so that long programs move on too.
+aged by waiting time, so that long programs move on too; or plain order of arrival.
 """
 
 from __future__ import annotations
@@ -24,113 +27,138 @@
 CALLS_LOOKED_AT = 3
 """Calls of one branch that are weighed when its first one waits for an endpoint."""
 KEPT_IDLE_BRANCHES = 1_024
+UNDER_WAY = 0
+NEW = 1
+TIERS = (UNDER_WAY, NEW)
+
+
+def tier_of(call: Waiting) -> int:
+    """Return the tier of a call: whether its program was served before."""
+    return UNDER_WAY if call.request.attained > 0 else NEW
+
+
+_Heap = list[tuple[float, int, Waiting]]
+
+
+def _empty_heaps() -> tuple[_Heap, ...]:
+    return tuple([] for _ in TIERS)
 
 
 @dataclass(slots=True, eq=False)
 class _Branch:
-    """One branch: its virtual start tag and its queued calls as a heap."""
+    """One branch: its virtual start tag and its queued calls, a heap a tier."""
 
     name: str
     tag: float = 0.0
     weight: float = 1.0
-    heap: list[tuple[float, int, Waiting]] = field(default_factory=list)
+    heaps: tuple[_Heap, ...] = field(default_factory=_empty_heaps)
 
 
 @final
 class FairQueue:
     """Queued calls of one pool.
 
-    ``_order`` holds an entry with the current tag of every backlogged branch, beside stale ones
-    that are dropped when they come to the top.
+    ``_order`` holds, a tier, an entry with the current tag of every backlogged branch, beside stale
+    ones that are dropped when they come to the top.
 
     :param between_branches: whether branches share by served cost; else all are one branch.
-    :param short_first: whether the program that was served least goes first; else the oldest call.
+    :param order: within a branch: ``attained``, ``work`` or ``arrival``.
     :param aging_tokens_per_s: attained service that a second of waiting makes up for.
     """
 
     def __init__(
-        self, *, between_branches: bool, short_first: bool, aging_tokens_per_s: float
+        self, *, between_branches: bool, order: str, aging_tokens_per_s: float
     ) -> None:
         self._between_branches = between_branches
-        self._short_first = short_first
+        self._within = order
         self._aging = aging_tokens_per_s
         self._branches: dict[str, _Branch] = {}
-        self._order: list[tuple[float, str]] = []
+        self._order: tuple[list[tuple[float, str]], ...] = tuple([] for _ in TIERS)
         self._queued: dict[int, Waiting] = {}
-        self._by_branch: dict[str, int] = {}
+        self._by_branch: tuple[dict[str, int], ...] = tuple({} for _ in TIERS)
         self._virtual = 0.0
 
     def __len__(self) -> int:
         return len(self._queued)
 
+    def queued(self, tier: int) -> int:
+        """Return the queued calls of one tier."""
+        return sum(self._by_branch[tier].values())
+
     def calls(self) -> Iterator[Waiting]:
         """Iterate over the queued calls, oldest arrival first."""
         return iter(self._queued.values())
 
-    def queued_of(self, branch: str) -> int:
-        """Return the queued calls of one branch."""
-        return self._by_branch.get(branch, 0)
-
-    def ahead_of(self, branch: str) -> int:
-        """Return the calls that start before one more of this branch, at equal cost a call.
+    def ahead_of(self, call: Waiting) -> int:
+        """Return the calls of its tier that start before one more of this branch.
 
         While the branch's own calls start, every other backlogged branch starts as many, by weight.
         """
-        if not self._queued:
-            return 0
-        own = self.queued_of(branch) + 1
+        counts = self._by_branch[tier_of(call)]
+        if not self._between_branches:
+            return sum(counts.values())
+        branch = call.request.branch
+        own = counts.get(branch, 0) + 1
         weight = self._weight(branch)
         shares = (
             min(count, own * self._weight(name) / weight)
-            for name, count in self._by_branch.items()
+            for name, count in counts.items()
             if name != branch
         )
         return own - 1 + int(sum(shares))
 
     def largest(self) -> str:
         """Return the branch with the most queued calls a unit of weight."""
-        return max(self._by_branch, key=self._backlog)
+        branches = {name for counts in self._by_branch for name in counts}
+        return max(sorted(branches), key=self._backlog)
 
     def add(self, call: Waiting) -> None:
         """Queue a call."""
         branch = self._branch(call)
         branch.weight = call.request.weight if self._between_branches else 1.0
-        self._drop_removed(branch)
-        if not branch.heap:
+        tier = tier_of(call)
+        heap = branch.heaps[tier]
+        self._drop_removed(heap)
+        if not any(branch.heaps):
             branch.tag = max(branch.tag, self._virtual)
-            heapq.heappush(self._order, (branch.tag, branch.name))
-        heapq.heappush(branch.heap, (self._key(call), call.serial, call))
+        if not heap:
+            heapq.heappush(self._order[tier], (branch.tag, branch.name))
+        heapq.heappush(heap, (self._key(call), call.serial, call))
         self._queued[call.serial] = call
+        counts = self._by_branch[tier]
         name = call.request.branch
-        self._by_branch[name] = self._by_branch.get(name, 0) + 1
+        counts[name] = counts.get(name, 0) + 1
 
     def remove(self, call: Waiting) -> None:
         """Take a call out; its heap entry goes when it comes to the top."""
         if self._queued.pop(call.serial, None) is None:
             return
+        counts = self._by_branch[tier_of(call)]
         name = call.request.branch
-        self._by_branch[name] -= 1
-        if self._by_branch[name] == 0:
-            del self._by_branch[name]
+        counts[name] -= 1
+        if counts[name] == 0:
+            del counts[name]
 
-    def candidates(self) -> list[Waiting]:
-        """Return the next few calls in order; the first is the one that should start."""
+    def candidates(self, tier: int) -> list[Waiting]:
+        """Return the next few calls of a tier in order; the first is the one that should start."""
+        order = self._order[tier]
         found: list[Waiting] = []
         taken: list[tuple[float, str]] = []
         seen: set[str] = set()
-        while self._order and len(taken) < BRANCHES_LOOKED_AT:
-            tag, name = heapq.heappop(self._order)
+        while order and len(taken) < BRANCHES_LOOKED_AT:
+            tag, name = heapq.heappop(order)
             branch = self._branches.get(name)
             if branch is None or name in seen:
                 continue
-            self._drop_removed(branch)
-            if not branch.heap or tag != branch.tag:
+            heap = branch.heaps[tier]
+            self._drop_removed(heap)
+            if not heap or tag != branch.tag:
                 continue
             seen.add(name)
             taken.append((tag, name))
-            found += [entry[2] for entry in branch.heap[:CALLS_LOOKED_AT]]
+            found += [entry[2] for entry in heap[:CALLS_LOOKED_AT]]
         for entry in taken:
-            heapq.heappush(self._order, entry)
+            heapq.heappush(order, entry)
         return [call for call in found if call.serial in self._queued]
 
     def start(self, call: Waiting, cost: float) -> None:
@@ -164,24 +192,30 @@
             return
         for name in list(self._branches):
             branch = self._branches[name]
-            if not branch.heap and branch.tag <= self._virtual:
+            if not any(branch.heaps) and branch.tag <= self._virtual:
                 del self._branches[name]
 
     def _charge(self, branch: _Branch, cost: float) -> None:
         branch.tag += cost / branch.weight
-        if branch.heap:
-            heapq.heappush(self._order, (branch.tag, branch.name))
+        for tier in TIERS:
+            if branch.heaps[tier]:
+                heapq.heappush(self._order[tier], (branch.tag, branch.name))
 
-    def _drop_removed(self, branch: _Branch) -> None:
-        while branch.heap and branch.heap[0][1] not in self._queued:
-            heapq.heappop(branch.heap)
+    def _drop_removed(self, heap: _Heap) -> None:
+        while heap and heap[0][1] not in self._queued:
+            heapq.heappop(heap)
 
     def _key(self, call: Waiting) -> float:
         aged = self._aging * call.enqueued_at
-        return call.request.attained + aged if self._short_first else call.enqueued_at
+        if self._within == "attained":
+            return call.request.attained + aged
+        if self._within == "work":
+            return call.missing + aged
+        return call.enqueued_at
 
     def _backlog(self, branch: str) -> float:
-        return self._by_branch[branch] / self._weight(branch)
+        queued = sum(counts.get(branch, 0) for counts in self._by_branch)
+        return queued / self._weight(branch)
 
     def _weight(self, branch: str) -> float:
         known = self._branches.get(branch)
--- a/src/bramleylead/scheduling/_view.py
+++ b/src/bramleylead/scheduling/_view.py
@@ -14,6 +14,7 @@
 from bramleylead.backends import LoadReport
 from bramleylead.errors import Failure
 from bramleylead.scheduling._types import SlotRequest
+from bramleylead.scheduling._working_set import WorkingSet
 from bramleylead.version import Endpoint
 
 KEPT_PREFIXES = 4_096
@@ -68,6 +69,7 @@
     :param prefill_until: when it should have computed the prompts that it was given.
     :param reserved_tokens: memory that its running calls need.
     :param held_tokens: sum of ``cached``.
+    :param in_use: prefixes used a short time ago.
     :param cached: tokens of each program's prefix that it is believed to hold, oldest use first.
     """
 
@@ -89,6 +91,7 @@
     reserved_tokens: int = 0
     held_tokens: int = 0
     first_token_s: float = 0.0
+    in_use: WorkingSet = field(default_factory=WorkingSet)
     next_sequence: int = 1
     granted_count: int = 0
 
@@ -130,6 +133,7 @@
         if tokens > 0:
             self.cached[program] = tokens
         else:
+            self.in_use.drop(program)
             self.evicted[program] = True
         while len(self.evicted) > KEPT_PREFIXES:
             self.evicted.popitem(last=False)
@@ -146,6 +150,7 @@
         self.granted_count += 1
         if call.request.prompt_tokens > 0:
             self.remember(call.request.program, call.request.prompt_tokens)
+            self.in_use.touch(call.request.program, call.reserve, now)
 
     def end(self, call: Waiting) -> None:
         """Take in that a call no longer runs here."""
