Choose pools by the wait of the call's own tier

Cause: a pool's news told the wait of the whole queue, so under overload calls of programs under way fled their caches. Change: news tells the wait of both tiers and the share of memory in use; rebuilding elsewhere is priced above its own time.

--- a/src/bramleylead/scheduling/_baselines.py
+++ b/src/bramleylead/scheduling/_baselines.py
@@ -9,6 +9,7 @@
 import xxhash
 
 from bramleylead.errors import Failure
+from bramleylead.scheduling._news import DrainEstimate
 from bramleylead.scheduling._policy import Choice
 from bramleylead.scheduling._policy import Endpoints
 from bramleylead.scheduling._policy import policy
@@ -29,10 +30,12 @@
 
     def __init__(self, parameters: NoParameters) -> None:
         self._queue: deque[Waiting] = deque()
+        self._drain = DrainEstimate()
 
     def admit(self, call: Waiting, endpoints: Endpoints, now: float) -> Failure | None:
         """Queue the call."""
         self._queue.append(call)
+        self._drain.queued(now)
         return None
 
     def remove(self, call: Waiting) -> None:
@@ -53,6 +56,7 @@
             return None
         self._queue.popleft()
         self._started()
+        self._drain.started(now, left=len(self._queue))
         return Choice(call, endpoint, type(self).__name__)
 
     def wake_at(self) -> float:
@@ -68,6 +72,10 @@
         """Return the length of the queue."""
         return len(self._queue)
 
+    def expected_wait_s(self, *, new: bool) -> float:
+        """Return the wait behind the whole queue."""
+        return self._drain.expected_wait_s(self.queued())
+
     def dump(self) -> dict[str, Any]:
         """Return nothing: there is no state beside the queue."""
         return {}
@@ -117,6 +125,7 @@
         name = self._pick(candidates, call.request).name if candidates else ""
         self._queues.setdefault(name, deque()).append(call)
         self._count += 1
+        self._drain.queued(now)
         return None
 
     def remove(self, call: Waiting) -> None:
@@ -137,6 +146,7 @@
                 choice = Choice(queue.popleft(), endpoint, "PrefixAffinity")
             if choice is not None:
                 self._count -= 1
+                self._drain.started(now, left=self._count)
                 return choice
         return None
 
--- a/src/bramleylead/scheduling/_chooser.py
+++ b/src/bramleylead/scheduling/_chooser.py
@@ -30,6 +30,8 @@
 PROMPT_BYTES_PER_TOKEN = 5
 """Bytes between regions for a token of prompt or answer sent as text."""
 BYTES_PER_GB = 1e9
+MEAN_WEIGHT = 0.1
+"""Weight of one pool's news in the mean over all pools."""
 
 
 class ChooserParameters(Strict):
@@ -37,13 +39,17 @@
 
     :param news_half_life_s: age at which a pool's news counts half.
     :param prefill_s_per_token: price of recomputing a cached token in another pool.
+    :param rebuild_weight: weight of that price; above 1, since it also delays the calls there.
+    :param memory_s: seconds that full cache memory is worth to a new program.
     :param region_s: added for every pool outside the program's region.
     :param gb_s: seconds that a gigabyte between regions is worth.
     :param alike_s: pools within this of the best one are drawn from at random.
     """
 
     news_half_life_s: Annotated[float, Field(gt=0)] = 2.0
-    prefill_s_per_token: Annotated[float, Field(ge=0)] = 0.0001
+    prefill_s_per_token: Annotated[float, Field(ge=0)] = 0.00015
+    rebuild_weight: Annotated[float, Field(ge=0)] = 2.0
+    memory_s: Annotated[float, Field(ge=0)] = 1.0
     region_s: Annotated[float, Field(ge=0)] = 0.25
     gb_s: Annotated[float, Field(ge=0)] = 20.0
     alike_s: Annotated[float, Field(ge=0)] = 0.05
@@ -91,7 +97,7 @@
         self.turn = 0
         self.pools: Pools = {}
         self._heard: dict[str, _Heard] = {}
-        self._mean_wait_s = 0.0
+        self._mean_wait_s = [0.0, 0.0]
 
     def set_pools(self, pools: Pools) -> None:
         """Take in the pools of the configuration in force."""
@@ -103,7 +109,8 @@
     def hear(self, news: PoolNews, now: float) -> None:
         """Take in a pool's news, piggybacked on an answer."""
         self._heard[news.pool] = _Heard(news, now)
-        self._mean_wait_s += 0.1 * (news.expected_wait_s - self._mean_wait_s)
+        for new, wait_s in enumerate((news.expected_wait_s, news.new_wait_s)):
+            self._mean_wait_s[new] += MEAN_WEIGHT * (wait_s - self._mean_wait_s[new])
 
     def choose(
         self, request: SlotRequest, now: float, *, avoid: Sequence[PoolKey] = ()
@@ -123,19 +130,26 @@
             heard.sent_since += 1
         return choice
 
-    def expected_wait_s(self, key: PoolKey, now: float) -> float:
+    def expected_wait_s(self, key: PoolKey, now: float, *, new: bool) -> float:
         """Return the expected wait at a pool: its news, faded, and what was sent there since."""
         heard = self._heard.get(str(key))
+        mean_s = self._mean_wait_s[new]
         if heard is None:
-            return self._mean_wait_s
+            return mean_s
         trust = 0.5 ** ((now - heard.at_s) / self.parameters.news_half_life_s)
         news = heard.news
-        wait_s = trust * news.expected_wait_s + (1 - trust) * self._mean_wait_s
+        seen_s = news.new_wait_s if new else news.expected_wait_s
+        wait_s = trust * seen_s + (1 - trust) * mean_s
         free = news.slots - news.running - heard.sent_since
         if free < 0 and news.slots > 0:
             wait_s += trust * -free / news.slots
         return wait_s
 
+    def memory_share(self, key: PoolKey) -> float:
+        """Return the part of a pool's cache memory that was last in use."""
+        heard = self._heard.get(str(key))
+        return 0.0 if heard is None else heard.news.memory_share
+
     def outstanding(self, key: PoolKey) -> float:
         """Return calls an endpoint as far as known."""
         heard = self._heard.get(str(key))
@@ -172,7 +186,11 @@
 def _cost_s(chooser: PoolChooser, key: PoolKey, request: SlotRequest, now: float) -> float:
     parameters = chooser.parameters
     missing = request.prompt_tokens - _held(chooser.pools[key], request)
-    cost_s = chooser.expected_wait_s(key, now) + missing * parameters.prefill_s_per_token
+    new = request.attained == 0
+    cost_s = chooser.expected_wait_s(key, now, new=new)
+    cost_s += parameters.rebuild_weight * missing * parameters.prefill_s_per_token
+    if new:
+        cost_s += parameters.memory_s * chooser.memory_share(key)
     if key.region != (request.home_region or request.region):
         cost_s += parameters.region_s
     if key.region != request.region:
--- a/src/bramleylead/scheduling/_default.py
+++ b/src/bramleylead/scheduling/_default.py
@@ -16,7 +16,9 @@
 from bramleylead.scheduling._choice import room_in_s
 from bramleylead.scheduling._choice import wait_for_holder_s
 from bramleylead.scheduling._chooser import ChooserParameters
+from bramleylead.scheduling._fairness import NEW
 from bramleylead.scheduling._fairness import TIERS
+from bramleylead.scheduling._fairness import UNDER_WAY
 from bramleylead.scheduling._fairness import FairQueue
 from bramleylead.scheduling._fairness import tier_of
 from bramleylead.scheduling._news import DrainEstimate
@@ -176,6 +178,11 @@
         """Return the number of queued calls."""
         return len(self._queue)
 
+    def expected_wait_s(self, *, new: bool) -> float:
+        """Return the wait behind the queue of the call's tier."""
+        tier = NEW if new else UNDER_WAY
+        return self._drains[tier].expected_wait_s(self._queue.queued(tier))
+
     def dump(self) -> dict[str, Any]:
         """Return each branch's lead over the virtual time, and the parameters."""
         return {"branch_lead": self._queue.tags(), "parameters": self._parameters.model_dump()}
--- a/src/bramleylead/scheduling/_dispatcher.py
+++ b/src/bramleylead/scheduling/_dispatcher.py
@@ -26,7 +26,6 @@
 from bramleylead.scheduling._decisions import Decision
 from bramleylead.scheduling._decisions import Decisions
 from bramleylead.scheduling._health import Health
-from bramleylead.scheduling._news import DrainEstimate
 from bramleylead.scheduling._news import PoolNews
 from bramleylead.scheduling._policy import Choice
 from bramleylead.scheduling._policy import make_policy
@@ -81,7 +80,6 @@
         self._promises = promises or Promises(Registry())
         self._clock = clock or time.perf_counter
         self._health = Health()
-        self._drain = DrainEstimate()
         self._serial = 0
         self._queue: dict[int, Waiting] = {}
 
@@ -147,7 +145,8 @@
             slots=slots,
             running=running,
             queued=queued,
-            expected_wait_s=self._drain.expected_wait_s(queued) + _least_backlog_s(views),
+            expected_wait_s=self._policy.expected_wait_s(new=False) + _least_backlog_s(views),
+            new_wait_s=self._policy.expected_wait_s(new=True) + _least_backlog_s(views),
             memory_share=_memory_share(views),
         )
 
@@ -194,7 +193,6 @@
             self._note(call, "refused", refusal.detail)
             return refusal
         self._queue[call.serial] = call
-        self._drain.queued(call.enqueued_at + call.request.waited_s)
         self._pump()
         while not call.decided:
             now = anyio.current_time()
@@ -261,7 +259,6 @@
         view.begin(call, now)
         was_oldest = call is next(iter(self._queue.values()))
         del self._queue[call.serial]
-        self._drain.started(now, left=len(self._queue))
         self._note(call, "granted", reason)
         call.signal.set()
         if was_oldest:
--- a/src/bramleylead/scheduling/_news.py
+++ b/src/bramleylead/scheduling/_news.py
@@ -17,7 +17,8 @@
     """A pool's load at the moment of an answer, piggybacked on it.
 
     :param slots: calls that its open endpoints take at once.
-    :param expected_wait_s: wait of a call that comes now.
+    :param expected_wait_s: wait of a call that comes now, of a program under way.
+    :param new_wait_s: wait of a new program's first call.
     :param memory_share: part of the engines' cache memory that is believed to be in use.
     """
 
@@ -27,6 +28,7 @@
     running: int
     queued: int
     expected_wait_s: float
+    new_wait_s: float = 0.0
     memory_share: float = 0.0
 
 
--- a/src/bramleylead/scheduling/_policy.py
+++ b/src/bramleylead/scheduling/_policy.py
@@ -59,6 +59,10 @@
         """Return the number of calls in the queue."""
         ...
 
+    def expected_wait_s(self, *, new: bool) -> float:
+        """Return the wait in the queue of a call that comes now, of a new program or another."""
+        ...
+
     def dump(self) -> dict[str, Any]:
         """Return the policy's own state for the dump."""
         ...
