Balance memory in use, and count queued programs against it

Cause: an engine full of prefixes looks the same whether they are in use or not, and evicted programs under way were forgotten. Change: new and evicted prefixes go where least memory is in use; queued prompts of programs under way close the door to new ones.

--- a/src/bramleylead/scheduling/_choice.py
+++ b/src/bramleylead/scheduling/_choice.py
@@ -29,7 +29,7 @@
 
     :param rebuild: on the prefill time of tokens that are not cached there.
     :param load_s: seconds a call that is already there.
-    :param memory_s: seconds for a cache that is full.
+    :param memory_s: seconds that memory full of prefixes in use is worth to a prefix that comes.
     :param evict: on the prefill time of tokens that the call pushes out of the cache.
     :param wait_for_cache: bound of the wait for the holder, in units of the rebuild time; 0: never.
     :param backlog_s: prefill that an engine is given ahead.
@@ -58,15 +58,25 @@
     rebuild_s: float
 
 
-def can_start(view: EndpointView, call: Waiting, weights: ChoiceWeights, now: float) -> bool:
-    """Whether an engine takes the call now; an idle one always does."""
+def can_start(
+    view: EndpointView,
+    call: Waiting,
+    weights: ChoiceWeights,
+    now: float,
+    queued_tokens: float = 0.0,
+) -> bool:
+    """Whether an engine takes the call now; an idle one always does.
+
+    :param queued_tokens: the engine's part of the prompts of programs under way that are queued.
+        Their caches may be gone, yet they will come back for the memory.
+    """
     if not view.has_room:
         return False
     if not view.running:
         return True
     if view.backlog_s(now) > weights.backlog_s:
         return False
-    if _is_new(call) and _is_working_set_full(view, call, weights, now):
+    if _is_new(call) and _is_working_set_full(view, call, weights, now, queued_tokens):
         return False
     fits = view.reserved_tokens + call.reserve <= view.memory_tokens
     return fits or not weights.memory_limit or view.memory_tokens == 0
@@ -77,21 +87,25 @@
 
 
 def _is_working_set_full(
-    view: EndpointView, call: Waiting, weights: ChoiceWeights, now: float
+    view: EndpointView, call: Waiting, weights: ChoiceWeights, now: float, queued_tokens: float
 ) -> bool:
     if weights.working_set_share == 0 or view.memory_tokens == 0:
         return False
-    in_use = view.in_use.tokens(now, weights.working_set_s) + call.reserve
+    in_use = view.in_use.tokens(now, weights.working_set_s) + call.reserve + queued_tokens
     return in_use > weights.working_set_share * view.memory_tokens
 
 
 def best_with_room(
-    views: Iterable[EndpointView], call: Waiting, weights: ChoiceWeights, now: float
+    views: Iterable[EndpointView],
+    call: Waiting,
+    weights: ChoiceWeights,
+    now: float,
+    queued_tokens: float = 0.0,
 ) -> Placement | None:
     """Return the cheapest endpoint that can start the call now."""
     best: Placement | None = None
     for view in views:
-        if not can_start(view, call, weights, now):
+        if not can_start(view, call, weights, now, queued_tokens):
             continue
         placement = _placement(view, call.request, weights, now)
         if best is None or placement.cost_s < best.cost_s:
@@ -143,7 +157,7 @@
     prefill_s = rebuild_s(view, request)
     busy = view.outstanding + _foreign(view, now)
     cost_s = view.backlog_s(now) + weights.rebuild * prefill_s + weights.load_s * busy
-    cost_s += _memory_cost_s(view, request, weights)
+    cost_s += _memory_cost_s(view, request, weights, now)
     return Placement(view, cost_s, prefill_s)
 
 
@@ -155,13 +169,20 @@
     return view.foreign * REPORT_TRUST_S / (REPORT_TRUST_S + age_s)
 
 
-def _memory_cost_s(view: EndpointView, request: SlotRequest, weights: ChoiceWeights) -> float:
-    """Return the cost of the memory that a new prefix takes, and of what it pushes out."""
+def _memory_cost_s(
+    view: EndpointView, request: SlotRequest, weights: ChoiceWeights, now: float
+) -> float:
+    """Return the cost of the memory that a prefix takes where it is not held, and pushes out.
+
+    Memory in use tells engines apart when all of them are full of prefixes that may go.
+    """
     total = view.memory_tokens
     if total == 0:
         return 0.0
     added = request.prompt_tokens - view.holds(request)
-    after = view.held_tokens + added
-    pushed_out = min(added, max(0, after - total))
+    if added <= 0:
+        return 0.0
+    pushed_out = min(added, max(0, view.held_tokens + added - total))
     cost_s = weights.evict * pushed_out * view.prefill_s_per_token
-    return cost_s + weights.memory_s * min(1.0, after / total) * added / total
+    in_use = view.in_use.tokens(now, weights.working_set_s) + added
+    return cost_s + weights.memory_s * in_use / total * added / request.prompt_tokens
--- a/src/bramleylead/scheduling/_chooser.py
+++ b/src/bramleylead/scheduling/_chooser.py
@@ -49,7 +49,7 @@
     news_half_life_s: Annotated[float, Field(gt=0)] = 2.0
     prefill_s_per_token: Annotated[float, Field(ge=0)] = 0.00015
     rebuild_weight: Annotated[float, Field(ge=0)] = 2.0
-    memory_s: Annotated[float, Field(ge=0)] = 1.0
+    memory_s: Annotated[float, Field(ge=0)] = 4.0
     region_s: Annotated[float, Field(ge=0)] = 0.25
     gb_s: Annotated[float, Field(ge=0)] = 20.0
     alike_s: Annotated[float, Field(ge=0)] = 0.05
--- a/src/bramleylead/scheduling/_default.py
+++ b/src/bramleylead/scheduling/_default.py
@@ -31,7 +31,6 @@
 from bramleylead.scheduling._policy import policy
 from bramleylead.scheduling._speed import learn_speed
 from bramleylead.scheduling._types import SlotFinished
-from bramleylead.scheduling._types import SlotRequest
 from bramleylead.scheduling._view import EndpointView
 from bramleylead.scheduling._view import Waiting
 from bramleylead.scheduling._view import usable
@@ -67,7 +66,7 @@
     aging_tokens_per_s: Annotated[float, Field(ge=0)] = 2_000.0
     rebuild_weight: Annotated[float, Field(ge=0)] = 1.0
     load_s: Annotated[float, Field(ge=0)] = 0.05
-    memory_s: Annotated[float, Field(ge=0)] = 1.0
+    memory_s: Annotated[float, Field(ge=0)] = 3.0
     evict_weight: Annotated[float, Field(ge=0)] = 1.0
     backlog_s: Annotated[float, Field(ge=0)] = 1.0
     memory_limit: bool = True
@@ -147,7 +146,8 @@
 
     def _try(self, call: Waiting, endpoints: Endpoints, now: float) -> Choice | None:
         views = usable(endpoints.values(), call.request)
-        placement = best_with_room(views, call, self._weights, now)
+        queued = self._queue.queued_tokens(UNDER_WAY) / max(1, len(views))
+        placement = best_with_room(views, call, self._weights, now, queued)
         if placement is None:
             soonest_s = min((room_in_s(view, self._weights, now) for view in views), default=1.0)
             self._look_again(soonest_s, now)
--- a/src/bramleylead/scheduling/_dispatcher.py
+++ b/src/bramleylead/scheduling/_dispatcher.py
@@ -40,6 +40,8 @@
 from bramleylead.version import Endpoint
 
 DUMPED_DECISIONS = 50
+IN_USE_S = 60.0
+"""A prefix counts as in use in a pool's news for so long after its last call."""
 
 
 @final
@@ -309,5 +311,6 @@
 
 def _memory_share(views: list[EndpointView]) -> float:
     total = sum(view.memory_tokens for view in views)
-    held = sum(view.held_tokens for view in views if view.memory_tokens)
-    return held / total if total else 0.0
+    now = anyio.current_time()
+    in_use = sum(view.in_use.tokens(now, IN_USE_S) for view in views if view.memory_tokens)
+    return in_use / total if total else 0.0
--- a/src/bramleylead/scheduling/_fairness.py
+++ b/src/bramleylead/scheduling/_fairness.py
@@ -66,9 +66,7 @@
     :param aging_tokens_per_s: attained service that a second of waiting makes up for.
     """
 
-    def __init__(
-        self, *, between_branches: bool, order: str, aging_tokens_per_s: float
-    ) -> None:
+    def __init__(self, *, between_branches: bool, order: str, aging_tokens_per_s: float) -> None:
         self._between_branches = between_branches
         self._within = order
         self._aging = aging_tokens_per_s
@@ -76,6 +74,7 @@
         self._order: tuple[list[tuple[float, str]], ...] = tuple([] for _ in TIERS)
         self._queued: dict[int, Waiting] = {}
         self._by_branch: tuple[dict[str, int], ...] = tuple({} for _ in TIERS)
+        self._tokens = [0 for _ in TIERS]
         self._virtual = 0.0
 
     def __len__(self) -> int:
@@ -85,6 +84,10 @@
         """Return the queued calls of one tier."""
         return sum(self._by_branch[tier].values())
 
+    def queued_tokens(self, tier: int) -> int:
+        """Return the prompt tokens of the queued calls of one tier."""
+        return self._tokens[tier]
+
     def calls(self) -> Iterator[Waiting]:
         """Iterate over the queued calls, oldest arrival first."""
         return iter(self._queued.values())
@@ -125,6 +128,7 @@
             heapq.heappush(self._order[tier], (branch.tag, branch.name))
         heapq.heappush(heap, (self._key(call), call.serial, call))
         self._queued[call.serial] = call
+        self._tokens[tier] += call.request.prompt_tokens
         counts = self._by_branch[tier]
         name = call.request.branch
         counts[name] = counts.get(name, 0) + 1
@@ -133,7 +137,9 @@
         """Take a call out; its heap entry goes when it comes to the top."""
         if self._queued.pop(call.serial, None) is None:
             return
-        counts = self._by_branch[tier_of(call)]
+        tier = tier_of(call)
+        self._tokens[tier] -= call.request.prompt_tokens
+        counts = self._by_branch[tier]
         name = call.request.branch
         counts[name] -= 1
         if counts[name] == 0:
