Let every branch queue a new program whatever the wait

Cause: under a flood quiet branches were refused for the wait of others' programs, though their turn comes first.

--- a/src/bramleylead/scheduling/_default.py
+++ b/src/bramleylead/scheduling/_default.py
@@ -81,6 +81,7 @@
     shed: bool = True
     max_queue: Annotated[int, Field(ge=1)] = 512
     new_program_wait_s: Annotated[float, Field(gt=0)] = 5.0
+    always_queued: Annotated[int, Field(ge=0)] = 1
     deadline_share: Annotated[float, Field(gt=0, le=1)] = 0.8
     pools: ChooserParameters = ChooserParameters()
 
@@ -111,7 +112,10 @@
             AdmissionTargets(parameters.token_gap_s, parameters.first_token_s, parameters.min_calls)
         )
         self._bounds = OverloadBounds(
-            parameters.max_queue, parameters.new_program_wait_s, parameters.deadline_share
+            parameters.max_queue,
+            parameters.new_program_wait_s,
+            parameters.always_queued,
+            parameters.deadline_share,
         )
         self._drains = [DrainEstimate() for _ in TIERS]
         self._wake_at = float("inf")
@@ -205,7 +209,7 @@
 
     def _refuse(self, call: Waiting) -> Failure | None:
         wait_s = self._drains[tier_of(call)].expected_wait_s(self._queue.ahead_of(call))
-        refusal = refusal_on_arrival(call, wait_s, self._bounds)
+        refusal = refusal_on_arrival(call, self._queue.queued_new(call), wait_s, self._bounds)
         if refusal is not None or len(self._queue) < self._bounds.queue:
             return refusal
         victim = youngest_to_shed(call, self._queue)
--- a/src/bramleylead/scheduling/_fairness.py
+++ b/src/bramleylead/scheduling/_fairness.py
@@ -84,6 +84,10 @@
         """Return the queued calls of one tier."""
         return sum(self._by_branch[tier].values())
 
+    def queued_new(self, call: Waiting) -> int:
+        """Return the queued first calls of new programs of the call's branch."""
+        return self._by_branch[NEW].get(call.request.branch, 0)
+
     def queued_tokens(self, tier: int) -> int:
         """Return the prompt tokens of the queued calls of one tier."""
         return self._tokens[tier]
--- a/src/bramleylead/scheduling/_overload.py
+++ b/src/bramleylead/scheduling/_overload.py
@@ -18,18 +18,27 @@
 
     :param queue: most queued calls of a pool.
     :param new_program_wait_s: expected wait above which a new program is not begun.
+    :param always_queued: new programs that a branch may queue whatever the wait.
     :param deadline_share: part of a call's deadline that its expected wait may take.
     """
 
     queue: int
     new_program_wait_s: float
+    always_queued: int
     deadline_share: float
 
 
-def refusal_on_arrival(call: Waiting, wait_s: float, bounds: OverloadBounds) -> Failure | None:
-    """Refuse a call that would wait too long, new programs first, or return ``None``."""
+def refusal_on_arrival(
+    call: Waiting, own_queued: int, wait_s: float, bounds: OverloadBounds
+) -> Failure | None:
+    """Refuse a call that would wait too long, new programs first, or return ``None``.
+
+    :param own_queued: new programs of its branch that are queued. A branch may always queue a few,
+        whatever others have queued: their turn comes before those of a branch over its share.
+    """
     request = call.request
-    if request.attained == 0 and wait_s > bounds.new_program_wait_s:
+    is_new = request.attained == 0 and own_queued >= bounds.always_queued
+    if is_new and wait_s > bounds.new_program_wait_s:
         return overloaded(f"a new program would wait {wait_s:.1f} s", wait_s)
     if wait_s > bounds.deadline_share * request.deadline_s:
         return overloaded(f"the call would wait {wait_s:.1f} s, near its deadline", wait_s)
