Keep the number of a call whose second run was not sent; read pending messages again

Change: a second run that is not sent ends as failed, and is never answered "not run"; pending is back under the window's accounting; failing handlers are counted and shown by soaks.

--- a/src/bramleylead/connection/_rpc.py
+++ b/src/bramleylead/connection/_rpc.py
@@ -85,13 +85,26 @@
         :raises anyio.EndOfStream: if the other side ended the call or the connection broke.
         """
         item, size = await self._receive.receive()
+        self._note_read(size)
+        return item
+
+    def pending(self) -> list[Any]:
+        """Take the messages that have arrived and were not received yet, without waiting."""
+        items = []
+        while self._receive.statistics().current_buffer_used:
+            item, size = self._receive.receive_nowait()
+            self._note_read(size)
+            items.append(item)
+        return items
+
+    def _note_read(self, size: int) -> None:
+        """Tell the sender, now and then, how much room there is again."""
         self._unread_bytes -= size
         self._consumed_bytes += size
         if self._consumed_bytes >= WINDOW_BYTES // 2 and not self._ended:
             frame = Frame(self._number, FrameKind.WINDOW, self._consumed_bytes)
             self._frames.send_nowait(frame)
             self._consumed_bytes = 0
-        return item
 
     def __aiter__(self) -> AsyncIterator[Any]:
         return self
--- a/src/bramleylead/connection/_server.py
+++ b/src/bramleylead/connection/_server.py
@@ -48,6 +48,7 @@
         self._idle = anyio.Event()
         self._draining = False
         self.bad_frames = 0
+        self.handler_errors = 0
         self.connections = 0
 
     def handle(self, message_class: type, handler: Handler) -> None:
@@ -133,15 +134,15 @@
             detail = f"more than {CALLS_LIMIT} calls on one connection to {self._node}"
             await reply.fail(Failure(ErrorKind.OVERLOADED, detail))
         else:
-            await _run_handler(handler, request, reply)
+            await self._run_handler(handler, request, reply)
 
-
-async def _run_handler(handler: Handler, request: Any, reply: Reply) -> None:
-    try:
-        await handler(request, reply)
-    except Exception as error:
-        log.exception("peer_call_failed", request=type(request).__name__)
-        await reply.fail(Failure(ErrorKind.INTERNAL, f"{type(error).__name__}: {error}"))
+    async def _run_handler(self, handler: Handler, request: Any, reply: Reply) -> None:
+        try:
+            await handler(request, reply)
+        except Exception as error:
+            self.handler_errors += 1
+            log.exception("peer_call_failed", request=type(request).__name__)
+            await reply.fail(Failure(ErrorKind.INTERNAL, f"{type(error).__name__}: {error}"))
 
 
 class _Connection:
--- a/src/bramleylead/process/_node.py
+++ b/src/bramleylead/process/_node.py
@@ -117,6 +117,11 @@
         """The configuration in force."""
         return self.tickets.config
 
+    @property
+    def handler_errors(self) -> int:
+        """Calls of other nodes whose handler failed for a fault of the program."""
+        return self._server.handler_errors
+
     @property
     def stopping(self) -> bool:
         """Whether the node is stopping and takes no new work."""
--- a/src/bramleylead/process/_owner.py
+++ b/src/bramleylead/process/_owner.py
@@ -325,6 +325,7 @@
             messages=messages,
             deadline_at=anyio.current_time() + request.deadline_s,
             history_length=len(program.messages),
+            again=decision.again,
         )
 
     async def _run(self, call: RunningCall) -> None:
--- a/src/bramleylead/process/_run.py
+++ b/src/bramleylead/process/_run.py
@@ -72,6 +72,7 @@
 
     :param history_length: messages that the program had when the call started.
     :param sent: whether a byte of the call may have reached an endpoint.
+    :param again: whether the journal has an earlier run of the call, which may have been sent.
     """
 
     log: PartitionLog
@@ -89,6 +90,7 @@
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     sent: bool = False
     intended: bool = False
+    again: bool = False
     avoid: list[str] = field(default_factory=list)
     started_at: float = 0.0
     endpoint: str = ""
@@ -131,6 +133,8 @@
         """Run the call and return how it ended."""
         self._call.started_at = anyio.current_time()
         end = await self._run_with_budget()
+        if isinstance(end, Failure) and self._call.again and end.answer.ran is Ran.NOT_RUN:
+            end = Failure(ErrorKind.OWNER_LOST, f"{self._call.name} ran before; now: {end.detail}")
         if isinstance(end, Failure):
             self._parts.promises.check(
                 Promise.NOT_RUN,
@@ -270,7 +274,7 @@
         return await self._settle(last._replace(detail=f"{last.detail}; then {failure.detail}"))
 
     async def _settle(self, last: Attempt) -> AnswerEnd | Failure:
-        if last.next is Next.NOT_RUN and not self._call.sent:
+        if last.next is Next.NOT_RUN and not self._call.sent and not self._call.again:
             return await self._withdraw(last)
         return await self._journal_end(last)
 
--- a/src/bramleylead/trials/_fleet.py
+++ b/src/bramleylead/trials/_fleet.py
@@ -77,6 +77,7 @@
         self.endpoints = FakeEndpoints(self.network, seed=seed)
         self.hosts = {name: Host(settings) for name, settings in deployment.nodes.items()}
         self.violations: list[Violation] = []
+        self.handler_errors = 0
         self._tasks = tasks
         self._boots = 0
 
@@ -183,6 +184,7 @@
         finally:
             self.violations.extend(node.promises.violations)
             node.promises.violations.clear()
+            self.handler_errors += node.handler_errors
             host.node = None
             host.ended.set()
             started.set()
--- a/src/bramleylead/trials/_soak.py
+++ b/src/bramleylead/trials/_soak.py
@@ -52,7 +52,10 @@
 
 
 class SoakResult(NamedTuple):
-    """The outcome of one soak."""
+    """The outcome of one soak.
+
+    :param handler_errors: calls between nodes that failed for a fault of the program.
+    """
 
     seed: int
     programs: int
@@ -63,6 +66,7 @@
     virtual_s: float
     faults: dict[str, int]
     reasons: dict[str, int]
+    handler_errors: int
     seen: tuple[Observed, ...]
 
     @property
@@ -94,6 +98,8 @@
         print(f"not finished, {reason}: {count}", file=out)
     for violation in result.violations:
         print(f"violation {violation.promise.value}: {violation.detail}", file=out)
+    if result.handler_errors:
+        print(f"handler errors: {result.handler_errors}", file=out)
     print(result.last_line, file=out)
 
 
@@ -121,6 +127,7 @@
         virtual_s=virtual_s,
         faults=injector.counts,
         reasons=dict(Counter(item.reason.partition(":")[0] for item in seen if item.reason)),
+        handler_errors=fleet.handler_errors,
         seen=tuple(seen),
     )
 
--- a/testing/process/test_owner.py
+++ b/testing/process/test_owner.py
@@ -314,6 +314,21 @@
 
 
 class EngineFailureTest(unittest.TestCase):
+    def test_a_failed_call_that_can_not_run_again_keeps_its_number(self) -> None:
+        """Fault: the second run's withdrawal took the call out of the journal, not its number."""
+
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            bench.backends.engine_script = [[LOST]] * 3 + [[NOT_SENT]] * 3
+            first = await bench.call(number=1)
+            second = await bench.call(number=1)
+            return first, second, await bench.call(number=1)
+
+        first, second, third = run_with_owner(body)
+        self.assertEqual(first.answer.ran, Ran.RAN)
+        self.assertNotEqual(second.answer.ran, Ran.NOT_RUN)
+        self.assertIsInstance(third, AnswerEnd)
+
     def test_a_broken_stream_goes_on_at_another_engine_without_a_seam(self) -> None:
         async def body(bench: Bench) -> Any:
             await bench.open()
