--- a/src/bramleylead/process/_node.py
+++ b/src/bramleylead/process/_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import AsyncIterator
 from collections.abc import Callable
@@ -34,6 +35,7 @@
 from bramleylead.process._owner import ProgramOwner
 from bramleylead.process._partition_host import PartitionHost
 from bramleylead.process._parts import OwnerParts
+from bramleylead.process._place import partition_of
 from bramleylead.process._router import ProgramRouter
 from bramleylead.process._settings import NodeSettings
 from bramleylead.process._store_health import ObservedStore
@@ -65,6 +67,8 @@
 SETTLE_RETRY_S = 1.0
 RETURN_INTERVAL_S = 10.0
 DRAIN_CHECK_S = 0.05
+IDLE_WAIT_S = 2.0
+"""How long a stop waits for a moment without calls in each partition before it refuses new ones."""
 LEAVE_SPREADS_S = 0.5
 """Time in which the balancer and the peers learn that the node leaves, before it hands over."""
 
@@ -77,6 +81,7 @@
 
     :param wall_clock: seconds since 1970, or virtual time in a trial.
     :param rng: randomness of this process; also makes its boot id.
+    :param metrics: those of the process, if other parts of it count into them too.
     """
 
     def __init__(
@@ -88,9 +93,10 @@
         backends: BackendFactory,
         wall_clock: Callable[[], float],
         rng: random.Random,
+        metrics: Metrics | None = None,
     ) -> None:
         self.settings = settings
-        self.metrics = Metrics()
+        self.metrics = Metrics() if metrics is None else metrics
         self.promises = Promises(self.metrics.registry)
         self.peer_address = settings.peer_address
         self._network = network
@@ -206,8 +212,9 @@
             "stopping": self._stopping,
             "ready": self.ready(),
             "entry_calls": self._entry_calls,
-            "ticket": {"number": self.config.number, "current": self.tickets.is_current()},
+            "tickets": self._dump_tickets(),
             "members": [member._asdict() for member in self._membership.members()],
+            "partitions": self._partitions.dump(),
             "calls": self._owner.dump(),
             "budgets": self._escrow.dump(),
             "scheduling": self._scheduler.dump(),
@@ -219,20 +226,51 @@
             "violations": [violation._asdict() for violation in self.promises.violations],
         }
 
-    def explain(self, call: str) -> list[dict[str, Any]]:
-        """Return the remembered scheduling decisions about a call ``program/number``."""
-        return [decision._asdict() for decision in self._scheduler.explain(call)]
+    def explain(self, program: str, number: int) -> dict[str, Any]:
+        """Return what this node knows of a call, and why it went where it went."""
+        partition = partition_of(program, self.settings.partitions.count)
+        here = self._partitions.log(partition) is not None
+        decisions = self._scheduler.explain(f"{program}/{number}")
+        return {
+            "call": f"{program}/{number}",
+            "node": self.settings.node,
+            "partition": partition,
+            "owned_here": here,
+            "owner_address": self._partitions.owner_address(partition),
+            "record": self._owner.describe(program, number) if here else None,
+            "decisions": [decision._asdict() for decision in decisions],
+        }
+
+    def _dump_tickets(self) -> dict[str, Any]:
+        applied = self.tickets.applied
+        age_s = self.tickets.age_s
+        return {
+            "number": applied.number,
+            "current": self.tickets.is_current(),
+            "proof_age_s": round(age_s, 3) if math.isfinite(age_s) else None,
+            "waiting": applied.waiting,
+            "stuck": applied.stuck,
+        }
 
     async def stop(self) -> None:
-        """Stop gracefully: leave the balancer, end or hand over what runs, leave the fleet."""
+        """Stop gracefully: leave the balancer, hand over what is owned, let end what runs."""
         self._leaving = True
         log.info("node_stopping", node=self.settings.node)
         await anyio.sleep(LEAVE_SPREADS_S)
         self._stopping = True
-        with anyio.move_on_after(self.settings.stop_grace_s):
-            await self._drain()
         await self._membership.leave()
-        log.info("node_stopped", node=self.settings.node)
+        with anyio.move_on_after(self.settings.stop_grace_s) as grace:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._close_owner)
+                await self._partitions.leave(self._owner.is_idle)
+                tasks.cancel_scope.cancel()
+            await self._drain()
+        log.info("node_stopped", node=self.settings.node, in_time=not grace.cancelled_caught)
+
+    async def _close_owner(self) -> None:
+        """Start no call here once the partitions that were idle now and then have gone."""
+        await anyio.sleep(IDLE_WAIT_S)
+        self._owner.begin_close()
 
     async def _drain(self) -> None:
         """Wait until no caller's connection and no call is left here."""
--- a/src/bramleylead/process/_owner.py
+++ b/src/bramleylead/process/_owner.py
@@ -26,6 +26,7 @@
 from bramleylead.process._place import partition_of
 from bramleylead.process._run import CallRun
 from bramleylead.process._run import RunningCall
+from bramleylead.process._state import CallRecord
 from bramleylead.process._state import CallStatus
 from bramleylead.process._state import ProgramState
 from bramleylead.process._tool_run import ToolRun
@@ -68,6 +69,7 @@
         self._tasks = tasks
         self._running: dict[str, dict[int, RunningCall]] = {}
         self._idle = anyio.Event()
+        self._closing = False
 
     @property
     def running_calls(self) -> int:
@@ -78,6 +80,18 @@
         """Whether a call of the program runs on this node."""
         return program in self._running
 
+    def is_idle(self, partition: int) -> bool:
+        """Whether no call of a partition runs on this node."""
+        return not any(
+            call.log.number == partition
+            for calls in self._running.values()
+            for call in calls.values()
+        )
+
+    def begin_close(self) -> None:
+        """Start no further call here; entries ask the partitions' next owners."""
+        self._closing = True
+
     async def open(self, request: OpenProgram) -> Result[ProgramView, Failure]:
         """Open a program; the same one again returns what there is."""
         found = self._partition(request.program)
@@ -240,6 +254,24 @@
             for call in calls.values()
         ]
 
+    def describe(self, name: str, number: int) -> dict[str, Any] | None:
+        """Return what this owner knows of a call, without its content; ``None`` for no such call.
+
+        :param name: its program.
+        """
+        log = self._partition(name)
+        program = log.ok_value.state.programs.get(name) if isinstance(log, Ok) else None
+        record = None if program is None else program.calls.get(number)
+        running = self._running.get(name, {}).get(number)
+        if record is None and running is None:
+            return None
+        return {
+            "running": running is not None,
+            "endpoint": running.endpoint if running is not None else "",
+            "avoided": list(running.avoid) if running is not None else [],
+            **({} if record is None else _plain_record(record)),
+        }
+
     def _start_or_join(
         self,
         log: PartitionLog,
@@ -265,6 +297,8 @@
         target: _Target,
         decision: _admission.Start,
     ) -> RunningCall | Failure:
+        if self._closing:
+            return Failure(ErrorKind.STOPPING, "the program's owner is stopping")
         if not self._parts.tickets.is_current():
             detail = "this node can't show that it has the latest ticket in force"
             return Failure(ErrorKind.NOT_CURRENT, detail)
@@ -385,16 +419,33 @@
         self, log: PartitionLog, program: ProgramState, number: int, offset: int
     ) -> AsyncIterator[CallItem]:
         """Yield a journaled answer once the second copy has confirmed this owner."""
-        confirmed = await log.append()
+        confirmed = await self._confirm_record(log, program, number)
         if isinstance(confirmed, Err):
             yield confirmed.err_value
             return
         record = program.calls[number]
+        if record.status is CallStatus.INTENDED:
+            detail = f"call {program.program}/{number} was interrupted by a change of owner"
+            yield Failure(ErrorKind.OWNER_LOST, detail)
+            return
         yield AnswerStart(number, program.incarnation)
         if record.status is CallStatus.DONE and offset < len(record.answer):
             yield AnswerChunk(offset, record.answer[offset:], record.output_tokens)
         yield _admission.recorded_end(program, record, durable=confirmed.ok_value)
 
+    async def _confirm_record(
+        self, log: PartitionLog, program: ProgramState, number: int
+    ) -> Result[bool, Failure]:
+        """Have the second copy confirm this owner before a record is shown.
+
+        A call that may not be repeated and was interrupted gets its end first: told that its
+        outcome is unknown, the caller goes on with the next number, which must be free by then.
+        """
+        record = program.calls[number]
+        if record.status is CallStatus.INTENDED and not record.repeatable:
+            return await log.append(self._unknown_end(program, number))
+        return await log.append()
+
     def _digests(self, program: str) -> dict[int, str]:
         return {number: call.digest for number, call in self._running.get(program, {}).items()}
 
@@ -468,6 +519,13 @@
     repeatable: bool
 
 
+def _plain_record(record: CallRecord) -> dict[str, Any]:
+    shown = ("status", "call_kind", "target", "repeatable", "finish", "spent", "reserved")
+    counts = ("prompt_tokens", "cached_tokens", "output_tokens")
+    plain = {name: getattr(record, name) for name in (*shown, *counts)}
+    return {**plain, "endpoint": record.endpoint} if record.endpoint else plain
+
+
 def view(program: ProgramState, *, history: bool) -> ProgramView:
     """Return a program's state as its caller may see it."""
     calls = tuple(
--- a/src/bramleylead/process/_run.py
+++ b/src/bramleylead/process/_run.py
@@ -160,7 +160,7 @@
                     return await self._refused(granted.err_value, last)
                 slot = granted.ok_value
                 if not self._call.intended:
-                    failure = await self._journal_intent(budget, units)
+                    failure = await self._journal_intent(budget, units, slot.granted.endpoint)
                     if failure is not None:
                         return failure
                 last = await self._send(slot, number)
@@ -169,7 +169,7 @@
             self._parts.metrics.retries.inc({"cause": last.next.value})
         return await self._settle(last)
 
-    async def _journal_intent(self, budget: str, units: int) -> Failure | None:
+    async def _journal_intent(self, budget: str, units: int, endpoint: str) -> Failure | None:
         call = self._call
         entry = CallIntended(
             program=call.program.program,
@@ -183,6 +183,7 @@
             reserved=units,
             messages=call.messages,
             at_s=self._parts.wall_clock(),
+            endpoint=endpoint,
         )
         journaled = await call.log.append(entry)
         if isinstance(journaled, Err):
@@ -195,7 +196,7 @@
     async def _send(self, slot: Slot, number: int) -> Attempt:
         call = self._call
         call.endpoint = slot.granted.endpoint
-        if not call.repeatable and not call.log.may_act():
+        if not await self._confirm_owner():
             return Attempt(Next.NOT_RUN, "the second copy did not confirm this owner in time")
         self._check_before_send(slot.granted.endpoint)
         started = anyio.current_time()
@@ -219,6 +220,21 @@
         )
         return result
 
+    async def _confirm_owner(self) -> bool:
+        """Make sure that this node is still the owner, as the last step before a send.
+
+        A former owner that was paused must send nothing: a call that may not be repeated would
+        run after its outcome was told as unknown, and a model call would run out of order. With
+        the store's outage confirmed, a call that may be repeated needs no second copy.
+        """
+        call = self._call
+        if call.log.may_act():
+            return True
+        confirmed = await call.log.append()
+        if isinstance(confirmed, Err):
+            return False
+        return call.log.may_act() or (call.repeatable and not confirmed.ok_value)
+
     def _check_before_send(self, endpoint: str) -> None:
         call, promises = self._call, self._parts.promises
         promises.require(
@@ -243,10 +259,9 @@
         if number == 0 and last.next is Next.DONE:
             self._parts.retries.succeeded()
         safe = last.next is Next.NOT_RUN or call.repeatable
-        current = call.repeatable or call.log.may_act()
         in_time = call.seconds_left > 0
         last_attempt = number + 1 >= self._parts.settings.requests.attempts
-        return safe and current and in_time and not last_attempt and self._parts.retries.allow()
+        return safe and in_time and not last_attempt and self._parts.retries.allow()
 
     async def _refused(self, failure: Failure, last: Attempt) -> AnswerEnd | Failure:
         """Answer when no slot was given; after a first attempt the journal needs an end."""
--- a/src/bramleylead/process/_state.py
+++ b/src/bramleylead/process/_state.py
@@ -104,6 +104,7 @@
     spent: int = 0
     returned: int = 0
     incarnation: int = FIRST_INCARNATION
+    limit: int = 0
 
     @property
     def free(self) -> int:
@@ -161,11 +162,14 @@
     )
     program.last_at_s = entry.at_s
     state.grant(entry.budget).reserved += entry.reserved
+    _note_cache(program, entry.call_kind, entry.endpoint)
 
 
 def _finish(state: PartitionState, entry: CallFinished) -> None:
     program = state.programs[entry.program]
     record = program.calls[entry.number]
+    if record.status is not CallStatus.INTENDED:
+        return  # two passes over interrupted calls may both end one: it must be paid once
     _settle(state, record, spent=entry.spent)
     record.status = CallStatus(entry.status)
     record.answer = entry.answer
@@ -179,6 +183,7 @@
     program.last_number = max(program.last_number, entry.number)
     program.tokens_used += entry.prompt_tokens - entry.cached_tokens + entry.output_tokens
     program.attained += entry.prompt_tokens - entry.cached_tokens + entry.output_tokens
+    _note_cache(program, record.call_kind, entry.endpoint)
     if record.call_kind is CallKind.MODEL and record.status is CallStatus.DONE:
         program.messages.extend(record.messages)
         program.messages.append(("assistant", entry.answer))
@@ -186,6 +191,12 @@
         program.caches[entry.endpoint] = entry.prompt_tokens + entry.output_tokens
 
 
+def _note_cache(program: ProgramState, kind: CallKind, endpoint: str) -> None:
+    """Remember that an engine may hold a cache, of 0 known tokens, so that it is released."""
+    if kind is CallKind.MODEL and endpoint:
+        program.caches.setdefault(endpoint, 0)
+
+
 def _settle(state: PartitionState, record: CallRecord, *, spent: int) -> None:
     grant = state.grant(record.budget)
     grant.reserved -= record.reserved
@@ -223,6 +234,7 @@
 def _add_grant(state: PartitionState, entry: GrantAdded) -> None:
     grant = state.grant(entry.budget)
     grant.granted = max(grant.granted, entry.total)
+    grant.limit = entry.limit
 
 
 def _return_grant(state: PartitionState, entry: GrantReturning) -> None:
