--- a/src/bramleylead/connection/_http_client.py
+++ b/src/bramleylead/connection/_http_client.py
@@ -91,11 +91,12 @@
         """Use fresh connections from now on; those that went silent may look open for ever."""
         self._retired.append(self._pool)
         self._pool = self._new_pool()
-        for pool in list(self._retired):
-            if all(connection.is_idle() for connection in pool.connections):
-                self._retired.remove(pool)
-                with anyio.CancelScope(shield=True):
-                    await pool.aclose()
+        idle = [pool for pool in self._retired if _is_idle(pool)]
+        # Taken off before the first wait: other requests that time out come here meanwhile.
+        self._retired = [pool for pool in self._retired if pool not in idle]
+        with anyio.CancelScope(shield=True):
+            for pool in idle:
+                await pool.aclose()
 
     async def request(
         self,
@@ -197,6 +198,10 @@
             self.sent = True
 
 
+def _is_idle(pool: httpcore.AsyncConnectionPool) -> bool:
+    return all(connection.is_idle() for connection in pool.connections)
+
+
 HTTP_ERRORS = (
     httpcore.NetworkError,
     httpcore.TimeoutException,
