--- a/src/bramleylead/trials/_caller.py
+++ b/src/bramleylead/trials/_caller.py
@@ -80,7 +80,8 @@
     """What one caller saw.
 
     :param refusals: calls that were answered "not run", by ``program/number`` and key.
-    :param stalls_s: for each call, its time over all tries.
+    :param call_s: for each call, its time over all tries.
+    :param call_waits_s: for each call, the longest wait for its next new character or its end.
     """
 
     plan: Plan
@@ -95,6 +96,8 @@
     not_run: list[str] = field(default_factory=list)
     unknown: list[str] = field(default_factory=list)
     call_s: list[float] = field(default_factory=list)
+    call_started_s: list[float] = field(default_factory=list)
+    call_waits_s: list[float] = field(default_factory=list)
 
 
 class _Broken(Exception):  # noqa: N818 - a connection that broke, not an error of the program
@@ -109,6 +112,7 @@
         self._rng = rng
         self._incarnation = 0
         self._number = 1
+        self._waits = _Waits()
         self.seen = Observed(plan)
 
     async def run(self) -> Observed:
@@ -137,8 +141,12 @@
         for step in plan.steps:
             await anyio.sleep(step.pause_s)
             started = anyio.current_time()
+            self._waits = _Waits()
             failure = await self._run_step(step)
+            self._waits.note_end()
             self.seen.call_s.append(anyio.current_time() - started)
+            self.seen.call_started_s.append(started)
+            self.seen.call_waits_s.append(self._waits.longest_s)
             if failure is not None:
                 return failure
         return await self._check_history()
@@ -210,6 +218,7 @@
                             outcome.append(item)
                             break
                         received.take(item)
+                        self._waits.note_length(len(received.text))
             tasks.cancel_scope.cancel()
         if not outcome:
             raise _Broken
@@ -371,6 +380,27 @@
             self.text = self.text[: item.offset] + item.text
 
 
+class _Waits:
+    """How long a caller waited for new characters of one call, over all its tries."""
+
+    def __init__(self) -> None:
+        self.longest_s = 0.0
+        self._length = 0
+        self._last_s = anyio.current_time()
+
+    def note_length(self, length: int) -> None:
+        """Take in that so many characters are there; a later try may bring old ones again."""
+        if length > self._length:
+            self._length = length
+            self.note_end()
+
+    def note_end(self) -> None:
+        """Take in something new."""
+        now = anyio.current_time()
+        self.longest_s = max(self.longest_s, now - self._last_s)
+        self._last_s = now
+
+
 def model_step(text: str, pause_s: float) -> Step:
     """Return a planned model call."""
     return Step(CallKind.MODEL, MODEL, text, pause_s)
--- a/src/bramleylead/trials/_faults.py
+++ b/src/bramleylead/trials/_faults.py
@@ -183,10 +183,10 @@
     for name in names:
         await fleet.kill(name)
     for address in addresses:
-        _endpoint(fleet, address).crash()
+        endpoint_at(fleet, address).crash()
     await anyio.sleep(rng.uniform(20.0, 120.0))
     for address in addresses:
-        _endpoint(fleet, address).restart()
+        endpoint_at(fleet, address).restart()
     for name in names:
         await fleet.start_node(name)
 
@@ -315,14 +315,15 @@
     endpoint = fleet.deployment.ticket.endpoints[name]
     if not await change_endpoint(fleet, name, endpoint.model_copy(update={"leaving": True})):
         return
-    _endpoint(fleet, endpoint.address).leave()
+    endpoint_at(fleet, endpoint.address).leave()
     await anyio.sleep(rng.uniform(10.0, 60.0))
     for _ in range(RESTORE_TRIES):
         if await change_endpoint(fleet, name, endpoint):
             break
         await anyio.sleep(RESTORE_RETRY_S)
-    _endpoint(fleet, endpoint.address).leaving_since_s = float("inf")
+    endpoint_at(fleet, endpoint.address).leaving_since_s = float("inf")
 
 
-def _endpoint(fleet: Fleet, address: str) -> FakeEngine | FakeService:
+def endpoint_at(fleet: Fleet, address: str) -> FakeEngine | FakeService:
+    """Return the endpoint at an address."""
     return fleet.endpoints.engines.get(address) or fleet.endpoints.services[address]
