--- a/src/bramleylead/process/_ticket_desk.py
+++ b/src/bramleylead/process/_ticket_desk.py
@@ -18,11 +18,11 @@
 from bramleylead.errors import Failure
 from bramleylead.process._applied_tickets import digest_of
 from bramleylead.process._members import Member
+from bramleylead.process._members import MemberState
 from bramleylead.process._membership import Membership
 from bramleylead.process._ticket_messages import NumberAsked
 from bramleylead.process._ticket_messages import NumberGiven
 from bramleylead.process._tickets import TicketLog
-from bramleylead.process._tickets import is_live
 from bramleylead.request import NodeTicket
 from bramleylead.request import TicketAccepted
 from bramleylead.request import TicketState
@@ -66,15 +66,14 @@
             return Err(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
         if number is not None and number <= self._log.config.number:
             return await self._compare(number, body)
+        wanted = self._log.config.number + 1
+        if number is not None and number != wanted:
+            detail = f"number: {number} is not the next ticket; allowed is {wanted}"
+            return Err(Failure(ErrorKind.TICKET_INVALID, detail))
         checked = self._validate(body, self._log.config)
         if isinstance(checked, Err):
             return checked
-        ticket = checked.ok_value
-        wanted = self._log.config.number + 1
-        if ticket.number != wanted:
-            detail = f"number: {ticket.number} is not the next ticket; allowed is {wanted}"
-            return Err(Failure(ErrorKind.TICKET_INVALID, detail))
-        return await self._create(ticket)
+        return await self._create(checked.ok_value)
 
     async def _create(self, ticket: Ticket) -> Result[TicketAccepted, Failure]:
         body = canonical(ticket)
@@ -133,7 +132,7 @@
         async def ask(member: Member) -> None:
             async with limiter:
                 answer = await self._peers.request(
-                    member.address, NumberAsked(), timeout_s=ASK_TIMEOUT_S
+                    member.address, NumberAsked(), timeout_s=ASK_TIMEOUT_S, idempotent=True
                 )
             if isinstance(answer, Ok) and isinstance(answer.ok_value, NumberGiven):
                 heard.append(NodeTicket(member.node, answer.ok_value.number, 0.0))
@@ -167,6 +166,11 @@
         return held.map(json.loads)
 
 
+def is_live(member: Member) -> bool:
+    """Whether a member should have the latest ticket in force."""
+    return member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+
+
 def canonical(ticket: Ticket) -> bytes:
     """Return the bytes that stand for a ticket: its JSON without spaces, in the schema's order."""
     return ticket.model_dump_json().encode()
--- a/src/bramleylead/scheduling/_default.py
+++ b/src/bramleylead/scheduling/_default.py
@@ -13,10 +13,14 @@
 from bramleylead.scheduling._choice import ChoiceWeights
 from bramleylead.scheduling._choice import Placement
 from bramleylead.scheduling._choice import best_with_room
-from bramleylead.scheduling._choice import expected_free_s
-from bramleylead.scheduling._choice import holder_worth_waiting_for
+from bramleylead.scheduling._choice import room_in_s
+from bramleylead.scheduling._choice import wait_for_holder_s
 from bramleylead.scheduling._chooser import ChooserParameters
+from bramleylead.scheduling._fairness import NEW
+from bramleylead.scheduling._fairness import TIERS
+from bramleylead.scheduling._fairness import UNDER_WAY
 from bramleylead.scheduling._fairness import FairQueue
+from bramleylead.scheduling._fairness import tier_of
 from bramleylead.scheduling._news import DrainEstimate
 from bramleylead.scheduling._overload import OverloadBounds
 from bramleylead.scheduling._overload import overloaded
@@ -25,10 +29,8 @@
 from bramleylead.scheduling._policy import Choice
 from bramleylead.scheduling._policy import Endpoints
 from bramleylead.scheduling._policy import policy
-from bramleylead.scheduling._speed import expected_duration_s
 from bramleylead.scheduling._speed import learn_speed
 from bramleylead.scheduling._types import SlotFinished
-from bramleylead.scheduling._types import SlotRequest
 from bramleylead.scheduling._view import EndpointView
 from bramleylead.scheduling._view import Waiting
 from bramleylead.scheduling._view import usable
@@ -41,11 +43,18 @@
     """Weights and limits of the policy; times in seconds, work in tokens.
 
     :param between_branches: share by branch.
-    :param short_first: the program that was served least goes first.
+    :param order: within a branch, ``attained``: the program that was served least goes first;
+        ``work``: the call with the least to rebuild; ``arrival``: the oldest call.
     :param aging_tokens_per_s: attained service that a second of waiting makes up for.
     :param rebuild_weight: weight of recomputed prefixes against waiting and load.
     :param load_s: cost of each call that already runs at an engine.
     :param memory_s: cost of an engine whose cache is full, for a prefix that it does not hold.
+    :param evict_weight: weight of prefixes that a call pushes out of an engine's memory.
+    :param backlog_s: prefill that an engine is given ahead; the rest waits in the queue.
+    :param memory_limit: keep running calls within an engine's memory.
+    :param working_set_s: a prefix counts as in use for so long after its last call.
+    :param working_set_share: part of the memory that prefixes in use may take before a new program
+        has to wait; 0: no bound.
     :param wait_for_cache: longest wait for the engine that holds the prefix, in rebuild times.
     :param adaptive_level: learn how many calls an engine is given; else ``max_calls``.
     :param output_cost: work of an output token against a prefilled one.
@@ -53,13 +62,18 @@
     """
 
     between_branches: bool = True
-    short_first: bool = True
+    order: Annotated[str, Field(pattern="^(attained|work|arrival)$")] = "attained"
     aging_tokens_per_s: Annotated[float, Field(ge=0)] = 2_000.0
     rebuild_weight: Annotated[float, Field(ge=0)] = 1.0
     load_s: Annotated[float, Field(ge=0)] = 0.05
-    memory_s: Annotated[float, Field(ge=0)] = 0.1
+    memory_s: Annotated[float, Field(ge=0)] = 3.0
+    evict_weight: Annotated[float, Field(ge=0)] = 1.0
+    backlog_s: Annotated[float, Field(ge=0)] = 1.0
+    memory_limit: bool = True
+    working_set_s: Annotated[float, Field(gt=0)] = 60.0
+    working_set_share: Annotated[float, Field(ge=0)] = 0.9
     wait_for_cache: Annotated[float, Field(ge=0)] = 1.0
-    adaptive_level: bool = True
+    adaptive_level: bool = False
     token_gap_s: Annotated[float, Field(gt=0)] = 0.042
     first_token_s: Annotated[float, Field(gt=0)] = 0.5
     min_calls: Annotated[int, Field(ge=1)] = 2
@@ -67,6 +81,7 @@
     shed: bool = True
     max_queue: Annotated[int, Field(ge=1)] = 512
     new_program_wait_s: Annotated[float, Field(gt=0)] = 5.0
+    always_queued: Annotated[int, Field(ge=0)] = 1
     deadline_share: Annotated[float, Field(gt=0, le=1)] = 0.8
     pools: ChooserParameters = ChooserParameters()
 
@@ -79,30 +94,42 @@
         self._parameters = parameters
         self._queue = FairQueue(
             between_branches=parameters.between_branches,
-            short_first=parameters.short_first,
+            order=parameters.order,
             aging_tokens_per_s=parameters.aging_tokens_per_s,
         )
         self._weights = ChoiceWeights(
             parameters.rebuild_weight,
             parameters.load_s,
             parameters.memory_s,
+            parameters.evict_weight,
             parameters.wait_for_cache,
+            parameters.backlog_s,
+            parameters.memory_limit,
+            parameters.working_set_s,
+            parameters.working_set_share,
         )
         self._admission = Admission(
             AdmissionTargets(parameters.token_gap_s, parameters.first_token_s, parameters.min_calls)
         )
         self._bounds = OverloadBounds(
-            parameters.max_queue, parameters.new_program_wait_s, parameters.deadline_share
+            parameters.max_queue,
+            parameters.new_program_wait_s,
+            parameters.always_queued,
+            parameters.deadline_share,
         )
-        self._drain = DrainEstimate()
+        self._drains = [DrainEstimate() for _ in TIERS]
+        self._wake_at = float("inf")
 
     def admit(self, call: Waiting, endpoints: Endpoints, now: float) -> Failure | None:
         """Refuse the call, or queue it; a full queue gives up its youngest program's call."""
+        held = max((view.holds(call.request) for view in endpoints.values()), default=0)
+        call.missing = call.request.prompt_tokens - held
         if self._parameters.shed:
-            refusal = self._refuse(call, endpoints)
+            refusal = self._refuse(call)
             if refusal is not None:
                 return refusal
         self._queue.add(call)
+        self._drains[tier_of(call)].queued(now)
         return None
 
     def remove(self, call: Waiting) -> None:
@@ -111,30 +138,43 @@
 
     def next(self, endpoints: Endpoints, now: float) -> Choice | None:
         """Start the first call in order that does not do better by waiting for its cache."""
+        self._wake_at = float("inf")
         if not any(view.has_room for view in endpoints.values()):
             return None
-        for call in self._queue.candidates():
-            views = usable(endpoints.values(), call.request)
-            placement = best_with_room(views, call.request, self._weights, now)
-            if placement is None:
-                continue
-            holder = holder_worth_waiting_for(views, call, placement, self._weights, now)
-            if holder is not None:
-                call.reconsider_at = now + max(MIN_HOLD_S, expected_free_s(holder, now))
-                continue
-            return self._choose(call, placement, now)
+        for tier in TIERS:
+            for call in self._queue.candidates(tier):
+                choice = self._try(call, endpoints, now)
+                if choice is not None:
+                    return choice
         return None
 
+    def _try(self, call: Waiting, endpoints: Endpoints, now: float) -> Choice | None:
+        views = usable(endpoints.values(), call.request)
+        queued = self._queue.queued_tokens(UNDER_WAY) / max(1, len(views))
+        placement = best_with_room(views, call, self._weights, now, queued)
+        if placement is None:
+            soonest_s = min((room_in_s(view, self._weights, now) for view in views), default=1.0)
+            self._look_again(soonest_s, now)
+            return None
+        wait_s = wait_for_holder_s(views, call, placement, self._weights, now)
+        if wait_s > 0:
+            self._look_again(wait_s, now)
+            return None
+        return self._choose(call, placement, now)
+
+    def wake_at(self) -> float:
+        """Return when an engine's backlog should be short enough for the next call."""
+        return self._wake_at
+
     def finished(
         self, call: Waiting, endpoint: EndpointView, report: SlotFinished | None, now: float
     ) -> None:
         """Settle the branch's charge and learn the engine's speed and level."""
-        self._drain.finished(now - call.granted_at)
         if report is None or not report.ok:
             return
         prefilled = report.prompt_tokens - report.cached_tokens
         self._queue.settle(call, self._cost(prefilled, report.output_tokens))
-        learn_speed(endpoint, report)
+        learn_speed(endpoint, call, report)
         if self._parameters.adaptive_level:
             self._admission.finished(call, endpoint, report, now)
 
@@ -142,6 +182,11 @@
         """Return the number of queued calls."""
         return len(self._queue)
 
+    def expected_wait_s(self, *, new: bool) -> float:
+        """Return the wait behind the queue of the call's tier."""
+        tier = NEW if new else UNDER_WAY
+        return self._drains[tier].expected_wait_s(self._queue.queued(tier))
+
     def dump(self) -> dict[str, Any]:
         """Return each branch's lead over the virtual time, and the parameters."""
         return {"branch_lead": self._queue.tags(), "parameters": self._parameters.model_dump()}
@@ -151,20 +196,20 @@
         held = view.holds(call.request)
         missing = call.request.prompt_tokens - held
         self._queue.start(call, self._cost(missing, call.request.expected_output))
-        call.expected_end = now + expected_duration_s(view, call.request)
+        tier = tier_of(call)
+        self._drains[tier].started(now, left=self._queue.queued(tier))
         reason = (
             f"cost {placement.cost_s:.3f} s: {held} of {call.request.prompt_tokens} prompt tokens "
             f"cached, {view.outstanding} calls running of {int(view.limit)}"
         )
         return Choice(call, view, reason)
 
-    def _refuse(self, call: Waiting, endpoints: Endpoints) -> Failure | None:
-        views = [view for view in endpoints.values() if view.open]
-        slots = sum(int(view.limit) for view in views)
-        free = sum(max(0, int(view.limit) - view.outstanding) for view in views)
-        ahead = self._ahead_of(call.request)
-        wait_s = self._drain.expected_wait_s(ahead, free=free, slots=slots)
-        refusal = refusal_on_arrival(call, wait_s, self._bounds)
+    def _look_again(self, wait_s: float, now: float) -> None:
+        self._wake_at = min(self._wake_at, now + max(MIN_HOLD_S, wait_s))
+
+    def _refuse(self, call: Waiting) -> Failure | None:
+        wait_s = self._drains[tier_of(call)].expected_wait_s(self._queue.ahead_of(call))
+        refusal = refusal_on_arrival(call, self._queue.queued_new(call), wait_s, self._bounds)
         if refusal is not None or len(self._queue) < self._bounds.queue:
             return refusal
         victim = youngest_to_shed(call, self._queue)
@@ -173,14 +218,8 @@
             return failure
         self._queue.remove(victim)
         victim.refusal = failure
-        victim.granted.set()
+        victim.signal.set()
         return None
 
-    def _ahead_of(self, request: SlotRequest) -> int:
-        """Return the queued calls that go before one more call of this branch."""
-        if not self._parameters.between_branches:
-            return len(self._queue)
-        return self._queue.ahead_of(request.branch)
-
     def _cost(self, prefilled: int, output: int) -> float:
         return prefilled + self._parameters.output_cost * output
--- a/src/bramleylead/scheduling/_policy.py
+++ b/src/bramleylead/scheduling/_policy.py
@@ -45,6 +45,10 @@
         """Take the next call that should start now out of the queue."""
         ...
 
+    def wake_at(self) -> float:
+        """Return when :meth:`next` may find something without an event, after it found nothing."""
+        ...
+
     def finished(
         self, call: Waiting, endpoint: EndpointView, report: SlotFinished | None, now: float
     ) -> None:
@@ -55,6 +59,10 @@
         """Return the number of calls in the queue."""
         ...
 
+    def expected_wait_s(self, *, new: bool) -> float:
+        """Return the wait in the queue of a call that comes now, of a new program or another."""
+        ...
+
     def dump(self) -> dict[str, Any]:
         """Return the policy's own state for the dump."""
         ...
