--- a/testing/connection/test_rpc.py
+++ b/testing/connection/test_rpc.py
@@ -62,6 +62,27 @@
         answer = run_virtual(lambda: _with_pair(body), seed=1)
         self.assertEqual(answer, Ok(Echo("hello")))
 
+    def test_what_has_arrived_on_a_call_can_be_taken_without_waiting(self) -> None:
+        """Fault: a merge lost this, and every slot of another node's dispatcher failed."""
+
+        async def body(network: FakeNetwork, server: PeerServer, client: PeerClient) -> Any:
+            taken: list[list[Any]] = []
+
+            async def hold(request: Slow, reply: Reply) -> None:
+                await anyio.sleep(0.5)
+                taken.extend((reply.pending(), reply.pending()))
+                await reply.send(request)
+
+            server.handle(Slow, hold)
+            async with client.stream(ADDRESS, Slow()) as opened:
+                for number in range(2):
+                    await opened.ok_value.send(Echo("report", number))
+                await opened.ok_value.receive()
+            return taken
+
+        taken = run_virtual(lambda: _with_pair(body), seed=1)
+        self.assertEqual(taken, [[Echo("report", 0), Echo("report", 1)], []])
+
     def test_a_wrong_cluster_key_gets_no_answer(self) -> None:
         async def body(network: FakeNetwork, server: PeerServer, client: PeerClient) -> Any:
             answer = await client.request(ADDRESS, Echo("hello"), timeout_s=1)
