Keep room for the others where one branch takes several times its share

Cause: a flood filled every engine's prefill and memory, so quiet branches waited for their first call and decoded slowly. Change: new programs of a branch over three times its share start only on lightly loaded engines with free memory.

--- a/src/bramleylead/scheduling/_choice.py
+++ b/src/bramleylead/scheduling/_choice.py
@@ -36,6 +36,9 @@
     :param working_set_s: a prefix counts as in use for so long after its last call.
     :param working_set_share: part of the memory that prefixes in use may take before a new program
         has to wait; 0: no bound.
+    :param lent_load: prefill load of an engine up to which a branch over its share starts new
+        programs there.
+    :param lent_memory: part of the working set's bound for such a branch.
     :param memory_limit: whether running calls must fit into the engine's memory.
     """
 
@@ -48,6 +51,8 @@
     memory_limit: bool
     working_set_s: float
     working_set_share: float
+    lent_load: float
+    lent_memory: float
 
 
 class Placement(NamedTuple):
@@ -78,6 +83,8 @@
         return False
     if _is_new(call) and _is_working_set_full(view, call, weights, now, queued_tokens):
         return False
+    if call.over_share and view.prefill_load(now) > weights.lent_load:
+        return False
     fits = view.reserved_tokens + call.reserve <= view.memory_tokens
     return fits or not weights.memory_limit or view.memory_tokens == 0
 
@@ -92,7 +99,10 @@
     if weights.working_set_share == 0 or view.memory_tokens == 0:
         return False
     in_use = view.in_use.tokens(now, weights.working_set_s) + call.reserve + queued_tokens
-    return in_use > weights.working_set_share * view.memory_tokens
+    share = weights.working_set_share
+    if call.over_share:
+        share *= weights.lent_memory
+    return in_use > share * view.memory_tokens
 
 
 def best_with_room(
--- a/src/bramleylead/scheduling/_default.py
+++ b/src/bramleylead/scheduling/_default.py
@@ -16,6 +16,7 @@
 from bramleylead.scheduling._choice import room_in_s
 from bramleylead.scheduling._choice import wait_for_holder_s
 from bramleylead.scheduling._chooser import ChooserParameters
+from bramleylead.scheduling._decayed import ServedShares
 from bramleylead.scheduling._fairness import NEW
 from bramleylead.scheduling._fairness import TIERS
 from bramleylead.scheduling._fairness import UNDER_WAY
@@ -37,6 +38,8 @@
 from bramleylead.version._schema import Strict
 
 MIN_HOLD_S = 0.01
+SHARE_WINDOW_S = 60.0
+"""Time over which a branch's share of the served cost is averaged."""
 
 
 class DefaultParameters(Strict):
@@ -55,6 +58,10 @@
     :param working_set_s: a prefix counts as in use for so long after its last call.
     :param working_set_share: part of the memory that prefixes in use may take before a new program
         has to wait; 0: no bound.
+    :param lent_load: prefill load of an engine up to which a branch over its share starts new
+        programs there; the rest is kept for the others.
+    :param lent_memory: part of the working set's bound for such a branch.
+    :param over_share: times its share above which a branch counts as over it.
     :param wait_for_cache: longest wait for the engine that holds the prefix, in rebuild times.
     :param adaptive_level: learn how many calls an engine is given; else ``max_calls``.
     :param output_cost: work of an output token against a prefilled one.
@@ -72,6 +79,9 @@
     memory_limit: bool = True
     working_set_s: Annotated[float, Field(gt=0)] = 60.0
     working_set_share: Annotated[float, Field(ge=0)] = 0.9
+    lent_load: Annotated[float, Field(ge=0)] = 0.3
+    lent_memory: Annotated[float, Field(ge=0, le=1)] = 0.7
+    over_share: Annotated[float, Field(ge=1)] = 3.0
     wait_for_cache: Annotated[float, Field(ge=0)] = 1.0
     adaptive_level: bool = False
     token_gap_s: Annotated[float, Field(gt=0)] = 0.042
@@ -107,6 +117,8 @@
             parameters.memory_limit,
             parameters.working_set_s,
             parameters.working_set_share,
+            parameters.lent_load,
+            parameters.lent_memory,
         )
         self._admission = Admission(
             AdmissionTargets(parameters.token_gap_s, parameters.first_token_s, parameters.min_calls)
@@ -119,6 +131,7 @@
         )
         self._drains = [DrainEstimate() for _ in TIERS]
         self._wake_at = float("inf")
+        self._shares = ServedShares(tau_s=SHARE_WINDOW_S, over=parameters.over_share)
 
     def admit(self, call: Waiting, endpoints: Endpoints, now: float) -> Failure | None:
         """Refuse the call, or queue it; a full queue gives up its youngest program's call."""
@@ -149,6 +162,8 @@
         return None
 
     def _try(self, call: Waiting, endpoints: Endpoints, now: float) -> Choice | None:
+        is_new = tier_of(call) == NEW
+        call.over_share = is_new and self._shares.is_over(call.request.branch, now)
         views = usable(endpoints.values(), call.request)
         queued = self._queue.queued_tokens(UNDER_WAY) / max(1, len(views))
         placement = best_with_room(views, call, self._weights, now, queued)
@@ -196,6 +211,7 @@
         held = view.holds(call.request)
         missing = call.request.prompt_tokens - held
         self._queue.start(call, self._cost(missing, call.request.expected_output))
+        self._shares.add(call.request.branch, call.request.weight, call.charged, now)
         tier = tier_of(call)
         self._drains[tier].started(now, left=self._queue.queued(tier))
         reason = (
--- a/src/bramleylead/scheduling/_view.py
+++ b/src/bramleylead/scheduling/_view.py
@@ -13,6 +13,7 @@
 from bramleylead.backends import CachePage
 from bramleylead.backends import LoadReport
 from bramleylead.errors import Failure
+from bramleylead.scheduling._decayed import DecayedSum
 from bramleylead.scheduling._types import SlotRequest
 from bramleylead.scheduling._working_set import WorkingSet
 from bramleylead.version import Endpoint
@@ -21,6 +22,8 @@
 """Programs whose cached prefix is remembered an endpoint."""
 INITIAL_PREFILL_S_PER_TOKEN = 0.0001
 INITIAL_TOKEN_S = 0.02
+LOAD_WINDOW_S = 20.0
+"""Time over which an endpoint's prefill load is averaged."""
 OBSERVATION_WEIGHT = 0.1
 """Weight of a new observation in a moving average."""
 
@@ -30,6 +33,7 @@
     """A call in a dispatcher's queue, and later the slot that it holds.
 
     :param signal: set when the call is decided, or must look after the queue's timer.
+    :param over_share: whether it begins a program of a branch that was served over its share.
     :param missing: prompt tokens that its engine was believed not to hold when it started.
     :param backlog_s: prefill time that its engine had before it.
     """
@@ -44,6 +48,7 @@
     reason: str = ""
     refusal: Failure | None = None
     charged: float = 0.0
+    over_share: bool = False
     missing: int = 0
     backlog_s: float = 0.0
 
@@ -58,6 +63,10 @@
         return self.request.prompt_tokens + self.request.expected_output
 
 
+def _new_prefilled() -> DecayedSum:
+    return DecayedSum(LOAD_WINDOW_S)
+
+
 @final
 @dataclass(slots=True, eq=False)
 class EndpointView:
@@ -69,6 +78,7 @@
     :param prefill_until: when it should have computed the prompts that it was given.
     :param reserved_tokens: memory that its running calls need.
     :param held_tokens: sum of ``cached``.
+    :param prefilled: seconds of prefill that it was given lately.
     :param in_use: prefixes used a short time ago.
     :param cached: tokens of each program's prefix that it is believed to hold, oldest use first.
     """
@@ -92,6 +102,7 @@
     held_tokens: int = 0
     first_token_s: float = 0.0
     in_use: WorkingSet = field(default_factory=WorkingSet)
+    prefilled: DecayedSum = field(default_factory=_new_prefilled)
     next_sequence: int = 1
     granted_count: int = 0
 
@@ -144,7 +155,9 @@
         """Take in that a call starts here; its prompt counts as held from now on."""
         call.missing = call.request.prompt_tokens - self.holds(call.request)
         call.backlog_s = self.backlog_s(now)
-        self.prefill_until = now + call.backlog_s + call.missing * self.prefill_s_per_token
+        own_s = call.missing * self.prefill_s_per_token
+        self.prefill_until = now + call.backlog_s + own_s
+        self.prefilled.add(own_s, now)
         self.reserved_tokens += call.reserve
         self.running[call.serial] = call
         self.granted_count += 1
@@ -161,6 +174,10 @@
         """Return the prefill time still before a call that starts now."""
         return max(0.0, self.prefill_until - now) if self.running else 0.0
 
+    def prefill_load(self, now: float) -> float:
+        """Return the part of the last while that it spent on prompts, by its own speed."""
+        return self.prefilled.value(now) / LOAD_WINDOW_S
+
     @property
     def memory_tokens(self) -> int:
         """Cache memory in tokens, 0 while no report has come."""
