--- a/src/bramleylead/request/_http_bodies.py
+++ b/src/bramleylead/request/_http_bodies.py
@@ -23,6 +23,8 @@
 
 MAX_DEADLINE_S = 86_400.0
 MAX_KEY_CHARACTERS = 200
+MAX_MESSAGES = 10_000
+MAX_PARTS = 1_000
 PROGRAM_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$"
 NUMBER_PATTERN = r"[0-9]{1,9}"
 SECONDS_PATTERN = r"[0-9]{1,6}(\.[0-9]{1,6})?"
@@ -41,13 +43,16 @@
     text: str
 
 
+TextParts = Annotated[list[TextPart], Field(max_length=MAX_PARTS, fail_fast=True)]
+
+
 class ChatMessage(BaseModel):
     """One message, as chat-completions clients send it."""
 
     model_config = ConfigDict(strict=True)
 
     role: Literal["system", "developer", "user", "assistant", "tool"]
-    content: str | list[TextPart] | None = None
+    content: str | TextParts | None = None
 
     @property
     def text(self) -> str:
@@ -60,6 +65,9 @@
 class ChatBody(BaseModel):
     """A chat-completions request.
 
+    Its lists are bounded and end at their first fault: a body of a million faulty parts would
+    otherwise hold up the node, and with it its heartbeats, while the faults are worded.
+
     Sampling parameters are accepted, since ordinary clients send them, and not passed on; what
     would change the shape of the answer is refused.
     """
@@ -67,7 +75,9 @@
     model_config = ConfigDict(strict=True, extra="allow")
 
     model: Name
-    messages: Annotated[list[ChatMessage], Field(min_length=1, max_length=10_000)]
+    messages: Annotated[
+        list[ChatMessage], Field(min_length=1, max_length=MAX_MESSAGES, fail_fast=True)
+    ]
     stream: bool = False
     n: Literal[1, None] = None
     max_tokens: Annotated[int, Field(ge=1)] | None = None
@@ -123,9 +133,12 @@
 
 
 def read_call_headers(
-    headers: dict[str, str], *, default_deadline_s: float
+    headers: dict[str, str], *, default_deadline_s: float, path_program: str = ""
 ) -> Result[CallHeaders, Failure]:
-    """Read the headers that place a call in a program."""
+    """Read the headers that place a call in a program.
+
+    :param path_program: the program that the request's path names; it goes before the header.
+    """
     faults: list[str] = []
 
     def take(name: str, pattern: str, allowed: str, default: str) -> str:
@@ -137,7 +150,8 @@
 
     key_pattern = rf"[\x20-\x7e]{{1,{MAX_KEY_CHARACTERS}}}"
     found = CallHeaders(
-        program=take("Bramleylead-Program", PROGRAM_PATTERN, f"like {PROGRAM_PATTERN}", ""),
+        program=path_program
+        or take("Bramleylead-Program", PROGRAM_PATTERN, f"like {PROGRAM_PATTERN}", ""),
         number=int(take("Bramleylead-Call", NUMBER_PATTERN, "a whole number", "0")),
         key=take("Idempotency-Key", key_pattern, f"1 to {MAX_KEY_CHARACTERS} ASCII", ""),
         incarnation=int(take("Bramleylead-Incarnation", NUMBER_PATTERN, "a whole number", "0")),
