Move no partition with running calls, and none while the store is out

Rebalancing handed partitions over whatever ran there, which would have cut off calls: it now asks the owner of programs, as a planned stop does.

--- a/src/bramleylead/process/_partition_host.py
+++ b/src/bramleylead/process/_partition_host.py
@@ -46,6 +46,7 @@
     :param on_owned: called, without waiting, when this node begins to serve a partition. What was
         intended and not finished is then in the partition's state.
     :param on_lost: called when it stops serving one.
+    :param idle: whether a partition may move to another node now; one with running calls may not.
     :param boot: identity of this process, the same that membership tells.
     """
 
@@ -62,6 +63,7 @@
         wall_clock: Callable[[], float],
         on_owned: Callable[[OwnedPartition], None] = lambda _: None,
         on_lost: Callable[[int], None] = lambda _: None,
+        idle: Callable[[int], bool] = lambda _: True,
         boot: str = "",
     ) -> None:
         self._context = PartitionContext(
@@ -85,7 +87,7 @@
         )
         self.flusher = JournalFlusher(self._context, self.table)
         self.upkeep = PartitionUpkeep(
-            self._context, self.table, self.keeper, self.takeover, self.flusher
+            self._context, self.table, self.keeper, self.takeover, self.flusher, idle
         )
         self.survey = PartitionSurvey(
             self._context, server, self.table, self.owner_map, self._repair
--- a/src/bramleylead/process/_partition_upkeep.py
+++ b/src/bramleylead/process/_partition_upkeep.py
@@ -30,6 +30,7 @@
 QUIET_S = 3.0
 AUDIT_S = 5.0
 LEAVE_POLL_S = 0.05
+STORE_FAST_S = 0.1
 
 log = structlog.get_logger()
 
@@ -49,12 +50,14 @@
         keeper: ReplicaKeeper,
         takeover: Takeover,
         flusher: JournalFlusher,
+        idle: Callable[[int], bool] = _always,
     ) -> None:
         self._context = context
         self._table = table
         self._keeper = keeper
         self._takeover = takeover
         self._flusher = flusher
+        self._idle = idle
         self._nodes: tuple[str, ...] = ()
         self._quiet_since_s = 0.0
         self._next_audit_s = 0.0
@@ -160,18 +163,23 @@
             return False
         if not self._is_here(owner.node):
             if second.node == owner.node:
+                if not self._idle(partition.number):
+                    return False
                 await self._takeover.hand_over(partition, leaving=False)
-            else:
-                self._change_second(partition, owner.node)
-            return True
+                return True
+            return await self._change_second(partition, owner.node)
         if wanted is not None and wanted.node != second.node:
-            self._change_second(partition, wanted.node)
-            return True
+            return await self._change_second(partition, wanted.node)
         return False
 
-    def _change_second(self, partition: OwnedPartition, node: str) -> None:
+    async def _change_second(self, partition: OwnedPartition, node: str) -> bool:
+        """Give up a whole pair for a better one, unless the store is too slow to name it."""
+        read = await read_record(self._context.store, partition.number, timeout_s=STORE_FAST_S)
+        if not isinstance(read, Ok):
+            return False
         partition.preferred_second = node
         partition.break_pair(f"moving the second copy to {node}")
+        return True
 
     async def _close(self, partition: OwnedPartition) -> None:
         """Flush the last journal copy of a partition and say so in its object."""
--- /dev/null
+++ b/testing/process/test_partition_regressions.py
@@ -0,0 +1,82 @@
+"""Faults of ownership that random runs found, each brought about on purpose."""
+
+from __future__ import annotations
+
+import unittest
+
+import anyio
+from pydantic import ValidationError
+from result import Ok
+
+from bramleylead.process._partition import Mode
+from bramleylead.process._settings import PartitionSettings
+from testing.process._partition_fleet import PartitionFleet
+from testing.process._partition_fleet import opened
+from testing.process._partition_fleet import run_fleet
+
+
+class RegressionTest(unittest.TestCase):
+    def test_a_partition_given_up_on_a_live_link_is_taken_over(self) -> None:
+        """Heartbeats of a shared link went on vouching for what its owner had given up."""
+
+        async def body(fleet: PartitionFleet) -> None:
+            name = fleet.owner(0).name
+            table = fleet.nodes[name].partitions.table
+            self.assertGreater(len(table.owned), 1)
+            second = table.owned[0].record.second.node
+            table.retire(table.owned[0])
+            await fleet.wait_until(lambda: fleet.owners(0) == [second], within_s=5)
+
+        run_fleet(body, nodes=2, partitions=8)
+
+    def test_a_takeover_that_took_effect_is_not_undone_by_a_store_outage(self) -> None:
+        """The second copy accepted the old owner again after its own write had succeeded."""
+
+        async def body(fleet: PartitionFleet) -> None:
+            owner = fleet.owner(0)
+            log = owner.partitions.log(0)
+            second = fleet.nodes[log.record.second.node]
+            epoch = log.epoch
+            owner.store.out = True
+            fleet.cut(owner.name, second.name)
+            second.store.lose_replies = 1
+            fleet.store_delay_s = 0.9
+            await fleet.wait_until(
+                lambda: fleet.store._objects["partitions/00000"].version > log.stored.version,
+                within_s=20,
+            )
+            fleet.store_out = True
+            fleet.heal(owner.name, second.name)
+            await anyio.sleep(15)
+            self.assertNotEqual(log.mode, Mode.PAIRED)
+            self.assertFalse(log.may_act())
+            fleet.store_out = owner.store.out = False
+            fleet.store_delay_s = 0.003
+            await fleet.wait_owned(30)
+            self.assertGreater(fleet.owner(0).partitions.log(0).epoch, epoch)
+            self.assertEqual(await fleet.append(0, opened("p1")), Ok(True))
+
+        run_fleet(body)
+
+    def test_planned_moves_leave_whole_pairs_alone_while_the_store_is_out(self) -> None:
+        """A pair was broken again and again for a move that the store could not name."""
+
+        async def body(fleet: PartitionFleet) -> None:
+            fleet.kill("n6")
+            await fleet.wait_owned(30)
+            fleet.store_out = True
+            await fleet.start("n6")
+            for _ in range(40):
+                await anyio.sleep(0.5)
+                logs = [fleet.owner(number).partitions.log(number) for number in range(12)]
+                self.assertEqual([log for log in logs if log.mode is not Mode.PAIRED], [])
+
+        run_fleet(body, nodes=6, partitions=12)
+
+    def test_a_takeover_before_the_act_lease_ends_is_refused_in_settings(self) -> None:
+        with self.assertRaises(ValidationError):
+            PartitionSettings(takeover_after_s=1.0, act_lease_s=2.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
