Never go on with an old pair after another node changed the partition object

An owner's write that named a new second copy took effect, lost its reply and was superseded by that copy's takeover; reading back, the owner took a foreign token for "no effect" and went on with its old second copy, which nobody had told. Ruled out: late installs (the traces show none between epochs 20 and 22) and the list of VMs. Change: a version two or more above the expected is an unknown outcome; after a conflict the old pair stays unused until the object was read; a node serves alone only after 15 s without others, and views say whether they are durable; callers of trials count a lost program as a broken promise. The check of act_lease_s stands once, where it names its field.

--- a/src/bramleylead/process/_owner.py
+++ b/src/bramleylead/process/_owner.py
@@ -114,7 +114,8 @@
         journaled = await log.append(opened)
         if isinstance(journaled, Err):
             return journaled
-        return Ok(view(log.state.programs[request.program], history=False))
+        opened_view = view(log.state.programs[request.program], history=False)
+        return Ok(opened_view._replace(durable=journaled.ok_value))
 
     async def read(self, request: ReadProgram) -> Result[ProgramView, Failure]:
         """Return a program's state, once the second copy confirmed this owner."""
@@ -125,7 +126,7 @@
         confirmed = await log.append()
         if isinstance(confirmed, Err):
             return confirmed
-        return Ok(view(program, history=request.history))
+        return Ok(view(program, history=request.history)._replace(durable=confirmed.ok_value))
 
     async def end(self, request: EndProgram) -> Result[ProgramView, Failure]:
         """End a program: its model call is cancelled, and no further call starts."""
--- a/src/bramleylead/process/_partition_record.py
+++ b/src/bramleylead/process/_partition_record.py
@@ -146,7 +146,11 @@
         found = read.ok_value
         if found is not None and found.record.token == written.token:
             return Ok(found)
-        if (ABSENT if found is None else found.version) != expected:
+        version = ABSENT if found is None else found.version
+        if version > expected + 1:
+            # This write may have been the one in between, with another's write after it.
+            break
+        if version != expected:
             detail = f"{record_key(number)}: another writer changed it"
             return Err(StoreError(StoreErrorKind.CONFLICT, detail))
         again = await store.put(record_key(number), value, expected=expected)
--- a/src/bramleylead/process/_partition_repair.py
+++ b/src/bramleylead/process/_partition_repair.py
@@ -76,9 +76,13 @@
         self._context = context
         self._table = table
         self._running: set[int] = set()
+        self._alone_from_s: float | None = None
 
     async def run(self, partition: OwnedPartition) -> None:
         """Repair until the partition has a pair, or another owner; only once at a time."""
+        if self._alone_from_s is None:
+            alone_after_s = self._context.settings.partitions.alone_after_s
+            self._alone_from_s = anyio.current_time() + alone_after_s
         if partition.number in self._running:
             return
         self._running.add(partition.number)
@@ -117,6 +121,8 @@
         if not isinstance(found, StoredRecord):
             return found
         candidate = self._choose(partition, avoided)
+        if candidate is None and not self._may_be_alone():
+            return Outcome.NO_COPY
         if candidate is None:
             return await self._commit(partition, found, None, anyio.current_time())
         if found.record.second is not None and candidate.node == found.record.second.node:
@@ -139,6 +145,10 @@
         )
         return await self._commit(partition, found, holder, requested_s)
 
+    def _may_be_alone(self) -> bool:
+        """Whether this process is up long enough to have met the others, if there are any."""
+        return self._alone_from_s is None or anyio.current_time() >= self._alone_from_s
+
     async def _read_unchanged(self, partition: OwnedPartition) -> StoredRecord | Outcome:
         read = await read_record(self._context.store, partition.number, timeout_s=STORE_PROBE_S)
         if isinstance(read, Err):
@@ -197,9 +207,11 @@
         if written.err_value.kind is StoreErrorKind.UNKNOWN:
             partition.unresolved.add(record.token)
             return Outcome.UNRESOLVED
+        if written.err_value.kind is StoreErrorKind.CONFLICT:
+            # Another node changed the object, so the old pair stays unused until it is read again.
+            return Outcome.UNRESOLVED
         partition.committing = bool(partition.unresolved)
-        conflict = written.err_value.kind is StoreErrorKind.CONFLICT
-        return Outcome.UNRESOLVED if conflict else Outcome.STORE_OUT
+        return Outcome.STORE_OUT
 
     def _begin(self, partition: OwnedPartition, stored: StoredRecord, requested_s: float) -> None:
         partition.begin_epoch(stored, requested_s)
--- a/src/bramleylead/process/_settings.py
+++ b/src/bramleylead/process/_settings.py
@@ -4,10 +4,10 @@
 
 from typing import Annotated
 from typing import Any
-from typing import Self
 
 from pydantic import Field
-from pydantic import model_validator
+from pydantic import ValidationInfo
+from pydantic import field_validator
 
 from bramleylead.version._schema import Address
 from bramleylead.version._schema import Name
@@ -38,25 +38,28 @@
 
 
 class PartitionSettings(Strict):
-    """Program partitions and their journals. ``count`` is fixed for a deployment's life."""
+    """Program partitions and their journals. ``count`` is fixed for a deployment's life.
+
+    A node that meets no other for ``alone_after_s`` serves without a second copy.
+    """
 
     count: Annotated[int, Field(ge=1, le=65536)] = 48
     heartbeat_s: Annotated[float, Field(gt=0)] = 0.5
     takeover_after_s: Annotated[float, Field(gt=0)] = 2.0
     append_timeout_s: Annotated[float, Field(gt=0)] = 1.0
-    act_lease_s: Annotated[float, Field(gt=0)] = 2.0
+    act_lease_s: Annotated[float, Field(gt=0, validate_default=True)] = 2.0
     flush_interval_s: Annotated[float, Field(gt=0)] = 5.0
     moves_per_s: Annotated[float, Field(gt=0)] = 8.0
+    alone_after_s: Annotated[float, Field(ge=0)] = 15.0
 
-    @model_validator(mode="after")
-    def _check_lease(self) -> Self:
+    @field_validator("act_lease_s")
+    @classmethod
+    def _check_lease(cls, act_lease_s: float, info: ValidationInfo) -> float:
         """Refuse a takeover that could come while the former owner may still act."""
-        if self.takeover_after_s < self.act_lease_s:
-            raise ValueError(
-                f"takeover_after_s is {self.takeover_after_s}; it must be at least act_lease_s, "
-                f"which is {self.act_lease_s}"
-            )
-        return self
+        takeover_after_s = info.data.get("takeover_after_s", act_lease_s)
+        if act_lease_s > takeover_after_s:
+            raise ValueError(f"must be at most partitions.takeover_after_s, {takeover_after_s:g}")
+        return act_lease_s
 
 
 class TicketSettings(Strict):
--- a/src/bramleylead/process/_settings_file.py
+++ b/src/bramleylead/process/_settings_file.py
@@ -110,9 +110,6 @@
     if parts.takeover_after_s <= 2 * parts.heartbeat_s:
         allowed = f"must exceed twice partitions.heartbeat_s, {2 * parts.heartbeat_s:g}"
         yield Fault("partitions.takeover_after_s", show_value(parts.takeover_after_s), allowed)
-    if parts.act_lease_s > parts.takeover_after_s:
-        allowed = f"must be at most partitions.takeover_after_s, {parts.takeover_after_s:g}"
-        yield Fault("partitions.act_lease_s", show_value(parts.act_lease_s), allowed)
     if members.probe_timeout_s > members.probe_interval_s:
         allowed = f"must be at most membership.probe_interval_s, {members.probe_interval_s:g}"
         yield Fault("membership.probe_timeout_s", show_value(members.probe_timeout_s), allowed)
--- a/src/bramleylead/request/_messages.py
+++ b/src/bramleylead/request/_messages.py
@@ -134,6 +134,7 @@
 
     :param calls: number, kind, target, status and answer text of each call.
     :param next_number: number of the next call.
+    :param durable: whether both copies of the journal hold what is shown.
     """
 
     program: str
@@ -146,6 +147,7 @@
     ended: str
     messages: tuple[tuple[str, str], ...]
     calls: tuple[tuple[int, str, str, str, str], ...]
+    durable: bool = True
 
 
 @message(28)
--- a/src/bramleylead/trials/_caller.py
+++ b/src/bramleylead/trials/_caller.py
@@ -141,6 +141,7 @@
         if isinstance(opened, Err):
             return opened.err_value
         self._incarnation = opened.ok_value.incarnation
+        self.seen.not_durable |= not opened.ok_value.durable
         for step in plan.steps:
             await anyio.sleep(step.pause_s)
             started = anyio.current_time()
@@ -182,6 +183,7 @@
         if failure.answer.ran is Ran.NOT_RUN and step.call_kind is CallKind.TOOL:
             self.seen.not_run.append(call)
             self._check_not_run(call, failure)
+        self._check_not_lost(failure)
         if failure.kind is ErrorKind.HISTORY_ROLLED_BACK:
             await self._adopt_state()
             return None
@@ -193,6 +195,12 @@
             return "stop"
         return None
 
+    def _check_not_lost(self, failure: Failure) -> None:
+        """Count a violation when something acknowledged is gone and the caller was not told."""
+        lost = failure.kind in (ErrorKind.UNKNOWN_PROGRAM, ErrorKind.OUT_OF_ORDER)
+        if lost and not self.seen.not_durable and not self.seen.rolled_back:
+            self._violate(Promise.HISTORY, f"call {self._number}: {failure.detail}")
+
     def _check_not_run(self, call: str, failure: Failure) -> None:
         effects = self._fleet.endpoints.service_ledger.effects.get(call, 0)
         if effects and call not in self._fleet.endpoints.service_ledger.harmless:
