--- a/src/bramleylead/process/_journal_flush.py
+++ b/src/bramleylead/process/_journal_flush.py
@@ -30,10 +30,10 @@
 from bramleylead.process._journal_store import pieces_of
 from bramleylead.process._journal_store import read_pieces
 from bramleylead.process._journal_store import write_piece
-from bramleylead.process._partition import Mode
 from bramleylead.process._partition import OwnedPartition
 from bramleylead.process._partition_context import PartitionContext
 from bramleylead.process._partition_table import PartitionTable
+from bramleylead.process._pending import Mode
 from bramleylead.process._state_codec import pack_state
 from bramleylead.process._state_codec import state_digest
 
--- a/src/bramleylead/process/_partition.py
+++ b/src/bramleylead/process/_partition.py
@@ -4,9 +4,6 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
-from enum import StrEnum
 from typing import final
 
 import anyio
@@ -16,17 +13,16 @@
 
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
-from bramleylead.process._entries import CallIntended
 from bramleylead.process._entries import Entry
-from bramleylead.process._entries import GrantAdded
-from bramleylead.process._entries import GrantReturning
-from bramleylead.process._entries import RolledBack
 from bramleylead.process._journal_copy import JournalCopy
 from bramleylead.process._partition_context import CLOCK_RATE_MARGIN
 from bramleylead.process._partition_context import PartitionContext
 from bramleylead.process._partition_messages import Append
 from bramleylead.process._partition_record import PartitionRecord
 from bramleylead.process._partition_record import StoredRecord
+from bramleylead.process._pending import Mode
+from bramleylead.process._pending import Pending
+from bramleylead.process._pending import may_be_lost
 from bramleylead.process._state import PartitionState
 from bramleylead.process._state_codec import extend_digest
 from bramleylead.process._state_codec import pack_entry
@@ -39,46 +35,6 @@
 NEVER_S = float("-inf")
 
 
-class Mode(StrEnum):
-    """How an owner stands to its second copy."""
-
-    PAIRED = "paired"
-    REPAIRING = "repairing"
-    """The second copy is lost or in doubt: appends wait until there is a new pair."""
-    MOVING = "moving"
-    """Being handed over: what was sent is still acknowledged, nothing new is sent."""
-    SOLO = "solo"
-    """Second copy lost, store out, outage confirmed by peers."""
-    LOST = "lost"
-    """Another node owns the partition."""
-
-
-@dataclass(eq=False)
-class Pending:
-    """Entries that wait for the second copy. ``first`` is 0 until they are sent.
-
-    :param mark: number of the message that carried them; without entries, what is waited for.
-    """
-
-    entries: tuple[Entry, ...]
-    packed: tuple[bytes, ...]
-    first: int = 0
-    mark: int = 0
-    sent_at: float = 0.0
-    outcome: Result[bool, Failure] | None = None
-    done: anyio.Event = field(default_factory=anyio.Event)
-
-    @property
-    def last(self) -> int:
-        """Sequence number of the last entry, once sent."""
-        return self.first + len(self.entries) - 1
-
-    def finish(self, outcome: Result[bool, Failure]) -> None:
-        """Wake the caller with an outcome."""
-        self.outcome = outcome
-        self.done.set()
-
-
 @final
 class OwnedPartition:
     """A partition that this node owns. Implements ``PartitionLog``.
@@ -317,7 +273,7 @@
         elif self.mode is not Mode.SOLO:
             self._queue.append(pending)
             self._on_ready(self)
-        elif all(_may_be_lost(entry) for entry in pending.entries):
+        elif all(may_be_lost(entry) for entry in pending.entries):
             self._apply(pending)
             self.solo_entries += len(pending.entries)
             self._context.metrics.entries.add({"outcome": "solo"}, len(pending.entries))
@@ -396,17 +352,3 @@
 
     def _not_durable(self, reason: str) -> Failure:
         return Failure(ErrorKind.NOT_DURABLE, f"partition {self.number}: {reason}")
-
-
-def _may_be_lost(entry: Entry) -> bool:
-    """Whether a single copy is enough for an entry while there can't be two.
-
-    Not for the intent of a call that may not be repeated, since a successor would run it again,
-    and not for what the budgets' objects in the store must agree with.
-    """
-    match entry:
-        case CallIntended():
-            return entry.repeatable
-        case GrantAdded() | GrantReturning() | RolledBack():
-            return False
-    return True
--- a/src/bramleylead/process/_partition_link.py
+++ b/src/bramleylead/process/_partition_link.py
@@ -10,7 +10,6 @@
 from result import Err
 
 from bramleylead.connection._rpc import PeerCall
-from bramleylead.process._partition import Mode
 from bramleylead.process._partition import OwnedPartition
 from bramleylead.process._partition_context import PartitionContext
 from bramleylead.process._partition_messages import Acked
@@ -21,6 +20,7 @@
 from bramleylead.process._partition_messages import Detach
 from bramleylead.process._partition_messages import LinkOpened
 from bramleylead.process._partition_messages import Refused
+from bramleylead.process._pending import Mode
 
 RECONNECT_S = 0.1
 KEPT_BEATS = 64
--- a/src/bramleylead/process/_partition_repair.py
+++ b/src/bramleylead/process/_partition_repair.py
@@ -21,7 +21,6 @@
 from bramleylead.errors import Failure
 from bramleylead.platform._store import StoreErrorKind
 from bramleylead.process._members import Member
-from bramleylead.process._partition import Mode
 from bramleylead.process._partition import OwnedPartition
 from bramleylead.process._partition_context import PartitionContext
 from bramleylead.process._partition_messages import Install
@@ -35,6 +34,7 @@
 from bramleylead.process._partition_record import renewed
 from bramleylead.process._partition_record import swap_record
 from bramleylead.process._partition_table import PartitionTable
+from bramleylead.process._pending import Mode
 from bramleylead.process._rendezvous import second_copy
 from bramleylead.process._state_codec import pack_state
 from bramleylead.process._state_codec import state_digest
--- a/src/bramleylead/process/_partition_takeover.py
+++ b/src/bramleylead/process/_partition_takeover.py
@@ -24,7 +24,6 @@
 from bramleylead.process._entries import GrantForfeited
 from bramleylead.process._owner_map import OwnerMap
 from bramleylead.process._partition import SOLO_MARGIN_S
-from bramleylead.process._partition import Mode
 from bramleylead.process._partition import OwnedPartition
 from bramleylead.process._partition_context import PartitionContext
 from bramleylead.process._partition_messages import HandedOver
@@ -36,6 +35,7 @@
 from bramleylead.process._partition_repair import Outcome
 from bramleylead.process._partition_repair import PairRepair
 from bramleylead.process._partition_table import PartitionTable
+from bramleylead.process._pending import Mode
 from bramleylead.process._replica import Replica
 from bramleylead.process._replica import ReplicaKeeper
 
--- a/src/bramleylead/process/_partition_upkeep.py
+++ b/src/bramleylead/process/_partition_upkeep.py
@@ -15,7 +15,6 @@
 
 from bramleylead.platform._store import StoreErrorKind
 from bramleylead.process._journal_flush import JournalFlusher
-from bramleylead.process._partition import Mode
 from bramleylead.process._partition import OwnedPartition
 from bramleylead.process._partition_context import PartitionContext
 from bramleylead.process._partition_record import read_record
@@ -23,6 +22,7 @@
 from bramleylead.process._partition_record import swap_record
 from bramleylead.process._partition_table import PartitionTable
 from bramleylead.process._partition_takeover import Takeover
+from bramleylead.process._pending import Mode
 from bramleylead.process._rendezvous import owner_and_second
 from bramleylead.process._replica import ReplicaKeeper
 
--- a/testing/process/test_partition_regressions.py
+++ b/testing/process/test_partition_regressions.py
@@ -8,7 +8,7 @@
 from pydantic import ValidationError
 from result import Ok
 
-from bramleylead.process._partition import Mode
+from bramleylead.process._pending import Mode
 from bramleylead.process._settings import PartitionSettings
 from testing.process._partition_fleet import PartitionFleet
 from testing.process._partition_fleet import opened
--- a/testing/process/test_partition_takeover.py
+++ b/testing/process/test_partition_takeover.py
@@ -10,7 +10,7 @@
 
 from bramleylead.errors import ErrorKind
 from bramleylead.process._entries import GrantAdded
-from bramleylead.process._partition import Mode
+from bramleylead.process._pending import Mode
 from testing.process._partition_fleet import PartitionFleet
 from testing.process._partition_fleet import opened
 from testing.process._partition_fleet import run_fleet
