--- a/src/bramleylead/backends/_http_engine.py
+++ b/src/bramleylead/backends/_http_engine.py
@@ -42,7 +42,15 @@
 class HttpEngine:
     """One model engine."""
 
-    def __init__(self, name: str, client: HttpClient, *, progress_s: float = PROGRESS_S) -> None:
+    def __init__(
+        self,
+        name: str,
+        client: HttpClient,
+        *,
+        progress_s: float = PROGRESS_S,
+        gather_s: float = 0.0,
+    ) -> None:
+        self._gather_s = gather_s
         self._name = name
         self._client = client
         self._progress_s = progress_s
@@ -52,7 +60,13 @@
         self, call: GenerateCall
     ) -> AsyncIterator[AsyncIterator[Result[EngineChunk, BackendError]]]:
         """Run a call; leaving the context early cancels it."""
-        stream = HttpEngineStream(self._name, self._client, call, progress_s=self._progress_s)
+        stream = HttpEngineStream(
+            self._name,
+            self._client,
+            call,
+            progress_s=self._progress_s,
+            gather_s=self._gather_s,
+        )
         try:
             yield stream
         finally:
--- a/src/bramleylead/backends/_http_stream.py
+++ b/src/bramleylead/backends/_http_stream.py
@@ -41,15 +41,25 @@
 
     A connection that stays silent for ``progress_s`` seconds, or breaks, is replaced by a fresh
     one that resumes after the tokens received; when that gets no answer either, the call is lost.
+
+    :param gather_s: pause before each read after the first, so that the tokens that come meanwhile
+        are read, journaled and sent on as one; each event read alone costs more than all else.
     """
 
     def __init__(
-        self, name: str, client: HttpClient, call: GenerateCall, *, progress_s: float
+        self,
+        name: str,
+        client: HttpClient,
+        call: GenerateCall,
+        *,
+        progress_s: float,
+        gather_s: float = 0.0,
     ) -> None:
         self._name = name
         self._client = client
         self._call = call
         self._progress_s = progress_s
+        self._gather_s = gather_s
         self._received = call.resume_from
         self._ready: list[EngineChunk] = []
         self._connection = AsyncExitStack()
@@ -140,6 +150,8 @@
     async def _read_part(self) -> BackendError | str:
         """Read one part of the body; returns why the connection is of no more use, if it is."""
         assert self._stream is not None
+        if self._received and self._gather_s:
+            await anyio.sleep(self._gather_s)
         with anyio.move_on_after(self._progress_s):
             try:
                 part = await anext(self._stream.body)
@@ -152,9 +164,9 @@
 
     def _take(self, part: bytes) -> BackendError | str:
         try:
-            for event in self._reader.feed(part):
-                if event != DONE:
-                    self._ready.append(_to_chunk(json.loads(event)))
+            events = [event for event in self._reader.feed(part) if event != DONE]
+            if events:
+                self._ready.append(_joined([_to_chunk(json.loads(event)) for event in events]))
         except (AttributeError, IndexError, KeyError, TypeError, ValueError) as error:
             return malformed(self._name, error)
         return ""
@@ -206,6 +218,19 @@
         }
 
 
+def _joined(chunks: list[EngineChunk]) -> EngineChunk:
+    """Return one chunk for those that came in one part of the body."""
+    if len(chunks) == 1:
+        return chunks[0]
+    return EngineChunk(
+        text="".join(chunk.text for chunk in chunks),
+        tokens=sum(chunk.tokens for chunk in chunks),
+        cached_tokens=max(chunk.cached_tokens for chunk in chunks),
+        prompt_tokens=max(chunk.prompt_tokens for chunk in chunks),
+        finish=chunks[-1].finish,
+    )
+
+
 def _to_chunk(event: dict[str, Any]) -> EngineChunk:
     choice = event["choices"][0]
     usage = event.get("usage") or {}
--- a/src/bramleylead/backends/_open.py
+++ b/src/bramleylead/backends/_open.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from types import TracebackType
 from typing import Any
+from typing import NamedTuple
 from typing import Self
 from typing import final
 
@@ -17,7 +18,19 @@
 from bramleylead.version import Endpoint
 from bramleylead.version import EndpointKind
 
-Maker = Callable[[str, HttpClient, float], Any]
+
+class StreamTimes(NamedTuple):
+    """How engines' streams are read.
+
+    :param progress_s: silence after which a stream is taken up on a fresh connection.
+    :param gather_s: pause before a read, so that tokens that come close together are one part.
+    """
+
+    progress_s: float = PROGRESS_S
+    gather_s: float = 0.0
+
+
+Maker = Callable[[str, HttpClient, StreamTimes], Any]
 
 _makers: dict[EndpointKind, Maker] = {}
 
@@ -38,12 +51,12 @@
 
 
 @backend_kind(EndpointKind.ENGINE)
-def _make_engine(name: str, client: HttpClient, progress_s: float) -> HttpEngine:
-    return HttpEngine(name, client, progress_s=progress_s)
+def _make_engine(name: str, client: HttpClient, times: StreamTimes) -> HttpEngine:
+    return HttpEngine(name, client, progress_s=times.progress_s, gather_s=times.gather_s)
 
 
 @backend_kind(EndpointKind.SERVICE)
-def _make_service(name: str, client: HttpClient, progress_s: float) -> HttpService:
+def _make_service(name: str, client: HttpClient, times: StreamTimes) -> HttpService:
     return HttpService(name, client)
 
 
@@ -52,10 +65,11 @@
     """The product's ``BackendFactory`` over HTTP; leaving the context closes every connection.
 
     :param progress_s: silence after which an engine's stream is taken up on a fresh connection.
+    :param gather_s: pause before each read of a stream after the first text.
     """
 
-    def __init__(self, *, progress_s: float = PROGRESS_S) -> None:
-        self._progress_s = progress_s
+    def __init__(self, *, progress_s: float = PROGRESS_S, gather_s: float = 0.0) -> None:
+        self._times = StreamTimes(progress_s, gather_s)
         self._connections: dict[tuple[EndpointKind, str], HttpClient] = {}
         self._clients: dict[tuple[EndpointKind, str, str], Any] = {}
 
@@ -92,7 +106,7 @@
         client = self._clients.get(key)
         if client is None:
             connection = self._connection(endpoint.address, kind)
-            client = _makers[kind](name, connection, self._progress_s)
+            client = _makers[kind](name, connection, self._times)
             self._clients[key] = client
         return client
 
--- a/src/bramleylead/process/_run_node.py
+++ b/src/bramleylead/process/_run_node.py
@@ -72,9 +72,11 @@
 
     :raises OSError: if an address can't be bound.
     """
-    progress_s = settings.requests.stream_progress_s
+    requests = settings.requests
     async with (
-        HttpBackends(progress_s=progress_s) as backends,
+        HttpBackends(
+            progress_s=requests.stream_progress_s, gather_s=requests.coalesce_s
+        ) as backends,
         Node(
             settings,
             network=network,
