--- a/src/bramleylead/process/_node.py
+++ b/src/bramleylead/process/_node.py
@@ -117,6 +117,11 @@
         """The configuration in force."""
         return self.tickets.config
 
+    @property
+    def handler_errors(self) -> int:
+        """Calls of other nodes whose handler failed for a fault of the program."""
+        return self._server.handler_errors
+
     @property
     def stopping(self) -> bool:
         """Whether the node is stopping and takes no new work."""
@@ -342,6 +347,7 @@
             wall_clock=self._wall_clock,
             on_owned=self._on_owned,
             on_lost=self._on_lost,
+            idle=lambda partition: self._owner.is_idle(partition),
             boot=boot_id,
         )
 
