Gather an engine's tokens where they are read

Cause: with one token an event the owner woke, read and parsed for each; coalesce_s paused only after a frame had been sent to another node, when the cost was paid, and 5 ms is less than an engine's step. Change: a network stream under httpcore pauses before each read after the first text; the pause after frames is gone. The pause doubles as delay, so more of it is no way.

--- a/src/bramleylead/backends/_http_stream.py
+++ b/src/bramleylead/backends/_http_stream.py
@@ -42,8 +42,8 @@
     A connection that stays silent for ``progress_s`` seconds, or breaks, is replaced by a fresh
     one that resumes after the tokens received; when that gets no answer either, the call is lost.
 
-    :param gather_s: pause before each read after the first, so that the tokens that come meanwhile
-        are read, journaled and sent on as one; each event read alone costs more than all else.
+    :param gather_s: pause before each read after the first text, so that the tokens that come
+        meanwhile share one.
     """
 
     def __init__(
@@ -108,6 +108,8 @@
                     return Err(error)
         chunk = self._ready.pop(0)
         self._received += chunk.tokens
+        if chunk.tokens and self._stream is not None:
+            self._stream.network.gather_s = self._gather_s
         self._finished = chunk.finish != ""
         return Ok(chunk)
 
@@ -150,8 +152,6 @@
     async def _read_part(self) -> BackendError | str:
         """Read one part of the body; returns why the connection is of no more use, if it is."""
         assert self._stream is not None
-        if self._received and self._gather_s:
-            await anyio.sleep(self._gather_s)
         with anyio.move_on_after(self._progress_s):
             try:
                 part = await anext(self._stream.body)
@@ -190,6 +190,7 @@
     async def _read_end(self) -> None:
         """Read the rest of a whole answer, so that its connection can be kept."""
         assert self._stream is not None
+        self._stream.network.gather_s = 0.0
         with anyio.move_on_after(END_TIMEOUT_S):
             try:
                 async for _ in self._stream.body:
--- a/src/bramleylead/bench/_path_parts.py
+++ b/src/bramleylead/bench/_path_parts.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any
 from typing import NamedTuple
 from typing import final
 
@@ -16,6 +17,7 @@
 from bramleylead.platform import MemoryStore
 from bramleylead.process._node import Node
 from bramleylead.process._run_node import free_address
+from bramleylead.process._settings import RequestSettings
 from bramleylead.process._settings import StoreSettings
 from bramleylead.standins import EngineModelSettings
 from bramleylead.standins import serve_objects
@@ -83,11 +85,17 @@
 
 
 @asynccontextmanager
-async def path_fleet(engine: EngineModelSettings) -> AsyncIterator[PathFleet]:
-    """Run the fleet of the bench."""
+async def path_fleet(
+    engine: EngineModelSettings, requests: RequestSettings
+) -> AsyncIterator[PathFleet]:
+    """Run the fleet of the bench.
+
+    :param requests: those settings of the nodes.
+    """
     store = MemoryStore()
     async with serve_objects(store, ANY_ADDRESS) as objects:
-        example = _example(StoreSettings(kind="http", location=f"http://{objects}"))
+        store_settings = StoreSettings(kind="http", location=f"http://{objects}")
+        example = _example({"store": store_settings, "requests": requests})
         running = live_fleet(example, store, engine=engine, rng=random.Random(1))
         async with running as fleet:
             (address,) = fleet.endpoints.engines
@@ -96,14 +104,14 @@
             yield path
 
 
-def _example(store: StoreSettings) -> Example:
+def _example(changes: dict[str, Any]) -> Example:
     whole = aspenhold()
     nodes = {
         name: settings.model_copy(
             update={
                 "peer_address": free_address(ANY_ADDRESS),
                 "http_address": free_address(ANY_ADDRESS),
-                "store": store,
+                **changes,
             }
         )
         for name, settings in list(whole.nodes.items())[:NODES]
--- a/src/bramleylead/connection/_http_client.py
+++ b/src/bramleylead/connection/_http_client.py
@@ -20,6 +20,9 @@
 from result import Ok
 from result import Result
 
+from bramleylead.connection._gathering import GatheringBackend
+from bramleylead.connection._gathering import GatheringStream
+
 CONNECT_TIMEOUT_S = 1.0
 KEEP_ALIVE_S = 5.0
 MAX_CONNECTIONS = 4096
@@ -48,11 +51,15 @@
 
 
 class HttpStream(NamedTuple):
-    """An answer whose body is still coming; ``body`` raises httpcore's errors and ``OSError``."""
+    """An answer whose body is still coming; ``body`` raises httpcore's errors and ``OSError``.
+
+    :param network: its ``gather_s`` says how long each read of this answer waits for more.
+    """
 
     status: int
     headers: dict[str, str]
     body: AsyncIterator[bytes]
+    network: GatheringStream
 
 
 @final
@@ -165,7 +172,11 @@
                 name.decode("latin-1").lower(): value.decode("latin-1")
                 for name, value in response.headers
             }
-            yield HttpStream(response.status, found, response.aiter_stream())
+            network = response.extensions["network_stream"]
+            try:
+                yield HttpStream(response.status, found, response.aiter_stream(), network)
+            finally:
+                network.gather_s = 0.0
 
     async def _read_whole(self, stream: HttpStream) -> Result[HttpAnswer, HttpFailure]:
         whole = bytearray()
@@ -184,6 +195,7 @@
             max_connections=MAX_CONNECTIONS,
             max_keepalive_connections=self._kept_connections,
             keepalive_expiry=KEEP_ALIVE_S,
+            network_backend=GatheringBackend(),
         )
 
 
--- a/src/bramleylead/process/_router.py
+++ b/src/bramleylead/process/_router.py
@@ -226,15 +226,13 @@
             await reply.send(result.ok_value)
 
     async def _serve_answer(self, request: AnswerRequest, reply: Reply) -> None:
-        """Stream an answer to another node; chunks that come close together travel as one."""
+        """Stream an answer to another node; the engine's stream has gathered its tokens."""
         async with aclosing(self._local_answer(request)) as items:
             async for item in items:
                 if isinstance(item, Failure):
                     await reply.fail(item)
                     return
                 await reply.send(item)
-                if isinstance(item, AnswerChunk) and item.offset > 0:
-                    await anyio.sleep(self._settings.requests.coalesce_s)
 
     def _partition(self, program: str) -> int:
         return partition_of(program, self._settings.partitions.count)
