--- a/src/bramleylead/bench/_recovery.py
+++ b/src/bramleylead/bench/_recovery.py
@@ -121,6 +121,7 @@
     seen: dict[str, Observed] = {}
     waves_s = (0.0, second_wave_s) if second_wave_s else (0.0,)
     async with running_fleet(deployment, seed=seed) as fleet:
+        _even_out_tools(fleet)
         await anyio.sleep(WARM_UP_S)
         fault_s = anyio.current_time() + FAULT_AFTER_S
         async with anyio.create_task_group() as tasks:
@@ -133,6 +134,14 @@
     return _Run(seen, fault_s)
 
 
+def _even_out_tools(fleet: Fleet) -> None:
+    """Let every tool call take the same time, so that two runs differ by the fault alone."""
+    for service in fleet.endpoints.services.values():
+        service.tools = {
+            name: tool.model_copy(update={"spread_s": 0.0}) for name, tool in service.tools.items()
+        }
+
+
 async def _bring_about(act: FaultAct, fleet: Fleet, rng: random.Random) -> None:
     await anyio.sleep(FAULT_AFTER_S)
     await act(fleet, rng)
--- a/src/bramleylead/process/_node.py
+++ b/src/bramleylead/process/_node.py
@@ -42,6 +42,7 @@
 from bramleylead.process._sweep import CacheSweep
 from bramleylead.process._ticket_desk import TicketDesk
 from bramleylead.process._tickets import TicketLog
+from bramleylead.promises import Promise
 from bramleylead.promises import Promises
 from bramleylead.request import AddChild
 from bramleylead.request import CallItem
@@ -265,6 +266,12 @@
                 await self._partitions.leave(self._owner.is_idle)
                 tasks.cancel_scope.cancel()
             await self._drain()
+        self.promises.check(
+            Promise.GRACEFUL_STOP,
+            self._entry_calls == 0,
+            f"{self._entry_calls} answers are cut off {self.settings.stop_grace_s:g} s after "
+            f"{self.settings.node} was told to stop",
+        )
         log.info("node_stopped", node=self.settings.node, in_time=not grace.cancelled_caught)
 
     async def _close_owner(self) -> None:
