--- a/src/bramleylead/process/_tickets.py
+++ b/src/bramleylead/process/_tickets.py
@@ -195,7 +195,9 @@
                 await anyio.sleep(self._settings.watch_s)
             elif await self.refresh():
                 self._start_push()
-                await self._wakeup.wait()
+                # A watch that the store no longer answers must not outlast the proof.
+                with anyio.move_on_after(STALE_SHARE * self._settings.current_within_s):
+                    await self._wakeup.wait()
             else:
                 await self._sit_out()
 
