--- a/src/bramleylead/trials/_plans.py
+++ b/src/bramleylead/trials/_plans.py
@@ -37,6 +37,12 @@
     return Plan(program, branch, kind, _makers[kind](rng))
 
 
+def with_pauses(plan: Plan, factor: float) -> Plan:
+    """Return a plan whose pauses are longer or shorter by a factor."""
+    steps = (step._replace(pause_s=factor * step.pause_s) for step in plan.steps)
+    return plan._replace(steps=tuple(steps))
+
+
 @step_maker("assessment")
 def _assessment(rng: random.Random) -> tuple[Step, ...]:
     steps = [tool_step("look_up_record", "candidate", 0.0)]
--- a/src/bramleylead/trials/_soak.py
+++ b/src/bramleylead/trials/_soak.py
@@ -26,6 +26,7 @@
 from bramleylead.trials._judge import TicketWatch
 from bramleylead.trials._judge import judge
 from bramleylead.trials._plans import random_plan
+from bramleylead.trials._plans import with_pauses
 
 PROGRAM_GAP_S = 2.0
 PROGRAMS_AT_ONCE = 60
@@ -79,14 +80,15 @@
         )
 
 
-def soak(*, seed: int, minutes: float, profile: str) -> SoakResult:
+def soak(*, seed: int, minutes: float, profile: str, pause_factor: float = 1.0) -> SoakResult:
     """Run one soak.
 
     :param minutes: virtual minutes in which programs start and faults come.
+    :param pause_factor: on the pauses of programs between their calls.
     :raises KeyError: if there is no such profile.
     """
     chosen = PROFILES[profile]
-    return run_virtual(lambda: _soak(seed, minutes * 60.0, chosen), seed=seed)
+    return run_virtual(lambda: _soak(seed, minutes * 60.0, chosen, pause_factor), seed=seed)
 
 
 def print_result(result: SoakResult, profile: str, out: TextIO = sys.stdout) -> None:
@@ -103,7 +105,9 @@
     print(result.last_line, file=out)
 
 
-async def _soak(seed: int, duration_s: float, profile: Profile) -> SoakResult:
+async def _soak(
+    seed: int, duration_s: float, profile: Profile, pause_factor: float
+) -> SoakResult:
     rng = random.Random(f"{seed}/soak")
     seen: list[Observed] = []
     async with running_fleet(profile.deployment(), seed=seed) as fleet:
@@ -112,7 +116,7 @@
             watchers.start_soon(TicketWatch(fleet).run)
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(injector.run, duration_s)
-                await _start_programs(fleet, rng, seen, duration_s, profile)
+                await _start_programs(fleet, rng, seen, duration_s, profile, pause_factor)
             await judge(fleet, seen)
             watchers.cancel_scope.cancel()
         virtual_s = anyio.current_time()
@@ -138,6 +142,7 @@
     seen: list[Observed],
     duration_s: float,
     profile: Profile,
+    pause_factor: float,
 ) -> None:
     """Start programs at random times; return when the last has ended."""
     end = anyio.current_time() + duration_s
@@ -152,5 +157,5 @@
         while anyio.current_time() < end:
             await anyio.sleep(rng.expovariate(1 / profile.program_gap_s))
             serial += 1
-            plan = random_plan(fleet.deployment, rng, serial)
+            plan = with_pauses(random_plan(fleet.deployment, rng, serial), pause_factor)
             tasks.start_soon(run, Caller(fleet, plan, random.Random(rng.getrandbits(64))))
