Look at ready engines only, and measure the decision's processor time

Cause: with a full pool each call in order was weighed against every engine, though none could take it.

--- a/src/bramleylead/bench/_policy.py
+++ b/src/bramleylead/bench/_policy.py
@@ -54,6 +54,8 @@
     "no_rebuild_weight": {"rebuild_weight": 0.0, "pools": {"rebuild_weight": 0.0}},
     "no_shedding": {"shed": False},
     "no_pool_memory": {"pools": {"memory_s": 0.0}},
+    "no_room_kept_for_others": {"over_share": 1e9},
+    "learned_level": {"adaptive_level": True},
 }
 
 Report = Callable[[PolicyFigure], None]
--- a/src/bramleylead/scheduling/_choice.py
+++ b/src/bramleylead/scheduling/_choice.py
@@ -15,11 +15,12 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from bramleylead.scheduling._speed import rebuild_s
 from bramleylead.scheduling._types import SlotRequest
 from bramleylead.scheduling._view import EndpointView
 from bramleylead.scheduling._view import Waiting
 
+WORTH_WAITING_S = 0.05
+"""Rebuilds shorter than this are never waited for."""
 REPORT_TRUST_S = 3.0
 """Age at which a load report counts half."""
 
@@ -63,30 +64,35 @@
     rebuild_s: float
 
 
-def can_start(
+def is_ready(view: EndpointView, weights: ChoiceWeights, now: float) -> bool:
+    """Whether an engine takes any call now; an idle one always does."""
+    if not view.has_room:
+        return False
+    return not view.running or view.backlog_s(now) <= weights.backlog_s
+
+
+def fits(
     view: EndpointView,
     call: Waiting,
     weights: ChoiceWeights,
     now: float,
     queued_tokens: float = 0.0,
 ) -> bool:
-    """Whether an engine takes the call now; an idle one always does.
+    """Whether an engine that is ready takes this call; an idle one always does.
 
     :param queued_tokens: the engine's part of the prompts of programs under way that are queued.
         Their caches may be gone, yet they will come back for the memory.
     """
-    if not view.has_room:
-        return False
     if not view.running:
         return True
-    if view.backlog_s(now) > weights.backlog_s:
-        return False
     if _is_new(call) and _is_working_set_full(view, call, weights, now, queued_tokens):
         return False
     if call.over_share and view.prefill_load(now) > weights.lent_load:
         return False
-    fits = view.reserved_tokens + call.reserve <= view.memory_tokens
-    return fits or not weights.memory_limit or view.memory_tokens == 0
+    total = view.memory_tokens
+    if total == 0 or not weights.memory_limit:
+        return True
+    return view.reserved_tokens + call.reserve <= total
 
 
 def _is_new(call: Waiting) -> bool:
@@ -112,10 +118,10 @@
     now: float,
     queued_tokens: float = 0.0,
 ) -> Placement | None:
-    """Return the cheapest endpoint that can start the call now."""
+    """Return the cheapest of the ready endpoints that can start the call now."""
     best: Placement | None = None
     for view in views:
-        if not can_start(view, call, weights, now, queued_tokens):
+        if not fits(view, call, weights, now, queued_tokens):
             continue
         placement = _placement(view, call.request, weights, now)
         if best is None or placement.cost_s < best.cost_s:
@@ -131,6 +137,8 @@
     now: float,
 ) -> float:
     """Return how long to wait for a busy endpoint that holds the prefix; 0: start now."""
+    if instead.rebuild_s < WORTH_WAITING_S:
+        return 0.0
     bound_s = weights.wait_for_cache * instead.rebuild_s
     waited_s = now - call.enqueued_at
     if waited_s >= bound_s:
@@ -138,7 +146,9 @@
     best_s = 0.0
     best_cost_s = instead.cost_s
     for view in views:
-        if view.holds(call.request) == 0 or can_start(view, call, weights, now):
+        if view.holds(call.request) == 0:
+            continue
+        if is_ready(view, weights, now) and fits(view, call, weights, now):
             continue
         free_s = room_in_s(view, weights, now)
         if waited_s + free_s > bound_s:
@@ -164,10 +174,12 @@
 def _placement(
     view: EndpointView, request: SlotRequest, weights: ChoiceWeights, now: float
 ) -> Placement:
-    prefill_s = rebuild_s(view, request)
-    busy = view.outstanding + _foreign(view, now)
+    added = request.prompt_tokens - view.holds(request)
+    prefill_s = added * view.prefill_s_per_token
+    busy = len(view.running) + _foreign(view, now)
     cost_s = view.backlog_s(now) + weights.rebuild * prefill_s + weights.load_s * busy
-    cost_s += _memory_cost_s(view, request, weights, now)
+    if added > 0 and view.memory_tokens > 0:
+        cost_s += _memory_cost_s(view, request.prompt_tokens, added, weights, now)
     return Placement(view, cost_s, prefill_s)
 
 
@@ -175,24 +187,22 @@
     """Return the calls of others, counted less the older the report is."""
     if view.report is None:
         return 0.0
+    foreign = view.foreign
+    if foreign == 0:
+        return 0.0
     age_s = max(0.0, now - view.reported_at)
-    return view.foreign * REPORT_TRUST_S / (REPORT_TRUST_S + age_s)
+    return foreign * REPORT_TRUST_S / (REPORT_TRUST_S + age_s)
 
 
 def _memory_cost_s(
-    view: EndpointView, request: SlotRequest, weights: ChoiceWeights, now: float
+    view: EndpointView, prompt: int, added: int, weights: ChoiceWeights, now: float
 ) -> float:
     """Return the cost of the memory that a prefix takes where it is not held, and pushes out.
 
     Memory in use tells engines apart when all of them are full of prefixes that may go.
     """
     total = view.memory_tokens
-    if total == 0:
-        return 0.0
-    added = request.prompt_tokens - view.holds(request)
-    if added <= 0:
-        return 0.0
     pushed_out = min(added, max(0, view.held_tokens + added - total))
     cost_s = weights.evict * pushed_out * view.prefill_s_per_token
     in_use = view.in_use.tokens(now, weights.working_set_s) + added
-    return cost_s + weights.memory_s * in_use / total * added / request.prompt_tokens
+    return cost_s + weights.memory_s * in_use / total * added / prompt
--- a/src/bramleylead/scheduling/_default.py
+++ b/src/bramleylead/scheduling/_default.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Annotated
 from typing import Any
 
@@ -13,7 +14,7 @@
 from bramleylead.scheduling._choice import ChoiceWeights
 from bramleylead.scheduling._choice import Placement
 from bramleylead.scheduling._choice import best_with_room
-from bramleylead.scheduling._choice import room_in_s
+from bramleylead.scheduling._choice import is_ready
 from bramleylead.scheduling._choice import wait_for_holder_s
 from bramleylead.scheduling._chooser import ChooserParameters
 from bramleylead.scheduling._decayed import ServedShares
@@ -38,6 +39,8 @@
 from bramleylead.version._schema import Strict
 
 MIN_HOLD_S = 0.01
+RECHECK_S = 0.5
+"""Pause before a call that no ready engine takes is looked at again: use of memory fades."""
 SHARE_WINDOW_S = 60.0
 """Time over which a branch's share of the served cost is averaged."""
 
@@ -152,24 +155,30 @@
     def next(self, endpoints: Endpoints, now: float) -> Choice | None:
         """Start the first call in order that does not do better by waiting for its cache."""
         self._wake_at = float("inf")
-        if not any(view.has_room for view in endpoints.values()):
+        ready = [view for view in endpoints.values() if is_ready(view, self._weights, now)]
+        if not ready:
+            self._look_again_after_backlog(endpoints.values(), now)
             return None
         for tier in TIERS:
             for call in self._queue.candidates(tier):
-                choice = self._try(call, endpoints, now)
+                choice = self._try(call, endpoints, ready, now)
                 if choice is not None:
                     return choice
         return None
 
-    def _try(self, call: Waiting, endpoints: Endpoints, now: float) -> Choice | None:
+    def _try(
+        self, call: Waiting, endpoints: Endpoints, ready: list[EndpointView], now: float
+    ) -> Choice | None:
         is_new = tier_of(call) == NEW
         call.over_share = is_new and self._shares.is_over(call.request.branch, now)
-        views = usable(endpoints.values(), call.request)
+        views = endpoints.values()
+        if call.request.avoid:
+            views = usable(views, call.request)
+            ready = [view for view in ready if view in views]
         queued = self._queue.queued_tokens(UNDER_WAY) / max(1, len(views))
-        placement = best_with_room(views, call, self._weights, now, queued)
+        placement = best_with_room(ready, call, self._weights, now, queued)
         if placement is None:
-            soonest_s = min((room_in_s(view, self._weights, now) for view in views), default=1.0)
-            self._look_again(soonest_s, now)
+            self._look_again(RECHECK_S, now)
             return None
         wait_s = wait_for_holder_s(views, call, placement, self._weights, now)
         if wait_s > 0:
@@ -220,6 +229,12 @@
         )
         return Choice(call, view, reason)
 
+    def _look_again_after_backlog(self, views: Iterable[EndpointView], now: float) -> None:
+        """Look again when the first backlog is short enough; slots and memory free by events."""
+        ends = [view.prefill_until for view in views if view.has_room]
+        if ends:
+            self._look_again(min(ends) - self._weights.backlog_s - now, now)
+
     def _look_again(self, wait_s: float, now: float) -> None:
         self._wake_at = min(self._wake_at, now + max(MIN_HOLD_S, wait_s))
 
--- a/src/bramleylead/scheduling/_dispatcher.py
+++ b/src/bramleylead/scheduling/_dispatcher.py
@@ -190,7 +190,9 @@
         )
 
     async def _wait(self, call: Waiting) -> Failure | None:
+        started = self._clock()
         refusal = self._refusal(call)
+        self.decision_s += self._clock() - started
         if refusal is not None:
             self._note(call, "refused", refusal.detail)
             return refusal
--- a/src/bramleylead/scheduling/_speed.py
+++ b/src/bramleylead/scheduling/_speed.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from bramleylead.scheduling._types import SlotFinished
-from bramleylead.scheduling._types import SlotRequest
 from bramleylead.scheduling._view import OBSERVATION_WEIGHT
 from bramleylead.scheduling._view import EndpointView
 from bramleylead.scheduling._view import Waiting
@@ -23,9 +22,3 @@
         return
     seen = max(0.0, report.first_token_s - call.backlog_s) / prefilled
     view.prefill_s_per_token += OBSERVATION_WEIGHT * (seen - view.prefill_s_per_token)
-
-
-def rebuild_s(view: EndpointView, request: SlotRequest) -> float:
-    """Return the prefill time of the tokens that the engine is not believed to hold."""
-    missing = request.prompt_tokens - view.holds(request)
-    return missing * view.prefill_s_per_token
--- a/src/bramleylead/scheduling/_view.py
+++ b/src/bramleylead/scheduling/_view.py
@@ -116,7 +116,7 @@
         """Calls that the last report shows beyond ours: other users of the engine."""
         if self.report is None:
             return 0
-        return max(0, self.report.running + self.report.waiting - self.outstanding)
+        return max(0, self.report.running + self.report.waiting - len(self.running))
 
     @property
     def has_room(self) -> bool:
@@ -224,6 +224,8 @@
 
 def usable(endpoints: Iterable[EndpointView], request: SlotRequest) -> list[EndpointView]:
     """Return the endpoints that the call may go to, those that failed it only if none is left."""
-    allowed = [view for view in endpoints if view.open]
+    allowed = [view for view in endpoints if not view.leaving and not view.ejected]
+    if not request.avoid:
+        return allowed
     fresh = [view for view in allowed if view.name not in request.avoid]
     return fresh or allowed
--- a/testing/scheduling/test_default.py
+++ b/testing/scheduling/test_default.py
@@ -86,8 +86,7 @@
                 for number in range(16):
                     tasks.start_soon(hold, number)
                 await anyio.sleep(0.9)
-                counts = [view.outstanding for view in pool.endpoints.values()]
-            return counts
+                return [view.outstanding for view in pool.endpoints.values()]
 
         self.assertEqual(run_virtual(body, seed=1), [4, 4, 4, 4])
 
