Take out what the ablation found of no use

Cause: each mechanism has to earn its place. New programs are refused from 10 s of expected wait, not 5.

--- a/src/bramleylead/scheduling/_choice.py
+++ b/src/bramleylead/scheduling/_choice.py
@@ -40,7 +40,6 @@
     :param lent_load: prefill load of an engine up to which a branch over its share starts new
         programs there.
     :param lent_memory: part of the working set's bound for such a branch.
-    :param memory_limit: whether running calls must fit into the engine's memory.
     """
 
     rebuild: float
@@ -49,7 +48,6 @@
     evict: float
     wait_for_cache: float
     backlog_s: float
-    memory_limit: bool
     working_set_s: float
     working_set_share: float
     lent_load: float
@@ -89,10 +87,7 @@
         return False
     if call.over_share and view.prefill_load(now) > weights.lent_load:
         return False
-    total = view.memory_tokens
-    if total == 0 or not weights.memory_limit:
-        return True
-    return view.reserved_tokens + call.reserve <= total
+    return True
 
 
 def _is_new(call: Waiting) -> bool:
--- a/src/bramleylead/scheduling/_default.py
+++ b/src/bramleylead/scheduling/_default.py
@@ -9,8 +9,6 @@
 from pydantic import Field
 
 from bramleylead.errors import Failure
-from bramleylead.scheduling._admission import Admission
-from bramleylead.scheduling._admission import AdmissionTargets
 from bramleylead.scheduling._choice import ChoiceWeights
 from bramleylead.scheduling._choice import Placement
 from bramleylead.scheduling._choice import best_with_room
@@ -50,14 +48,13 @@
 
     :param between_branches: share by branch.
     :param order: within a branch, ``attained``: the program that was served least goes first;
-        ``work``: the call with the least to rebuild; ``arrival``: the oldest call.
+        ``arrival``: the oldest call.
     :param aging_tokens_per_s: attained service that a second of waiting makes up for.
     :param rebuild_weight: weight of recomputed prefixes against waiting and load.
     :param load_s: cost of each call that already runs at an engine.
     :param memory_s: cost of an engine whose cache is full, for a prefix that it does not hold.
     :param evict_weight: weight of prefixes that a call pushes out of an engine's memory.
     :param backlog_s: prefill that an engine is given ahead; the rest waits in the queue.
-    :param memory_limit: keep running calls within an engine's memory.
     :param working_set_s: a prefix counts as in use for so long after its last call.
     :param working_set_share: part of the memory that prefixes in use may take before a new program
         has to wait; 0: no bound.
@@ -66,34 +63,33 @@
     :param lent_memory: part of the working set's bound for such a branch.
     :param over_share: times its share above which a branch counts as over it.
     :param wait_for_cache: longest wait for the engine that holds the prefix, in rebuild times.
-    :param adaptive_level: learn how many calls an engine is given; else ``max_calls``.
     :param output_cost: work of an output token against a prefilled one.
+    :param shed: refuse early when the expected wait is too long.
+    :param max_queue: most queued calls.
+    :param new_program_wait_s: expected wait above which a new program is refused.
+    :param always_queued: new programs that a branch may queue whatever the wait.
+    :param deadline_share: part of its deadline that a call's expected wait may take.
     :param pools: weights of the owner's choice between pools.
     """
 
     between_branches: bool = True
-    order: Annotated[str, Field(pattern="^(attained|work|arrival)$")] = "attained"
+    order: Annotated[str, Field(pattern="^(attained|arrival)$")] = "attained"
     aging_tokens_per_s: Annotated[float, Field(ge=0)] = 2_000.0
     rebuild_weight: Annotated[float, Field(ge=0)] = 1.0
     load_s: Annotated[float, Field(ge=0)] = 0.05
     memory_s: Annotated[float, Field(ge=0)] = 3.0
     evict_weight: Annotated[float, Field(ge=0)] = 1.0
     backlog_s: Annotated[float, Field(ge=0)] = 1.0
-    memory_limit: bool = True
     working_set_s: Annotated[float, Field(gt=0)] = 60.0
     working_set_share: Annotated[float, Field(ge=0)] = 0.9
     lent_load: Annotated[float, Field(ge=0)] = 0.3
     lent_memory: Annotated[float, Field(ge=0, le=1)] = 0.7
     over_share: Annotated[float, Field(ge=1)] = 3.0
     wait_for_cache: Annotated[float, Field(ge=0)] = 1.0
-    adaptive_level: bool = False
-    token_gap_s: Annotated[float, Field(gt=0)] = 0.042
-    first_token_s: Annotated[float, Field(gt=0)] = 0.5
-    min_calls: Annotated[int, Field(ge=1)] = 2
     output_cost: Annotated[float, Field(ge=0)] = 4.0
     shed: bool = True
     max_queue: Annotated[int, Field(ge=1)] = 512
-    new_program_wait_s: Annotated[float, Field(gt=0)] = 5.0
+    new_program_wait_s: Annotated[float, Field(gt=0)] = 10.0
     always_queued: Annotated[int, Field(ge=0)] = 1
     deadline_share: Annotated[float, Field(gt=0, le=1)] = 0.8
     pools: ChooserParameters = ChooserParameters()
@@ -117,15 +113,11 @@
             parameters.evict_weight,
             parameters.wait_for_cache,
             parameters.backlog_s,
-            parameters.memory_limit,
             parameters.working_set_s,
             parameters.working_set_share,
             parameters.lent_load,
             parameters.lent_memory,
         )
-        self._admission = Admission(
-            AdmissionTargets(parameters.token_gap_s, parameters.first_token_s, parameters.min_calls)
-        )
         self._bounds = OverloadBounds(
             parameters.max_queue,
             parameters.new_program_wait_s,
@@ -199,8 +191,6 @@
         prefilled = report.prompt_tokens - report.cached_tokens
         self._queue.settle(call, self._cost(prefilled, report.output_tokens))
         learn_speed(endpoint, call, report)
-        if self._parameters.adaptive_level:
-            self._admission.finished(call, endpoint, report, now)
 
     def queued(self) -> int:
         """Return the number of queued calls."""
--- a/src/bramleylead/scheduling/_fairness.py
+++ b/src/bramleylead/scheduling/_fairness.py
@@ -62,7 +62,7 @@
     ones that are dropped when they come to the top.
 
     :param between_branches: whether branches share by served cost; else all are one branch.
-    :param order: within a branch: ``attained``, ``work`` or ``arrival``.
+    :param order: within a branch: ``attained`` or ``arrival``.
     :param aging_tokens_per_s: attained service that a second of waiting makes up for.
     """
 
@@ -219,8 +219,6 @@
         aged = self._aging * call.enqueued_at
         if self._within == "attained":
             return call.request.attained + aged
-        if self._within == "work":
-            return call.missing + aged
         return call.enqueued_at
 
     def _backlog(self, branch: str) -> float:
--- a/src/bramleylead/scheduling/_view.py
+++ b/src/bramleylead/scheduling/_view.py
@@ -76,7 +76,6 @@
     :param probing: whether it was ejected and gets one call at a time until one goes well.
     :param evicted: programs known not to be held, whatever their owners remember.
     :param prefill_until: when it should have computed the prompts that it was given.
-    :param reserved_tokens: memory that its running calls need.
     :param held_tokens: sum of ``cached``.
     :param prefilled: seconds of prefill that it was given lately.
     :param in_use: prefixes used a short time ago.
@@ -98,7 +97,6 @@
     prefill_s_per_token: float = INITIAL_PREFILL_S_PER_TOKEN
     token_s: float = INITIAL_TOKEN_S
     prefill_until: float = 0.0
-    reserved_tokens: int = 0
     held_tokens: int = 0
     first_token_s: float = 0.0
     in_use: WorkingSet = field(default_factory=WorkingSet)
@@ -158,7 +156,6 @@
         own_s = call.missing * self.prefill_s_per_token
         self.prefill_until = now + call.backlog_s + own_s
         self.prefilled.add(own_s, now)
-        self.reserved_tokens += call.reserve
         self.running[call.serial] = call
         self.granted_count += 1
         if call.request.prompt_tokens > 0:
@@ -167,8 +164,7 @@
 
     def end(self, call: Waiting) -> None:
         """Take in that a call no longer runs here."""
-        if self.running.pop(call.serial, None) is not None:
-            self.reserved_tokens -= call.reserve
+        self.running.pop(call.serial, None)
 
     def backlog_s(self, now: float) -> float:
         """Return the prefill time still before a call that starts now."""
