--- a/src/bramleylead/scheduling/_choice.py
+++ b/src/bramleylead/scheduling/_choice.py
@@ -85,9 +85,7 @@
         return True
     if _is_new(call) and _is_working_set_full(view, call, weights, now, queued_tokens):
         return False
-    if call.over_share and view.prefill_load(now) > weights.lent_load:
-        return False
-    return True
+    return not (call.over_share and view.prefill_load(now) > weights.lent_load)
 
 
 def _is_new(call: Waiting) -> bool:
