--- a/src/bramleylead/process/_partition_host.py
+++ b/src/bramleylead/process/_partition_host.py
@@ -17,18 +17,21 @@
 from bramleylead.connection import PeerServer
 from bramleylead.connection import Reply
 from bramleylead.platform._store import ObjectStore
+from bramleylead.process._journal_flush import JournalFlusher
 from bramleylead.process._log import PartitionLog
 from bramleylead.process._members import MemberList
 from bramleylead.process._owner_map import OwnerMap
 from bramleylead.process._partition import OwnedPartition
 from bramleylead.process._partition_context import PartitionContext
 from bramleylead.process._partition_context import PartitionMetrics
+from bramleylead.process._partition_dump import dump_partitions
 from bramleylead.process._partition_messages import AskOwner
 from bramleylead.process._partition_messages import OwnerIs
 from bramleylead.process._partition_repair import PairRepair
 from bramleylead.process._partition_survey import PartitionSurvey
 from bramleylead.process._partition_table import PartitionTable
 from bramleylead.process._partition_takeover import Takeover
+from bramleylead.process._partition_upkeep import PartitionUpkeep
 from bramleylead.process._replica import ReplicaKeeper
 from bramleylead.process._settings import NodeSettings
 from bramleylead.promises import Promises
@@ -43,6 +46,7 @@
     :param on_owned: called, without waiting, when this node begins to serve a partition. What was
         intended and not finished is then in the partition's state.
     :param on_lost: called when it stops serving one.
+    :param idle: whether a partition may move to another node now; one with running calls may not.
     :param boot: identity of this process, the same that membership tells.
     """
 
@@ -59,6 +63,7 @@
         wall_clock: Callable[[], float],
         on_owned: Callable[[OwnedPartition], None] = lambda _: None,
         on_lost: Callable[[int], None] = lambda _: None,
+        idle: Callable[[int], bool] = lambda _: True,
         boot: str = "",
     ) -> None:
         self._context = PartitionContext(
@@ -77,7 +82,13 @@
         self.keeper = ReplicaKeeper(
             self._context, server, on_silent=self._on_silent, owns=self._owned_epoch
         )
-        self.takeover = Takeover(self._context, server, self.table, self.keeper, self._repair)
+        self.takeover = Takeover(
+            self._context, server, self.table, self.keeper, self._repair, self.owner_map
+        )
+        self.flusher = JournalFlusher(self._context, self.table)
+        self.upkeep = PartitionUpkeep(
+            self._context, self.table, self.keeper, self.takeover, self.flusher, idle
+        )
         self.survey = PartitionSurvey(
             self._context, server, self.table, self.owner_map, self._repair
         )
@@ -94,6 +105,8 @@
             self.table.watch_links,
             self.owner_map.run,
             self.survey.run,
+            self.flusher.run,
+            self.upkeep.run,
         ):
             tasks.start_soon(loop)
         self._stack.callback(tasks.cancel_scope.cancel)
@@ -119,6 +132,19 @@
         """Take in that this address is not the owner; peers and the store are asked again."""
         self.owner_map.forget(partition, address)
 
+    def dump(self) -> dict[str, Any]:
+        """Return the partitions of this node for the state dump."""
+        return dump_partitions(self.table, self.keeper)
+
+    async def leave(self, idle: Callable[[int], bool] = lambda _: True) -> None:
+        """Hand every partition over before a planned stop, and wait until no pair needs this node.
+
+        Membership must say first that this node is leaving. Bound the wait by a cancel scope.
+
+        :param idle: whether a partition may go now; one with running calls would cut them off.
+        """
+        await self.upkeep.leave(idle)
+
     def _here(self, partition: int) -> OwnerIs | None:
         settings = self._context.settings
         owned = self.table.owned.get(partition)
@@ -134,7 +160,7 @@
     async def _answer_owner(self, request: AskOwner, reply: Reply) -> None:
         here = self._here(request.partition)
         epoch = self.owner_map.epoch(request.partition)
-        if here is None or (not here.serving and epoch > here.epoch):
+        if here is None or (not here.serving and epoch >= here.epoch):
             address = self.owner_map.known_address(request.partition)
             holds = here is not None
             here = OwnerIs(request.partition, epoch, "", address, False, holds)
--- a/src/bramleylead/request/_service.py
+++ b/src/bramleylead/request/_service.py
@@ -116,6 +116,10 @@
         """Return the process's state as JSON-able values, secrets left out."""
         ...
 
+    def explain(self, program: str, number: int) -> dict[str, Any]:
+        """Return what the node knows of a call, and why it went where it went."""
+        ...
+
     def branch_of_key(self, key: str) -> str | None:
         """Return the branch whose callers send this key."""
         ...
@@ -141,8 +145,7 @@
 
         Leaving the context closes the iterator; early, it gives up the wait, not the call. A
         failure whose kind says "not run" is passed on as that promise: a call that may have
-        reached its owner before the stream broke is ``OUTCOME_UNKNOWN``, not
-        ``OWNER_UNAVAILABLE``.
+        reached its owner before the stream broke is ``OWNER_LOST``, not ``OWNER_UNAVAILABLE``.
         """
         ...
 
