--- a/src/bramleylead/scheduling/_node.py
+++ b/src/bramleylead/scheduling/_node.py
@@ -23,6 +23,7 @@
 from bramleylead.connection import PeerServer
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.metrics import Metrics
 from bramleylead.process._members import ConfigSource
 from bramleylead.process._members import MemberList
 from bramleylead.process._rendezvous import pool_dispatcher
@@ -69,8 +70,10 @@
         members: MemberList,
         backends: BackendFactory,
         promises: Promises,
+        metrics: Metrics | None = None,
     ) -> None:
         self._settings = settings
+        self._metrics = metrics
         self._config = config
         self._members = members
         self._backends = backends
@@ -213,6 +216,15 @@
             with anyio.move_on_after(CONFIG_POLL_S):
                 await self._config.wait_changed(self._number)
             self._take_config()
+            if self._metrics is not None:
+                self._set_gauges(self._metrics)
+
+    def _set_gauges(self, metrics: Metrics) -> None:
+        for name, dispatcher in self._dispatchers.items():
+            metrics.queue_length.set({"pool": name}, dispatcher.news().queued)
+            for endpoint, view in dispatcher.endpoints.items():
+                metrics.slots_used.set({"endpoint": endpoint}, view.outstanding)
+                metrics.slot_limit.set({"endpoint": endpoint}, int(view.limit))
 
     def _take_config(self) -> None:
         config = self._config.config
--- a/testing/scheduling/test_node_scheduler.py
+++ b/testing/scheduling/test_node_scheduler.py
@@ -16,6 +16,7 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.errors import ErrorKind
+from bramleylead.metrics import Metrics
 from bramleylead.process._members import Member
 from bramleylead.process._settings import NodeSettings
 from bramleylead.promises import Promises
@@ -84,6 +85,7 @@
         }
         self.config = FixedConfig(Config(number=1, endpoints=pools))
         self.nodes: list[NodeScheduler] = []
+        self.metrics = Metrics()
 
     async def start(self, stack: AsyncExitStack, tasks: Any) -> None:
         for member in self.members:
@@ -100,6 +102,7 @@
                 members=Members(member.node, list(self.members)),  # type: ignore[arg-type]
                 backends=NoBackends(),  # type: ignore[arg-type]
                 promises=Promises(Registry()),
+                metrics=self.metrics,
             )
             self.nodes.append(await stack.enter_async_context(node))
 
@@ -171,6 +174,14 @@
 
         self.assertEqual(_run(body), ["e1", "e2"])
 
+    def test_the_gauges_show_slots_in_use(self) -> None:
+        async def body(fleet: Fleet) -> str:
+            async with fleet.nodes[0].slot(slot_request("p1")):
+                await anyio.sleep(2.5)
+                return fleet.metrics.render()[0].decode()
+
+        self.assertIn('bramleylead_slots_used{endpoint="e1"} 1', _run(body))
+
     def test_nothing_serves_an_unknown_model(self) -> None:
         async def body(fleet: Fleet) -> str:
             return await _endpoint_of(fleet.nodes[0], serves="other")
