Bound recomputed tokens from below, and notice an engine that restarted

Cause: an aim that physics forbids is shown beside a bound; and an engine that restarts counts its cache events anew, which looked like a quiet engine whose caches are all there. Change: Belady's bound over the pooled memory of all engines for the calls as they came; a falling event number asks for the contents.

--- a/src/bramleylead/bench/_policy_measures.py
+++ b/src/bramleylead/bench/_policy_measures.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from bramleylead.bench._cache_bound import recomputed_bound
 from bramleylead.bench._policy_trial import ProgramOutcome
 from bramleylead.bench._policy_trial import TrialResult
 from bramleylead.bench._workload import Workload
@@ -111,6 +112,12 @@
     return sum(run.ledger.recomputed_tokens for run in runs) / len(runs)
 
 
+def _recomputed_bound(runs: Sequence[TrialResult], workload: Workload) -> float:
+    engines = len(workload.regions) * workload.engines_per_region
+    memory = engines * (workload.engine.kv_tokens if workload.engine is not None else 0)
+    return sum(recomputed_bound(run.uses, memory) for run in runs) / len(runs)
+
+
 def _recomputed_share(runs: Sequence[TrialResult], workload: Workload) -> float:
     prompts = sum(run.ledger.prompt_tokens for run in runs)
     return sum(run.ledger.recomputed_tokens for run in runs) / max(1, prompts)
@@ -142,6 +149,7 @@
     "policy.first_token_p95_s": Measure("s", False, _first_token_p95),
     "policy.between_tokens_p95_ms": Measure("ms", False, _gap_p95_ms),
     "policy.recomputed_tokens": Measure("tokens", False, _recomputed),
+    "policy.recomputed_tokens_bound": Measure("tokens", False, _recomputed_bound),
     "policy.recomputed_share": Measure("share", False, _recomputed_share),
     "policy.cross_region_bytes": Measure("bytes", False, _cross_region),
     "policy.goodput": Measure("programs/s", True, _goodput),
--- a/src/bramleylead/bench/_policy_trial.py
+++ b/src/bramleylead/bench/_policy_trial.py
@@ -24,6 +24,7 @@
 from bramleylead.backends import GenerateCall
 from bramleylead.backends import LoadReport
 from bramleylead.backends import Message
+from bramleylead.bench._cache_bound import PrefixUse
 from bramleylead.bench._workload import Arrival
 from bramleylead.bench._workload import Script
 from bramleylead.bench._workload import Turn
@@ -91,6 +92,7 @@
 
     programs: list[ProgramOutcome] = field(default_factory=list)
     calls: list[CallOutcome] = field(default_factory=list)
+    uses: list[PrefixUse] = field(default_factory=list)
     ledger: EngineLedger = field(default_factory=EngineLedger)
     cross_region_bytes: int = 0
     refused: int = 0
@@ -112,6 +114,7 @@
     messages: tuple[Message, ...] = ()
     caches: dict[str, int] = field(default_factory=dict)
     prompt_tokens: int = 0
+    computed_tokens: int = 0
     attained: float = 0.0
     number: int = 0
 
@@ -339,10 +342,10 @@
         stream = opened.ok_value
         try:
             while (chunk := stream.take(0, first=True)) is None:
-                await stream.changed.wait()
+                await stream.wait_changed()
             first_at_s = anyio.current_time()
             while not chunk.finish:
-                await stream.changed.wait()
+                await stream.wait_changed()
                 whole = stream.take(0, first=True)
                 chunk = chunk if whole is None else whole
         finally:
@@ -370,6 +373,10 @@
         program.messages = (*program.messages, Message("assistant", text))
         program.prompt_tokens += tokens
         program.caches[endpoint] = program.prompt_tokens
+        name, now = program.script.name, anyio.current_time()
+        use = PrefixUse(now, name, program.computed_tokens, program.prompt_tokens)
+        self.result.uses.append(use)
+        program.computed_tokens = program.prompt_tokens
         program.top.attained += prompt - cached + tokens
         program.owner.learn_output(program.script.kind, tokens)
 
--- a/src/bramleylead/scheduling/_view.py
+++ b/src/bramleylead/scheduling/_view.py
@@ -180,8 +180,13 @@
         return 0 if self.report is None else self.report.kv_total_tokens
 
     def observe_cache(self, page: CachePage) -> bool:
-        """Take in cache events; ``False`` when some were missed and the contents must be read."""
-        whole = page.complete or _is_gapless(page, self.next_sequence)
+        """Take in cache events; ``False`` when some were missed and the contents must be read.
+
+        An engine that restarted counts its events anew and holds nothing.
+        """
+        restarted = page.next_sequence < self.next_sequence
+        gapless = not restarted and _is_gapless(page, self.next_sequence)
+        whole = page.complete or gapless
         if page.complete:
             self.cached.clear()
             self.held_tokens = 0
--- a/testing/scheduling/test_default.py
+++ b/testing/scheduling/test_default.py
@@ -72,6 +72,17 @@
 
         self.assertEqual(run_virtual(body, seed=1), (False, 700))
 
+    def test_a_restarted_engine_is_noticed_by_its_event_numbers(self) -> None:
+        async def body() -> tuple[bool, int]:
+            pool = dispatcher(1)
+            held = CacheEvent(1, "p1", 500, stored=True)
+            pool.observe_cache("e1", CachePage(2, (held,), complete=False))
+            whole = pool.observe_cache("e1", CachePage(1, (), complete=False))
+            pool.observe_cache("e1", CachePage(1, (), complete=True))
+            return whole, pool.endpoints["e1"].held_tokens
+
+        self.assertEqual(run_virtual(body, seed=1), (False, 0))
+
     def test_calls_that_come_at_once_spread_though_reports_show_all_idle(self) -> None:
         async def body() -> list[int]:
             pool = dispatcher(4, max_calls=8)
