--- a/src/bramleylead/scheduling/_view.py
+++ b/src/bramleylead/scheduling/_view.py
@@ -76,7 +76,6 @@
     :param probing: whether it was ejected and gets one call at a time until one goes well.
     :param evicted: programs known not to be held, whatever their owners remember.
     :param prefill_until: when it should have computed the prompts that it was given.
-    :param reserved_tokens: memory that its running calls need.
     :param held_tokens: sum of ``cached``.
     :param prefilled: seconds of prefill that it was given lately.
     :param in_use: prefixes used a short time ago.
@@ -98,7 +97,6 @@
     prefill_s_per_token: float = INITIAL_PREFILL_S_PER_TOKEN
     token_s: float = INITIAL_TOKEN_S
     prefill_until: float = 0.0
-    reserved_tokens: int = 0
     held_tokens: int = 0
     first_token_s: float = 0.0
     in_use: WorkingSet = field(default_factory=WorkingSet)
@@ -116,7 +114,7 @@
         """Calls that the last report shows beyond ours: other users of the engine."""
         if self.report is None:
             return 0
-        return max(0, self.report.running + self.report.waiting - self.outstanding)
+        return max(0, self.report.running + self.report.waiting - len(self.running))
 
     @property
     def has_room(self) -> bool:
@@ -158,7 +156,6 @@
         own_s = call.missing * self.prefill_s_per_token
         self.prefill_until = now + call.backlog_s + own_s
         self.prefilled.add(own_s, now)
-        self.reserved_tokens += call.reserve
         self.running[call.serial] = call
         self.granted_count += 1
         if call.request.prompt_tokens > 0:
@@ -167,8 +164,7 @@
 
     def end(self, call: Waiting) -> None:
         """Take in that a call no longer runs here."""
-        if self.running.pop(call.serial, None) is not None:
-            self.reserved_tokens -= call.reserve
+        self.running.pop(call.serial, None)
 
     def backlog_s(self, now: float) -> float:
         """Return the prefill time still before a call that starts now."""
@@ -184,8 +180,13 @@
         return 0 if self.report is None else self.report.kv_total_tokens
 
     def observe_cache(self, page: CachePage) -> bool:
-        """Take in cache events; ``False`` when some were missed and the contents must be read."""
-        whole = page.complete or _is_gapless(page, self.next_sequence)
+        """Take in cache events; ``False`` when some were missed and the contents must be read.
+
+        An engine that restarted counts its events anew and holds nothing.
+        """
+        restarted = page.next_sequence < self.next_sequence
+        gapless = not restarted and _is_gapless(page, self.next_sequence)
+        whole = page.complete or gapless
         if page.complete:
             self.cached.clear()
             self.held_tokens = 0
@@ -224,6 +225,8 @@
 
 def usable(endpoints: Iterable[EndpointView], request: SlotRequest) -> list[EndpointView]:
     """Return the endpoints that the call may go to, those that failed it only if none is left."""
-    allowed = [view for view in endpoints if view.open]
+    allowed = [view for view in endpoints if not view.leaving and not view.ejected]
+    if not request.avoid:
+        return allowed
     fresh = [view for view in allowed if view.name not in request.avoid]
     return fresh or allowed
