Keep units that are being returned from being reserved

Change: units count as pending while their return is journaled; the hook that asks whether a partition is idle is passed once, at construction.

--- a/src/bramleylead/process/_budget.py
+++ b/src/bramleylead/process/_budget.py
@@ -241,11 +241,22 @@
     ) -> Result[None, Failure]:
         free = self._free(partition, budget)
         if free > 0:
-            journaled = await partition.append(GrantReturning(budget, free))
+            journaled = await self._journal_return(partition, budget, free)
             if isinstance(journaled, Err):
                 return journaled
         return await self._settle_store(partition, budget)
 
+    async def _journal_return(
+        self, partition: PartitionLog, budget: str, units: int
+    ) -> Result[bool, Failure]:
+        """Journal a return; while that takes time, no call can reserve the same units."""
+        key = (partition.number, budget)
+        self._pending[key] = self._pending.get(key, 0) + units
+        try:
+            return await partition.append(GrantReturning(budget, units))
+        finally:
+            self._pending[key] -= units
+
     async def _settle_store(self, partition: PartitionLog, budget: str) -> Result[None, Failure]:
         """Bring the store up to what the journal says was returned."""
 
--- a/src/bramleylead/process/_node.py
+++ b/src/bramleylead/process/_node.py
@@ -268,7 +268,7 @@
         with anyio.move_on_after(self.settings.stop_grace_s) as grace:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._close_owner)
-                await self._partitions.leave(self._owner.is_idle)
+                await self._partitions.leave()
                 tasks.cancel_scope.cancel()
             await self._drain()
         self.promises.check(
--- a/src/bramleylead/process/_partition_host.py
+++ b/src/bramleylead/process/_partition_host.py
@@ -138,14 +138,12 @@
         """Return the partitions of this node for the state dump."""
         return dump_partitions(self.table, self.keeper)
 
-    async def leave(self, idle: Callable[[int], bool] = lambda _: True) -> None:
+    async def leave(self) -> None:
         """Hand every partition over before a planned stop, and wait until no pair needs this node.
 
         Membership must say first that this node is leaving. Bound the wait by a cancel scope.
-
-        :param idle: whether a partition may go now; one with running calls would cut them off.
         """
-        await self.upkeep.leave(idle)
+        await self.upkeep.leave()
 
     def _here(self, partition: int) -> OwnerIs | None:
         settings = self._context.settings
--- a/src/bramleylead/process/_partition_upkeep.py
+++ b/src/bramleylead/process/_partition_upkeep.py
@@ -76,11 +76,9 @@
             await self._audit()
             await self._move_some()
 
-    async def leave(self, idle: Callable[[int], bool] = _always) -> None:
+    async def leave(self) -> None:
         """Hand everything over and wait until no pair needs this node; cancel it to stop waiting.
 
-        :param idle: whether a partition may go now; one with running calls would cut them off.
-
         With no other node left, the journals are flushed whole and closed, so that the next start
         of the fleet loses nothing.
         """
@@ -88,7 +86,7 @@
         while self._table.owned:
             for partition in list(self._table.owned.values()):
                 # No wait may come between this look and the start of the handover.
-                if idle(partition.number):
+                if self._idle(partition.number):
                     await self._give_up(partition)
             await anyio.sleep(LEAVE_POLL_S)
         await self._keeper.wait_empty()
--- a/testing/process/test_budget.py
+++ b/testing/process/test_budget.py
@@ -162,6 +162,24 @@
         self.assertGreater(before, 5)
         self.assertEqual(after, 5)
 
+    def test_units_on_their_way_back_can_not_be_reserved(self) -> None:
+        """Fault: a call reserved what a return, not yet journaled, was giving back."""
+
+        async def body(bench: Bench) -> Any:
+            log, escrow = LocalLog(0), _escrow(bench)
+            await _spend(escrow, log, 5)
+            free = log.state.grants["fees"].free
+            await anyio.sleep(120)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(escrow.return_idle, log)
+                await anyio.sleep(0.0005)
+                await _spend(escrow, log, free, 2)
+            return bench.promises.violations, log.state.grants["fees"].free
+
+        violations, free = run_with_owner(body)
+        self.assertEqual(violations, [])
+        self.assertGreaterEqual(free, 0)
+
     def test_spending_past_the_grant_breaks_the_promise_and_is_seen(self) -> None:
         async def body(bench: Bench) -> Any:
             log = LocalLog(0)
