Let no former owner answer from its old state; fetch a first grant when a program opens

Change: every request is decided only after the second copy confirmed the owner within the act lease; a barrier is sent when it did not. Opening a program fetches a grant in the background. Conclusion: regression test added; in the ordinary case the check costs no message.

--- a/src/bramleylead/process/_budget.py
+++ b/src/bramleylead/process/_budget.py
@@ -107,6 +107,13 @@
             if isinstance(added, Err):
                 return added
 
+    async def prefetch(self, partition: PartitionLog, budget: str) -> None:
+        """Get a first grant ahead of a program's first call, so that it can run in an outage."""
+        if self._free(partition, budget) <= 0:
+            reserved = await self.reserve(partition, budget, 1)
+            if isinstance(reserved, Ok):
+                self.cancel(partition, budget, 1)
+
     def reserved(self, partition: PartitionLog, budget: str, units: int) -> None:
         """Take in that the journal holds the reservation, so it is no longer pending here."""
         self.cancel(partition, budget, units)
--- a/src/bramleylead/process/_owner.py
+++ b/src/bramleylead/process/_owner.py
@@ -94,7 +94,7 @@
 
     async def open(self, request: OpenProgram) -> Result[ProgramView, Failure]:
         """Open a program; the same one again returns what there is."""
-        found = self._partition(request.program)
+        found = await self._confirmed(request.program)
         if isinstance(found, Err):
             return found
         log = found.ok_value
@@ -114,12 +114,14 @@
         journaled = await log.append(opened)
         if isinstance(journaled, Err):
             return journaled
+        budget = rules.ok_value.branch.budget
+        self._tasks.start_soon(self._parts.escrow.prefetch, log, budget)
         opened_view = view(log.state.programs[request.program], history=False)
         return Ok(opened_view._replace(durable=journaled.ok_value))
 
     async def read(self, request: ReadProgram) -> Result[ProgramView, Failure]:
         """Return a program's state, once the second copy confirmed this owner."""
-        found = self._program(request.branch, request.program)
+        found = await self._program(request.branch, request.program)
         if isinstance(found, Err):
             return found
         log, program = found.ok_value
@@ -130,7 +132,7 @@
 
     async def end(self, request: EndProgram) -> Result[ProgramView, Failure]:
         """End a program: its model call is cancelled, and no further call starts."""
-        found = self._program(request.branch, request.program)
+        found = await self._program(request.branch, request.program)
         if isinstance(found, Err):
             return found
         log, program = found.ok_value
@@ -146,7 +148,7 @@
 
     async def add_child(self, request: AddChild) -> Result[ProgramView, Failure]:
         """Note a sub-agent program under its parent."""
-        found = self._program(request.branch, request.program)
+        found = await self._program(request.branch, request.program)
         if isinstance(found, Err):
             return found
         log, program = found.ok_value
@@ -160,7 +162,7 @@
 
     async def call(self, request: CallRequest) -> AsyncIterator[CallItem]:
         """Run, join or look up a call; yields its answer and its end."""
-        found = self._program(request.branch, request.program)
+        found = await self._program(request.branch, request.program)
         if isinstance(found, Err):
             yield found.err_value
             return
@@ -190,7 +192,7 @@
 
     async def resume(self, request: ResumeCall) -> AsyncIterator[CallItem]:
         """Yield a call's answer from an offset, running or finished."""
-        found = self._program(request.branch, request.program)
+        found = await self._program(request.branch, request.program)
         if isinstance(found, Err):
             yield found.err_value
             return
@@ -459,10 +461,23 @@
             return Err(Failure(ErrorKind.OWNER_UNAVAILABLE, detail))
         return Ok(log)
 
-    def _program(
+    async def _confirmed(self, program: str) -> Result[PartitionLog, Failure]:
+        """Return a program's partition once the second copy has confirmed this owner.
+
+        A former owner that was paused still has a state, but must not answer from it.
+        """
+        found = self._partition(program)
+        if isinstance(found, Err) or found.ok_value.may_act():
+            return found
+        confirmed = await found.ok_value.append()
+        if isinstance(confirmed, Err):
+            return confirmed
+        return self._partition(program)
+
+    async def _program(
         self, branch: str, name: str
     ) -> Result[tuple[PartitionLog, ProgramState], Failure]:
-        found = self._partition(name)
+        found = await self._confirmed(name)
         if isinstance(found, Err):
             return found
         program = found.ok_value.state.programs.get(name)
--- a/testing/process/test_owner.py
+++ b/testing/process/test_owner.py
@@ -313,6 +313,26 @@
         self.assertEqual(sorted(caches), ["e1", "e2"])
 
 
+class FormerOwnerTest(unittest.TestCase):
+    def test_a_former_owner_refuses_nothing_from_its_old_state(self) -> None:
+        """Fault: a paused owner told a caller that its program, opened since, does not exist."""
+
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            log = bench.directory.only
+            log.act, log.fail = False, True
+            request = ReadProgram("school", "p1", history=False)
+            unknown = request._replace(program="p2")
+            bench.directory.log = lambda partition: log
+            called = await bench.call(number=7)
+            return called, await bench.owner.read(request), await bench.owner.read(unknown)
+
+        called, read, unknown = run_with_owner(body)
+        self.assertEqual(called.kind, ErrorKind.NOT_DURABLE)
+        self.assertEqual(read.err_value.kind, ErrorKind.NOT_DURABLE)
+        self.assertEqual(unknown.err_value.kind, ErrorKind.NOT_DURABLE)
+
+
 class EngineFailureTest(unittest.TestCase):
     def test_a_failed_call_that_can_not_run_again_keeps_its_number(self) -> None:
         """Fault: the second run's withdrawal took the call out of the journal, not its number."""
