--- a/src/bramleylead/connection/_rpc.py
+++ b/src/bramleylead/connection/_rpc.py
@@ -106,16 +106,6 @@
             self._frames.send_nowait(frame)
             self._consumed_bytes = 0
 
-    def pending(self) -> list[Any]:
-        """Take the messages that have arrived and were not received yet, without waiting."""
-        items = []
-        while self._receive.statistics().current_buffer_used:
-            item, size = self._receive.receive_nowait()
-            self._unread_bytes -= size
-            self._consumed_bytes += size
-            items.append(item)
-        return items
-
     def __aiter__(self) -> AsyncIterator[Any]:
         return self
 
