Leave a pool whose endpoints are all down for another one

A dispatcher ejects at most half of its pool, news of a dead pool looks idle, and once the retry budget was spent each call tried one endpoint, the same again.

--- a/src/bramleylead/process/_run.py
+++ b/src/bramleylead/process/_run.py
@@ -64,6 +64,7 @@
     output_tokens: int = 0
     first_token_s: float = 0.0
     retry_after_s: float = 0.0
+    reached: bool = True
 
 
 @dataclass(slots=True)
@@ -220,6 +221,7 @@
                 prompt_tokens=result.prompt_tokens,
                 cached_tokens=result.cached_tokens,
                 output_tokens=result.output_tokens,
+                reached=result.reached,
             )
         )
         return result
@@ -265,7 +267,10 @@
         safe = last.next is Next.NOT_RUN or call.repeatable
         in_time = call.seconds_left > 0
         last_attempt = number + 1 >= self._parts.settings.requests.attempts
-        return safe and in_time and not last_attempt and self._parts.retries.allow()
+        if not safe or not in_time or last_attempt:
+            return False
+        # What never reached an endpoint put no load on it, so the retry budget is not asked.
+        return not last.reached or self._parts.retries.allow()
 
     async def _refused(self, failure: Failure, last: Attempt) -> AnswerEnd | Failure:
         """Answer when no slot was given; after a first attempt the journal needs an end."""
@@ -359,7 +364,7 @@
 def attempt_of_error(error: BackendError) -> Attempt:
     """Return what an endpoint's error means for the attempt."""
     if error.kind is BackendErrorKind.NOT_SENT:
-        return Attempt(Next.NOT_RUN, error.detail)
+        return Attempt(Next.NOT_RUN, error.detail, reached=False)
     if error.kind is BackendErrorKind.REFUSED:
         finish = "" if error.retry_after_s > 0 else "rejected"
         return Attempt(Next.NOT_RUN, error.detail, finish=finish, retry_after_s=error.retry_after_s)
--- a/src/bramleylead/scheduling/_chooser.py
+++ b/src/bramleylead/scheduling/_chooser.py
@@ -21,6 +21,7 @@
 import xxhash
 from pydantic import Field
 
+from bramleylead.scheduling._down import DownEndpoints
 from bramleylead.scheduling._news import PoolNews
 from bramleylead.scheduling._pools import PoolKey
 from bramleylead.scheduling._types import SlotRequest
@@ -96,6 +97,7 @@
         self.rng = rng
         self.turn = 0
         self.pools: Pools = {}
+        self.down = DownEndpoints()
         self._heard: dict[str, _Heard] = {}
         self._mean_wait_s = [0.0, 0.0]
 
@@ -105,6 +107,7 @@
         names = {str(key) for key in pools}
         for gone in [name for name in self._heard if name not in names]:
             del self._heard[gone]
+        self.down.forget_others({name for endpoints in pools.values() for name in endpoints})
 
     def hear(self, news: PoolNews, now: float) -> None:
         """Take in a pool's news, piggybacked on an answer."""
@@ -122,6 +125,7 @@
             if key.serves == request.serves and _any_stays(endpoints)
         ]
         fresh = [key for key in serving if key not in avoid] or serving
+        fresh = [key for key in fresh if not self._is_down(key, request, now)] or fresh
         if not fresh:
             return None
         choice = self._rule(self, fresh, request, now)
@@ -130,6 +134,10 @@
             heard.sent_since += 1
         return choice
 
+    def _is_down(self, key: PoolKey, request: SlotRequest, now: float) -> bool:
+        staying = [name for name, item in self.pools[key].items() if not item.leaving]
+        return self.down.all_down(staying, request.avoid, now)
+
     def expected_wait_s(self, key: PoolKey, now: float, *, new: bool) -> float:
         """Return the expected wait at a pool: its news, faded, and what was sent there since."""
         heard = self._heard.get(str(key))
--- a/src/bramleylead/scheduling/_node.py
+++ b/src/bramleylead/scheduling/_node.py
@@ -43,6 +43,7 @@
 from bramleylead.scheduling._remote import SlotServer
 from bramleylead.scheduling._reports import ReportReader
 from bramleylead.scheduling._types import Slot
+from bramleylead.scheduling._types import SlotFinished
 from bramleylead.scheduling._types import SlotRequest
 
 RETRY_S = 0.25
@@ -125,7 +126,9 @@
         while True:
             passed_s = anyio.current_time() - started_s
             asked = request._replace(
-                waited_s=request.waited_s + passed_s, deadline_s=request.deadline_s - passed_s
+                waited_s=request.waited_s + passed_s,
+                deadline_s=request.deadline_s - passed_s,
+                avoid=(*request.avoid, *self.chooser.down.names(started_s + passed_s)),
             )
             choice = self._choose(asked, lost)
             if isinstance(choice, Failure):
@@ -136,12 +139,15 @@
                     result.err_value, asked, lost
                 )
                 if last:
-                    yield result
+                    yield result.map(self._observed)
                     return
             lost.append(choice.key)
             if result.err_value.kind is not ErrorKind.OVERLOADED:
                 await anyio.sleep(RETRY_S)
 
+    def _observed(self, slot: Slot) -> Slot:
+        return _ObservedSlot(slot, self.chooser)
+
     def dispatcher(self, pool: str) -> Dispatcher | None:
         """Return the dispatcher of a pool, made when first asked for."""
         self._take_config()
@@ -256,3 +262,17 @@
         self._readers[name] = reader
         self._tasks.start_soon(reader.run)
         reader.set_endpoints(self._pools[key])
+
+
+class _ObservedSlot:
+    """A slot whose owner learns from how its call went."""
+
+    def __init__(self, slot: Slot, chooser: PoolChooser) -> None:
+        self._slot = slot
+        self._chooser = chooser
+        self.granted = slot.granted
+
+    def finish(self, report: SlotFinished) -> None:
+        """Pass the report on to the dispatcher, and remember it here."""
+        self._chooser.down.finished(report, anyio.current_time())
+        self._slot.finish(report)
--- a/src/bramleylead/scheduling/_types.py
+++ b/src/bramleylead/scheduling/_types.py
@@ -63,6 +63,7 @@
     """What the owner saw when it gave the slot back.
 
     :param ok: whether the endpoint answered as it should.
+    :param reached: whether the call reached the endpoint at all.
     :param first_token_s: from sending to the first token; 0 for a tool call.
     """
 
@@ -73,6 +74,7 @@
     prompt_tokens: int = 0
     cached_tokens: int = 0
     output_tokens: int = 0
+    reached: bool = True
 
 
 class Slot(Protocol):
--- /dev/null
+++ b/testing/scheduling/test_down.py
@@ -0,0 +1,91 @@
+"""A pool that is gone as a whole is asked last."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from bramleylead.scheduling import ChooserParameters
+from bramleylead.scheduling import PoolChooser
+from bramleylead.scheduling import PoolKey
+from bramleylead.scheduling import SlotFinished
+from bramleylead.scheduling import SlotRequest
+from bramleylead.scheduling import pools_of
+from bramleylead.scheduling._down import FIRST_DOWN_S
+from bramleylead.version import Endpoint
+from bramleylead.version import EndpointKind
+
+REQUEST = SlotRequest(
+    call="p/1",
+    program="p",
+    branch="b",
+    serves="m",
+    region="r1",
+    data_centre="d1",
+    home_region="r1",
+    weight=1.0,
+    prompt_tokens=100,
+    expected_output=50,
+    attained=0.0,
+    cached={},
+    waited_s=0.0,
+    deadline_s=60.0,
+)
+
+
+def _endpoint(region: str, number: int) -> Endpoint:
+    return Endpoint(
+        kind=EndpointKind.ENGINE,
+        address=f"10.0.0.{number}:1",
+        serves="m",
+        region=region,
+        data_centre=region,
+    )
+
+
+class DownPoolTest(unittest.TestCase):
+    def setUp(self) -> None:
+        endpoints = {f"e{number}": _endpoint("r1", number) for number in (1, 2)}
+        endpoints["e3"] = _endpoint("r2", 3)
+        self.chooser = PoolChooser("bramleylead", ChooserParameters(), rng=random.Random(1))
+        self.chooser.set_pools(pools_of(endpoints))
+
+    def region(self, now: float) -> str:
+        choice = self.chooser.choose(REQUEST, now)
+        assert choice is not None
+        key: PoolKey = choice.key
+        return key.region
+
+    def fail(self, endpoint: str, now: float, *, reached: bool = False) -> None:
+        report = SlotFinished(endpoint=endpoint, ok=False, reached=reached)
+        self.chooser.down.finished(report, now)
+
+    def test_a_pool_whose_endpoints_all_refuse_is_left_for_another_region(self) -> None:
+        """Fault: owners went on asking a lost data centre's pool for as long as it was away."""
+        self.assertEqual(self.region(0.0), "r1")
+        self.fail("e1", 0.0)
+        self.assertEqual(self.region(0.1), "r1")
+        self.fail("e2", 0.1)
+        self.assertEqual(self.region(0.2), "r2")
+
+    def test_it_is_tried_again_after_a_while_and_longer_after_each_failure(self) -> None:
+        for name in ("e1", "e2"):
+            self.fail(name, 0.0)
+        self.assertEqual(self.region(FIRST_DOWN_S + 0.1), "r1")
+        for name in ("e1", "e2"):
+            self.fail(name, FIRST_DOWN_S + 0.1)
+        self.assertEqual(self.region(2 * FIRST_DOWN_S + 0.2), "r2")
+
+    def test_one_failed_answer_of_an_endpoint_that_is_there_does_not_count(self) -> None:
+        for name in ("e1", "e2"):
+            self.fail(name, 0.0, reached=True)
+        self.assertEqual(self.region(0.1), "r1")
+
+    def test_a_pool_is_asked_all_the_same_when_every_pool_is_down(self) -> None:
+        for name in ("e1", "e2", "e3"):
+            self.fail(name, 0.0)
+        self.assertIn(self.region(0.1), ("r1", "r2"))
+
+
+if __name__ == "__main__":
+    unittest.main()
