--- a/src/bramleylead/process/_state_codec.py
+++ b/src/bramleylead/process/_state_codec.py
@@ -1,4 +1,8 @@
-"""Snapshots of a partition's state as bytes, and digests that both copies must agree on."""
+"""Snapshots of a partition's state as bytes, and digests that both copies must agree on.
+
+A conversation is what its finished model calls add up to, so a snapshot leaves it out, and a copy
+that is read from one shares its texts between conversation and calls, as its owner does.
+"""
 
 from __future__ import annotations
 
@@ -69,6 +73,8 @@
     plain = {each.name: getattr(program, each.name) for each in fields(program)}
     plain["calls"] = [_values(program.calls[number]) for number in sorted(program.calls)]
     plain["caches"] = sorted(program.caches.items())
+    if _conversation(program.calls) == program.messages:
+        plain["messages"] = None
     return plain
 
 
@@ -76,10 +82,23 @@
     calls = [_unpack_call(values) for values in plain["calls"]]
     plain["calls"] = {call.number: call for call in calls}
     plain["caches"] = dict(plain["caches"])
-    plain["messages"] = [tuple(each) for each in plain["messages"]]
+    if plain["messages"] is None:
+        plain["messages"] = _conversation(plain["calls"])
+    else:
+        plain["messages"] = [tuple(each) for each in plain["messages"]]
     return ProgramState(**plain)
 
 
+def _conversation(calls: dict[int, CallRecord]) -> list[tuple[str, str]]:
+    """Return the messages that the finished model calls add up to."""
+    messages: list[tuple[str, str]] = []
+    for number in sorted(calls):
+        call = calls[number]
+        if call.call_kind is CallKind.MODEL and call.status is CallStatus.DONE:
+            messages += [*call.messages, ("assistant", call.answer)]
+    return messages
+
+
 def _unpack_call(values: list[Any]) -> CallRecord:
     call = CallRecord(*values)
     call.call_kind = CallKind(call.call_kind)
