--- a/src/bramleylead/process/_budget.py
+++ b/src/bramleylead/process/_budget.py
@@ -107,6 +107,13 @@
             if isinstance(added, Err):
                 return added
 
+    async def prefetch(self, partition: PartitionLog, budget: str) -> None:
+        """Get a first grant ahead of a program's first call, so that it can run in an outage."""
+        if self._free(partition, budget) <= 0:
+            reserved = await self.reserve(partition, budget, 1)
+            if isinstance(reserved, Ok):
+                self.cancel(partition, budget, 1)
+
     def reserved(self, partition: PartitionLog, budget: str, units: int) -> None:
         """Take in that the journal holds the reservation, so it is no longer pending here."""
         self.cancel(partition, budget, units)
@@ -241,11 +248,22 @@
     ) -> Result[None, Failure]:
         free = self._free(partition, budget)
         if free > 0:
-            journaled = await partition.append(GrantReturning(budget, free))
+            journaled = await self._journal_return(partition, budget, free)
             if isinstance(journaled, Err):
                 return journaled
         return await self._settle_store(partition, budget)
 
+    async def _journal_return(
+        self, partition: PartitionLog, budget: str, units: int
+    ) -> Result[bool, Failure]:
+        """Journal a return; while that takes time, no call can reserve the same units."""
+        key = (partition.number, budget)
+        self._pending[key] = self._pending.get(key, 0) + units
+        try:
+            return await partition.append(GrantReturning(budget, units))
+        finally:
+            self._pending[key] -= units
+
     async def _settle_store(self, partition: PartitionLog, budget: str) -> Result[None, Failure]:
         """Bring the store up to what the journal says was returned."""
 
