Start no task for an ended program that only waits

Cause: an ended program is kept for ten minutes, and each second it got a task of its own that found nothing to do. Change: the pass looks for caches, interrupted calls, children and the time to forget before it starts the task. Conclusion: what is left is the scan of its calls, as for a live program.

--- a/src/bramleylead/process/_ending.py
+++ b/src/bramleylead/process/_ending.py
@@ -77,13 +77,19 @@
 
     def _needs_work(self, program: ProgramState) -> bool:
         if program.ended:
-            return True
+            return self._ended_needs_work(program)
         now = self._parts.wall_clock()
         interrupted = self._interrupted(program)
         if interrupted and now - program.last_at_s > RERUN_WITHIN_S:
             return True
         return now - program.last_at_s > self._idle_end_s(program)
 
+    def _ended_needs_work(self, program: ProgramState) -> bool:
+        """Whether there is anything to end, release or forget; most ended programs only wait."""
+        if program.caches or self._interrupted(program):
+            return True
+        return self._may_forget(program) or not self._all_children_ended(program)
+
     async def _settle(self, log: PartitionLog, program: ProgramState) -> None:
         self._busy.add(program.program)
         try:
@@ -138,8 +144,11 @@
 
     def _may_forget(self, program: ProgramState) -> bool:
         kept_s = self._parts.wall_clock() - program.last_at_s
-        children_ended = all(child in self._children_ended for child in program.children)
-        return kept_s > KEEP_ENDED_S and not program.caches and children_ended
+        ready = not program.caches and self._all_children_ended(program)
+        return kept_s > KEEP_ENDED_S and ready
+
+    def _all_children_ended(self, program: ProgramState) -> bool:
+        return all(child in self._children_ended for child in program.children)
 
     async def _forget(self, log: PartitionLog, program: ProgramState) -> None:
         self._parts.promises.require(
