--- a/src/bramleylead/bench/_capacity.py
+++ b/src/bramleylead/bench/_capacity.py
@@ -34,6 +34,7 @@
 from bramleylead.bench._capacity_steps import grant_cost
 from bramleylead.bench._capacity_steps import pass_us
 from bramleylead.bench._capacity_steps import reservation_us
+from bramleylead.bench._capacity_store import measure_store_calls
 from bramleylead.process._ending import KEEP_ENDED_S
 from bramleylead.process._ending import PASS_INTERVAL_S
 from bramleylead.process._state_codec import pack_state
@@ -57,6 +58,7 @@
 APPENDS = 400
 TOKENS_A_TURN = 100
 PARTITIONS = (48, 1_024)
+STORE_PROGRAMS = (40, 160)
 
 Figures = Iterator[Figure]
 
@@ -214,6 +216,16 @@
     yield Figure("capacity.buffer_token_us.n8000", long_us, "us", short_us)
 
 
+def measure_store() -> Figures:
+    """Count the store calls of 6 nodes by kind, at rest and by program."""
+    for programs in STORE_PROGRAMS:
+        calls = measure_store_calls(programs)
+        for name, rate in sorted(calls.at_rest.items()):
+            yield Figure(f"capacity.store_at_rest.{name}", rate, "calls/s")
+        for name, count in sorted(calls.a_program.items()):
+            yield Figure(f"capacity.store_a_program.{name}.n{programs}", count, "calls")
+
+
 MEASURES = {
     "memory": measure_memory,
     "snapshots": measure_snapshots,
@@ -222,4 +234,5 @@
     "passes": measure_passes,
     "budgets": measure_budgets,
     "messages": measure_messages,
+    "store": measure_store,
 }
