--- a/src/bramleylead/process/_partition_repair.py
+++ b/src/bramleylead/process/_partition_repair.py
@@ -21,7 +21,6 @@
 from bramleylead.errors import Failure
 from bramleylead.platform._store import StoreErrorKind
 from bramleylead.process._members import Member
-from bramleylead.process._partition import Mode
 from bramleylead.process._partition import OwnedPartition
 from bramleylead.process._partition_context import PartitionContext
 from bramleylead.process._partition_messages import Install
@@ -35,6 +34,7 @@
 from bramleylead.process._partition_record import renewed
 from bramleylead.process._partition_record import swap_record
 from bramleylead.process._partition_table import PartitionTable
+from bramleylead.process._pending import Mode
 from bramleylead.process._rendezvous import second_copy
 from bramleylead.process._state_codec import pack_state
 from bramleylead.process._state_codec import state_digest
@@ -76,9 +76,13 @@
         self._context = context
         self._table = table
         self._running: set[int] = set()
+        self._alone_from_s: float | None = None
 
     async def run(self, partition: OwnedPartition) -> None:
         """Repair until the partition has a pair, or another owner; only once at a time."""
+        if self._alone_from_s is None:
+            alone_after_s = self._context.settings.partitions.alone_after_s
+            self._alone_from_s = anyio.current_time() + alone_after_s
         if partition.number in self._running:
             return
         self._running.add(partition.number)
@@ -117,6 +121,8 @@
         if not isinstance(found, StoredRecord):
             return found
         candidate = self._choose(partition, avoided)
+        if candidate is None and not self._may_be_alone():
+            return Outcome.NO_COPY
         if candidate is None:
             return await self._commit(partition, found, None, anyio.current_time())
         if found.record.second is not None and candidate.node == found.record.second.node:
@@ -139,6 +145,10 @@
         )
         return await self._commit(partition, found, holder, requested_s)
 
+    def _may_be_alone(self) -> bool:
+        """Whether this process is up long enough to have met the others, if there are any."""
+        return self._alone_from_s is None or anyio.current_time() >= self._alone_from_s
+
     async def _read_unchanged(self, partition: OwnedPartition) -> StoredRecord | Outcome:
         read = await read_record(self._context.store, partition.number, timeout_s=STORE_PROBE_S)
         if isinstance(read, Err):
@@ -197,9 +207,11 @@
         if written.err_value.kind is StoreErrorKind.UNKNOWN:
             partition.unresolved.add(record.token)
             return Outcome.UNRESOLVED
+        if written.err_value.kind is StoreErrorKind.CONFLICT:
+            # Another node changed the object, so the old pair stays unused until it is read again.
+            return Outcome.UNRESOLVED
         partition.committing = bool(partition.unresolved)
-        conflict = written.err_value.kind is StoreErrorKind.CONFLICT
-        return Outcome.UNRESOLVED if conflict else Outcome.STORE_OUT
+        return Outcome.STORE_OUT
 
     def _begin(self, partition: OwnedPartition, stored: StoredRecord, requested_s: float) -> None:
         partition.begin_epoch(stored, requested_s)
