--- a/src/bramleylead/process/_partition_upkeep.py
+++ b/src/bramleylead/process/_partition_upkeep.py
@@ -15,7 +15,6 @@
 
 from bramleylead.platform._store import StoreErrorKind
 from bramleylead.process._journal_flush import JournalFlusher
-from bramleylead.process._partition import Mode
 from bramleylead.process._partition import OwnedPartition
 from bramleylead.process._partition_context import PartitionContext
 from bramleylead.process._partition_record import read_record
@@ -23,6 +22,7 @@
 from bramleylead.process._partition_record import swap_record
 from bramleylead.process._partition_table import PartitionTable
 from bramleylead.process._partition_takeover import Takeover
+from bramleylead.process._pending import Mode
 from bramleylead.process._rendezvous import owner_and_second
 from bramleylead.process._replica import ReplicaKeeper
 
@@ -76,11 +76,9 @@
             await self._audit()
             await self._move_some()
 
-    async def leave(self, idle: Callable[[int], bool] = _always) -> None:
+    async def leave(self) -> None:
         """Hand everything over and wait until no pair needs this node; cancel it to stop waiting.
 
-        :param idle: whether a partition may go now; one with running calls would cut them off.
-
         With no other node left, the journals are flushed whole and closed, so that the next start
         of the fleet loses nothing.
         """
@@ -88,7 +86,7 @@
         while self._table.owned:
             for partition in list(self._table.owned.values()):
                 # No wait may come between this look and the start of the handover.
-                if idle(partition.number):
+                if self._idle(partition.number):
                     await self._give_up(partition)
             await anyio.sleep(LEAVE_POLL_S)
         await self._keeper.wait_empty()
