--- a/testing/process/test_partition_regressions.py
+++ b/testing/process/test_partition_regressions.py
@@ -76,11 +76,20 @@
         async def body(fleet: PartitionFleet) -> None:
             self.fail("the fleet must not start")
 
-        with self.assertRaises(ValidationError) as refused:
+        with self.assertRaises(ExceptionGroup) as refused:
             run_fleet(body, takeover_after_s=1.0, act_lease_s=2.0)
-        (fault,) = refused.exception.errors()
+        invalid = _first(refused.exception)
+        assert isinstance(invalid, ValidationError)
+        (fault,) = invalid.errors()
         self.assertEqual(fault["loc"], ("partitions", "act_lease_s"))
 
 
+def _first(error: BaseException) -> BaseException:
+    """Return the first single error inside nested groups."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
 if __name__ == "__main__":
     unittest.main()
