Serve alone only after asking who may have taken over

Change: while the store can't be read, a node asks the second copy and the first nodes in rendezvous order for a later epoch before it goes on.

--- a/src/bramleylead/process/_partition_repair.py
+++ b/src/bramleylead/process/_partition_repair.py
@@ -23,8 +23,10 @@
 from bramleylead.process._members import Member
 from bramleylead.process._partition import OwnedPartition
 from bramleylead.process._partition_context import PartitionContext
+from bramleylead.process._partition_messages import AskOwner
 from bramleylead.process._partition_messages import Install
 from bramleylead.process._partition_messages import Installed
+from bramleylead.process._partition_messages import OwnerIs
 from bramleylead.process._partition_messages import Release
 from bramleylead.process._partition_messages import SnapshotChunk
 from bramleylead.process._partition_record import NOT_CLEAN
@@ -35,6 +37,7 @@
 from bramleylead.process._partition_record import swap_record
 from bramleylead.process._partition_table import PartitionTable
 from bramleylead.process._pending import Mode
+from bramleylead.process._rendezvous import owners
 from bramleylead.process._rendezvous import second_copy
 from bramleylead.process._state_codec import pack_state
 from bramleylead.process._state_codec import state_digest
@@ -42,6 +45,8 @@
 CHUNK_BYTES = 250_000
 INSTALL_FIRST_ANSWER_S = 0.5
 INSTALL_BYTES_PER_S = 5_000_000
+ASKED_OWNERS = 8
+ASK_TIMEOUT_S = 0.5
 STORE_PROBE_S = 0.5
 NEXT_CANDIDATE_S = 0.02
 FIRST_PAUSE_S = 0.1
@@ -99,6 +104,8 @@
             outcome = await self.attempt(partition, avoided)
             if outcome in (Outcome.PAIRED, Outcome.RESUMED):
                 continue
+            if outcome is Outcome.STORE_OUT and await self._superseded(partition):
+                outcome = Outcome.LOST
             if outcome is Outcome.LOST:
                 self._table.retire(partition)
                 self._context.metrics.event("lost")
@@ -257,6 +264,44 @@
                 return await first_answer(opened.ok_value, member.address)
         return Err(Failure(ErrorKind.OWNER_UNAVAILABLE, f"{member.node} took no snapshot"))
 
+    async def _superseded(self, partition: OwnedPartition) -> bool:
+        """Whether another node knows of a later epoch, asked while the store can't be read.
+
+        A node that was paused finds its second copy silent and the store slow, as in an outage,
+        while that second copy has taken over. Those that may own the partition by now know it.
+        """
+        candidates = self._possible_owners(partition)
+        answers: list[OwnerIs] = []
+
+        async def ask(member: Member) -> None:
+            question = AskOwner(partition.number)
+            answer = await self._context.client.request(
+                member.address, question, timeout_s=ASK_TIMEOUT_S
+            )
+            if isinstance(answer, Ok):
+                answers.append(answer.ok_value)
+
+        async with anyio.create_task_group() as tasks:
+            for member in candidates:
+                tasks.start_soon(ask, member)
+        return any(self._is_another(answer, partition) for answer in answers)
+
+    def _is_another(self, answer: OwnerIs, partition: OwnedPartition) -> bool:
+        """Whether an answer names a later owner, and not this node's own unfinished change."""
+        settings = self._context.settings
+        here = answer.owner == settings.node or answer.address == settings.peer_address
+        named = bool(answer.owner or answer.address)
+        return answer.epoch > partition.epoch and named and not here
+
+    def _possible_owners(self, partition: OwnedPartition) -> list[Member]:
+        """Return the second copy and the first nodes in rendezvous order, without this one."""
+        members = self._context.members
+        others = [item for item in members.members() if item.node != members.self_name]
+        second = partition.record.second
+        first = [item for item in others if second is not None and item.node == second.node]
+        ranking = [item for item in owners(partition.number, others) if item not in first]
+        return [*first, *ranking][:ASKED_OWNERS]
+
     async def _consider_solo(self, partition: OwnedPartition) -> None:
         """Serve alone only when peers confirm that the store is out and not just out of reach."""
         if partition.mode is not Mode.REPAIRING or not partition.may_go_solo():
