--- a/src/bramleylead/bench/_workload.py
+++ b/src/bramleylead/bench/_workload.py
@@ -79,6 +79,8 @@
 
     :param regions: share of the programs a region; one data centre each.
     :param call_deadline_s: how long a caller waits for one call; then it gives the program up.
+    :param capacity_per_s: found by a whole run; ``--quick`` uses it, its windows are too short
+        to find one.
     :param window_s: programs arrive, and are counted, for so long.
     """
 
@@ -89,6 +91,7 @@
     call_deadline_s: Annotated[float, Field(gt=0)]
     window_s: Annotated[float, Field(gt=0)]
     kinds: dict[str, KindModel]
+    capacity_per_s: float = 0.0
     engine: EngineModelSettings | None = None
 
     def branches(self) -> list[tuple[str, str]]:
