Let sub-agents continue their parent's service; gather tokens for 10 ms

Cause: a sub-agent's first call counted as a new program's, which may be refused while its parent runs; the scheduler's gauges were never set. Gathering for 40 ms delays the end of each of up to 65 answers by as much. Change: an entry opens a sub-agent with the cost its parent was served; the node passes its metrics to the scheduler; coalesce_s is 10 ms. Conclusion: program latency is weighed above processor time here.

--- a/src/bramleylead/process/_entries.py
+++ b/src/bramleylead/process/_entries.py
@@ -11,13 +11,17 @@
 
 @message(130)
 class ProgramOpened(NamedTuple):
-    """A program began. ``at_s`` is wall-clock time in seconds."""
+    """A program began. ``at_s`` is wall-clock time in seconds.
+
+    :param attained: cost that counts as served already; a sub-agent begins where its parent is.
+    """
 
     program: str
     branch: str
     kind: str
     parent: str
     at_s: float
+    attained: float = 0.0
 
 
 @message(131)
--- a/src/bramleylead/process/_node.py
+++ b/src/bramleylead/process/_node.py
@@ -172,6 +172,9 @@
             noted = await self._router.view(child)
             if isinstance(noted, Err):
                 return noted
+            # A sub-agent's first call continues work under way: it is not a new program's.
+            served = max(1.0, float(noted.ok_value.tokens_used))
+            request = request._replace(attained=served)
         return await self._router.view(request)
 
     async def read_program(self, request: ReadProgram) -> Result[ProgramView, Failure]:
@@ -367,6 +370,7 @@
             members=self._membership,
             backends=self._backends,
             promises=self.promises,
+            metrics=self.metrics,
         )
 
     def _make_owner(self, tasks: TaskGroup) -> None:
--- a/src/bramleylead/process/_owner.py
+++ b/src/bramleylead/process/_owner.py
@@ -110,6 +110,7 @@
             kind=request.kind,
             parent=request.parent,
             at_s=self._parts.wall_clock(),
+            attained=request.attained,
         )
         journaled = await log.append(opened)
         if isinstance(journaled, Err):
--- a/src/bramleylead/process/_settings.py
+++ b/src/bramleylead/process/_settings.py
@@ -86,7 +86,7 @@
     body_timeout_s: Annotated[float, Field(gt=0)] = 10.0
     default_deadline_s: Annotated[float, Field(gt=0)] = 120.0
     stream_progress_s: Annotated[float, Field(gt=0)] = 10.0
-    coalesce_s: Annotated[float, Field(ge=0)] = 0.04
+    coalesce_s: Annotated[float, Field(ge=0)] = 0.01
     attempts: Annotated[int, Field(ge=1, le=10)] = 3
 
 
--- a/src/bramleylead/process/_state.py
+++ b/src/bramleylead/process/_state.py
@@ -141,6 +141,7 @@
         incarnation=state.incarnation,
         opened_at_s=entry.at_s,
         last_at_s=entry.at_s,
+        attained=entry.attained,
     )
 
 
--- a/src/bramleylead/request/_messages.py
+++ b/src/bramleylead/request/_messages.py
@@ -22,12 +22,16 @@
 
 @message(20)
 class OpenProgram(NamedTuple):
-    """Open a program; a repeat is no second one. Answered by :class:`ProgramView`."""
+    """Open a program; a repeat is no second one. Answered by :class:`ProgramView`.
+
+    :param attained: for a sub-agent, the cost that its parent was served so far; set by the entry.
+    """
 
     branch: str
     program: str
     kind: str
     parent: str = ""
+    attained: float = 0.0
 
 
 @message(21)
