Leave a pool for another after a call could not reach an endpoint there; tell of programs lost with both copies

Cause: recovery test of a lost data centre, p99 18 s: the dispatcher had ejected two of three dead engines and gave a call the third one three times. Change: a call that could not reach an endpoint, or failed twice in a pool, goes to another pool; a call that shows an older incarnation gets history_rolled_back, or outcome_unknown if it may not be repeated. Conclusion: two regression tests.

--- a/src/bramleylead/process/_owner.py
+++ b/src/bramleylead/process/_owner.py
@@ -165,7 +165,7 @@
         """Run, join or look up a call; yields its answer and its end."""
         found = await self._program(request.branch, request.program)
         if isinstance(found, Err):
-            yield found.err_value
+            yield self._lost_or(found.err_value, request)
             return
         log, program = found.ok_value
         target = self._target(program, request)
@@ -191,6 +191,22 @@
             async for item in started.read(0):
                 yield item
 
+    def _lost_or(self, failure: Failure, request: CallRequest) -> Failure:
+        """Say so when a program is unknown since it may have been lost with both copies."""
+        found = self._partition(request.program)
+        if failure.kind is not ErrorKind.UNKNOWN_PROGRAM or isinstance(found, Err):
+            return failure
+        incarnation = found.ok_value.state.incarnation
+        if not 0 < request.incarnation < incarnation:
+            return failure
+        detail = (
+            f"program {request.program} is not known since both copies of its journal were lost; "
+            f"its partition's incarnation is {incarnation}: open the program again"
+        )
+        if request.call_kind is CallKind.MODEL:
+            return Failure(ErrorKind.HISTORY_ROLLED_BACK, detail)
+        return Failure(ErrorKind.OUTCOME_UNKNOWN, detail)
+
     async def resume(self, request: ResumeCall) -> AsyncIterator[CallItem]:
         """Yield a call's answer from an offset, running or finished."""
         found = await self._program(request.branch, request.program)
--- a/src/bramleylead/scheduling/_chooser.py
+++ b/src/bramleylead/scheduling/_chooser.py
@@ -31,6 +31,8 @@
 PROMPT_BYTES_PER_TOKEN = 5
 """Bytes between regions for a token of prompt or answer sent as text."""
 BYTES_PER_GB = 1e9
+MOST_TRIES = 2
+"""Failures of one call in a pool after which it goes to another."""
 MEAN_WEIGHT = 0.1
 """Weight of one pool's news in the mean over all pools."""
 
@@ -135,7 +137,11 @@
         return choice
 
     def _is_down(self, key: PoolKey, request: SlotRequest, now: float) -> bool:
-        staying = [name for name, item in self.pools[key].items() if not item.leaving]
+        endpoints = self.pools[key]
+        tried = [name for name in request.avoid if name in endpoints]
+        if len(tried) >= MOST_TRIES or any(self.down.is_down(name, now) for name in tried):
+            return True
+        staying = [name for name, item in endpoints.items() if not item.leaving]
         return self.down.all_down(staying, request.avoid, now)
 
     def expected_wait_s(self, key: PoolKey, now: float, *, new: bool) -> float:
--- a/src/bramleylead/scheduling/_down.py
+++ b/src/bramleylead/scheduling/_down.py
@@ -46,16 +46,17 @@
 
     def names(self, now: float) -> tuple[str, ...]:
         """Return the endpoints that are down, sorted."""
-        return tuple(sorted(name for name in self._seen if self._is_down(name, now)))
+        return tuple(sorted(name for name in self._seen if self.is_down(name, now)))
 
     def all_down(self, endpoints: Collection[str], avoid: Collection[str], now: float) -> bool:
         """Whether each endpoint is down, or was tried by the call already."""
-        return all(name in avoid or self._is_down(name, now) for name in endpoints)
+        return all(name in avoid or self.is_down(name, now) for name in endpoints)
 
     def forget_others(self, endpoints: Collection[str]) -> None:
         """Keep only what is still in the configuration."""
         self._seen = {name: seen for name, seen in self._seen.items() if name in endpoints}
 
-    def _is_down(self, name: str, now: float) -> bool:
+    def is_down(self, name: str, now: float) -> bool:
+        """Whether an endpoint failed lately."""
         seen = self._seen.get(name)
         return seen is not None and now < seen.until_s
--- a/src/bramleylead/scheduling/_node.py
+++ b/src/bramleylead/scheduling/_node.py
@@ -130,7 +130,7 @@
                 deadline_s=request.deadline_s - passed_s,
                 avoid=(*request.avoid, *self.chooser.down.names(started_s + passed_s)),
             )
-            choice = self._choose(asked, lost)
+            choice = self._choose(asked._replace(avoid=request.avoid), lost)
             if isinstance(choice, Failure):
                 yield Err(choice)
                 return
--- a/src/bramleylead/trials/_caller.py
+++ b/src/bramleylead/trials/_caller.py
@@ -185,8 +185,7 @@
             self._check_not_run(call, failure)
         self._check_not_lost(failure)
         if failure.kind is ErrorKind.HISTORY_ROLLED_BACK:
-            await self._adopt_state()
-            return None
+            return None if await self._adopt_state() else "stop"
         if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
             self.seen.unknown.append(call)
             await self._adopt_state()
@@ -304,19 +303,24 @@
             )
         return None
 
-    async def _adopt_state(self) -> None:
-        """Read the program's state after a recovery that may have lost entries, and go on there."""
+    async def _adopt_state(self) -> bool:
+        """Read the program's state after a recovery that may have lost entries, and go on there.
+
+        Returns whether there is such a state.
+        """
         plan = self.seen.plan
         request = ReadProgram(plan.branch, plan.program, history=True)
         read = await self._ask(lambda node: node.read_program(request))
         if isinstance(read, Err):
-            return
+            self.seen.rolled_back |= read.err_value.kind is ErrorKind.UNKNOWN_PROGRAM
+            return False
         view = read.ok_value
         if view.incarnation != self._incarnation:
             self.seen.rolled_back = True
             self.seen.messages = list(view.messages)
         self._incarnation = view.incarnation
         self._number = view.next_number
+        return True
 
     async def _end(self) -> None:
         plan = self.seen.plan
--- a/testing/process/test_owner.py
+++ b/testing/process/test_owner.py
@@ -313,6 +313,30 @@
         self.assertEqual(sorted(caches), ["e1", "e2"])
 
 
+class LostPairTest(unittest.TestCase):
+    def test_a_program_lost_with_both_copies_is_told_as_lost(self) -> None:
+        """Fault: a caller that had seen its program opened was told that there is none."""
+
+        async def body(bench: Bench) -> Any:
+            await bench.open("other")
+            log = bench.directory.only
+            bench.directory.log = lambda partition: log
+            await log.append(RolledBack(2))
+            never_seen = await bench.call(program="p9")
+            model = await bench.call(program="p9", incarnation=1)
+            tool = await bench.tool("issue", program="p9", incarnation=1)
+            return never_seen.kind, model.kind, tool.kind
+
+        self.assertEqual(
+            run_with_owner(body),
+            (
+                ErrorKind.UNKNOWN_PROGRAM,
+                ErrorKind.HISTORY_ROLLED_BACK,
+                ErrorKind.OUTCOME_UNKNOWN,
+            ),
+        )
+
+
 class FormerOwnerTest(unittest.TestCase):
     def test_a_former_owner_refuses_nothing_from_its_old_state(self) -> None:
         """Fault: a paused owner told a caller that its program, opened since, does not exist."""
--- a/testing/scheduling/test_down.py
+++ b/testing/scheduling/test_down.py
@@ -68,6 +68,14 @@
         self.fail("e2", 0.1)
         self.assertEqual(self.region(0.2), "r2")
 
+    def test_a_call_that_could_not_reach_an_endpoint_goes_to_another_pool(self) -> None:
+        """Fault: a call tried one dead endpoint three times, all others being ejected."""
+        self.fail("e1", 0.0)
+        request = REQUEST._replace(avoid=("e1",))
+        choice = self.chooser.choose(request, 0.1)
+        assert choice is not None
+        self.assertEqual(choice.key.region, "r2")
+
     def test_it_is_tried_again_after_a_while_and_longer_after_each_failure(self) -> None:
         for name in ("e1", "e2"):
             self.fail(name, 0.0)
