Stop a cut-off pair before its partition is recovered elsewhere

Ruled out: solo mode (both sides were paired) and late store writes (each swap was answered). A partition that never had a second copy needs none of it. The survey's test counts the survey's own lists, since audits list too; its bounds are as before.

--- a/src/bramleylead/process/_partition.py
+++ b/src/bramleylead/process/_partition.py
@@ -62,6 +62,7 @@
         self.copy = copy
         self.mode = Mode.REPAIRING
         self.committing = False
+        self.unproven = False
         self.copy_replaced = False
         self.unresolved: set[str] = set()
         self.in_doubt = False
@@ -160,7 +161,9 @@
         It fits when it ends at an entry that this node has applied or still waits for. A copy that
         holds an append which this node gave up can't be used again at this epoch.
         """
-        if self.committing or self.copy_replaced or epoch != self.epoch or self.mode is Mode.LOST:
+        if self.unproven or self.committing or self.copy_replaced:
+            return None
+        if epoch != self.epoch or self.mode is Mode.LOST:
             return False
         if self.mode is Mode.MOVING or not self._fits(sequence, digest):
             return False
@@ -177,6 +180,7 @@
             Promise.HISTORY, holds, f"partition {self.number}: epoch must rise above {self.epoch}"
         )
         self.stored = stored
+        self.unproven = False
         self.committing = False
         self.copy_replaced = False
         self.unresolved.clear()
--- a/src/bramleylead/process/_partition_host.py
+++ b/src/bramleylead/process/_partition_host.py
@@ -22,6 +22,7 @@
 from bramleylead.process._members import MemberList
 from bramleylead.process._owner_map import OwnerMap
 from bramleylead.process._partition import OwnedPartition
+from bramleylead.process._partition_audit import PartitionAudit
 from bramleylead.process._partition_context import PartitionContext
 from bramleylead.process._partition_context import PartitionMetrics
 from bramleylead.process._partition_dump import dump_partitions
@@ -90,6 +91,7 @@
         self.upkeep = PartitionUpkeep(
             self._context, self.table, self.keeper, self.takeover, self.flusher, idle
         )
+        self.audit = PartitionAudit(self._context, self.table, self.flusher)
         self.survey = PartitionSurvey(
             self._context, server, self.table, self.owner_map, self._repair
         )
@@ -108,6 +110,7 @@
             self.survey.run,
             self.flusher.run,
             self.upkeep.run,
+            self.audit.run,
         ):
             tasks.start_soon(loop)
         self._stack.callback(tasks.cancel_scope.cancel)
--- a/src/bramleylead/process/_partition_survey.py
+++ b/src/bramleylead/process/_partition_survey.py
@@ -22,6 +22,7 @@
 from bramleylead.process._members import MemberState
 from bramleylead.process._owner_map import OwnerMap
 from bramleylead.process._partition import OwnedPartition
+from bramleylead.process._partition_audit import RECOVERY_WAIT_S
 from bramleylead.process._partition_context import PartitionContext
 from bramleylead.process._partition_messages import AskOwner
 from bramleylead.process._partition_messages import Assign
@@ -32,6 +33,7 @@
 from bramleylead.process._partition_record import fresh_token
 from bramleylead.process._partition_record import list_records
 from bramleylead.process._partition_record import read_record
+from bramleylead.process._partition_record import renewed
 from bramleylead.process._partition_record import swap_record
 from bramleylead.process._partition_repair import Outcome
 from bramleylead.process._partition_repair import PairRepair
@@ -161,12 +163,15 @@
 
     async def _work_off(self, numbers: list[int]) -> None:
         for number in numbers:
-            try:
-                await self._claim_or_recover(number)
-            finally:
-                self._busy.discard(number)
+            self._table.spawn(self._work_on, number)
             await anyio.sleep(1 / self._context.settings.store.calls_per_s)
 
+    async def _work_on(self, number: int) -> None:
+        try:
+            await self._claim_or_recover(number)
+        finally:
+            self._busy.discard(number)
+
     async def _claim_or_recover(self, number: int) -> None:
         if number in self._table.owned or number in self._forming:
             return
@@ -189,13 +194,32 @@
     async def _recover(self, number: int, found: StoredRecord) -> None:
         if await self._still_held(number, found.record):
             return
+        stored = await self._claim_recovery(number, found)
+        if stored is None:
+            return
         recovered = await recover(self._context.store, number, found.record)
         if isinstance(recovered, Err):
             return
         rolled_back = recovered.ok_value.may_miss_entries
         self._context.metrics.event("rolled_back" if rolled_back else "recovery")
         log.warning("partition_recovered", partition=number, rolled_back=rolled_back)
-        await self._begin(number, found, recovered.ok_value.copy)
+        await self._begin(number, stored, recovered.ok_value.copy)
+
+    async def _claim_recovery(self, number: int, found: StoredRecord) -> StoredRecord | None:
+        """Name this node in the object, and wait until no former pair can acknowledge any more.
+
+        A pair that is only cut off finds the claim in its next audit and flushes what it has. A
+        journal that was closed, or never had a pair, has nothing that could go on.
+        """
+        if found.record.epoch == FIRST_EPOCH:
+            return found
+        record = renewed(found.record, owner=self._context.holder, second=None)
+        written = await swap_record(self._context.store, number, record, expected=found.version)
+        if isinstance(written, Err):
+            return None
+        if found.record.clean_sequence < 0:
+            await anyio.sleep(RECOVERY_WAIT_S)
+        return written.ok_value
 
     async def _still_held(self, number: int, record: PartitionRecord) -> bool:
         """Ask both holders themselves, since a recovery can lose entries.
--- a/src/bramleylead/process/_partition_upkeep.py
+++ b/src/bramleylead/process/_partition_upkeep.py
@@ -1,4 +1,4 @@
-"""Keeps partitions where they should be: moves after changes of membership, audits, planned stop.
+"""Keeps partitions where they should be: moves after changes of membership, planned stop.
 
 Moves are limited in rate and wait until membership has been quiet, so that a rack that goes or
 comes does not set the whole fleet moving at once.
@@ -28,7 +28,6 @@
 
 ROUND_S = 0.5
 QUIET_S = 3.0
-AUDIT_S = 5.0
 LEAVE_POLL_S = 0.05
 STORE_FAST_S = 0.1
 
@@ -41,7 +40,7 @@
 
 @final
 class PartitionUpkeep:
-    """Moves and audits the partitions that this node owns."""
+    """Moves the partitions that this node owns."""
 
     def __init__(
         self,
@@ -60,20 +59,17 @@
         self._idle = idle
         self._nodes: tuple[str, ...] = ()
         self._quiet_since_s = 0.0
-        self._next_audit_s = 0.0
         self._next_move_s = 0.0
-        self._audited = -1
         self._leaving = False
 
     async def run(self) -> None:
-        """Move and audit until cancelled."""
+        """Move until cancelled."""
         while True:
             await anyio.sleep(ROUND_S)
             if self._leaving:
                 continue
             self._watch_members()
             self._replace_leaving()
-            await self._audit()
             await self._move_some()
 
     async def leave(self) -> None:
@@ -118,29 +114,6 @@
                 continue
             partition.break_pair(f"{second.node} is leaving or gone")
 
-    async def _audit(self) -> None:
-        """Read one own partition object now and then.
-
-        It finds a recovery that took place while this node and its second copy were cut off
-        together from the rest, which nothing else would tell them.
-        """
-        now = anyio.current_time()
-        if now < self._next_audit_s or not self._table.owned:
-            return
-        self._next_audit_s = now + AUDIT_S
-        later = [number for number in self._table.owned if number > self._audited]
-        number = min(later or self._table.owned)
-        self._audited = number
-        partition = self._table.owned[number]
-        read = await read_record(self._context.store, number)
-        if not isinstance(read, Ok) or partition.mode is not Mode.PAIRED:
-            return
-        found = read.ok_value
-        if found is None or found.record.epoch > partition.epoch:
-            self._context.metrics.event("lost")
-            log.warning("partition_lost", partition=number, epoch=partition.epoch)
-            self._table.retire(partition)
-
     async def _move_some(self) -> None:
         now = anyio.current_time()
         if now - self._quiet_since_s < QUIET_S:
--- a/testing/process/test_partition_survey.py
+++ b/testing/process/test_partition_survey.py
@@ -9,6 +9,7 @@
 
 from bramleylead.process import _partition_survey
 from bramleylead.process._partition_messages import Assign
+from bramleylead.process._partition_record import list_records
 from bramleylead.process._partition_survey import QUIET_ROUND_S
 from bramleylead.standins import run_virtual
 from bramleylead.trials._deployments import ratsakool
@@ -27,9 +28,9 @@
         """
 
         async def body() -> tuple[int, int]:
-            async with running_fleet(ratsakool(), seed=1) as fleet:
+            async with running_fleet(ratsakool(), seed=1):
                 await anyio.sleep(SETTLED_S)
-                lists = mock.patch.object(fleet.inner_store, "list", wraps=fleet.inner_store.list)
+                lists = mock.patch.object(_partition_survey, "list_records", wraps=list_records)
                 given = mock.patch.object(_partition_survey, "Assign", wraps=Assign)
                 with lists as listed, given as assigned:
                     await anyio.sleep(ROUNDS * QUIET_ROUND_S)
