--- a/src/bramleylead/process/_ending.py
+++ b/src/bramleylead/process/_ending.py
@@ -17,8 +17,8 @@
 from result import Ok
 
 from bramleylead.errors import ErrorKind
+from bramleylead.process._call_ends import interrupted_end
 from bramleylead.process._entries import CacheHeld
-from bramleylead.process._entries import CallFinished
 from bramleylead.process._entries import ProgramEnded
 from bramleylead.process._entries import ProgramForgotten
 from bramleylead.process._log import PartitionLog
@@ -105,7 +105,7 @@
         """End a program whose caller is gone, and a call that nobody asked for again."""
         now = self._parts.wall_clock()
         for number in self._interrupted(program):
-            await log.append(_interrupted_end(program, number, now))
+            await log.append(interrupted_end(program, number, now_s=now))
         idle_s = now - program.last_at_s
         if idle_s > self._idle_end_s(program) and not self._owner.is_running(program.program):
             await log.append(ProgramEnded(program.program, f"idle for {idle_s:.0f} s", now))
@@ -117,7 +117,7 @@
         for endpoint in list(program.caches):
             await self._release(log, program, endpoint)
         for number in self._interrupted(program):
-            await log.append(_interrupted_end(program, number, self._parts.wall_clock()))
+            await log.append(interrupted_end(program, number, now_s=self._parts.wall_clock()))
         if self._may_forget(program):
             await self._forget(log, program)
 
@@ -173,23 +173,3 @@
     def _idle_end_s(self, program: ProgramState) -> float:
         kind = self._parts.tickets.config.program_kinds.get(program.kind)
         return KEEP_ENDED_S if kind is None else kind.idle_end_s
-
-
-def _interrupted_end(program: ProgramState, number: int, now_s: float) -> CallFinished:
-    """Return the end of a call that a change of owner cut short; nothing says whether it ran."""
-    record = program.calls[number]
-    status = CallStatus.FAILED if record.repeatable else CallStatus.UNKNOWN
-    return CallFinished(
-        program=program.program,
-        number=number,
-        status=status.value,
-        answer=f"call {program.program}/{number} was interrupted by a change of owner",
-        value=None,
-        finish="",
-        prompt_tokens=0,
-        cached_tokens=0,
-        output_tokens=0,
-        endpoint="",
-        spent=record.reserved,
-        at_s=now_s,
-    )
--- a/src/bramleylead/process/_owner.py
+++ b/src/bramleylead/process/_owner.py
@@ -4,7 +4,6 @@
 
 from collections.abc import AsyncIterator
 from typing import Any
-from typing import NamedTuple
 from typing import final
 
 import anyio
@@ -16,20 +15,23 @@
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.process import _admission
-from bramleylead.process._entries import CallFinished
+from bramleylead.process._call_ends import cancelled_end
+from bramleylead.process._call_ends import unknown_end
 from bramleylead.process._entries import ChildOpened
 from bramleylead.process._entries import ProgramEnded
 from bramleylead.process._entries import ProgramOpened
 from bramleylead.process._log import PartitionLog
+from bramleylead.process._lookup import ProgramLookup
+from bramleylead.process._lookup import Target
 from bramleylead.process._model_run import ModelRun
 from bramleylead.process._parts import OwnerParts
-from bramleylead.process._place import partition_of
 from bramleylead.process._run import CallRun
 from bramleylead.process._run import RunningCall
-from bramleylead.process._state import CallRecord
 from bramleylead.process._state import CallStatus
 from bramleylead.process._state import ProgramState
 from bramleylead.process._tool_run import ToolRun
+from bramleylead.process._views import plain_record
+from bramleylead.process._views import view
 from bramleylead.promises import Promise
 from bramleylead.request import AddChild
 from bramleylead.request import AnswerBuffer
@@ -44,19 +46,10 @@
 from bramleylead.request import ProgramView
 from bramleylead.request import ReadProgram
 from bramleylead.request import ResumeCall
-from bramleylead.version import Branch
-from bramleylead.version import ProgramKind
 
 ENDED_BY_CALLER = "ended by its caller"
 
 
-class _Rules(NamedTuple):
-    """What the configuration in force says about one program."""
-
-    branch: Branch
-    kind: ProgramKind
-
-
 @final
 class ProgramOwner:
     """Opens, runs, reads and ends programs; one instance a node.
@@ -66,6 +59,7 @@
 
     def __init__(self, parts: OwnerParts, tasks: TaskGroup) -> None:
         self._parts = parts
+        self._lookup = ProgramLookup(parts)
         self._tasks = tasks
         self._running: dict[str, dict[int, RunningCall]] = {}
         self._idle = anyio.Event()
@@ -94,14 +88,14 @@
 
     async def open(self, request: OpenProgram) -> Result[ProgramView, Failure]:
         """Open a program; the same one again returns what there is."""
-        found = await self._confirmed(request.program)
+        found = await self._lookup.confirmed(request.program)
         if isinstance(found, Err):
             return found
         log = found.ok_value
         program = log.state.programs.get(request.program)
         if program is not None:
             return self._same_program(program, request)
-        rules = self._rules(request.branch, request.kind)
+        rules = self._lookup.rules(request.branch, request.kind)
         if isinstance(rules, Err):
             return rules
         opened = ProgramOpened(
@@ -122,7 +116,7 @@
 
     async def read(self, request: ReadProgram) -> Result[ProgramView, Failure]:
         """Return a program's state, once the second copy confirmed this owner."""
-        found = await self._program(request.branch, request.program)
+        found = await self._lookup.program(request.branch, request.program)
         if isinstance(found, Err):
             return found
         log, program = found.ok_value
@@ -133,7 +127,7 @@
 
     async def end(self, request: EndProgram) -> Result[ProgramView, Failure]:
         """End a program: its model call is cancelled, and no further call starts."""
-        found = await self._program(request.branch, request.program)
+        found = await self._lookup.program(request.branch, request.program)
         if isinstance(found, Err):
             return found
         log, program = found.ok_value
@@ -149,7 +143,7 @@
 
     async def add_child(self, request: AddChild) -> Result[ProgramView, Failure]:
         """Note a sub-agent program under its parent."""
-        found = await self._program(request.branch, request.program)
+        found = await self._lookup.program(request.branch, request.program)
         if isinstance(found, Err):
             return found
         log, program = found.ok_value
@@ -163,12 +157,12 @@
 
     async def call(self, request: CallRequest) -> AsyncIterator[CallItem]:
         """Run, join or look up a call; yields its answer and its end."""
-        found = await self._program(request.branch, request.program)
+        found = await self._lookup.program(request.branch, request.program)
         if isinstance(found, Err):
             yield self._lost_or(found.err_value, request)
             return
         log, program = found.ok_value
-        target = self._target(program, request)
+        target = self._lookup.target(program, request)
         if isinstance(target, Failure):
             yield target
             return
@@ -193,7 +187,7 @@
 
     def _lost_or(self, failure: Failure, request: CallRequest) -> Failure:
         """Say so when a program is unknown since it may have been lost with both copies."""
-        found = self._partition(request.program)
+        found = self._lookup.partition(request.program)
         if failure.kind is not ErrorKind.UNKNOWN_PROGRAM or isinstance(found, Err):
             return failure
         incarnation = found.ok_value.state.incarnation
@@ -209,7 +203,7 @@
 
     async def resume(self, request: ResumeCall) -> AsyncIterator[CallItem]:
         """Yield a call's answer from an offset, running or finished."""
-        found = await self._program(request.branch, request.program)
+        found = await self._lookup.program(request.branch, request.program)
         if isinstance(found, Err):
             yield found.err_value
             return
@@ -247,7 +241,9 @@
             for record in list(program.calls.values()):
                 interrupted = record.status is CallStatus.INTENDED and not record.repeatable
                 if interrupted and record.number not in self._digests(program.program):
-                    ended = await log.append(self._unknown_end(program, record.number))
+                    ended = await log.append(
+                        unknown_end(program, record.number, now_s=self._parts.wall_clock())
+                    )
                     if isinstance(ended, Err):
                         return False
         return True
@@ -279,7 +275,7 @@
 
         :param name: its program.
         """
-        log = self._partition(name)
+        log = self._lookup.partition(name)
         program = log.ok_value.state.programs.get(name) if isinstance(log, Ok) else None
         record = None if program is None else program.calls.get(number)
         running = self._running.get(name, {}).get(number)
@@ -289,7 +285,7 @@
             "running": running is not None,
             "endpoint": running.endpoint if running is not None else "",
             "avoided": list(running.avoid) if running is not None else [],
-            **({} if record is None else _plain_record(record)),
+            **({} if record is None else plain_record(record)),
         }
 
     def _start_or_join(
@@ -297,7 +293,7 @@
         log: PartitionLog,
         program: ProgramState,
         request: CallRequest,
-        target: _Target,
+        target: Target,
         decision: _admission.Start | _admission.Join,
     ) -> AnswerBuffer | Failure:
         if isinstance(decision, _admission.Join):
@@ -314,7 +310,7 @@
         log: PartitionLog,
         program: ProgramState,
         request: CallRequest,
-        target: _Target,
+        target: Target,
         decision: _admission.Start,
     ) -> RunningCall | Failure:
         if self._closing:
@@ -385,47 +381,16 @@
         if not owned:
             return Failure(ErrorKind.OWNER_LOST, f"{call.name}: the partition has a new owner")
         if call.intended:
-            await call.log.append(self._cancelled_end(call))
+            await call.log.append(
+                cancelled_end(
+                    call.program,
+                    call.number,
+                    endpoint=call.endpoint,
+                    now_s=self._parts.wall_clock(),
+                )
+            )
         return Failure(ErrorKind.CANCELLED, f"{call.name}: its program was ended")
 
-    def _cancelled_end(self, call: RunningCall) -> CallFinished:
-        record = call.program.calls[call.number]
-        return CallFinished(
-            program=call.program.program,
-            number=call.number,
-            status=CallStatus.FAILED.value,
-            answer="cancelled",
-            value=None,
-            finish="",
-            prompt_tokens=0,
-            cached_tokens=0,
-            output_tokens=0,
-            endpoint=call.endpoint,
-            spent=record.reserved,
-            at_s=self._parts.wall_clock(),
-        )
-
-    def _unknown_end(self, program: ProgramState, number: int) -> CallFinished:
-        record = program.calls[number]
-        detail = (
-            f"call {program.program}/{number} of {record.target} was sent by a former owner and "
-            "its outcome is not known; it will not be sent again"
-        )
-        return CallFinished(
-            program=program.program,
-            number=number,
-            status=CallStatus.UNKNOWN.value,
-            answer=detail,
-            value=None,
-            finish="",
-            prompt_tokens=0,
-            cached_tokens=0,
-            output_tokens=0,
-            endpoint="",
-            spent=record.reserved,
-            at_s=self._parts.wall_clock(),
-        )
-
     def _forget(self, call: RunningCall) -> None:
         calls = self._running.get(call.program.program, {})
         if calls.get(call.number) is call:
@@ -464,59 +429,12 @@
         """
         record = program.calls[number]
         if record.status is CallStatus.INTENDED and not record.repeatable:
-            return await log.append(self._unknown_end(program, number))
+            return await log.append(unknown_end(program, number, now_s=self._parts.wall_clock()))
         return await log.append()
 
     def _digests(self, program: str) -> dict[int, str]:
         return {number: call.digest for number, call in self._running.get(program, {}).items()}
 
-    def _partition(self, program: str) -> Result[PartitionLog, Failure]:
-        number = partition_of(program, self._parts.settings.partitions.count)
-        log = self._parts.directory.log(number)
-        if log is None:
-            detail = f"{self._parts.settings.node} does not own partition {number}"
-            return Err(Failure(ErrorKind.OWNER_UNAVAILABLE, detail))
-        return Ok(log)
-
-    async def _confirmed(self, program: str) -> Result[PartitionLog, Failure]:
-        """Return a program's partition once the second copy has confirmed this owner.
-
-        A former owner that was paused still has a state, but must not answer from it.
-        """
-        found = self._partition(program)
-        if isinstance(found, Err) or found.ok_value.may_act():
-            return found
-        confirmed = await found.ok_value.append()
-        if isinstance(confirmed, Err):
-            return confirmed
-        return self._partition(program)
-
-    async def _program(
-        self, branch: str, name: str
-    ) -> Result[tuple[PartitionLog, ProgramState], Failure]:
-        found = await self._confirmed(name)
-        if isinstance(found, Err):
-            return found
-        program = found.ok_value.state.programs.get(name)
-        if program is None:
-            return Err(Failure(ErrorKind.UNKNOWN_PROGRAM, f"there is no program {name}"))
-        if program.branch != branch:
-            detail = f"program {name} belongs to another branch"
-            return Err(Failure(ErrorKind.FORBIDDEN, detail))
-        return Ok((found.ok_value, program))
-
-    def _rules(self, branch: str, kind: str) -> Result[_Rules, Failure]:
-        config = self._parts.tickets.config
-        branch_entry = config.branches.get(branch)
-        if branch_entry is None:
-            return Err(Failure(ErrorKind.UNKNOWN_BRANCH, f"there is no branch {branch}"))
-        kind_entry = config.program_kinds.get(kind)
-        if kind_entry is None or kind not in branch_entry.program_kinds:
-            allowed = ", ".join(branch_entry.program_kinds) or "none"
-            detail = f"branch {branch} may run {allowed}, not {kind}"
-            return Err(Failure(ErrorKind.UNKNOWN_TARGET, detail))
-        return Ok(_Rules(branch_entry, kind_entry))
-
     def _same_program(
         self, program: ProgramState, request: OpenProgram
     ) -> Result[ProgramView, Failure]:
@@ -527,54 +445,3 @@
             detail = f"program {program.program} was opened as {program.kind}"
             return Err(Failure(ErrorKind.DUPLICATE_MISMATCH, detail))
         return Ok(view(program, history=False))
-
-    def _target(self, program: ProgramState, request: CallRequest) -> _Target | Failure:
-        rules = self._rules(program.branch, program.kind)
-        if isinstance(rules, Err):
-            return rules.err_value
-        kind = rules.ok_value.kind
-        if request.call_kind is CallKind.MODEL:
-            if request.target in kind.models:
-                return _Target(rules.ok_value, repeatable=True)
-            allowed = ", ".join(kind.models)
-        else:
-            tool = kind.tools.get(request.target)
-            if tool is not None:
-                return _Target(rules.ok_value, repeatable=tool.repeatable)
-            allowed = ", ".join(kind.tools)
-        detail = f"program kind {program.kind} may call {allowed or 'nothing'}"
-        return Failure(ErrorKind.UNKNOWN_TARGET, f"{detail}, not {request.target}")
-
-
-class _Target(NamedTuple):
-    """What a call runs on, checked against the configuration."""
-
-    rules: _Rules
-    repeatable: bool
-
-
-def _plain_record(record: CallRecord) -> dict[str, Any]:
-    shown = ("status", "call_kind", "target", "repeatable", "finish", "spent", "reserved")
-    counts = ("prompt_tokens", "cached_tokens", "output_tokens")
-    plain = {name: getattr(record, name) for name in (*shown, *counts)}
-    return {**plain, "endpoint": record.endpoint} if record.endpoint else plain
-
-
-def view(program: ProgramState, *, history: bool) -> ProgramView:
-    """Return a program's state as its caller may see it."""
-    calls = tuple(
-        (call.number, call.call_kind.value, call.target, call.status.value, call.answer)
-        for call in program.calls.values()
-    )
-    return ProgramView(
-        program=program.program,
-        branch=program.branch,
-        kind=program.kind,
-        parent=program.parent,
-        incarnation=program.incarnation,
-        next_number=program.last_number + 1,
-        tokens_used=program.tokens_used,
-        ended=program.ended,
-        messages=tuple(program.messages) if history else (),
-        calls=calls if history else (),
-    )
