--- a/src/bramleylead/process/_partition_audit.py
+++ b/src/bramleylead/process/_partition_audit.py
@@ -23,6 +23,7 @@
 from bramleylead.process._partition_context import PartitionContext
 from bramleylead.process._partition_record import StoredRecord
 from bramleylead.process._partition_record import list_records
+from bramleylead.process._partition_record import read_record
 from bramleylead.process._partition_table import PartitionTable
 from bramleylead.process._pending import Mode
 
@@ -32,6 +33,7 @@
 EXPIRY_CHECK_S = 0.25
 RECOVERY_WAIT_S = PROOF_VALID_S + 1.0
 """How long a recovery waits after its claim: the oldest proof has run out, with clocks 1% apart."""
+READ_SINGLY_AT_MOST = 4
 LAST_FLUSH_S = 2.0
 
 log = structlog.get_logger()
@@ -65,8 +67,7 @@
         asked_s = anyio.current_time()
         records: dict[int, StoredRecord] | None = None
         with anyio.move_on_after(LIST_TIMEOUT_S):
-            listed = await list_records(self._context.store)
-            records = listed.ok_value if isinstance(listed, Ok) else None
+            records = await self._read()
         if records is None:
             if await self._context.members.store_reachable_by_peers() is False:
                 self._prove(asked_s)
@@ -77,6 +78,23 @@
             if found is not None and found.record.epoch > partition.epoch:
                 await self._give_up(partition)
 
+    async def _read(self) -> dict[int, StoredRecord] | None:
+        """Read the objects of the owned partitions: one by one when there are few of them.
+
+        In a large fleet a node owns few of many partitions, and a list would carry them all.
+        """
+        if len(self._table.owned) > READ_SINGLY_AT_MOST:
+            listed = await list_records(self._context.store)
+            return listed.ok_value if isinstance(listed, Ok) else None
+        records: dict[int, StoredRecord] = {}
+        for number in list(self._table.owned):
+            read = await read_record(self._context.store, number)
+            if not isinstance(read, Ok):
+                return None
+            if read.ok_value is not None:
+                records[number] = read.ok_value
+        return records
+
     def _prove(self, asked_s: float) -> None:
         self._proven_s = asked_s
         for partition in self._table.owned.values():
