Join a run under way whatever incarnation the retry shows

Change: a retry with the old incarnation joins the run under way. Conclusion: regression test added.

--- a/src/bramleylead/process/_admission.py
+++ b/src/bramleylead/process/_admission.py
@@ -61,7 +61,7 @@
     :param running: digests of the program's calls that run on this node, by number.
     """
     if not _incarnation_known(program, request):
-        return _rolled_back(program, request, repeatable=repeatable)
+        return _rolled_back(program, request, repeatable=repeatable, running=running)
     number = _number(program, request)
     digest = request_digest(request)
     if number in running:
@@ -156,13 +156,21 @@
     return request.incarnation == program.incarnation
 
 
-def _rolled_back(program: ProgramState, request: CallRequest, *, repeatable: bool) -> Decision:
+def _rolled_back(
+    program: ProgramState,
+    request: CallRequest,
+    *,
+    repeatable: bool,
+    running: dict[int, str],
+) -> Decision:
     """Answer a caller that has not seen that entries may be lost.
 
     A call that may not be repeated and is not in the journal could have run before the loss.
     """
     known = program.calls.get(request.number)
     if known is not None and known.digest == request_digest(request):
+        if known.number in running:
+            return Join(known.number)
         return _decide_known(program, known, known.digest)
     detail = (
         f"program {program.program}: incarnation is {program.incarnation}, the call says "
--- a/testing/process/test_owner.py
+++ b/testing/process/test_owner.py
@@ -314,6 +314,30 @@
 
 
 class LostPairTest(unittest.TestCase):
+    def test_a_retry_with_an_old_incarnation_joins_the_run_that_is_under_way(self) -> None:
+        """Fault: it started a second run beside the first, and the history got the answer twice."""
+
+        async def body(bench: Bench) -> Any:
+            await bench.open()
+            slow = [EngineChunk("Hello", 1, 0, 7), 5.0, EngineChunk(" there", 1, finish="stop")]
+            bench.backends.engine_script = [slow]
+            ends: list[Any] = []
+
+            async def call() -> None:
+                ends.append(await bench.call(number=1, incarnation=1))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call)
+                await anyio.sleep(1)
+                await bench.directory.only.append(RolledBack(2))
+                tasks.start_soon(call)
+            messages = bench.directory.only.state.programs["p1"].messages
+            return ends, len(bench.backends.generated), len(messages)
+
+        ends, generated, messages = run_with_owner(body)
+        self.assertEqual(ends[0], ends[1])
+        self.assertEqual((generated, messages), (1, 2))
+
     def test_a_program_lost_with_both_copies_is_told_as_lost(self) -> None:
         """Fault: a caller that had seen its program opened was told that there is none."""
 
