Let the winner of the recorded ticket race not hang on random delays

Change: one operator begins 30 ms earlier; the loser is still refused under the same number. Conclusion: only that file changed.

--- a/testing/golden/_sessions.py
+++ b/testing/golden/_sessions.py
@@ -191,6 +191,9 @@
     _note_effects(recorder)
 
 
+HEAD_START_S = 0.03
+
+
 @golden_session("ticket-race", ratsakool)
 async def _ticket_race(recorder: Recorder) -> None:
     """Two operators submit different tickets under one number; the loser takes the next one."""
@@ -204,6 +207,8 @@
     async with anyio.create_task_group() as tasks:
         for node, limit in limits.items():
             tasks.start_soon(submit, node, 2, limit)
+            # Who wins must not hang on the store's random delays.
+            await anyio.sleep(HEAD_START_S)
     loser = max(limits, key=lambda node: answers[node])
     winner = min(limits, key=lambda node: answers[node])
     await submit(loser, 3, limits[loser])
