Serve a deployment's requests: gateways before the replicas, a ledger on disks

Gateways read the configuration and the list of replicas from its store, send each request to a replica themselves, and keep turns and budgets on the VMs with disks, whose members the store lists.

--- /dev/null
+++ b/src/bramleylead/cli/_site_process.py
@@ -0,0 +1,59 @@
+"""What the commands of a deployment's two roles share: settings, logs, and how they end."""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Awaitable
+from collections.abc import Callable
+from pathlib import Path
+from typing import TypeVar
+
+import anyio
+from absl import flags
+from result import Err
+
+from bramleylead.cli._exit import ExitCode
+from bramleylead.gateway._settings import SiteSettings
+from bramleylead.logs import configure_logs
+from bramleylead.validation import load_model
+
+SETTINGS_VARIABLE = "BRAMLEYLEAD_NODE_FILE"
+
+_S = TypeVar("_S", bound=SiteSettings)
+
+
+def define_settings_flag(values: flags.FlagValues) -> None:
+    """Define ``--settings``."""
+    flags.DEFINE_string(
+        "settings",
+        "",
+        f"JSON file with the settings; else the one that {SETTINGS_VARIABLE} names.",
+        flag_values=values,
+    )
+
+
+def run_site_process(
+    name: str,
+    model: type[_S],
+    run: Callable[[_S, Path], Awaitable[None]],
+    values: flags.FlagValues,
+) -> int:
+    """Check the settings whole, then run until a signal."""
+    file = values.settings or os.environ.get(SETTINGS_VARIABLE, "")
+    if not file:
+        print(f"{name}: name a file by --settings or {SETTINGS_VARIABLE}", file=sys.stderr)
+        return ExitCode.USAGE
+    try:
+        text = Path(file).read_bytes()
+    except OSError as error:
+        print(f"{name}: {file}: {error.strerror}", file=sys.stderr)
+        return ExitCode.INVALID
+    loaded = load_model(model, text)
+    if isinstance(loaded, Err):
+        for fault in loaded.err_value:
+            print(f"{file}: {fault}", file=sys.stderr)
+        return ExitCode.INVALID
+    configure_logs("json", stream=sys.stdout)
+    anyio.run(run, loaded.ok_value, Path(file), backend="asyncio")
+    return ExitCode.OK
--- a/src/bramleylead/connection/_http_client.py
+++ b/src/bramleylead/connection/_http_client.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import AsyncIterator
 from collections.abc import Mapping
 from contextlib import asynccontextmanager
@@ -27,6 +28,7 @@
 KEEP_ALIVE_S = 5.0
 MAX_CONNECTIONS = 4096
 MAX_ANSWER_BYTES = 64_000_000
+SILENT_PROBES = 2
 SENDING_EVENT = "http11.send_request_headers.started"
 
 Headers = Mapping[str, str]
@@ -68,11 +70,14 @@
 
     :param address: ``host:port``, the host an IP number.
     :param keep_alive: whether a connection serves a second request.
+    :param silent_after_s: connections whose other end says nothing for about twice as long, not
+        even to the kernel's probes, are given up; 0 leaves that to the kernel's defaults.
     """
 
-    def __init__(self, address: str, *, keep_alive: bool = True) -> None:
+    def __init__(self, address: str, *, keep_alive: bool = True, silent_after_s: int = 0) -> None:
         self._base = f"http://{address}"
         self._address = address
+        self._socket_options = probe_options(silent_after_s)
         self._kept_connections = MAX_CONNECTIONS if keep_alive else 0
         self._pool = self._new_pool()
         self._retired: list[httpcore.AsyncConnectionPool] = []
@@ -196,6 +201,7 @@
             max_keepalive_connections=self._kept_connections,
             keepalive_expiry=KEEP_ALIVE_S,
             network_backend=GatheringBackend(),
+            socket_options=self._socket_options,
         )
 
 
@@ -210,6 +216,25 @@
             self.sent = True
 
 
+def probe_options(silent_after_s: int) -> list[tuple[int, int, int]]:
+    """Return the socket options by which the kernel gives up a connection that went silent.
+
+    :param silent_after_s: idle time before the first probe, in whole seconds; 0 for none.
+    """
+    if not silent_after_s:
+        return []
+    tcp = socket.IPPROTO_TCP
+    probes = SILENT_PROBES
+    interval_s = max(1, silent_after_s // probes)
+    return [
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (tcp, socket.TCP_KEEPIDLE, silent_after_s),
+        (tcp, socket.TCP_KEEPINTVL, interval_s),
+        (tcp, socket.TCP_KEEPCNT, probes),
+        (tcp, socket.TCP_USER_TIMEOUT, (silent_after_s + probes * interval_s) * 1000),
+    ]
+
+
 def _is_idle(pool: httpcore.AsyncConnectionPool) -> bool:
     return all(connection.is_idle() for connection in pool.connections)
 
--- a/src/bramleylead/errors.py
+++ b/src/bramleylead/errors.py
@@ -24,6 +24,7 @@
     UNKNOWN_BRANCH = "unknown_branch"
     UNKNOWN_PROGRAM = "unknown_program"
     UNKNOWN_TARGET = "unknown_target"
+    UNKNOWN_TURN = "unknown_turn"
     PROGRAM_ENDED = "program_ended"
     OUT_OF_ORDER = "out_of_order"
     DUPLICATE_MISMATCH = "duplicate_mismatch"
@@ -71,6 +72,7 @@
     ErrorKind.UNKNOWN_BRANCH: Answer(404, Ran.NOT_RUN, None, "name a branch a ticket created"),
     ErrorKind.UNKNOWN_PROGRAM: Answer(404, Ran.NOT_RUN, None, "open the program first"),
     ErrorKind.UNKNOWN_TARGET: Answer(404, Ran.NOT_RUN, None, "name a model or tool allowed here"),
+    ErrorKind.UNKNOWN_TURN: Answer(404, Ran.NOT_RUN, None, "start a new chain of turns"),
     ErrorKind.PROGRAM_ENDED: Answer(409, Ran.NOT_RUN, None, "open a new program"),
     ErrorKind.OUT_OF_ORDER: Answer(409, Ran.NOT_RUN, None, "send the calls in number order"),
     ErrorKind.DUPLICATE_MISMATCH: Answer(409, Ran.NOT_RUN, None, "use a new call number"),
--- /dev/null
+++ b/src/bramleylead/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The role before the callers: takes a request, decides, and sends it to a replica itself."""
--- /dev/null
+++ b/src/bramleylead/gateway/_budgets.py
@@ -0,0 +1,83 @@
+"""Budgets of programs: a turn's most is reserved before it is sent, and settled after it."""
+
+from __future__ import annotations
+
+from typing import final
+
+import structlog
+from anyio.abc import TaskGroup
+from result import Err
+from result import Ok
+from result import Result
+
+from bramleylead.errors import ErrorKind
+from bramleylead.errors import Failure
+from bramleylead.gateway._types import CallFacts
+from bramleylead.ledger._client import LedgerClient
+from bramleylead.ledger._records import Spending
+
+log = structlog.get_logger()
+
+
+@final
+class Budgets:
+    """Reserves and settles what turns spend.
+
+    :param tasks: runs what need not be waited for.
+    """
+
+    def __init__(self, ledger: LedgerClient, tasks: TaskGroup) -> None:
+        self._ledger = ledger
+        self._tasks = tasks
+
+    async def reserve(self, facts: CallFacts) -> Result[None, Failure]:
+        """Reserve a turn's most; ``BUDGET_EXHAUSTED`` if the budget does not hold it."""
+        if facts.budget_tokens is None:
+            return Ok(None)
+        reserved = await self._ledger.reserve(_most(facts))
+        if isinstance(reserved, Err):
+            # Some members may hold it: what is not sent must not count as spent.
+            self._tasks.start_soon(self._settle, facts, 0)
+            return reserved
+        known = reserved.ok_value
+        others = sum(spending.tokens for turn, spending in known.items() if turn != facts.request)
+        enough = others + facts.most_tokens <= facts.budget_tokens
+        log.info(
+            "budget_reserved" if enough else "budget_spent",
+            request=facts.request,
+            program=facts.program,
+            budget=facts.budget_tokens,
+            spent=others,
+            most=facts.most_tokens,
+            turns=len(known),
+            unsettled=sum(not spending.settled for spending in known.values()),
+        )
+        if enough:
+            return Ok(None)
+        self._tasks.start_soon(self._settle, facts, 0)
+        detail = (
+            f"program {facts.program}: {others} of {facts.budget_tokens} tokens are spent, "
+            f"and this turn may take {facts.most_tokens}"
+        )
+        return Err(Failure(ErrorKind.BUDGET_EXHAUSTED, detail))
+
+    def settle(self, facts: CallFacts, tokens: int) -> None:
+        """Say what a turn has spent, without waiting; until then its most counts."""
+        if facts.budget_tokens is not None:
+            self._tasks.start_soon(self._settle, facts, tokens)
+
+    async def _settle(self, facts: CallFacts, tokens: int) -> None:
+        spending = Spending(facts.program, facts.request, tokens, True)
+        settled = await self._ledger.settle(spending)
+        if isinstance(settled, Err):
+            log.warning(
+                "budget_unsettled",
+                request=facts.request,
+                program=facts.program,
+                tokens=tokens,
+                reason=settled.err_value.detail,
+            )
+
+
+def _most(facts: CallFacts) -> Spending:
+    return Spending(facts.program, facts.request, facts.most_tokens, False)
--- /dev/null
+++ b/src/bramleylead/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""The role on VMs with disks: kept turns and what programs have spent, on several disks each."""
--- /dev/null
+++ b/src/bramleylead/ledger/_client.py
@@ -0,0 +1,311 @@
+"""The ledger as a gateway uses it: an entry counts once enough members have it on disk."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from types import TracebackType
+from typing import Any
+from typing import Self
+from typing import final
+
+import anyio
+import structlog
+from anyio.abc import TaskGroup
+from result import Err
+from result import Ok
+from result import Result
+
+from bramleylead.connection import PeerClient
+from bramleylead.errors import ErrorKind
+from bramleylead.errors import Failure
+from bramleylead.ledger._members import NO_VIEW
+from bramleylead.ledger._members import LedgerMember
+from bramleylead.ledger._members import LedgerView
+from bramleylead.ledger._messages import AskState
+from bramleylead.ledger._messages import Chain
+from bramleylead.ledger._messages import FindChain
+from bramleylead.ledger._messages import Keep
+from bramleylead.ledger._messages import NodeState
+from bramleylead.ledger._messages import Reserve
+from bramleylead.ledger._messages import Settle
+from bramleylead.ledger._messages import StaleEpoch
+from bramleylead.ledger._records import KeptTurn
+from bramleylead.ledger._records import Spending
+from bramleylead.ledger._records import union
+
+ENTRY_TIMEOUT_S = 1.5
+HEDGE_S = 0.06
+LEARN_INTERVAL_S = 0.5
+STATE_TIMEOUT_S = 0.5
+RETRIES = 3
+RETRY_AFTER_S = 0.3
+
+log = structlog.get_logger()
+
+ReadMembers = Callable[[], Awaitable[Result[LedgerView, str]]]
+
+
+class _Round:
+    """The answers of one view's members to one entry."""
+
+    def __init__(self, view: LedgerView, need: int) -> None:
+        self.view = view
+        self.need = need
+        self.acks: list[Any] = []
+        self.newer: LedgerView | None = None
+        self.failures: list[str] = []
+        self.open = len(view.members)
+        self.decided = anyio.Event()
+
+    def take(self, member: LedgerMember, answer: Result[Any, Failure]) -> None:
+        self.open -= 1
+        if isinstance(answer, Err):
+            self.failures.append(f"{member.node}: {answer.err_value.detail}")
+        elif isinstance(answer.ok_value, StaleEpoch):
+            self._take_stale(member, answer.ok_value)
+        elif answer.ok_value.disk != member.disk or answer.ok_value.epoch != self.view.epoch:
+            self.failures.append(f"{member.node}: answered for another disk or epoch")
+        else:
+            self.acks.append(answer.ok_value)
+        if len(self.acks) >= self.need or self.newer is not None or not self.open:
+            self.decided.set()
+
+    def _take_stale(self, member: LedgerMember, stale: StaleEpoch) -> None:
+        if stale.view.epoch > self.view.epoch:
+            self.newer = stale.view
+        else:
+            self.failures.append(f"{member.node}: is no member at epoch {stale.view.epoch}")
+
+
+@final
+class LedgerClient:
+    """Makes entries in the ledger and reads it.
+
+    :param read_members: reads the list of members from the platform's store.
+    :param losses: how many members may lose their disks at once.
+    :param is_near: whether a member is close by and asked first.
+    """
+
+    def __init__(
+        self,
+        peers: PeerClient,
+        read_members: ReadMembers,
+        *,
+        losses: int,
+        is_near: Callable[[LedgerMember], bool] = lambda member: False,
+    ) -> None:
+        self._peers = peers
+        self._read_members = read_members
+        self._losses = losses
+        self._is_near = is_near
+        self._view = NO_VIEW
+        self._learning = anyio.Lock()
+        self._learned_at = -LEARN_INTERVAL_S
+        self._tasks: TaskGroup | None = None
+
+    async def __aenter__(self) -> Self:
+        self._tasks = anyio.create_task_group()
+        await self._tasks.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> bool | None:
+        assert self._tasks is not None
+        self._tasks.cancel_scope.cancel()
+        return await self._tasks.__aexit__(kind, error, trace)
+
+    @property
+    def view(self) -> LedgerView:
+        """The members as this client knows them."""
+        return self._view
+
+    async def reserve(self, spending: Spending) -> Result[dict[str, Spending], Failure]:
+        """Reserve a turn's most; returns all spending of the program that is known."""
+        acks = await self._enter(lambda epoch: Reserve(epoch, spending))
+        if isinstance(acks, Err):
+            return acks
+        return Ok(union(ack.known for ack in acks.ok_value))
+
+    async def settle(self, spending: Spending) -> Result[None, Failure]:
+        """Say what a turn has spent."""
+        return _nothing(await self._enter(lambda epoch: Settle(epoch, spending)))
+
+    async def keep(self, turn: KeptTurn) -> Result[None, Failure]:
+        """Keep a turn that was answered whole, and settle its spending."""
+        return _nothing(await self._enter(lambda epoch: Keep(epoch, turn)))
+
+    async def find_chain(self, turn: str) -> Result[list[KeptTurn], Failure]:
+        """Return a turn and all those before it, oldest first.
+
+        The failure is ``UNKNOWN_TURN`` if it is certain that no such turn is kept.
+        """
+        for _ in range(RETRIES):
+            view = await self._members()
+            found = await self._find(view, turn)
+            if found is not None:
+                return found
+        return Err(_unavailable(f"turn {turn}: the ledger's members change"))
+
+    async def learn(self) -> None:
+        """Read the list of members, from a member or from the platform's store."""
+        async with self._learning:
+            if anyio.current_time() - self._learned_at < LEARN_INTERVAL_S:
+                return
+            self._learned_at = anyio.current_time()
+            for member in self._view.members:
+                answer = await self._peers.request(
+                    member.address, AskState(), timeout_s=STATE_TIMEOUT_S, idempotent=True
+                )
+                if isinstance(answer, Ok) and isinstance(answer.ok_value, NodeState):
+                    self._adopt(answer.ok_value.view, source=member.node)
+            read = await self._read_members()
+            if isinstance(read, Ok):
+                self._adopt(read.ok_value, source="store")
+
+    def _adopt(self, view: LedgerView, *, source: str) -> None:
+        if view.epoch > self._view.epoch:
+            self._view = view
+            names = [member.node for member in view.members]
+            log.info("ledger_members_changed", epoch=view.epoch, members=names, source=source)
+
+    async def _members(self) -> LedgerView:
+        if len(self._view.members) <= self._losses:
+            await self.learn()
+        return self._view
+
+    async def _enter(self, entry: Callable[[int], Any]) -> Result[list[Any], Failure]:
+        """Send an entry to all members and wait until it counts."""
+        detail = ""
+        for _ in range(RETRIES):
+            view = await self._members()
+            if len(view.members) <= self._losses:
+                detail = f"{len(view.members)} members, more than {self._losses} are needed"
+                break
+            round_ = self._send_all(view, entry(view.epoch))
+            with anyio.move_on_after(ENTRY_TIMEOUT_S):
+                await round_.decided.wait()
+            if round_.newer is not None:
+                self._adopt(round_.newer, source="answer")
+                continue
+            if len(round_.acks) >= round_.need:
+                return Ok(list(round_.acks))
+            detail = f"{len(round_.acks)} of {round_.need} acknowledgements; {round_.failures}"
+            assert self._tasks is not None
+            self._tasks.start_soon(self.learn)
+            break
+        return Err(_unavailable(f"ledger at epoch {self._view.epoch}: {detail}"))
+
+    def _send_all(self, view: LedgerView, entry: Any) -> _Round:
+        """Start sending; those that are late still get the entry after it counts."""
+        assert self._tasks is not None, "LedgerClient is used outside its context"
+        round_ = _Round(view, view.acks_needed(self._losses))
+        for member in view.members:
+            self._tasks.start_soon(self._send, member, entry, round_)
+        return round_
+
+    async def _send(self, member: LedgerMember, entry: Any, round_: _Round) -> None:
+        answer = await self._peers.request(
+            member.address, entry, timeout_s=ENTRY_TIMEOUT_S, idempotent=True
+        )
+        round_.take(member, answer)
+
+    async def _find(self, view: LedgerView, turn: str) -> Result[list[KeptTurn], Failure] | None:
+        """Ask the members, the near ones first; ``None`` to begin anew with another view."""
+        asked = _Search(self._peers, view, turn)
+        ordered = sorted(view.members, key=lambda member: not self._is_near(member))
+        async with anyio.create_task_group() as tasks:
+            with anyio.move_on_after(ENTRY_TIMEOUT_S):
+                for member in ordered:
+                    tasks.start_soon(asked.ask, member)
+                    with anyio.move_on_after(HEDGE_S):
+                        await asked.answered.wait()
+                    if asked.is_over:
+                        break
+                while not asked.is_over:
+                    await asked.answered.wait()
+            tasks.cancel_scope.cancel()
+        if asked.newer is not None:
+            self._adopt(asked.newer, source="answer")
+            return None
+        whole = asked.whole()
+        if whole is not None:
+            return Ok(whole)
+        if asked.absent > len(view.members) - view.acks_needed(self._losses):
+            return Err(Failure(ErrorKind.UNKNOWN_TURN, f"turn {turn} is not kept"))
+        assert self._tasks is not None
+        self._tasks.start_soon(self.learn)
+        return Err(_unavailable(f"turn {turn}: {asked.absent} of {len(view.members)} answered"))
+
+
+class _Search:
+    """The answers of one view's members on one turn."""
+
+    def __init__(self, peers: PeerClient, view: LedgerView, turn: str) -> None:
+        self._peers = peers
+        self._view = view
+        self._turn = turn
+        self._held: dict[str, KeptTurn] = {}
+        self._open = len(view.members)
+        self.absent = 0
+        self.newer: LedgerView | None = None
+        self.answered = anyio.Event()
+
+    @property
+    def is_over(self) -> bool:
+        """Whether no further answer is needed, or none is to come."""
+        return not self._open or self.newer is not None or self.whole() is not None
+
+    async def ask(self, member: LedgerMember) -> None:
+        """Ask one member."""
+        request = FindChain(self._view.epoch, self._turn)
+        answer = await self._peers.request(
+            member.address, request, timeout_s=ENTRY_TIMEOUT_S, idempotent=True
+        )
+        self._open -= 1
+        if isinstance(answer, Ok):
+            self._take(member, answer.ok_value)
+        else:
+            log.info(
+                "turn_lookup_failed",
+                turn=self._turn,
+                member=member.node,
+                reason=answer.err_value.detail,
+            )
+        self.answered.set()
+        self.answered = anyio.Event()
+
+    def whole(self) -> list[KeptTurn] | None:
+        """Return the chain, oldest first, if every turn of it is there."""
+        chain = []
+        name = self._turn
+        while name:
+            turn = self._held.get(name)
+            if turn is None:
+                return None
+            chain.append(turn)
+            name = turn.previous
+        return chain[::-1]
+
+    def _take(self, member: LedgerMember, answer: Any) -> None:
+        if isinstance(answer, StaleEpoch):
+            if answer.view.epoch > self._view.epoch:
+                self.newer = answer.view
+            return
+        if not isinstance(answer, Chain) or answer.disk != member.disk:
+            return
+        self._held |= {turn.turn: turn for turn in answer.turns}
+        if not answer.turns:
+            self.absent += 1
+
+
+def _nothing(result: Result[Any, Failure]) -> Result[None, Failure]:
+    return result if isinstance(result, Err) else Ok(None)
+
+
+def _unavailable(detail: str) -> Failure:
+    return Failure(ErrorKind.NOT_DURABLE, detail, RETRY_AFTER_S)
--- /dev/null
+++ b/src/bramleylead/ledger/_node.py
@@ -0,0 +1,280 @@
+"""One node of the ledger: answers gateways, and copies what other nodes hold."""
+
+from __future__ import annotations
+
+import secrets
+from typing import Any
+from typing import NamedTuple
+from typing import final
+
+import anyio
+import structlog
+from result import Err
+from result import Ok
+from result import Result
+
+from bramleylead.connection import Done
+from bramleylead.connection import PeerClient
+from bramleylead.connection import PeerServer
+from bramleylead.connection import Reply
+from bramleylead.errors import ErrorKind
+from bramleylead.errors import Failure
+from bramleylead.ledger._log import Disk
+from bramleylead.ledger._members import NO_VIEW
+from bramleylead.ledger._members import LedgerMember
+from bramleylead.ledger._members import LedgerView
+from bramleylead.ledger._messages import AskKeys
+from bramleylead.ledger._messages import AskRecords
+from bramleylead.ledger._messages import AskState
+from bramleylead.ledger._messages import CatchUp
+from bramleylead.ledger._messages import Chain
+from bramleylead.ledger._messages import FindChain
+from bramleylead.ledger._messages import Keep
+from bramleylead.ledger._messages import Keys
+from bramleylead.ledger._messages import NodeState
+from bramleylead.ledger._messages import OnDisk
+from bramleylead.ledger._messages import Records
+from bramleylead.ledger._messages import Reserve
+from bramleylead.ledger._messages import Reserved
+from bramleylead.ledger._messages import Settle
+from bramleylead.ledger._messages import StaleEpoch
+from bramleylead.ledger._records import KeptTurn
+from bramleylead.ledger._records import LedgerState
+from bramleylead.ledger._records import Record
+from bramleylead.ledger._writer import RecordWriter
+
+KEYS_LIMIT = 2_000
+RECORDS_LIMIT_BYTES = 1_000_000
+PEER_TIMEOUT_S = 1.0
+COPY_TIMEOUT_S = 3.0
+RUN_NAME_BYTES = 6
+
+log = structlog.get_logger()
+
+
+class _Cursor(NamedTuple):
+    """How far another node's records have been copied."""
+
+    run: str
+    last: int
+
+
+@final
+class LedgerNode:
+    """The records of one node, and how it knows the other members.
+
+    :param address: where gateways and other nodes reach it.
+    """
+
+    def __init__(self, *, node: str, address: str, disk: Disk, peers: PeerClient) -> None:
+        self._node = node
+        self._address = address
+        self._disk = disk
+        self._peers = peers
+        self._run = secrets.token_hex(RUN_NAME_BYTES)
+        self._state = LedgerState()
+        self._writer = RecordWriter(disk, self._state)
+        self._cursors: dict[str, _Cursor] = {}
+        self._view = NO_VIEW
+
+    @property
+    def me(self) -> LedgerMember:
+        """The entry of this node as a member."""
+        return LedgerMember(self._node, self._address, self._disk.name)
+
+    @property
+    def view(self) -> LedgerView:
+        """The members as this node knows them."""
+        return self._view
+
+    @property
+    def state(self) -> LedgerState:
+        """The records held."""
+        return self._state
+
+    @property
+    def is_member(self) -> bool:
+        """Whether this node with this disk is a member."""
+        return self.me in self._view.members
+
+    async def load(self) -> None:
+        """Read the disk.
+
+        :raises OSError: if it can't be read.
+        """
+        self._view, records = await self._disk.load()
+        now = anyio.current_time()
+        for record in records:
+            self._state.add(record, now=now)
+        log.info(
+            "ledger_loaded",
+            node=self._node,
+            disk=self._disk.name,
+            records=len(records),
+            epoch=self._view.epoch,
+        )
+
+    async def run_writer(self) -> None:
+        """Write records until cancelled."""
+        await self._writer.run()
+
+    async def expire(self) -> None:
+        """Drop what no caller may ask for any more."""
+        dropped = self._state.expire(anyio.current_time())
+        if dropped:
+            log.info("records_expired", node=self._node, dropped=dropped, held=len(self._state))
+        await self._disk.drop_unheld(lambda key: self._state.get(key) is not None)
+
+    def serve_on(self, server: PeerServer) -> None:
+        """Register the handlers of the ledger's messages."""
+        server.handle(Reserve, self._reserve)
+        server.handle(Settle, self._settle)
+        server.handle(Keep, self._keep)
+        server.handle(FindChain, self._find_chain)
+        server.handle(AskState, self._ask_state)
+        server.handle(AskKeys, self._ask_keys)
+        server.handle(AskRecords, self._ask_records)
+        server.handle(CatchUp, self._catch_up)
+
+    async def adopt(self, view: LedgerView) -> None:
+        """Take a later view for known; entries under an earlier one are refused from then on."""
+        if view.epoch <= self._view.epoch:
+            return
+        before = self._view
+        self._view = view
+        await self._disk.write_view(view)
+        log.info(
+            "ledger_members_changed",
+            node=self._node,
+            epoch=view.epoch,
+            members=[member.node for member in view.members],
+            former_epoch=before.epoch,
+            member=self.is_member,
+        )
+
+    async def ask_state(self, member: LedgerMember) -> NodeState | None:
+        """Ask another node who it is; a later view that it knows is adopted."""
+        answer = await self._peers.request(
+            member.address, AskState(), timeout_s=PEER_TIMEOUT_S, idempotent=True
+        )
+        if isinstance(answer, Err) or not isinstance(answer.ok_value, NodeState):
+            return None
+        state = answer.ok_value
+        await self.adopt(state.view)
+        return state
+
+    async def copy_from(self, member: LedgerMember) -> Result[None, Failure]:
+        """Copy all records that another node holds and this one lacks."""
+        cursor = self._cursors.get(member.node, _Cursor("", 0))
+        more = True
+        while more:
+            request = AskKeys(cursor.run, cursor.last)
+            answer = await self._ask(member, request)
+            if isinstance(answer, Err):
+                return answer
+            page = answer.ok_value
+            copied = await self._copy_keys(member, page.keys)
+            if isinstance(copied, Err):
+                return copied
+            cursor = _Cursor(page.run, page.last)
+            more = page.more
+        self._cursors[member.node] = cursor
+        return Ok(None)
+
+    async def _copy_keys(
+        self, member: LedgerMember, keys: tuple[str, ...]
+    ) -> Result[None, Failure]:
+        wanted = [key for key in keys if self._state.get(key) is None]
+        while wanted:
+            answer = await self._ask(member, AskRecords(tuple(wanted)))
+            if isinstance(answer, Err):
+                return answer
+            found: list[Record] = [*answer.ok_value.turns, *answer.ok_value.spendings]
+            if not found:
+                break  # they have expired there since
+            try:
+                await self._writer.write(found)
+            except OSError as error:
+                return Err(Failure(ErrorKind.NOT_DURABLE, f"disk of {self._node}: {error}"))
+            wanted = [key for key in wanted if self._state.get(key) is None]
+        return Ok(None)
+
+    async def _ask(self, member: LedgerMember, request: Any) -> Result[Any, Failure]:
+        return await self._peers.request(
+            member.address, request, timeout_s=COPY_TIMEOUT_S, idempotent=True
+        )
+
+    async def _refuse_stale(self, epoch: int, reply: Reply) -> bool:
+        """Refuse an entry made for members that have changed since, or for another node."""
+        if epoch >= self._view.epoch and self.is_member:
+            return False
+        await reply.send(StaleEpoch(self._view))
+        return True
+
+    async def _reserve(self, request: Reserve, reply: Reply) -> None:
+        if await self._write_for(request.epoch, request.spending, reply):
+            known = tuple(self._state.spendings(request.spending.program))
+            answer = Reserved(self._node, self._disk.name, self._view.epoch, known)
+            await reply.send(answer)
+
+    async def _settle(self, request: Settle, reply: Reply) -> None:
+        if await self._write_for(request.epoch, request.spending, reply):
+            await reply.send(OnDisk(self._node, self._disk.name, self._view.epoch))
+
+    async def _keep(self, request: Keep, reply: Reply) -> None:
+        if await self._write_for(request.epoch, request.turn, reply):
+            await reply.send(OnDisk(self._node, self._disk.name, self._view.epoch))
+
+    async def _write_for(self, epoch: int, record: Record, reply: Reply) -> bool:
+        """Write a record for a gateway; the epoch is checked again once it is on disk."""
+        if await self._refuse_stale(epoch, reply):
+            return False
+        try:
+            await self._writer.write([record])
+        except OSError as error:
+            detail = f"disk of {self._node}: {error}"
+            await reply.fail(Failure(ErrorKind.NOT_DURABLE, detail))
+            return False
+        return not await self._refuse_stale(epoch, reply)
+
+    async def _find_chain(self, request: FindChain, reply: Reply) -> None:
+        if await self._refuse_stale(request.epoch, reply):
+            return
+        turns = tuple(self._state.chain(request.turn))
+        await reply.send(Chain(self._node, self._disk.name, self._view.epoch, turns))
+
+    async def _ask_state(self, request: AskState, reply: Reply) -> None:
+        await reply.send(NodeState(self._node, self._disk.name, self._run, self._view))
+
+    async def _ask_keys(self, request: AskKeys, reply: Reply) -> None:
+        after = request.after if request.run == self._run else 0
+        last, keys = self._state.keys_after(after, limit=KEYS_LIMIT)
+        more = last < self._state.last_number
+        await reply.send(Keys(self._run, last, tuple(keys), more))
+
+    async def _ask_records(self, request: AskRecords, reply: Reply) -> None:
+        turns: list[KeptTurn] = []
+        spendings = []
+        size = 0
+        for key in request.keys:
+            record = self._state.get(key)
+            if isinstance(record, KeptTurn):
+                turns.append(record)
+                size += len(record.given) + len(record.made)
+            elif record is not None:
+                spendings.append(record)
+            if size > RECORDS_LIMIT_BYTES:
+                break
+        await reply.send(Records(tuple(turns), tuple(spendings)))
+
+    async def _catch_up(self, request: CatchUp, reply: Reply) -> None:
+        await self.adopt(request.view)
+        for name in request.among:
+            member = request.view.member(name)
+            if member is None or name == self._node:
+                continue
+            copied = await self.copy_from(member)
+            if isinstance(copied, Err):
+                await reply.fail(copied.err_value)
+                return
+        await reply.send(Done())
--- /dev/null
+++ b/src/bramleylead/ledger/_run.py
@@ -0,0 +1,133 @@
+"""Runs a node of the ledger until a signal ends it."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+from pathlib import Path
+from typing import final
+
+import anyio
+import structlog
+
+from bramleylead.connection import PeerClient
+from bramleylead.connection import PeerServer
+from bramleylead.connection import TcpNetwork
+from bramleylead.gateway._follow import follow
+from bramleylead.gateway._settings import LedgerSettings
+from bramleylead.ledger._log import FileDisk
+from bramleylead.ledger._member_list import StoredMemberList
+from bramleylead.ledger._membership import Membership
+from bramleylead.ledger._node import LedgerNode
+from bramleylead.platform import _names as names
+from bramleylead.platform._objects import ObjectChange
+from bramleylead.platform._objects import PlatformObject
+from bramleylead.platform._objects import PlatformStore
+
+EXPIRE_INTERVAL_S = 10.0
+RETIRE_RETRY_S = 0.3
+DRAIN_S = 1.0
+
+log = structlog.get_logger()
+
+
+@final
+class RetirementFollower:
+    """Notices when the operator wants this VM emptied."""
+
+    kind = names.RETIREMENT_KIND
+
+    def __init__(self, node: str) -> None:
+        self._node = node
+        self.wanted = anyio.Event()
+
+    def take_all(self, objects: Sequence[PlatformObject]) -> None:
+        """Take in the whole list."""
+        for found in objects:
+            self._take(found)
+
+    def take(self, change: ObjectChange) -> None:
+        """Take in one change."""
+        if not change.removed:
+            self._take(change.changed)
+
+    def _take(self, found: PlatformObject) -> None:
+        if found.name == self._node and not self.wanted.is_set():
+            log.info("retirement_wanted", node=self._node, revision=found.revision)
+            self.wanted.set()
+
+
+async def run_ledger(settings: LedgerSettings, path: Path) -> None:
+    """Run a node of the ledger until SIGTERM.
+
+    :param path: the settings file, named in the log on SIGHUP.
+    :raises OSError: if the address can't be bound or the disk can't be read.
+    """
+    network = TcpNetwork()
+    address = f"{settings.host}:{settings.peer_ports[0]}"
+    server = PeerServer(node=settings.node, cluster_key=settings.cluster_key)
+    async with (
+        PlatformStore(settings.store.address) as store,
+        PeerClient(network, node=settings.node, cluster_key=settings.cluster_key) as peers,
+        anyio.create_task_group() as tasks,
+    ):
+        disk = FileDisk(Path(settings.data_folder))
+        node = LedgerNode(node=settings.node, address=address, disk=disk, peers=peers)
+        await node.load()
+        node.serve_on(server)
+        membership = Membership(node, StoredMemberList(store), peers, losses=settings.losses)
+        retirement = RetirementFollower(settings.node)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            tasks.start_soon(node.run_writer)
+            await tasks.start(network.serve, address, server.serve_stream)
+            tasks.start_soon(_run_expiry, node)
+            tasks.start_soon(follow, store, retirement, _nothing)
+            tasks.start_soon(_run_membership, membership, retirement, store, settings.node)
+            log.info("ledger_serving", node=settings.node, address=address, disk=disk.name)
+            async for number in signals:
+                if number is signal.SIGHUP:
+                    log.info("settings_changed", node=settings.node, file=str(path))
+                    continue
+                log.info("ledger_stopping", node=settings.node)
+                await server.drain(timeout_s=DRAIN_S)
+                break
+        tasks.cancel_scope.cancel()
+    log.info("ledger_stopped", node=settings.node)
+
+
+async def _run_membership(
+    membership: Membership, retirement: RetirementFollower, store: PlatformStore, node: str
+) -> None:
+    """Look after the membership, and leave it once the operator wants that."""
+
+    async def completed() -> bool:
+        done = {"state": names.STATE_COMPLETED}
+        return (await store.set_status(names.RETIREMENT_KIND, node, done)).is_ok()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(membership.run)
+        await retirement.wanted.wait()
+        await store.set_status(names.RETIREMENT_KIND, node, {"state": names.STATE_RUNNING})
+        await _until(membership.leave)
+        await _until(completed)
+        log.info("retirement_completed", node=node)
+
+
+async def _until(step: Callable[[], Awaitable[bool]]) -> None:
+    """Repeat a step until it has succeeded."""
+    while True:
+        if await step():
+            return
+        await anyio.sleep(RETIRE_RETRY_S)
+
+
+async def _run_expiry(node: LedgerNode) -> None:
+    while True:
+        await anyio.sleep(EXPIRE_INTERVAL_S)
+        await node.expire()
+
+
+def _nothing() -> None:
+    """Take no notice of trouble at the store: the follower logs it."""
--- a/src/bramleylead/logs.py
+++ b/src/bramleylead/logs.py
@@ -1,19 +1,23 @@
-"""Sets up structlog: JSON lines, or lines for people on a terminal. Both go to standard error."""
+"""Sets up structlog: JSON lines, or lines for people on a terminal."""
 
 from __future__ import annotations
 
 import logging
 import sys
 from typing import Any
+from typing import TextIO
 
 import structlog
 
 LOG_FORMATS = ("json", "console")
 
 
-def configure_logs(log_format: str, *, level: int = logging.INFO) -> None:
+def configure_logs(
+    log_format: str, *, level: int = logging.INFO, stream: TextIO | None = None
+) -> None:
     """Set up logging for the whole process.
 
+    :param stream: standard error if left out.
     :raises ValueError: for an unknown format.
     """
     if log_format not in LOG_FORMATS:
@@ -26,7 +30,7 @@
             *_renderers(log_format),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
         cache_logger_on_first_use=False,
     )
 
--- /dev/null
+++ b/src/bramleylead/platform/_decode.py
@@ -0,0 +1,105 @@
+"""The deployment's configuration and list of replicas, read from the platform's objects."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from bramleylead.gateway._types import CallKind
+from bramleylead.gateway._types import Configuration
+from bramleylead.gateway._types import EngineSpec
+from bramleylead.gateway._types import Limits
+from bramleylead.gateway._types import Replica
+from bramleylead.gateway._types import Route
+from bramleylead.gateway._types import Service
+from bramleylead.gateway._types import Share
+
+MS_PER_S = 1000.0
+KINDS = {"safe": CallKind.SAFE, "unsafe": CallKind.UNSAFE, "streaming": CallKind.STREAM}
+STATES = ("ready", "draining")
+
+
+class UnreadableError(ValueError):
+    """An object of the platform that holds no usable value."""
+
+
+def read_configuration(plain: Any) -> Configuration:
+    """Return the configuration that an object holds.
+
+    :raises UnreadableError: if it can't be read.
+    """
+    try:
+        limits = plain["limits"]
+        services = [_service(item) for item in plain["services"]]
+        return Configuration(
+            version=int(plain["version"]),
+            routes=tuple(_route(item) for item in plain["routes"]),
+            services={service.name: service for service in services},
+            limits=Limits(
+                header_bytes=int(limits["max-header-bytes"]),
+                body_bytes=int(limits["max-body-bytes"]),
+                header_s=limits["header-timeout-ms"] / MS_PER_S,
+                idle_s=limits["idle-timeout-ms"] / MS_PER_S,
+            ),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise UnreadableError(f"configuration: {type(error).__name__}: {error}") from error
+
+
+def read_replica(name: str, plain: Any) -> Replica:
+    """Return the replica that an entry names.
+
+    :raises UnreadableError: if it names no replica that could be used.
+    """
+    try:
+        state = plain["state"]
+        service, address, data_centre = plain["service"], plain["address"], plain["zone"]
+        host, _, port = address.rpartition(":")
+        if state not in STATES or not host or not port.isdigit():
+            raise UnreadableError(f"replica {name}: state {state!r}, address {address!r}")
+        if not isinstance(service, str) or not isinstance(data_centre, str):
+            raise UnreadableError(f"replica {name}: service {service!r}, zone {data_centre!r}")
+        slots = plain.get("slots", 0)
+        return Replica(
+            name=name,
+            service=service,
+            address=address,
+            data_centre=data_centre,
+            leaving=state == "draining",
+            slots=slots if type(slots) is int else 0,
+        )
+    except (KeyError, TypeError, AttributeError) as error:
+        raise UnreadableError(f"replica {name}: {type(error).__name__}: {error}") from error
+
+
+def _route(plain: dict[str, Any]) -> Route:
+    split = plain.get("traffic-split")
+    if split:
+        shares = tuple(Share(item["service"], float(item["weight"])) for item in split)
+    else:
+        shares = (Share(plain["service"], 1.0),)
+    return Route(
+        name=plain["name"],
+        host=plain["host"],
+        prefix=plain["path-prefix"],
+        kind=KINDS[plain["kind"]],
+        shares=shares,
+        attempts=int(plain.get("attempts", 1)),
+        timeout_s=plain["timeout-ms"] / MS_PER_S,
+        objective_s=plain.get("target-latency-ms", plain["timeout-ms"]) / MS_PER_S,
+        rank=int(plain.get("priority", 0)),
+        keeps_turns=bool(plain.get("retained", False)),
+        keep_turns_s=float(plain.get("retention-s", 0.0)),
+        resumable=bool(plain.get("resumable", False)),
+    )
+
+
+def _service(plain: dict[str, Any]) -> Service:
+    engine = plain.get("engine")
+    spec = None
+    if engine:
+        spec = EngineSpec(
+            slots=int(engine["slots"]),
+            cache_tokens=int(engine["kv-cache-tokens"]),
+            event_tokens=int(engine.get("event-tokens", 1)),
+        )
+    return Service(plain["name"], int(plain["max-connections"]), spec)
--- /dev/null
+++ b/src/bramleylead/platform/_names.py
@@ -0,0 +1,57 @@
+"""Names that the platform gives to headers, paths and kinds of objects."""
+
+from __future__ import annotations
+
+REQUEST_ID = "bramleylead-request-id"
+DEADLINE_MS = "bramleylead-deadline-ms"
+PROGRAM_ID = "bramleylead-program-id"
+SESSION_ID = "bramleylead-session-id"
+FINISH_MS = "bramleylead-finish-ms"
+TOKEN_BUDGET = "bramleylead-token-budget"
+TOKEN_USAGE = "bramleylead-token-usage"
+PROMPT_PREFIX = "bramleylead-prompt-prefix"
+PREVIOUS_TURN = "bramleylead-previous-turn"
+EXPECT_INSTANCE = "bramleylead-expect-instance"
+SERVER_STAMP = "bramleylead-server-stamp"
+SERVER_LOAD = "bramleylead-server-load"
+NOT_RUN = "bramleylead-not-run"
+LAST_EVENT_ID = "last-event-id"
+RETRY_AFTER = "retry-after"
+
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "host",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+GATEWAY_HEADERS = frozenset(
+    {
+        DEADLINE_MS,
+        EXPECT_INSTANCE,
+        LAST_EVENT_ID,
+        "bramleylead-expect-version",
+        "bramleylead-hold",
+        "bramleylead-kv-backup",
+        "bramleylead-pin-ms",
+        "kv-fetch",
+        "kv-from",
+    }
+)
+"""Set by the gateway alone; what a caller sends under these names is dropped."""
+
+READY_PATH = "/api/readiness"
+OBJECTS_PATH = "/api/objects"
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+REPLICA_KIND = "servers"
+RETIREMENT_KIND = "retirements"
+STATE_RUNNING = "running"
+STATE_COMPLETED = "completed"
--- /dev/null
+++ b/src/bramleylead/platform/_objects.py
@@ -0,0 +1,194 @@
+"""A client of the platform's metadata store over HTTP. Nothing is retried here.
+
+A write without an answer is ``UNKNOWN``; every other call without one had no effect.
+"""
+
+from __future__ import annotations
+
+import json
+from types import TracebackType
+from typing import Any
+from typing import NamedTuple
+from typing import Self
+from typing import final
+from urllib.parse import quote
+from urllib.parse import urlencode
+
+from result import Err
+from result import Ok
+from result import Result
+
+from bramleylead.connection._http_client import HttpAnswer
+from bramleylead.connection._http_client import HttpClient
+from bramleylead.platform import _names as names
+from bramleylead.platform._store import StoreError
+from bramleylead.platform._store import StoreErrorKind
+
+JSON_HEADERS = {"content-type": "application/json"}
+CALL_TIMEOUT_S = 1.5
+WATCH_SLACK_S = 2.0
+STATUS_KINDS = {
+    404: StoreErrorKind.NOT_FOUND,
+    409: StoreErrorKind.CONFLICT,
+    410: StoreErrorKind.NOT_FOUND,
+    413: StoreErrorKind.TOO_LARGE,
+    429: StoreErrorKind.UNAVAILABLE,
+    503: StoreErrorKind.UNAVAILABLE,
+}
+
+
+class PlatformObject(NamedTuple):
+    """One object of a kind.
+
+    :param value: what its writer put there; ``None`` if that can't be read.
+    :param status: what the system reports on it.
+    :param revision: of its last change.
+    :param deleting: whether it is gone once its finalizers are.
+    """
+
+    name: str
+    value: Any
+    status: Any
+    revision: int
+    deleting: bool
+
+
+class ObjectPage(NamedTuple):
+    """Objects of a kind as of a revision of the store; ``more`` says whether others follow."""
+
+    objects: tuple[PlatformObject, ...]
+    more: bool
+    as_of: int
+
+
+class ObjectChange(NamedTuple):
+    """One change that a watch saw."""
+
+    changed: PlatformObject
+    removed: bool
+
+
+class ChangePage(NamedTuple):
+    """What a watch returned, and the revision to watch from next."""
+
+    changes: tuple[ObjectChange, ...]
+    as_of: int
+
+
+@final
+class PlatformStore:
+    """The store at ``host:port``; leaving the context closes the connections."""
+
+    def __init__(self, address: str) -> None:
+        self._client = HttpClient(address, silent_after_s=2)
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self._client.aclose()
+
+    async def list(self, kind: str, *, after: str = "") -> Result[ObjectPage, StoreError]:
+        """Read a page of the objects of a kind, those after a name."""
+        query = f"?{urlencode({'after': after})}" if after else ""
+        answer = await self._call("GET", f"{_path(kind)}{query}", timeout_s=CALL_TIMEOUT_S)
+        return _parsed(answer, _to_page)
+
+    async def get(self, kind: str, name: str) -> Result[PlatformObject, StoreError]:
+        """Read one object."""
+        answer = await self._call("GET", _path(kind, name), timeout_s=CALL_TIMEOUT_S)
+        return _parsed(answer, _to_object)
+
+    async def watch(
+        self, kind: str, *, after: int, wait_s: float
+    ) -> Result[ChangePage, StoreError]:
+        """Wait for changes of a kind after a revision; ``NOT_FOUND`` if that history is gone."""
+        query = urlencode({"watch": after, "wait-ms": int(wait_s * 1000)})
+        answer = await self._call("GET", f"{_path(kind)}?{query}", timeout_s=wait_s + WATCH_SLACK_S)
+        return _parsed(answer, _to_changes)
+
+    async def create(self, kind: str, name: str, value: Any) -> Result[PlatformObject, StoreError]:
+        """Create an object; ``CONFLICT`` if it exists."""
+        body = {"metadata": {"name": name}, "specification": value}
+        answer = await self._call("POST", _path(kind), body=body, timeout_s=CALL_TIMEOUT_S)
+        return _parsed(answer, _to_object)
+
+    async def replace(
+        self, kind: str, name: str, value: Any, *, revision: int
+    ) -> Result[PlatformObject, StoreError]:
+        """Replace an object's value if it is at a revision; ``CONFLICT`` otherwise."""
+        body = {"metadata": {"name": name, "revision": revision}, "specification": value}
+        answer = await self._call("PUT", _path(kind, name), body=body, timeout_s=CALL_TIMEOUT_S)
+        return _parsed(answer, _to_object)
+
+    async def set_status(
+        self, kind: str, name: str, status: Any
+    ) -> Result[PlatformObject, StoreError]:
+        """Replace what the system reports on an object."""
+        body = {"metadata": {"name": name}, "status": status}
+        path = f"{_path(kind, name)}/status"
+        answer = await self._call("PUT", path, body=body, timeout_s=CALL_TIMEOUT_S)
+        return _parsed(answer, _to_object)
+
+    async def _call(
+        self, method: str, target: str, *, timeout_s: float, body: Any = None
+    ) -> Result[HttpAnswer, StoreError]:
+        content = b"" if body is None else json.dumps(body).encode()
+        answer = await self._client.request(
+            method, target, body=content, headers=JSON_HEADERS, timeout_s=timeout_s
+        )
+        if isinstance(answer, Err):
+            failure = answer.err_value
+            written = method != "GET" and failure.sent
+            kind = StoreErrorKind.UNKNOWN if written else StoreErrorKind.UNAVAILABLE
+            return Err(StoreError(kind, failure.detail))
+        whole = answer.ok_value
+        if whole.status in (200, 201, 204):
+            return Ok(whole)
+        kind = STATUS_KINDS.get(whole.status, StoreErrorKind.UNKNOWN)
+        detail = f"{method} {target}: {whole.status}: {whole.body[:200].decode(errors='replace')}"
+        return Err(StoreError(kind, detail))
+
+
+def _path(kind: str, name: str = "") -> str:
+    path = f"{names.OBJECTS_PATH}/{quote(kind, safe='')}"
+    return f"{path}/{quote(name, safe='')}" if name else path
+
+
+def _parsed(answer: Result[HttpAnswer, StoreError], parse: Any) -> Result[Any, StoreError]:
+    if isinstance(answer, Err):
+        return answer
+    try:
+        return Ok(parse(json.loads(answer.ok_value.body)))
+    except (KeyError, TypeError, ValueError) as error:
+        detail = f"unreadable answer: {type(error).__name__}: {error}"
+        return Err(StoreError(StoreErrorKind.UNKNOWN, detail))
+
+
+def _to_object(plain: dict[str, Any]) -> PlatformObject:
+    about = plain["metadata"]
+    return PlatformObject(
+        name=str(about["name"]),
+        value=plain.get("specification"),
+        status=plain.get("status"),
+        revision=int(about["revision"]),
+        deleting=bool(about.get("deleting", False)),
+    )
+
+
+def _to_page(plain: dict[str, Any]) -> ObjectPage:
+    objects = tuple(_to_object(item) for item in plain["items"])
+    return ObjectPage(objects, bool(plain["has-more"]), int(plain["as-of"]))
+
+
+def _to_changes(plain: dict[str, Any]) -> ChangePage:
+    changes = tuple(
+        ObjectChange(_to_object(event["object"]), bool(event["removed"]))
+        for event in plain["events"]
+    )
+    return ChangePage(changes, int(plain["as-of"]))
--- /dev/null
+++ b/src/bramleylead/platform/_wire.py
@@ -0,0 +1,154 @@
+"""Headers of requests and answers, read into the product's types and written from them."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import structlog
+
+from bramleylead.gateway._types import AnswerFacts
+from bramleylead.gateway._types import CallFacts
+from bramleylead.gateway._types import Load
+from bramleylead.gateway._types import PromptPart
+from bramleylead.platform import _names as names
+
+MS_PER_S = 1000.0
+
+log = structlog.get_logger()
+
+Headers = list[tuple[str, str]]
+
+
+def read_call(headers: Mapping[str, str]) -> CallFacts:
+    """Return what a caller says about its request; header names are in lower case."""
+    prompt_tokens, most_tokens = _token_usage(headers.get(names.TOKEN_USAGE, ""))
+    budget = _number(headers, names.TOKEN_BUDGET)
+    return CallFacts(
+        request=headers.get(names.REQUEST_ID, ""),
+        deadline_s=_seconds(headers, names.DEADLINE_MS),
+        program=headers.get(names.PROGRAM_ID, ""),
+        session=headers.get(names.SESSION_ID, ""),
+        finish_s=_seconds(headers, names.FINISH_MS),
+        budget_tokens=None if budget is None else int(budget),
+        prompt_tokens=prompt_tokens,
+        most_tokens=most_tokens,
+        previous=headers.get(names.PREVIOUS_TURN, ""),
+        resume_after=headers.get(names.LAST_EVENT_ID, ""),
+        prompt=_prompt(headers.get(names.PROMPT_PREFIX, "")),
+    )
+
+
+def request_headers(
+    received: Headers, *, left_s: float, replica: str, resume_after: str, body_bytes: int
+) -> Headers:
+    """Return the headers of a request on its way to a replica.
+
+    :param received: the caller's headers, names in lower case.
+    :param left_s: the time that the replica may use.
+    :param replica: the only replica that may run it.
+    :param resume_after: the last event that the caller has; empty to start from the beginning.
+    """
+    named = _connection_options(received)
+    kept = [
+        (name, value)
+        for name, value in received
+        if name not in names.HOP_HEADERS and name not in names.GATEWAY_HEADERS and name not in named
+    ]
+    host = next((value for name, value in received if name == "host"), "")
+    headers = [("host", host), *kept]
+    headers.append((names.DEADLINE_MS, str(max(1, int(left_s * MS_PER_S)))))
+    headers.append((names.EXPECT_INSTANCE, replica))
+    if resume_after:
+        headers.append((names.LAST_EVENT_ID, resume_after))
+    if body_bytes or any(name in ("content-length", "transfer-encoding") for name, _ in received):
+        headers.append(("content-length", str(body_bytes)))
+    return headers
+
+
+def read_answer(headers: Mapping[str, str]) -> AnswerFacts:
+    """Return what a replica says about its answer; header names are in lower case."""
+    return AnswerFacts(
+        request=headers.get(names.REQUEST_ID, ""),
+        signed=names.SERVER_STAMP in headers,
+        not_run=names.NOT_RUN in headers,
+        encoded=headers.get("content-encoding", "identity") != "identity",
+        load=_load(headers.get(names.SERVER_LOAD, "")),
+        keep_alive_s=_keep_alive_s(headers.get("keep-alive", "")),
+    )
+
+
+def answer_headers(received: Headers) -> Headers:
+    """Return the headers of a replica's answer on its way to the caller."""
+    named = _connection_options(received)
+    return [
+        (name, value)
+        for name, value in received
+        if name not in names.HOP_HEADERS and name not in named
+    ]
+
+
+def retry_headers(request: str, retry_after_s: float | None) -> Headers:
+    """Return the headers of a refusal of the gateway's own."""
+    headers = [(names.REQUEST_ID, request)] if request else []
+    if retry_after_s is not None:
+        headers.append((names.RETRY_AFTER, f"{retry_after_s:.3f}"))
+    return headers
+
+
+def _connection_options(headers: Headers) -> set[str]:
+    found: set[str] = set()
+    for name, value in headers:
+        if name == "connection":
+            found |= {option.strip().lower() for option in value.split(",")}
+    return found
+
+
+def _number(headers: Mapping[str, str], name: str) -> float | None:
+    text = headers.get(name, "")
+    if not text:
+        return None
+    try:
+        return float(text)
+    except ValueError:
+        log.warning("header_unreadable", header=name, value=text[:40])
+        return None
+
+
+def _seconds(headers: Mapping[str, str], name: str) -> float | None:
+    number = _number(headers, name)
+    return None if number is None else number / MS_PER_S
+
+
+def _token_usage(text: str) -> tuple[int, int]:
+    """Read the number of prompt tokens and the most output tokens; 0 for what is not said."""
+    prompt, _, most = text.partition(",")
+    return _whole(prompt), _whole(most)
+
+
+def _whole(text: str) -> int:
+    text = text.strip()
+    return int(text) if text.isdigit() else 0
+
+
+def _prompt(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for entry in text.split(",") if text else ():
+        name, _, tokens = entry.strip().partition(":")
+        parts.append(PromptPart(name, _whole(tokens)))
+    return tuple(parts)
+
+
+def _load(text: str) -> Load | None:
+    numbers = [part.strip() for part in text.split(",")]
+    if len(numbers) != 3 or not all(number.isdigit() for number in numbers):
+        return None
+    running, waiting, slots = map(int, numbers)
+    return Load(running, waiting, slots)
+
+
+def _keep_alive_s(text: str) -> float | None:
+    for option in text.split(","):
+        name, _, value = option.strip().partition("=")
+        if name.lower() == "timeout" and value.strip().isdigit():
+            return float(value)
+    return None
--- a/src/bramleylead/request/_server.py
+++ b/src/bramleylead/request/_server.py
@@ -68,6 +68,7 @@
             h11_max_incomplete_event_size=MAX_HEAD_BYTES,
         )
         self._server = _Server(config)
+        self.closed = anyio.Event()
 
     async def serve(
         self, address: str, *, task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED
@@ -86,6 +87,7 @@
         finally:
             self._server.drop()
             listener.close()
+            self.closed.set()
 
     def stop(self, *, grace_s: float) -> None:
         """Accept nothing more and let :meth:`serve` return when the running requests have ended.
