--- a/src/bramleylead/ledger/_client.py
+++ b/src/bramleylead/ledger/_client.py
@@ -23,6 +23,7 @@
 from bramleylead.ledger._members import LedgerMember
 from bramleylead.ledger._members import LedgerView
 from bramleylead.ledger._messages import AskState
+from bramleylead.ledger._messages import CatchUp
 from bramleylead.ledger._messages import Chain
 from bramleylead.ledger._messages import FindChain
 from bramleylead.ledger._messages import Keep
@@ -209,10 +210,7 @@
         return round_
 
     async def _send(self, member: LedgerMember, entry: Any, round_: _Round) -> None:
-        answer = await self._peers.request(
-            member.address, entry, timeout_s=ENTRY_TIMEOUT_S, idempotent=True
-        )
-        round_.take(member, answer)
+        round_.take(member, await ask_member(self._peers, round_.view, member, entry))
 
     async def _find(self, view: LedgerView, turn: str) -> Result[list[KeptTurn], Failure] | None:
         """Ask the members, the near ones first; ``None`` to begin anew with another view."""
@@ -263,9 +261,7 @@
     async def ask(self, member: LedgerMember) -> None:
         """Ask one member."""
         request = FindChain(self._view.epoch, self._turn)
-        answer = await self._peers.request(
-            member.address, request, timeout_s=ENTRY_TIMEOUT_S, idempotent=True
-        )
+        answer = await ask_member(self._peers, self._view, member, request)
         self._open -= 1
         if isinstance(answer, Ok):
             self._take(member, answer.ok_value)
@@ -303,6 +299,23 @@
             self.absent += 1
 
 
+async def ask_member(
+    peers: PeerClient, view: LedgerView, member: LedgerMember, request: Any
+) -> Result[Any, Failure]:
+    """Ask a member something under a view; one that knows only an earlier view is told it."""
+    answer = await peers.request(
+        member.address, request, timeout_s=ENTRY_TIMEOUT_S, idempotent=True
+    )
+    if isinstance(answer, Err) or not isinstance(answer.ok_value, StaleEpoch):
+        return answer
+    if answer.ok_value.view.epoch >= view.epoch:
+        return answer
+    await peers.request(
+        member.address, CatchUp(view, ()), timeout_s=STATE_TIMEOUT_S, idempotent=True
+    )
+    return await peers.request(member.address, request, timeout_s=ENTRY_TIMEOUT_S, idempotent=True)
+
+
 def _nothing(result: Result[Any, Failure]) -> Result[None, Failure]:
     return result if isinstance(result, Err) else Ok(None)
 
--- a/src/bramleylead/ledger/_membership.py
+++ b/src/bramleylead/ledger/_membership.py
@@ -1,9 +1,9 @@
 """How a node of the ledger joins, is replaced, and leaves.
 
 The list of members is one object of the platform's store, changed by conditional writes only.
-Before each change a majority of the present members take the present epoch for known, which ends entries
-under earlier ones, and copy from each other, so that what counted under earlier epochs is held by
-all of them.
+Before each change a majority of the present members take the present epoch for known, which ends
+entries under earlier ones, and copy from each other, so that what counted under earlier epochs is
+held by all of them.
 """
 
 from __future__ import annotations
@@ -246,8 +246,14 @@
         await self._node.adopt(after)
         for member in self._others(after):
             self._heard_at.setdefault(member.node, anyio.current_time())
-        await self._answering(after.members)
+        await self._announce(after)
         return True
 
+    async def _announce(self, view: LedgerView) -> None:
+        """Tell the members of a view; gateways tell those that do not hear it now."""
+        async with anyio.create_task_group() as tasks:
+            for member in self._others(view):
+                tasks.start_soon(self._catch_up, member, view, ())
+
     def _others(self, view: LedgerView) -> tuple[LedgerMember, ...]:
         return tuple(member for member in view.members if member.node != self._node.me.node)
--- a/src/bramleylead/ledger/_messages.py
+++ b/src/bramleylead/ledger/_messages.py
@@ -73,7 +73,10 @@
 
 @message(171)
 class StaleEpoch(NamedTuple):
-    """The members have changed since; ``view`` is how the node knows them."""
+    """The entry is for other members than the node knows, or for another node.
+
+    :param view: the members as the node knows them, earlier or later than the asker.
+    """
 
     view: LedgerView
 
--- a/src/bramleylead/ledger/_node.py
+++ b/src/bramleylead/ledger/_node.py
@@ -205,8 +205,8 @@
         )
 
     async def _refuse_stale(self, epoch: int, reply: Reply) -> bool:
-        """Refuse an entry made for members that have changed since, or for another node."""
-        if epoch >= self._view.epoch and self.is_member:
+        """Refuse an entry made for other members than this node knows, or for another node."""
+        if epoch == self._view.epoch and self.is_member:
             return False
         await reply.send(StaleEpoch(self._view))
         return True
