--- a/src/bramleylead/gateway/_budgets.py
+++ b/src/bramleylead/gateway/_budgets.py
@@ -34,13 +34,27 @@
         """Reserve a turn's most; ``BUDGET_EXHAUSTED`` if the budget does not hold it."""
         if facts.budget_tokens is None:
             return Ok(None)
-        reserved = await self._ledger.reserve(_most(facts))
-        if isinstance(reserved, Err):
-            # Some members may hold it: what is not sent must not count as spent.
-            self._tasks.start_soon(self._settle, facts, 0)
-            return reserved
-        known = reserved.ok_value
+        enough = False
+        try:
+            reserved = await self._ledger.reserve(_most(facts))
+            if isinstance(reserved, Err):
+                return reserved
+            enough = self._is_enough(facts, reserved.ok_value)
+        finally:
+            if not enough:
+                # Members may hold the reservation: what is not sent must not count as spent.
+                self.settle(facts, 0)
+        if enough:
+            return Ok(None)
+        detail = (
+            f"program {facts.program}: {facts.budget_tokens} tokens do not hold what is spent "
+            f"and {facts.most_tokens} more"
+        )
+        return Err(Failure(ErrorKind.BUDGET_EXHAUSTED, detail))
+
+    def _is_enough(self, facts: CallFacts, known: dict[str, Spending]) -> bool:
         others = sum(spending.tokens for turn, spending in known.items() if turn != facts.request)
+        assert facts.budget_tokens is not None
         enough = others + facts.most_tokens <= facts.budget_tokens
         log.info(
             "budget_reserved" if enough else "budget_spent",
@@ -52,14 +66,7 @@
             turns=len(known),
             unsettled=sum(not spending.settled for spending in known.values()),
         )
-        if enough:
-            return Ok(None)
-        self._tasks.start_soon(self._settle, facts, 0)
-        detail = (
-            f"program {facts.program}: {others} of {facts.budget_tokens} tokens are spent, "
-            f"and this turn may take {facts.most_tokens}"
-        )
-        return Err(Failure(ErrorKind.BUDGET_EXHAUSTED, detail))
+        return enough
 
     def settle(self, facts: CallFacts, tokens: int) -> None:
         """Say what a turn has spent, without waiting; until then its most counts."""
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -9,6 +9,8 @@
 import anyio
 import structlog
 from result import Err
+from result import Ok
+from result import Result
 
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
@@ -120,22 +122,25 @@
 
     async def answer(self, call: Call, caller: Caller) -> None:
         """Answer a request whole, or refuse or break it off, in time for the caller."""
-        body = call.body
+        prepared = await self._prepare(call)
+        if isinstance(prepared, Err):
+            await caller.refuse(prepared.err_value)
+        else:
+            await self._stream(_Stream(call, caller, prepared.ok_value))
+
+    async def _prepare(self, call: Call) -> Result[bytes, Failure]:
+        """Reserve a turn's budget and return the body to send, with the history before it."""
         with anyio.move_on_after(max(0.0, call.left_s)):
+            body = call.body
             if call.route.keeps_turns and call.facts.previous:
                 found = await self._turns.history(call.facts.request, call.facts.previous)
                 if isinstance(found, Err):
-                    await caller.refuse(found.err_value)
-                    return
+                    return found
                 body = found.ok_value + call.body
             reserved = await self._budgets.reserve(call.facts)
-            if isinstance(reserved, Err):
-                await caller.refuse(reserved.err_value)
-                return
-            await self._stream(_Stream(call, caller, body))
-            return
+            return reserved if isinstance(reserved, Err) else Ok(body)
         detail = "history and budget took up the request's time"
-        await caller.refuse(Failure(ErrorKind.OVERLOADED, detail, RETRY_AFTER_S))
+        return Err(Failure(ErrorKind.OVERLOADED, detail, RETRY_AFTER_S))
 
     async def _stream(self, stream: _Stream) -> None:
         """Run a stream; its spending is settled however it ends."""
--- /dev/null
+++ b/testing/gateway/_site.py
@@ -0,0 +1,327 @@
+"""A gateway's parts before scripted replicas over the fake network, on virtual time."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+import anyio
+from anyio.abc import ByteStream
+from result import Err
+from result import Ok
+from result import Result
+
+from bramleylead.errors import ErrorKind
+from bramleylead.errors import Failure
+from bramleylead.gateway._app import GatewayApp
+from bramleylead.gateway._budgets import Budgets
+from bramleylead.gateway._directory import Directory
+from bramleylead.gateway._kept_turns import KeptTurns
+from bramleylead.gateway._links import Links
+from bramleylead.gateway._plain import PlainCalls
+from bramleylead.gateway._sender import Sender
+from bramleylead.gateway._streams import StreamCalls
+from bramleylead.gateway._types import CallKind
+from bramleylead.gateway._types import Configuration
+from bramleylead.gateway._types import EngineSpec
+from bramleylead.gateway._types import Limits
+from bramleylead.gateway._types import Replica
+from bramleylead.gateway._types import Route
+from bramleylead.gateway._types import Service
+from bramleylead.gateway._types import Share
+from bramleylead.ledger._records import KeptTurn
+from bramleylead.ledger._records import Spending
+from bramleylead.ledger._records import union
+from bramleylead.scheduling._replica_choice import ReplicaLoads
+from bramleylead.standins import FakeNetwork
+
+ID = "bramleylead-request-id"
+HOST = "site.example"
+GATE = "10.0.0.1"
+EVENT_TOKENS = 10
+
+
+class Asked(NamedTuple):
+    """A request as a replica got it; header names are in lower case."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def id(self) -> str:
+        return self.headers[ID]
+
+
+Script = Callable[[Asked, ByteStream], Awaitable[None]]
+
+
+class FakeReplica:
+    """Serves connections by a script, and remembers what it was asked."""
+
+    def __init__(self, name: str, script: Script) -> None:
+        self.name = name
+        self.script = script
+        self.asked: list[Asked] = []
+        self.connections = 0
+        self.ended = 0
+
+    async def serve(self, stream: ByteStream) -> None:
+        self.connections += 1
+        try:
+            async with stream:
+                while True:
+                    asked = await _read(stream)
+                    self.asked.append(asked)
+                    await self.script(asked, stream)
+        except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            self.ended += 1
+
+
+async def _read(stream: ByteStream) -> Asked:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += await stream.receive()
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")
+    method, target, _ = lines[0].split(" ")
+    pairs = [line.split(": ", 1) for line in lines[1:]]
+    headers = {name.lower(): value for name, value in pairs}
+    while len(body) < int(headers.get("content-length", "0")):
+        body += await stream.receive()
+    return Asked(method, target, headers, body)
+
+
+def head(asked: Asked, status: str = "200 OK", *more: str, request: str = "") -> bytes:
+    """Return the head of a response."""
+    lines = [
+        f"HTTP/1.1 {status}",
+        f"Bramleylead-Request-Id: {request or asked.id}",
+        f"Bramleylead-Server-Stamp: stamp-{request or asked.id}",
+        *more,
+    ]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def whole(
+    asked: Asked, body: bytes, status: str = "200 OK", *more: str, request: str = ""
+) -> bytes:
+    """Return a whole response with a length."""
+    return head(asked, status, f"Content-Length: {len(body)}", *more, request=request) + body
+
+
+def chunk(data: bytes) -> bytes:
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def event(number: int) -> bytes:
+    return f"id: {number}\ndata: word{number}\n\n".encode()
+
+
+def stream_of(asked: Asked, *numbers: int, end: bool = True) -> bytes:
+    """Return a stream of events."""
+    parts = [head(asked, "200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked")]
+    parts += [chunk(event(number)) for number in numbers]
+    return b"".join(parts) + (b"0\r\n\r\n" if end else b"")
+
+
+def says(make: Callable[[Asked], bytes], *, then_close: bool = False) -> Script:
+    """Return a script that answers each request with bytes."""
+
+    async def script(asked: Asked, stream: ByteStream) -> None:
+        await stream.send(make(asked))
+        if then_close:
+            await stream.aclose()
+
+    return script
+
+
+class FakeLedger:
+    """The ledger in memory, which a test can take away."""
+
+    def __init__(self) -> None:
+        self.turns: dict[str, KeptTurn] = {}
+        self.spendings: list[Spending] = []
+        self.out = False
+
+    async def reserve(self, spending: Spending) -> Result[dict[str, Spending], Failure]:
+        if self.out:
+            return self._failure()
+        self.spendings.append(spending)
+        return Ok(self.known(spending.program))
+
+    async def settle(self, spending: Spending) -> Result[None, Failure]:
+        if self.out:
+            return self._failure()
+        self.spendings.append(spending)
+        return Ok(None)
+
+    async def keep(self, turn: KeptTurn) -> Result[None, Failure]:
+        if self.out:
+            return self._failure()
+        self.turns[turn.turn] = turn
+        self.spendings.append(Spending(turn.program, turn.turn, turn.tokens, True))
+        return Ok(None)
+
+    async def find_chain(self, name: str) -> Result[list[KeptTurn], Failure]:
+        if self.out:
+            return self._failure()
+        chain: list[KeptTurn] = []
+        while name:
+            if name not in self.turns:
+                return Err(Failure(ErrorKind.UNKNOWN_TURN, f"turn {name} is not kept"))
+            chain.append(self.turns[name])
+            name = self.turns[name].previous
+        return Ok(chain[::-1])
+
+    def known(self, program: str) -> dict[str, Spending]:
+        return union([[item for item in self.spendings if item.program == program]])
+
+    def _failure(self) -> Err[Failure]:
+        return Err(Failure(ErrorKind.NOT_DURABLE, "the ledger is out", 0.3))
+
+
+class Answered(NamedTuple):
+    """What a caller got; ``complete`` is false for an answer that was broken off."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    complete: bool
+
+
+class Site:
+    """A gateway with its replicas."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup) -> None:
+        self.network = FakeNetwork({GATE: ("r", "d")})
+        self.directory = Directory()
+        self.ledger = FakeLedger()
+        self.replicas: dict[str, FakeReplica] = {}
+        self.loads = ReplicaLoads()
+        self._tasks = tasks
+        view = self.network.view(GATE)
+        self.links = Links(view, id_header=ID)
+        sender = Sender(self.directory, self.links, self.loads, place="d", regions={"d": "r"})
+        budgets = Budgets(self.ledger, tasks)  # type: ignore[arg-type]
+        turns = KeptTurns(self.ledger)  # type: ignore[arg-type]
+        streams = StreamCalls(sender, budgets, turns)
+        self.app = GatewayApp(self.directory, PlainCalls(sender), streams)
+
+    async def add_replica(self, name: str, script: Script, *, service: str = "svc") -> FakeReplica:
+        """Serve a replica and list it."""
+        replica = FakeReplica(name, script)
+        ip = f"10.0.1.{len(self.replicas) + 1}"
+        self.network.place(ip, "r", "d")
+        address = f"{ip}:80"
+        view = self.network.view(ip)
+        await self._tasks.start(
+            lambda task_status: view.serve(address, replica.serve, task_status=task_status)
+        )
+        self.replicas[name] = replica
+        self.directory.put(Replica(name, service, address, "d", False, 4))
+        return replica
+
+    async def ask(
+        self,
+        path: str,
+        *,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        leave_after_s: float | None = None,
+    ) -> Answered:
+        """Send a request to the gateway and return its answer."""
+        exchange = _Caller(path, body, headers or {}, leave_after_s)
+        complete = True
+        try:
+            await self.app(exchange.scope, exchange.receive, exchange.send)
+        except Exception:
+            complete = False
+        return Answered(
+            exchange.status, exchange.headers, bytes(exchange.body), complete and exchange.complete
+        )
+
+
+class _Caller:
+    """One request's ASGI side."""
+
+    def __init__(
+        self, path: str, body: bytes, headers: dict[str, str], leave_after_s: float | None
+    ) -> None:
+        all_headers = {
+            "host": HOST,
+            ID: "q1",
+            "bramleylead-deadline-ms": "3000",
+            **headers,
+        }
+        if body:
+            all_headers["content-length"] = str(len(body))
+        self.scope = {
+            "type": "http",
+            "method": "POST" if body else "GET",
+            "path": path,
+            "raw_path": path.encode(),
+            "query_string": b"",
+            "headers": [(name.encode(), value.encode()) for name, value in all_headers.items()],
+        }
+        self._unread = [{"type": "http.request", "body": body, "more_body": False}]
+        self._leave_after_s = leave_after_s
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.body = bytearray()
+        self.complete = False
+
+    async def receive(self) -> dict[str, object]:
+        if self._unread:
+            return self._unread.pop()
+        if self._leave_after_s is None:
+            await anyio.sleep_forever()
+        await anyio.sleep(self._leave_after_s)
+        return {"type": "http.disconnect"}
+
+    async def send(self, message: dict[str, object]) -> None:
+        if message["type"] == "http.response.start":
+            self.status = message["status"]
+            self.headers = {name.decode(): value.decode() for name, value in message["headers"]}
+        else:
+            self.body += message.get("body", b"")
+            self.complete = not message.get("more_body", False)
+
+
+def route(kind: CallKind, **changes: object) -> Route:
+    """Return a route to the replicas of ``svc`` at ``/KIND/``."""
+    made = Route(
+        name=kind.value,
+        host=HOST,
+        prefix=f"/{kind.value}/",
+        kind=kind,
+        shares=(Share("svc", 1.0),),
+        attempts=2,
+        timeout_s=2.0,
+        objective_s=0.3,
+        rank=0,
+        keeps_turns=False,
+        keep_turns_s=60.0,
+        resumable=False,
+    )
+    return made._replace(**changes)
+
+
+def configuration(*routes: Route, version: int = 1) -> Configuration:
+    engine = EngineSpec(4, 100_000, EVENT_TOKENS)
+    services = {"svc": Service("svc", 100, engine)}
+    return Configuration(version, routes, services, Limits(16_384, 1_000_000, 3.0, 15.0))
+
+
+@asynccontextmanager
+async def site_with(*routes: Route) -> AsyncIterator[Site]:
+    """Run a gateway with a configuration of these routes."""
+    async with anyio.create_task_group() as tasks:
+        site = Site(tasks)
+        site.directory.adopt(configuration(*routes), source="test")
+        yield site
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/testing/ledger/_fleet.py
@@ -0,0 +1,197 @@
+"""A ledger of several nodes and its gateways over the fake network, on virtual time."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+
+import anyio
+from result import Err
+from result import Ok
+from result import Result
+
+from bramleylead.connection import PeerClient
+from bramleylead.connection import PeerServer
+from bramleylead.ledger._client import LedgerClient
+from bramleylead.ledger._members import NO_VIEW
+from bramleylead.ledger._members import LedgerView
+from bramleylead.ledger._membership import Membership
+from bramleylead.ledger._node import LedgerNode
+from bramleylead.ledger._records import KeptTurn
+from bramleylead.ledger._records import Key
+from bramleylead.ledger._records import Record
+from bramleylead.ledger._records import key_of
+from bramleylead.standins import FakeNetwork
+
+KEY = "a shared key of the cluster"
+PORT = 7000
+SYNC_S = 0.002
+LOSSES = 1
+
+
+class MemoryDisk:
+    """A disk that outlives the node's process, until it is wiped."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.view = NO_VIEW
+        self.records: list[Record] = []
+        self.full = False
+
+    async def load(self) -> tuple[LedgerView, list[Record]]:
+        return self.view, list(self.records)
+
+    async def write(self, records: list[Record]) -> None:
+        await anyio.sleep(SYNC_S)
+        if self.full:
+            raise OSError(28, "No space left on device")
+        self.records += records
+
+    async def write_view(self, view: LedgerView) -> None:
+        await anyio.sleep(SYNC_S)
+        self.view = view
+
+    async def drop_unheld(self, is_held: Callable[[Key], bool]) -> None:
+        self.records = [record for record in self.records if is_held(key_of(record))]
+
+
+class MemoryMemberList:
+    """The list of members in a store that a test can take down."""
+
+    def __init__(self) -> None:
+        self.view = NO_VIEW
+        self.out = False
+
+    async def read(self) -> Result[LedgerView, str]:
+        await anyio.sleep(0.004)
+        return Err("the store is out") if self.out else Ok(self.view)
+
+    async def change(self, before: LedgerView, after: LedgerView) -> Result[None, str]:
+        await anyio.sleep(0.004)
+        if self.out or self.view != before:
+            return Err("the store is out" if self.out else "changed since")
+        self.view = after
+        return Ok(None)
+
+
+class Ledger:
+    """Nodes ``s0 ..`` on hosts ``10.0.0.<i>``, each in a region of its own."""
+
+    def __init__(self) -> None:
+        places = {host(i): (f"r{i % 3}", f"d{i % 3}") for i in range(8)}
+        self.network = FakeNetwork({**places, **{gate(i): (f"r{i}", f"d{i}") for i in range(3)}})
+        self.members = MemoryMemberList()
+        self.disks: dict[int, MemoryDisk] = {}
+        self.nodes: dict[int, LedgerNode] = {}
+        self.memberships: dict[int, Membership] = {}
+        self._scopes: dict[int, anyio.CancelScope] = {}
+        self._wipes = 0
+
+    async def start(self, i: int, *, tasks: anyio.abc.TaskGroup) -> None:
+        """Start a node and wait until it is a member."""
+        self.disks.setdefault(i, MemoryDisk(f"disk-{i}-{self._wipes}"))
+        await tasks.start(self._run, i)
+
+    def kill(self, i: int) -> None:
+        """End a node's process at once; its disk stays."""
+        self.network.kill(host(i))
+        self._scopes.pop(i).cancel()
+        del self.nodes[i]
+
+    def wipe(self, i: int) -> None:
+        """Lose a node's disk."""
+        self._wipes += 1
+        self.disks[i] = MemoryDisk(f"disk-{i}-{self._wipes}")
+
+    async def leave(self, i: int) -> None:
+        """Let a node leave for good."""
+        with anyio.fail_after(5):
+            while True:
+                if await self.memberships[i].leave():
+                    return
+                await anyio.sleep(0.1)
+
+    async def joined(self, *numbers: int) -> None:
+        """Wait until these nodes are members."""
+        with anyio.fail_after(20):
+            await until(lambda: all(self.nodes[i].is_member for i in numbers))
+
+    def holders(self, record_key: Key) -> list[int]:
+        """Return the members' disks that hold a record."""
+        names = {member.disk for member in self.members.view.members}
+        return [
+            i
+            for i, disk in self.disks.items()
+            if disk.name in names and record_key in map(key_of, disk.records)
+        ]
+
+    async def _run(
+        self, i: int, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        view = self.network.view(host(i))
+        server = PeerServer(node=f"s{i}", cluster_key=KEY)
+        with anyio.CancelScope() as scope:
+            self._scopes[i] = scope
+            async with (
+                PeerClient(view, node=f"s{i}", cluster_key=KEY) as peers,
+                anyio.create_task_group() as tasks,
+            ):
+                address = f"{host(i)}:{PORT}"
+                node = LedgerNode(node=f"s{i}", address=address, disk=self.disks[i], peers=peers)
+                await node.load()
+                node.serve_on(server)
+                self.nodes[i] = node
+                tasks.start_soon(node.run_writer)
+                await tasks.start(
+                    lambda task_status: view.serve(
+                        address, server.serve_stream, task_status=task_status
+                    )
+                )
+                membership = Membership(node, self.members, peers, losses=LOSSES)
+                self.memberships[i] = membership
+                tasks.start_soon(membership.run)
+                task_status.started()
+                await anyio.sleep_forever()
+
+    @asynccontextmanager
+    async def gateway(self, i: int) -> AsyncIterator[LedgerClient]:
+        """Open the ledger as a gateway of region ``i`` uses it."""
+        network = self.network.view(gate(i))
+        async with (
+            PeerClient(network, node=f"g{i}", cluster_key=KEY) as peers,
+            LedgerClient(peers, self.members.read, losses=LOSSES) as client,
+        ):
+            yield client
+
+
+@asynccontextmanager
+async def ledger_of(count: int) -> AsyncIterator[tuple[Ledger, anyio.abc.TaskGroup]]:
+    """Run a ledger of so many members."""
+    ledger = Ledger()
+    async with anyio.create_task_group() as tasks:
+        for i in range(count):
+            await ledger.start(i, tasks=tasks)
+        await ledger.joined(*range(count))
+        yield ledger, tasks
+        tasks.cancel_scope.cancel()
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    while True:
+        if condition():
+            return
+        await anyio.sleep(0.05)
+
+
+def host(i: int) -> str:
+    return f"10.0.0.{i}"
+
+
+def gate(i: int) -> str:
+    return f"10.0.1.{i}"
+
+
+def turn(name: str, previous: str = "") -> KeptTurn:
+    return KeptTurn(name, previous, "p", 10, 60.0, f"in {name};".encode(), f"out {name}\n".encode())
--- /dev/null
+++ b/testing/ledger/test_entries.py
@@ -0,0 +1,175 @@
+"""Entries count once enough disks have them, and none that counted is lost."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import anyio
+
+from bramleylead.errors import ErrorKind
+from bramleylead.ledger._records import Spending
+from bramleylead.standins import run_virtual
+from testing.ledger._fleet import LOSSES
+from testing.ledger._fleet import Ledger
+from testing.ledger._fleet import host
+from testing.ledger._fleet import ledger_of
+from testing.ledger._fleet import turn
+
+
+def play(main: Callable[[Ledger, anyio.abc.TaskGroup], Awaitable[None]], count: int = 3) -> None:
+    async def run() -> None:
+        async with ledger_of(count) as (ledger, tasks):
+            await main(ledger, tasks)
+
+    run_virtual(run, seed=1)
+
+
+class EntryTest(unittest.TestCase):
+    def test_a_turn_that_counts_is_on_more_disks_than_may_be_lost(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            async with ledger.gateway(0) as gateway:
+                self.assertTrue((await gateway.keep(turn("a"))).is_ok())
+                self.assertGreater(len(ledger.holders("turn/a")), LOSSES)
+
+        play(main)
+
+    def test_a_turn_is_found_with_its_chain_after_the_loss_of_a_disk_that_held_it(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            async with ledger.gateway(0) as gateway:
+                await gateway.keep(turn("a"))
+                await gateway.keep(turn("b", "a"))
+                lost = ledger.holders("turn/b")[0]
+                ledger.kill(lost)
+                ledger.wipe(lost)
+                found = await gateway.find_chain("b")
+                self.assertEqual([kept.turn for kept in found.unwrap()], ["a", "b"])
+
+        play(main)
+
+    def test_one_disk_after_the_other_may_be_lost(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            async with ledger.gateway(1) as gateway:
+                await gateway.keep(turn("a"))
+                for i in (0, 1, 2, 0):
+                    ledger.kill(i)
+                    ledger.wipe(i)
+                    await anyio.sleep(1.0)
+                    await ledger.start(i, tasks=tasks)
+                    await ledger.joined(i)
+                    await anyio.sleep(2.0)
+                found = await gateway.find_chain("a")
+                self.assertEqual([kept.turn for kept in found.unwrap()], ["a"])
+
+        play(main)
+
+    def test_all_nodes_may_lose_power_right_after_an_acknowledgement(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            async with ledger.gateway(0) as gateway:
+                await gateway.keep(turn("a"))
+            for i in range(3):
+                ledger.kill(i)
+            ledger.wipe(0)
+            for i in range(3):
+                await ledger.start(i, tasks=tasks)
+            async with ledger.gateway(0) as gateway:
+                found = await gateway.find_chain("a")
+                self.assertEqual([kept.turn for kept in found.unwrap()], ["a"])
+
+        play(main)
+
+    def test_an_absent_turn_is_unknown_only_if_enough_members_lack_it(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            async with ledger.gateway(0) as gateway:
+                absent = await gateway.find_chain("none")
+                self.assertIs(absent.unwrap_err().kind, ErrorKind.UNKNOWN_TURN)
+                ledger.kill(1)
+                ledger.kill(2)
+                unsure = await gateway.find_chain("none")
+                self.assertIs(unsure.unwrap_err().kind, ErrorKind.NOT_DURABLE)
+
+        play(main)
+
+    def test_nothing_counts_without_enough_members(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            async with ledger.gateway(0) as gateway:
+                await gateway.learn()
+                ledger.kill(1)
+                ledger.kill(2)
+                kept = await gateway.keep(turn("a"))
+                self.assertIs(kept.unwrap_err().kind, ErrorKind.NOT_DURABLE)
+                self.assertGreater(kept.unwrap_err().retry_after_s, 0)
+
+        play(main)
+
+    def test_a_full_disk_acknowledges_nothing(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            async with ledger.gateway(0) as gateway:
+                ledger.disks[0].full = True
+                self.assertTrue((await gateway.keep(turn("a"))).is_ok())
+                ledger.disks[1].full = True
+                self.assertTrue((await gateway.keep(turn("b"))).is_err())
+                ledger.disks[0].full = False
+                self.assertTrue((await gateway.keep(turn("b"))).is_ok())
+
+        play(main)
+
+    def test_entries_go_on_while_the_store_is_out(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            async with ledger.gateway(0) as gateway:
+                await gateway.keep(turn("a"))
+                ledger.members.out = True
+                self.assertTrue((await gateway.keep(turn("b", "a"))).is_ok())
+                ledger.network.cut(host(0), host(1))
+                self.assertTrue((await gateway.keep(turn("c", "b"))).is_ok())
+
+        play(main)
+
+
+class SpendingTest(unittest.TestCase):
+    def test_a_settled_turn_counts_what_it_spent(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            async with ledger.gateway(0) as gateway:
+                await gateway.reserve(Spending("p", "a", 100, False))
+                await gateway.settle(Spending("p", "a", 7, True))
+                known = (await gateway.reserve(Spending("p", "b", 100, False))).unwrap()
+                self.assertEqual(known["a"].tokens, 7)
+
+        play(main)
+
+    def test_of_reservations_at_once_one_sees_the_other(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            async with ledger.gateway(0) as near, ledger.gateway(1) as far:
+                await near.learn()
+                await far.learn()
+                for round_ in range(20):
+                    program = f"p{round_}"
+                    seen = {}
+
+                    async def reserve(gateway, turn_, program=program, seen=seen) -> None:
+                        spending = Spending(program, turn_, 100, False)
+                        seen[turn_] = (await gateway.reserve(spending)).unwrap()
+
+                    async with anyio.create_task_group() as both:
+                        both.start_soon(reserve, near, "a")
+                        both.start_soon(reserve, far, "b")
+                    self.assertTrue("b" in seen["a"] or "a" in seen["b"])
+
+        play(main)
+
+    def test_what_a_wiped_node_held_still_counts_once_it_is_back(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            async with ledger.gateway(0) as gateway:
+                await gateway.reserve(Spending("p", "a", 100, False))
+                held = ledger.holders("reserved/p/a")[0]
+                ledger.kill(held)
+                ledger.wipe(held)
+                await ledger.start(held, tasks=tasks)
+                await ledger.joined(held)
+                other = next(i for i in range(3) if i != held)
+                ledger.kill(other)
+                known = (await gateway.reserve(Spending("p", "b", 100, False))).unwrap()
+                self.assertEqual(sorted(known), ["a", "b"])
+
+        play(main)
--- /dev/null
+++ b/testing/ledger/test_records.py
@@ -0,0 +1,58 @@
+"""The state that records add up to."""
+
+from __future__ import annotations
+
+import unittest
+
+from bramleylead.ledger._records import KEEP_MARGIN_S
+from bramleylead.ledger._records import LedgerState
+from bramleylead.ledger._records import Spending
+from bramleylead.ledger._records import union
+from testing.ledger._fleet import turn
+
+KEEP_S = 60.0
+
+
+class LedgerStateTest(unittest.TestCase):
+    def test_the_order_in_which_records_come_does_not_matter(self) -> None:
+        records = [Spending("p", "a", 9, False), Spending("p", "a", 4, True), turn("a")]
+        for order in (records, records[::-1]):
+            state = LedgerState()
+            for record in order:
+                state.add(record, now=0.0)
+            self.assertTrue(state.spendings("p")[0].settled)
+
+    def test_a_kept_turn_settles_its_spending(self) -> None:
+        state = LedgerState()
+        state.add(Spending("p", "a", 99, False), now=0.0)
+        state.add(turn("a"), now=0.0)
+        self.assertEqual(state.spendings("p"), [Spending("p", "a", 10, True)])
+
+    def test_a_turn_is_held_as_long_as_one_that_continues_it(self) -> None:
+        state = LedgerState()
+        state.add(turn("a"), now=0.0)
+        state.add(turn("b", "a"), now=50.0)
+        state.expire(KEEP_S + KEEP_MARGIN_S + 40.0)
+        self.assertEqual(len(state.chain("b")), 2)
+        state.expire(KEEP_S + KEEP_MARGIN_S + 51.0)
+        self.assertEqual((state.chain("b"), len(state)), ([], 0))
+
+    def test_the_spending_of_a_program_is_held_as_long_as_one_of_its_turns(self) -> None:
+        state = LedgerState()
+        state.add(Spending("p", "a", 9, True), now=0.0)
+        state.add(Spending("p", "b", 9, True), now=50.0)
+        state.expire(KEEP_S + KEEP_MARGIN_S + 40.0)
+        self.assertEqual(len(state.spendings("p")), 2)
+
+    def test_keys_are_read_in_pages(self) -> None:
+        state = LedgerState()
+        for name in "abc":
+            state.add(turn(name), now=0.0)
+        last, keys = state.keys_after(0, limit=2)
+        self.assertEqual((last, keys), (2, ["turn/a", "turn/b"]))
+        self.assertEqual(state.keys_after(last, limit=2), (3, ["turn/c"]))
+
+    def test_a_settled_copy_goes_before_a_reserved_one(self) -> None:
+        reserved, settled = Spending("p", "a", 9, False), Spending("p", "a", 4, True)
+        for copies in ([[reserved], [settled]], [[settled], [reserved]]):
+            self.assertEqual(union(copies), {"a": settled})
