--- a/src/bramleylead/cli/_site_process.py
+++ b/src/bramleylead/cli/_site_process.py
@@ -13,9 +13,10 @@
 from absl import flags
 from result import Err
 
+from bramleylead._log_writer import LogWriter
 from bramleylead.cli._exit import ExitCode
 from bramleylead.gateway._settings import SiteSettings
-from bramleylead.logs import configure_logs
+from bramleylead.logs import configure_buffered_logs
 from bramleylead.validation import load_model
 
 SETTINGS_VARIABLE = "BRAMLEYLEAD_NODE_FILE"
@@ -54,6 +55,8 @@
         for fault in loaded.err_value:
             print(f"{file}: {fault}", file=sys.stderr)
         return ExitCode.INVALID
-    configure_logs("json", stream=sys.stdout)
-    anyio.run(run, loaded.ok_value, Path(file), backend="asyncio")
+    settings = loaded.ok_value
+    with LogWriter(sys.stdout) as writer:
+        configure_buffered_logs(writer, node=settings.node)
+        anyio.run(run, settings, Path(file), backend="asyncio")
     return ExitCode.OK
--- a/src/bramleylead/logs.py
+++ b/src/bramleylead/logs.py
@@ -5,19 +5,18 @@
 import logging
 import sys
 from typing import Any
-from typing import TextIO
 
 import structlog
 
+from bramleylead._log_writer import BufferedLogger
+from bramleylead._log_writer import LogWriter
+
 LOG_FORMATS = ("json", "console")
 
 
-def configure_logs(
-    log_format: str, *, level: int = logging.INFO, stream: TextIO | None = None
-) -> None:
-    """Set up logging for the whole process.
+def configure_logs(log_format: str, *, level: int = logging.INFO) -> None:
+    """Set up logging to standard error for the whole process.
 
-    :param stream: standard error if left out.
     :raises ValueError: for an unknown format.
     """
     if log_format not in LOG_FORMATS:
@@ -30,11 +29,32 @@
             *_renderers(log_format),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
         cache_logger_on_first_use=False,
     )
 
 
+def configure_buffered_logs(writer: LogWriter, *, node: str) -> None:
+    """Set up logging as JSON lines to a writer that never holds up the event loop.
+
+    :param node: named in every line.
+    """
+    structlog.contextvars.bind_contextvars(node=node)
+    logger = BufferedLogger(writer)
+    structlog.configure(
+        processors=[
+            writer.limit,
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            *_renderers("json"),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=lambda *_: logger,
+        cache_logger_on_first_use=True,
+    )
+
+
 def _renderers(log_format: str) -> list[Any]:
     if log_format == "console":
         return [structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())]
--- /dev/null
+++ b/testing/platform/test_decode.py
@@ -0,0 +1,157 @@
+"""The platform's objects and headers, read into the product's types."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from bramleylead.gateway._types import CallKind
+from bramleylead.gateway._types import Load
+from bramleylead.gateway._types import PromptPart
+from bramleylead.gateway._types import Share
+from bramleylead.platform import _wire as wire
+from bramleylead.platform._decode import UnreadableError
+from bramleylead.platform._decode import read_configuration
+from bramleylead.platform._decode import read_replica
+
+ROUTE: dict[str, Any] = {
+    "name": "r",
+    "host": "h.example",
+    "path-prefix": "/p/",
+    "kind": "streaming",
+    "timeout-ms": 3000,
+    "target-latency-ms": 250,
+    "priority": 1,
+    "service": "s",
+    "attempts": 2,
+    "retained": True,
+    "retention-s": 60.0,
+    "resumable": True,
+}
+LIMITS = {
+    "max-header-bytes": 16384,
+    "max-body-bytes": 4194304,
+    "header-timeout-ms": 3000,
+    "idle-timeout-ms": 15000,
+}
+ENGINE = {"slots": 12, "kv-cache-tokens": 377056, "event-tokens": 23}
+SERVICE = {"name": "s", "max-connections": 150, "engine": ENGINE}
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.9:8080",
+    "zone": "z",
+    "slots": 12,
+    "state": "ready",
+    "sequence": 4,
+}
+
+
+def plain(*routes: dict[str, Any]) -> dict[str, Any]:
+    return {"version": 7, "routes": list(routes), "services": [SERVICE], "limits": LIMITS}
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_a_route_is_read(self) -> None:
+        read = read_configuration(plain(ROUTE))
+        (route,) = read.routes
+        self.assertEqual((read.version, route.kind), (7, CallKind.STREAM))
+        self.assertEqual((route.timeout_s, route.objective_s, route.rank), (3.0, 0.25, 1))
+        self.assertEqual((route.keeps_turns, route.keep_turns_s, route.resumable), (True, 60, True))
+        self.assertEqual(route.shares, (Share("s", 1.0),))
+        engine = read.services["s"].engine
+        assert engine is not None
+        self.assertEqual((engine.slots, engine.event_tokens), (12, 23))
+
+    def test_a_split_route_has_shares(self) -> None:
+        split = [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}]
+        bare = {key: value for key, value in ROUTE.items() if key != "service"}
+        (route,) = read_configuration(plain({**bare, "traffic-split": split})).routes
+        self.assertEqual(route.shares, (Share("s", 90.0), Share("t", 10.0)))
+
+    def test_what_can_t_be_read_is_refused_whole(self) -> None:
+        broken = [
+            None,
+            [],
+            {},
+            plain({**ROUTE, "kind": "new"}),
+            plain({key: value for key, value in ROUTE.items() if key != "timeout-ms"}),
+            {**plain(ROUTE), "version": "x"},
+        ]
+        for value in broken:
+            with self.subTest(value), self.assertRaises(UnreadableError):
+                read_configuration(value)
+
+
+class ReplicaTest(unittest.TestCase):
+    def test_an_entry_is_read(self) -> None:
+        replica = read_replica("i", ENTRY)
+        self.assertEqual((replica.name, replica.address, replica.slots), ("i", "10.0.0.9:8080", 12))
+        self.assertFalse(replica.leaving)
+        self.assertTrue(read_replica("i", {**ENTRY, "state": "draining"}).leaving)
+
+    def test_an_entry_of_another_writer_names_no_replica(self) -> None:
+        changes = [
+            {"state": "resting"},
+            {"state": 3},
+            {"address": 5},
+            {"address": "nowhere"},
+            {"address": "10.0.0.9:port"},
+            {"service": None},
+            {"zone": 1},
+        ]
+        values = [{**ENTRY, **change} for change in changes]
+        values += [
+            {key: value for key, value in ENTRY.items() if key != name}
+            for name in ("service", "address", "zone", "state")
+        ]
+        for value in [*values, None, "text", 5, []]:
+            with self.subTest(value), self.assertRaises(UnreadableError):
+                read_replica("i", value)
+
+
+class HeadersTest(unittest.TestCase):
+    def test_what_a_caller_says_is_read(self) -> None:
+        facts = wire.read_call(
+            {
+                "bramleylead-request-id": "q",
+                "bramleylead-deadline-ms": "1500",
+                "bramleylead-program-id": "p",
+                "bramleylead-token-budget": "4600",
+                "bramleylead-token-usage": "1840,575",
+                "bramleylead-prompt-prefix": "a:800,b:410",
+                "bramleylead-previous-turn": "t",
+            }
+        )
+        self.assertEqual((facts.deadline_s, facts.budget_tokens), (1.5, 4600))
+        self.assertEqual((facts.prompt_tokens, facts.most_tokens), (1840, 575))
+        self.assertEqual(facts.prompt, (PromptPart("a", 800), PromptPart("b", 410)))
+        self.assertEqual(facts.previous, "t")
+
+    def test_what_is_not_said_or_unreadable_is_left_out(self) -> None:
+        facts = wire.read_call({"bramleylead-deadline-ms": "soon"})
+        self.assertIsNone(facts.deadline_s)
+        self.assertIsNone(facts.budget_tokens)
+        self.assertEqual((facts.prompt, facts.most_tokens), ((), 0))
+
+    def test_a_replica_s_load_and_connection_are_read(self) -> None:
+        facts = wire.read_answer(
+            {"bramleylead-server-load": "3,1,8", "keep-alive": "timeout=15, max=3"}
+        )
+        self.assertEqual((facts.load, facts.keep_alive_s), (Load(3, 1, 8), 15.0))
+        self.assertIsNone(wire.read_answer({"bramleylead-server-load": "many"}).load)
+
+    def test_headers_of_one_connection_stay_there(self) -> None:
+        received = [
+            ("connection", "close, x-hop"),
+            ("x-hop", "1"),
+            ("x-end", "2"),
+            ("transfer-encoding", "chunked"),
+            ("keep-alive", "timeout=3"),
+        ]
+        self.assertEqual(wire.answer_headers(received), [("x-end", "2")])
+        sent = wire.request_headers(
+            received, left_s=1.0, replica="i", resume_after="", body_bytes=5
+        )
+        self.assertIn(("content-length", "5"), sent)
+        self.assertNotIn("x-hop", dict(sent))
+        self.assertNotIn("transfer-encoding", dict(sent))
