--- a/src/bramleylead/connection/_http_client.py
+++ b/src/bramleylead/connection/_http_client.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import socket
 from collections.abc import AsyncIterator
 from collections.abc import Mapping
 from contextlib import asynccontextmanager
@@ -23,12 +22,12 @@
 
 from bramleylead.connection._gathering import GatheringBackend
 from bramleylead.connection._gathering import GatheringStream
+from bramleylead.connection._tcp import probe_options
 
 CONNECT_TIMEOUT_S = 1.0
 KEEP_ALIVE_S = 5.0
 MAX_CONNECTIONS = 4096
 MAX_ANSWER_BYTES = 64_000_000
-SILENT_PROBES = 2
 SENDING_EVENT = "http11.send_request_headers.started"
 
 Headers = Mapping[str, str]
@@ -216,25 +215,6 @@
             self.sent = True
 
 
-def probe_options(silent_after_s: int) -> list[tuple[int, int, int]]:
-    """Return the socket options by which the kernel gives up a connection that went silent.
-
-    :param silent_after_s: idle time before the first probe, in whole seconds; 0 for none.
-    """
-    if not silent_after_s:
-        return []
-    tcp = socket.IPPROTO_TCP
-    probes = SILENT_PROBES
-    interval_s = max(1, silent_after_s // probes)
-    return [
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (tcp, socket.TCP_KEEPIDLE, silent_after_s),
-        (tcp, socket.TCP_KEEPINTVL, interval_s),
-        (tcp, socket.TCP_KEEPCNT, probes),
-        (tcp, socket.TCP_USER_TIMEOUT, (silent_after_s + probes * interval_s) * 1000),
-    ]
-
-
 def _is_idle(pool: httpcore.AsyncConnectionPool) -> bool:
     return all(connection.is_idle() for connection in pool.connections)
 
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -37,6 +37,7 @@
 UNREADY_FOR_S = 3.2
 """From the signal to stop: the balancer needs two refusals, a second apart, to send no more."""
 STOP_MARGIN_S = 1.0
+SILENT_AFTER_S = 1
 
 log = structlog.get_logger()
 
@@ -130,7 +131,7 @@
     :param path: the settings file, read again on SIGHUP.
     :raises OSError: if an address can't be bound.
     """
-    network = TcpNetwork()
+    network = TcpNetwork(silent_after_s=SILENT_AFTER_S)
     async with (
         PlatformStore(settings.store.address) as store,
         PeerClient(network, node=settings.node, cluster_key=settings.cluster_key) as peers,
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -29,6 +29,7 @@
 EXPIRE_INTERVAL_S = 10.0
 RETIRE_RETRY_S = 0.3
 DRAIN_S = 1.0
+SILENT_AFTER_S = 1
 
 log = structlog.get_logger()
 
@@ -65,7 +66,7 @@
     :param path: the settings file, named in the log on SIGHUP.
     :raises OSError: if the address can't be bound or the disk can't be read.
     """
-    network = TcpNetwork()
+    network = TcpNetwork(silent_after_s=SILENT_AFTER_S)
     address = f"{settings.host}:{settings.peer_ports[0]}"
     server = PeerServer(node=settings.node, cluster_key=settings.cluster_key)
     async with (
