--- a/src/bramleylead/_log_writer.py
+++ b/src/bramleylead/_log_writer.py
@@ -23,6 +23,8 @@
 FLUSH_INTERVAL_S = 0.02
 LINES_PER_KIND_PER_S = 2_000
 CLOSE_TIMEOUT_S = 1.0
+WHOLE_WRITE_CHARACTERS = 4_000
+"""What a pipe takes in one piece, so that lines of several processes do not mix."""
 
 
 @final
@@ -97,14 +99,21 @@
                 time.sleep(FLUSH_INTERVAL_S)
 
     def _flush(self) -> None:
-        lines = []
+        text = ""
         while self._lines:
-            lines.append(self._lines.popleft())
+            line = self._lines.popleft() + "\n"
+            if len(text) + len(line) > WHOLE_WRITE_CHARACTERS:
+                self._put(text)
+                text = ""
+            text += line
         dropped, self._dropped = self._dropped, 0
         if dropped:
-            lines.append(_notice("log_lines_dropped", lines=dropped))
-        if lines:
-            self._stream.write("\n".join(lines) + "\n")
+            text += _notice("log_lines_dropped", lines=dropped) + "\n"
+        self._put(text)
+
+    def _put(self, text: str) -> None:
+        if text:
+            self._stream.write(text)
             self._stream.flush()
 
 
--- a/src/bramleylead/cli/_site_process.py
+++ b/src/bramleylead/cli/_site_process.py
@@ -17,6 +17,7 @@
 from bramleylead.cli._exit import ExitCode
 from bramleylead.gateway._settings import SiteSettings
 from bramleylead.logs import configure_buffered_logs
+from bramleylead.site_metrics import SiteMetrics
 from bramleylead.validation import load_model
 
 SETTINGS_VARIABLE = "BRAMLEYLEAD_NODE_FILE"
@@ -37,7 +38,7 @@
 def run_site_process(
     name: str,
     model: type[_S],
-    run: Callable[[_S, Path], Awaitable[None]],
+    run: Callable[[_S, Path, SiteMetrics], Awaitable[None]],
     values: flags.FlagValues,
 ) -> int:
     """Check the settings whole, then run until a signal."""
@@ -57,6 +58,7 @@
         return ExitCode.INVALID
     settings = loaded.ok_value
     with LogWriter(sys.stdout) as writer:
-        configure_buffered_logs(writer, node=settings.node)
-        anyio.run(run, settings, Path(file), backend="asyncio")
+        metrics = SiteMetrics()
+        configure_buffered_logs(writer, node=settings.node, count_line=metrics.count_line)
+        anyio.run(run, settings, Path(file), metrics, backend="asyncio")
     return ExitCode.OK
--- a/src/bramleylead/errors.py
+++ b/src/bramleylead/errors.py
@@ -40,6 +40,7 @@
     STORE_UNAVAILABLE = "store_unavailable"
     STOPPING = "stopping"
     ENDPOINT_FAILED = "endpoint_failed"
+    ENDPOINT_LOST = "endpoint_lost"
     ENDPOINT_REJECTED = "endpoint_rejected"
     OUTCOME_UNKNOWN = "outcome_unknown"
     CANCELLED = "cancelled"
@@ -92,6 +93,9 @@
     ErrorKind.STORE_UNAVAILABLE: Answer(503, Ran.NOT_RUN, 5.0, "retry later"),
     ErrorKind.STOPPING: Answer(503, Ran.NOT_RUN, 0.5, "retry, another node answers"),
     ErrorKind.ENDPOINT_FAILED: Answer(502, Ran.RAN, 1.0, "retry the call under its number"),
+    ErrorKind.ENDPOINT_LOST: Answer(
+        502, Ran.UNKNOWN, None, "check at the endpoint whether the call took effect"
+    ),
     ErrorKind.ENDPOINT_REJECTED: Answer(502, Ran.NOT_RUN, None, "correct the request"),
     ErrorKind.OUTCOME_UNKNOWN: Answer(
         504, Ran.UNKNOWN, None, "check at the tool whether the call took effect"
--- a/src/bramleylead/gateway/_app.py
+++ b/src/bramleylead/gateway/_app.py
@@ -45,10 +45,18 @@
         self._plain = plain
         self._streams = streams
         self.closing = False
+        self.running = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
         assert scope["type"] == "http"
+        self.running += 1
+        try:
+            await self._serve(scope, receive, send)
+        finally:
+            self.running -= 1
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         exchange = Exchange(scope, receive, send)
         exchange.close_after = self.closing
         caller = HttpCaller(exchange, wire.read_call(exchange.headers))
@@ -101,7 +109,7 @@
             left_s=round(call.left_s, 3),
         )
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_end_when_gone, exchange, call, tasks.cancel_scope)
+            tasks.start_soon(_end_when_gone, exchange, caller, tasks.cancel_scope)
             if call.route.kind is CallKind.STREAM:
                 await self._streams.answer(call, caller)
             else:
@@ -125,6 +133,7 @@
         self._began_at = anyio.current_time()
         self.facts = facts
         self.broken = False
+        self.ended = False
 
     async def begin(self, head: ResponseHead) -> None:
         """Send status and headers of a stream."""
@@ -138,6 +147,7 @@
 
     async def finish(self) -> None:
         """End a stream as complete."""
+        self.ended = True
         await self._exchange.write(b"", more=False)
         self._log("answered", status=200)
 
@@ -148,12 +158,14 @@
 
     async def answer(self, answer: WholeAnswer) -> None:
         """Send a replica's whole answer."""
+        self.ended = True
         headers = wire.answer_headers(answer.head.headers)
         await self._exchange.respond(answer.head.status, answer.body, headers)
         self._log("answered", status=answer.head.status, replica=answer.replica.name)
 
     async def refuse(self, failure: Failure) -> None:
         """Send a refusal or failure of the gateway's own."""
+        self.ended = True
         row = failure.answer
         headers = [("content-type", JSON_TYPE)]
         headers += wire.retry_headers(self.facts.request, row.retry_after_s)
@@ -189,10 +201,11 @@
     return app
 
 
-async def _end_when_gone(exchange: Exchange, call: Call, scope: anyio.CancelScope) -> None:
+async def _end_when_gone(exchange: Exchange, caller: HttpCaller, scope: anyio.CancelScope) -> None:
     await exchange.wait_gone()
-    log.info("caller_gone", request=call.facts.request, program=call.facts.program)
-    scope.cancel()
+    if not caller.ended:
+        log.info("caller_gone", request=caller.facts.request, program=caller.facts.program)
+        scope.cancel()
 
 
 def _time_for(route: Route, facts: CallFacts) -> float:
--- a/src/bramleylead/gateway/_directory.py
+++ b/src/bramleylead/gateway/_directory.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from typing import Any
 from typing import final
 
 import anyio
@@ -59,6 +60,17 @@
         """Return the names of all replicas that are known, leaving ones too."""
         return set(self._replicas)
 
+    def dump(self) -> list[dict[str, Any]]:
+        """Return every known replica, and since when its entry is missing."""
+        now = anyio.current_time()
+        return [
+            {
+                **replica._asdict(),
+                "missing_s": round(now - self._missing_since.get(replica.name, now), 3),
+            }
+            for replica in self._replicas.values()
+        ]
+
     def note_trouble(self) -> None:
         """Take in that the store did not answer."""
         self._trouble_at = anyio.current_time()
--- a/src/bramleylead/gateway/_plain.py
+++ b/src/bramleylead/gateway/_plain.py
@@ -114,7 +114,7 @@
     def failure(self) -> Failure:
         """Return the failure after the last try."""
         if self._may_have_run:
-            return Failure(ErrorKind.ENDPOINT_FAILED, self._detail)
+            return Failure(ErrorKind.ENDPOINT_LOST, self._detail)
         return Failure(ErrorKind.OVERLOADED, self._detail, RETRY_AFTER_S)
 
     def out_of_time(self) -> Failure:
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -4,6 +4,7 @@
 
 import signal
 from pathlib import Path
+from typing import Any
 from typing import final
 
 import anyio
@@ -28,10 +29,12 @@
 from bramleylead.gateway._streams import StreamCalls
 from bramleylead.ledger._client import LedgerClient
 from bramleylead.ledger._member_list import StoredMemberList
+from bramleylead.ledger._members import view_to_plain
 from bramleylead.platform import _names as names
 from bramleylead.platform._objects import PlatformStore
 from bramleylead.request._server import HttpServer
 from bramleylead.scheduling._replica_choice import ReplicaLoads
+from bramleylead.site_metrics import SiteMetrics
 
 UPKEEP_S = 0.5
 UNREADY_FOR_S = 3.2
@@ -54,6 +57,7 @@
         store: PlatformStore,
         ledger: LedgerClient,
         tasks: TaskGroup,
+        metrics: SiteMetrics,
     ) -> None:
         self._settings = settings
         self._store = store
@@ -73,6 +77,8 @@
         self.app = GatewayApp(self.directory, PlainCalls(sender), streams)
         self._http = HttpServer(self.app)
         self._ready = HttpServer(ready_app(self.is_ready))
+        self._metrics = HttpServer(metrics.app)
+        metrics.describe(self._gauges, self._dump)
 
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
@@ -85,6 +91,7 @@
         """
         await self._tasks.start(self._http.serve, self._settings.http_address)
         await self._tasks.start(self._ready.serve, self._settings.ready_address)
+        await self._tasks.start(self._metrics.serve, self._settings.metrics_address)
         on_trouble = self.directory.note_trouble
         for follower in (
             ConfigurationFollower(self.directory),
@@ -115,6 +122,26 @@
             took_s=round(anyio.current_time() - started_at, 3),
         )
 
+    def _gauges(self) -> dict[str, float]:
+        configuration = self.directory.configuration
+        return {
+            "configuration_version": 0 if configuration is None else configuration.version,
+            "replicas": len(self.directory.names()),
+            "ledger_epoch": self._ledger.view.epoch,
+            "connections_opened": self._links.opened,
+            "requests_running": self.app.running,
+            "ready": self.is_ready(),
+        }
+
+    def _dump(self) -> dict[str, Any]:
+        return {
+            "node": self._settings.node,
+            "state": self._gauges(),
+            "replicas": self.directory.dump(),
+            "running": {name: self._loads.running(name) for name in self.directory.names()},
+            "ledger": view_to_plain(self._ledger.view),
+        }
+
     async def _run_upkeep(self) -> None:
         while True:
             await anyio.sleep(UPKEEP_S)
@@ -125,10 +152,10 @@
             await self._links.close_old()
 
 
-async def run_gateway(settings: GatewaySettings, path: Path) -> None:
+async def run_gateway(settings: GatewaySettings, path: Path, metrics: SiteMetrics) -> None:
     """Run a gateway until SIGTERM.
 
-    :param path: the settings file, read again on SIGHUP.
+    :param path: the settings file, named in the log on SIGHUP.
     :raises OSError: if an address can't be bound.
     """
     network = TcpNetwork(silent_after_s=SILENT_AFTER_S)
@@ -142,7 +169,9 @@
         ) as ledger,
         anyio.create_task_group() as tasks,
     ):
-        gateway = Gateway(settings, network=network, store=store, ledger=ledger, tasks=tasks)
+        gateway = Gateway(
+            settings, network=network, store=store, ledger=ledger, tasks=tasks, metrics=metrics
+        )
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             await gateway.start()
             async for number in signals:
--- a/src/bramleylead/gateway/_settings.py
+++ b/src/bramleylead/gateway/_settings.py
@@ -23,6 +23,7 @@
     :param data_centres: the region of each data centre.
     :param host: the address at which other nodes reach this one.
     :param peer_ports: first and last port that are free for nodes among themselves.
+    :param metrics_address: where metrics and state dumps are read.
     :param losses: how many VMs with a disk may be lost at once.
     :param stop_grace_s: from the signal to stop until the process is ended by force.
     """
@@ -33,6 +34,7 @@
     data_centres: dict[str, str]
     host: str
     peer_ports: tuple[int, int]
+    metrics_address: Address
     store: StoreAddress
     cluster_key: Annotated[str, Field(min_length=16)]
     losses: Annotated[int, Field(ge=0)]
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -269,7 +269,7 @@
         if stream.begun:
             await stream.caller.break_off()
         elif stream.may_have_run:
-            kind = ErrorKind.OUTCOME_UNKNOWN if late else ErrorKind.ENDPOINT_FAILED
+            kind = ErrorKind.OUTCOME_UNKNOWN if late else ErrorKind.ENDPOINT_LOST
             await stream.caller.refuse(Failure(kind, stream.detail))
         else:
             await stream.caller.refuse(Failure(ErrorKind.OVERLOADED, stream.detail, RETRY_AFTER_S))
--- a/src/bramleylead/gateway/_upstream.py
+++ b/src/bramleylead/gateway/_upstream.py
@@ -209,6 +209,9 @@
                 self._parser.receive_data(await self._receive(answered=answered))
                 event = self._parser.next_event()
         except h11.RemoteProtocolError as error:
+            if self._last:
+                detail = "the connection ended before the response did"
+                raise UpstreamError(detail, answered=answered) from error
             raise UpstreamError(f"not HTTP: {error}", answered=answered) from error
         if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
             raise UpstreamError("the replica closed the connection", answered=answered)
--- a/src/bramleylead/ledger/_node.py
+++ b/src/bramleylead/ledger/_node.py
@@ -23,6 +23,7 @@
 from bramleylead.ledger._members import NO_VIEW
 from bramleylead.ledger._members import LedgerMember
 from bramleylead.ledger._members import LedgerView
+from bramleylead.ledger._members import view_to_plain
 from bramleylead.ledger._messages import AskKeys
 from bramleylead.ledger._messages import AskRecords
 from bramleylead.ledger._messages import AskState
@@ -97,6 +98,25 @@
         """Whether this node with this disk is a member."""
         return self.me in self._view.members
 
+    def gauges(self) -> dict[str, float]:
+        """Return what the metrics page shows of this node."""
+        return {
+            "ledger_epoch": self._view.epoch,
+            "ledger_member": self.is_member,
+            "records": len(self._state),
+            "disk_batches": self._writer.batches,
+        }
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state for a dump."""
+        copied = {name: cursor._asdict() for name, cursor in self._cursors.items()}
+        return {
+            "me": self.me._asdict(),
+            "state": self.gauges(),
+            "ledger": view_to_plain(self._view),
+            "copied": copied,
+        }
+
     async def load(self) -> None:
         """Read the disk.
 
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -25,6 +25,8 @@
 from bramleylead.platform._objects import ObjectChange
 from bramleylead.platform._objects import PlatformObject
 from bramleylead.platform._objects import PlatformStore
+from bramleylead.request._server import HttpServer
+from bramleylead.site_metrics import SiteMetrics
 
 EXPIRE_INTERVAL_S = 10.0
 RETIRE_RETRY_S = 0.3
@@ -60,7 +62,7 @@
             self.wanted.set()
 
 
-async def run_ledger(settings: LedgerSettings, path: Path) -> None:
+async def run_ledger(settings: LedgerSettings, path: Path, metrics: SiteMetrics) -> None:
     """Run a node of the ledger until SIGTERM.
 
     :param path: the settings file, named in the log on SIGHUP.
@@ -78,11 +80,13 @@
         node = LedgerNode(node=settings.node, address=address, disk=disk, peers=peers)
         await node.load()
         node.serve_on(server)
+        metrics.describe(node.gauges, node.dump)
         membership = Membership(node, StoredMemberList(store), peers, losses=settings.losses)
         retirement = RetirementFollower(settings.node)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             tasks.start_soon(node.run_writer)
             await tasks.start(network.serve, address, server.serve_stream)
+            await tasks.start(HttpServer(metrics.app).serve, settings.metrics_address)
             tasks.start_soon(_run_expiry, node)
             tasks.start_soon(follow, store, retirement, _nothing)
             tasks.start_soon(_run_membership, membership, retirement, store, settings.node)
--- a/src/bramleylead/logs.py
+++ b/src/bramleylead/logs.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import structlog
+from structlog.typing import Processor
 
 from bramleylead._log_writer import BufferedLogger
 from bramleylead._log_writer import LogWriter
@@ -34,15 +35,19 @@
     )
 
 
-def configure_buffered_logs(writer: LogWriter, *, node: str) -> None:
+def configure_buffered_logs(
+    writer: LogWriter, *, node: str, count_line: Processor | None = None
+) -> None:
     """Set up logging as JSON lines to a writer that never holds up the event loop.
 
     :param node: named in every line.
+    :param count_line: sees every line before any is dropped.
     """
     structlog.contextvars.bind_contextvars(node=node)
     logger = BufferedLogger(writer)
     structlog.configure(
         processors=[
+            *([count_line] if count_line else []),
             writer.limit,
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
--- /dev/null
+++ b/src/bramleylead/site_metrics.py
@@ -0,0 +1,89 @@
+"""Metrics of a gateway or a node of the ledger, on an address of their own.
+
+Every line of the log is counted by its event and reason, so that a counter and the lines behind it
+never disagree. Times are histograms of their own.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Any
+from typing import final
+
+from aioprometheus import Counter
+from aioprometheus import Gauge
+from aioprometheus import Histogram
+from aioprometheus import Registry
+from aioprometheus import render
+
+from bramleylead.request._exchange import Exchange
+from bramleylead.request._exchange import Receive
+from bramleylead.request._exchange import Scope
+from bramleylead.request._exchange import Send
+from bramleylead.request._http_answers import JSON_TYPE
+from bramleylead.request._http_answers import encode_json
+
+METRICS_PATH = "/metrics"
+DUMP_PATH = "/dump"
+SECONDS_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+REASON_FIELDS = ("kind", "status", "source", "may_have_run")
+"""Fields of a line that name a reason and take few values."""
+
+Gauges = Callable[[], Mapping[str, float]]
+Dump = Callable[[], Mapping[str, Any]]
+
+
+@final
+class SiteMetrics:
+    """The metrics of one process."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self._lines = Counter(
+            "bramleylead_decisions_total",
+            "Lines of the log by event and reason, those not written among them.",
+            registry=self.registry,
+        )
+        self._answers = Histogram(
+            "bramleylead_answer_seconds",
+            "From a request's arrival to the end of its answer, by outcome.",
+            buckets=SECONDS_BUCKETS,
+            registry=self.registry,
+        )
+        self._state = Gauge(
+            "bramleylead_state", "What the process believes, by name.", registry=self.registry
+        )
+        self._gauges: Gauges = dict
+        self._dump: Dump = dict
+
+    def describe(self, gauges: Gauges, dump: Dump) -> None:
+        """Say where the state comes from: numbers for the metrics page, all of it for a dump."""
+        self._gauges = gauges
+        self._dump = dump
+
+    def count_line(self, logger: Any, method: str, event: dict[str, Any]) -> dict[str, Any]:
+        """Count a line of the log (a structlog processor)."""
+        labels = {"event": event["event"]}
+        for field in REASON_FIELDS:
+            if field in event:
+                labels[field] = str(event[field])
+        self._lines.inc(labels)
+        if "took_s" in event:
+            self._answers.observe({"event": event["event"]}, event["took_s"])
+        return event
+
+    async def app(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve the metrics page and the state dump."""
+        exchange = Exchange(scope, receive, send)
+        if exchange.path == METRICS_PATH:
+            for name, value in self._gauges().items():
+                self._state.set({"name": name}, value)
+            accept = exchange.headers.get("accept", "")
+            content, headers = render(self.registry, [accept] if accept else [])
+            await exchange.respond(200, content, [("content-type", headers["Content-Type"])])
+        elif exchange.path == DUMP_PATH:
+            body = encode_json(self._dump())
+            await exchange.respond(200, body, [("content-type", JSON_TYPE)])
+        else:
+            await exchange.respond(404, b"", [])
--- a/testing/asgi_client.py
+++ b/testing/asgi_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -12,6 +13,8 @@
 
 import anyio
 
+from bramleylead.gateway._app import BrokenOffError
+
 Application = Callable[..., Awaitable[None]]
 
 
@@ -82,7 +85,8 @@
             "query_string": query.encode(),
             "headers": [(name.encode(), value.encode()) for name, value in headers],
         }
-        await self._app(scope, self._receive, self._send)
+        with contextlib.suppress(BrokenOffError):
+            await self._app(scope, self._receive, self._send)
         return self._response()
 
     async def _receive(self) -> dict[str, Any]:
--- a/testing/gateway/_site.py
+++ b/testing/gateway/_site.py
@@ -37,6 +37,8 @@
 from bramleylead.ledger._records import union
 from bramleylead.scheduling._replica_choice import ReplicaLoads
 from bramleylead.standins import FakeNetwork
+from testing.asgi_client import RawRequest
+from testing.asgi_client import send
 
 ID = "bramleylead-request-id"
 HOST = "site.example"
@@ -235,61 +237,11 @@
         leave_after_s: float | None = None,
     ) -> Answered:
         """Send a request to the gateway and return its answer."""
-        exchange = _Caller(path, body, headers or {}, leave_after_s)
-        complete = True
-        try:
-            await self.app(exchange.scope, exchange.receive, exchange.send)
-        except Exception:
-            complete = False
-        return Answered(
-            exchange.status, exchange.headers, bytes(exchange.body), complete and exchange.complete
-        )
-
-
-class _Caller:
-    """One request's ASGI side."""
-
-    def __init__(
-        self, path: str, body: bytes, headers: dict[str, str], leave_after_s: float | None
-    ) -> None:
-        all_headers = {
-            "host": HOST,
-            ID: "q1",
-            "bramleylead-deadline-ms": "3000",
-            **headers,
-        }
-        if body:
-            all_headers["content-length"] = str(len(body))
-        self.scope = {
-            "type": "http",
-            "method": "POST" if body else "GET",
-            "path": path,
-            "raw_path": path.encode(),
-            "query_string": b"",
-            "headers": [(name.encode(), value.encode()) for name, value in all_headers.items()],
-        }
-        self._unread = [{"type": "http.request", "body": body, "more_body": False}]
-        self._leave_after_s = leave_after_s
-        self.status = 0
-        self.headers: dict[str, str] = {}
-        self.body = bytearray()
-        self.complete = False
-
-    async def receive(self) -> dict[str, object]:
-        if self._unread:
-            return self._unread.pop()
-        if self._leave_after_s is None:
-            await anyio.sleep_forever()
-        await anyio.sleep(self._leave_after_s)
-        return {"type": "http.disconnect"}
-
-    async def send(self, message: dict[str, object]) -> None:
-        if message["type"] == "http.response.start":
-            self.status = message["status"]
-            self.headers = {name.decode(): value.decode() for name, value in message["headers"]}
-        else:
-            self.body += message.get("body", b"")
-            self.complete = not message.get("more_body", False)
+        all_headers = {"host": HOST, ID: "q1", "bramleylead-deadline-ms": "3000", **(headers or {})}
+        method = "POST" if body else "GET"
+        request = RawRequest(method, path, tuple(all_headers.items()), body, leave_after_s)
+        response = await send(self.app, request)
+        return Answered(response.status, dict(response.named), response.body, response.whole)
 
 
 def route(kind: CallKind, **changes: object) -> Route:
--- /dev/null
+++ b/testing/test_site_metrics.py
@@ -0,0 +1,40 @@
+"""Decisions are counted by event and reason, and the state can be read."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+import anyio
+
+from bramleylead.site_metrics import SiteMetrics
+from testing.asgi_client import RawRequest
+from testing.asgi_client import send
+
+
+class SiteMetricsTest(unittest.TestCase):
+    def page(self, metrics: SiteMetrics, path: str) -> tuple[int, str]:
+        async def read() -> tuple[int, str]:
+            answer = await send(metrics.app, RawRequest("GET", path))
+            return answer.status, answer.body.decode()
+
+        return anyio.run(read)
+
+    def test_lines_are_counted_by_reason(self) -> None:
+        metrics = SiteMetrics()
+        for kind in ("overloaded", "overloaded", "budget_exhausted"):
+            line = {"event": "refused", "kind": kind, "request": "q", "took_s": 0.02}
+            self.assertIs(metrics.count_line(None, "info", line), line)
+        _, text = self.page(metrics, "/metrics")
+        self.assertIn('bramleylead_decisions_total{event="refused",kind="overloaded"} 2', text)
+        self.assertIn('bramleylead_answer_seconds_count{event="refused"} 3', text)
+        self.assertNotIn('request="q"', text)
+
+    def test_the_state_is_shown_as_numbers_and_as_a_dump(self) -> None:
+        metrics = SiteMetrics()
+        metrics.describe(lambda: {"replicas": 9}, lambda: {"node": "g1"})
+        self.assertIn('bramleylead_state{name="replicas"} 9', self.page(metrics, "/metrics")[1])
+        self.assertEqual(json.loads(self.page(metrics, "/dump")[1]), {"node": "g1"})
+
+    def test_another_path_is_not_found(self) -> None:
+        self.assertEqual(self.page(SiteMetrics(), "/other")[0], 404)
