--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -24,6 +24,7 @@
 from bramleylead.gateway._kept_turns import KeptTurns
 from bramleylead.gateway._links import Links
 from bramleylead.gateway._plain import PlainCalls
+from bramleylead.gateway._replica_choice import ReplicaLoads
 from bramleylead.gateway._sender import Sender
 from bramleylead.gateway._settings import GatewaySettings
 from bramleylead.gateway._streams import StreamCalls
@@ -33,7 +34,6 @@
 from bramleylead.platform import _names as names
 from bramleylead.platform._objects import PlatformStore
 from bramleylead.request._server import HttpServer
-from bramleylead.scheduling._replica_choice import ReplicaLoads
 from bramleylead.site_metrics import SiteMetrics
 
 UPKEEP_S = 0.5
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -18,6 +18,9 @@
 from bramleylead.gateway._call import WholeAnswer
 from bramleylead.gateway._directory import Directory
 from bramleylead.gateway._links import Links
+from bramleylead.gateway._replica_choice import Candidate
+from bramleylead.gateway._replica_choice import Need
+from bramleylead.gateway._replica_choice import ReplicaLoads
 from bramleylead.gateway._types import AnswerFacts
 from bramleylead.gateway._types import EngineSpec
 from bramleylead.gateway._types import Replica
@@ -26,9 +29,6 @@
 from bramleylead.gateway._upstream import Upstream
 from bramleylead.gateway._upstream import UpstreamError
 from bramleylead.platform import _wire as wire
-from bramleylead.scheduling._replica_choice import Candidate
-from bramleylead.scheduling._replica_choice import Need
-from bramleylead.scheduling._replica_choice import ReplicaLoads
 
 OTHER_INSTANCE_STATUS = 421
 MAX_ANSWER_BYTES = 64_000_000
--- a/testing/gateway/_site.py
+++ b/testing/gateway/_site.py
@@ -22,6 +22,7 @@
 from bramleylead.gateway._kept_turns import KeptTurns
 from bramleylead.gateway._links import Links
 from bramleylead.gateway._plain import PlainCalls
+from bramleylead.gateway._replica_choice import ReplicaLoads
 from bramleylead.gateway._sender import Sender
 from bramleylead.gateway._streams import StreamCalls
 from bramleylead.gateway._types import CallKind
@@ -35,7 +36,6 @@
 from bramleylead.ledger._records import KeptTurn
 from bramleylead.ledger._records import Spending
 from bramleylead.ledger._records import union
-from bramleylead.scheduling._replica_choice import ReplicaLoads
 from bramleylead.standins import FakeNetwork
 from testing.asgi_client import RawRequest
 from testing.asgi_client import send
--- a/testing/scheduling/test_replica_choice.py
+++ b/testing/gateway/test_replica_choice.py
@@ -8,11 +8,11 @@
 
 import anyio
 
-from bramleylead.scheduling._replica_choice import FAILURE_FADES_S
-from bramleylead.scheduling._replica_choice import LOAD_FADES_S
-from bramleylead.scheduling._replica_choice import Candidate
-from bramleylead.scheduling._replica_choice import Need
-from bramleylead.scheduling._replica_choice import ReplicaLoads
+from bramleylead.gateway._replica_choice import FAILURE_FADES_S
+from bramleylead.gateway._replica_choice import LOAD_FADES_S
+from bramleylead.gateway._replica_choice import Candidate
+from bramleylead.gateway._replica_choice import Need
+from bramleylead.gateway._replica_choice import ReplicaLoads
 from bramleylead.standins import run_virtual
 
 NEAR = Candidate("near", 4, 50_000, True, True)
