Tell in a request's story only the beliefs that concern it

Cause: the story of one refused turn began with 60 lines on replicas that it never met, of every process. Change: replicas that the request met, the ledger's trouble of every process, the rest counted.

--- a/src/bramleylead/cli/_story.py
+++ b/src/bramleylead/cli/_story.py
@@ -20,16 +20,26 @@
         "ledger_members_changed",
         "log_lines_dropped",
         "log_lines_suppressed",
-        "member_silent",
-        "replica_added",
-        "replica_changed",
-        "replica_gone",
-        "replica_missing",
         "settings_changed",
         "store_lost",
         "store_regained",
     }
 )
+REPLICA_BELIEFS = frozenset(
+    {"replica_added", "replica_changed", "replica_gone", "replica_missing", "replica_unreadable"}
+)
+LEDGER_BELIEFS = frozenset(
+    {
+        "disk_write_failed",
+        "ledger_loaded",
+        "ledger_lost",
+        "ledger_stopping",
+        "member_silent",
+        "retirement_wanted",
+        "segment_torn",
+    }
+)
+"""Told of every process: any of them may hold up a turn or a budget."""
 BEFORE_S = 10.0
 HIDDEN_FIELDS = ("timestamp", "event", "level", "node", "request", "program")
 
@@ -78,10 +88,7 @@
     yield f"request {request}, program {program or '-'}, on {', '.join(sorted(nodes))}"
     yield f"it began at {datetime.fromtimestamp(start).isoformat()}"
     yield "what these processes had come to believe shortly before and meanwhile:"
-    beliefs = list(_beliefs(found.lines, nodes, start, own[-1].at_s))
-    yield from (_told(line, start) for line in beliefs)
-    if not beliefs:
-        yield "  nothing new"
+    yield from _tell_beliefs(found.lines, own)
     yield "the request:"
     yield from (_told(line, start) for line in own)
     if program:
@@ -99,10 +106,31 @@
             yield _told(line, start, request=line.fields.get("request"))
 
 
-def _beliefs(lines: list[Line], nodes: set[str], start: float, end: float) -> Iterator[Line]:
-    for line in lines:
-        if line.event in BELIEFS and line.node in nodes and start - BEFORE_S <= line.at_s <= end:
-            yield line
+def _tell_beliefs(lines: list[Line], own: list[Line]) -> Iterator[str]:
+    """Yield what the request's processes came to believe; of replicas only those that it met."""
+    nodes = {line.node for line in own}
+    met = {line.fields.get("replica") for line in own}
+    start, end = own[0].at_s, own[-1].at_s
+    recent = [line for line in lines if start - BEFORE_S <= line.at_s <= end]
+    shown = [line for line in recent if _concerns(line, nodes, met)]
+    yield from (_told(line, start) for line in shown)
+    others = sum(line.event in REPLICA_BELIEFS and line.node in nodes for line in recent)
+    others -= sum(line.event in REPLICA_BELIEFS for line in shown)
+    if others:
+        yield f"  and {others} changes of replicas that it did not meet"
+    if not shown and not others:
+        yield "  nothing new"
+
+
+def _concerns(line: Line, nodes: set[str], met: set[Any]) -> bool:
+    """Whether a line shows what may have decided a request's way."""
+    if line.event in LEDGER_BELIEFS:
+        return True
+    if line.node not in nodes:
+        return False
+    if line.event in REPLICA_BELIEFS:
+        return line.fields.get("replica") in met
+    return line.event in BELIEFS
 
 
 def _told(line: Line, start: float, **more: Any) -> str:
