--- a/src/bramleylead/gateway/_app.py
+++ b/src/bramleylead/gateway/_app.py
@@ -178,6 +178,9 @@
             retry_after_s=row.retry_after_s,
             reason=failure.detail,
         )
+        if failure.kind is ErrorKind.NOT_DURABLE:
+            # A caller that connects anew reaches a gateway that has the ledger.
+            self._exchange.close_after = True
         await self._exchange.respond(row.status, encode_json(body), headers)
 
     def _log(self, event: str, **fields: Any) -> None:
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -82,7 +82,7 @@
 
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
-        return self.directory.is_complete and not self.app.closing
+        return self.directory.is_complete and not self.app.closing and not self._ledger.is_out
 
     async def start(self) -> None:
         """Start serving and following.
@@ -100,6 +100,7 @@
             self._tasks.start_soon(follow, self._store, follower, on_trouble)
         self._tasks.start_soon(self._run_upkeep)
         self._tasks.start_soon(self._ledger.learn)
+        self._tasks.start_soon(self._ledger.run_probes)
         log.info(
             "gateway_serving",
             node=self._settings.node,
--- a/src/bramleylead/ledger/_client.py
+++ b/src/bramleylead/ledger/_client.py
@@ -35,7 +35,9 @@
 from bramleylead.ledger._records import Spending
 from bramleylead.ledger._records import union
 
-ENTRY_TIMEOUT_S = 1.5
+RESERVE_TIMEOUT_S = 0.7
+KEEP_TIMEOUT_S = 1.5
+PROBE_INTERVAL_S = 0.3
 HEDGE_S = 0.06
 LEARN_INTERVAL_S = 0.5
 STATE_TIMEOUT_S = 0.5
@@ -103,6 +105,7 @@
         self._view = NO_VIEW
         self._learning = anyio.Lock()
         self._learned_at = -LEARN_INTERVAL_S
+        self._out_since: float | None = None
         self._tasks: TaskGroup | None = None
 
     async def __aenter__(self) -> Self:
@@ -125,20 +128,66 @@
         """The members as this client knows them."""
         return self._view
 
+    @property
+    def is_out(self) -> bool:
+        """Whether entries fail for want of members that answer; probes tell when this ends."""
+        return self._out_since is not None
+
+    async def run_probes(self) -> None:
+        """While entries fail, ask the members until enough of them answer."""
+        while True:
+            await anyio.sleep(PROBE_INTERVAL_S)
+            if self._out_since is not None:
+                await self._probe()
+
+    async def _probe(self) -> None:
+        await self.learn()
+        view = self._view
+        answering: list[LedgerMember] = []
+
+        async def ask(member: LedgerMember) -> None:
+            answer = await self._peers.request(
+                member.address, AskState(), timeout_s=STATE_TIMEOUT_S, idempotent=True
+            )
+            if isinstance(answer, Ok) and answer.ok_value.disk == member.disk:
+                answering.append(member)
+
+        async with anyio.create_task_group() as tasks:
+            for member in view.members:
+                tasks.start_soon(ask, member)
+        enough = len(answering) >= view.acks_needed(self._losses) > self._losses
+        if enough and self._out_since is not None:
+            out_s = anyio.current_time() - self._out_since
+            self._out_since = None
+            log.info("ledger_regained", epoch=view.epoch, out_s=round(out_s, 3))
+
+    def _note_out(self, detail: str) -> None:
+        if self._out_since is None:
+            self._out_since = anyio.current_time()
+            log.warning("ledger_lost_contact", epoch=self._view.epoch, reason=detail)
+
     async def reserve(self, spending: Spending) -> Result[dict[str, Spending], Failure]:
         """Reserve a turn's most; returns all spending of the program that is known."""
-        acks = await self._enter(lambda epoch: Reserve(epoch, spending))
+        if self.is_out:
+            return Err(_unavailable("too few of the ledger's members answer"))
+        acks = await self._enter(
+            lambda epoch: Reserve(epoch, spending), timeout_s=RESERVE_TIMEOUT_S
+        )
         if isinstance(acks, Err):
             return acks
         return Ok(union(ack.known for ack in acks.ok_value))
 
     async def settle(self, spending: Spending) -> Result[None, Failure]:
         """Say what a turn has spent."""
-        return _nothing(await self._enter(lambda epoch: Settle(epoch, spending)))
+        return _nothing(
+            await self._enter(lambda epoch: Settle(epoch, spending), timeout_s=KEEP_TIMEOUT_S)
+        )
 
     async def keep(self, turn: KeptTurn) -> Result[None, Failure]:
         """Keep a turn that was answered whole, and settle its spending."""
-        return _nothing(await self._enter(lambda epoch: Keep(epoch, turn)))
+        return _nothing(
+            await self._enter(lambda epoch: Keep(epoch, turn), timeout_s=KEEP_TIMEOUT_S)
+        )
 
     async def find_chain(self, turn: str) -> Result[list[KeptTurn], Failure]:
         """Return a turn and all those before it, oldest first.
@@ -179,7 +228,9 @@
             await self.learn()
         return self._view
 
-    async def _enter(self, entry: Callable[[int], Any]) -> Result[list[Any], Failure]:
+    async def _enter(
+        self, entry: Callable[[int], Any], *, timeout_s: float
+    ) -> Result[list[Any], Failure]:
         """Send an entry to all members and wait until it counts."""
         detail = ""
         for _ in range(RETRIES):
@@ -188,7 +239,7 @@
                 detail = f"{len(view.members)} members, more than {self._losses} are needed"
                 break
             round_ = self._send_all(view, entry(view.epoch))
-            with anyio.move_on_after(ENTRY_TIMEOUT_S):
+            with anyio.move_on_after(timeout_s):
                 await round_.decided.wait()
             if round_.newer is not None:
                 self._adopt(round_.newer, source="answer")
@@ -199,6 +250,7 @@
             assert self._tasks is not None
             self._tasks.start_soon(self.learn)
             break
+        self._note_out(detail)
         return Err(_unavailable(f"ledger at epoch {self._view.epoch}: {detail}"))
 
     def _send_all(self, view: LedgerView, entry: Any) -> _Round:
@@ -217,7 +269,7 @@
         asked = _Search(self._peers, view, turn)
         ordered = sorted(view.members, key=lambda member: not self._is_near(member))
         async with anyio.create_task_group() as tasks:
-            with anyio.move_on_after(ENTRY_TIMEOUT_S):
+            with anyio.move_on_after(RESERVE_TIMEOUT_S):
                 for member in ordered:
                     tasks.start_soon(asked.ask, member)
                     with anyio.move_on_after(HEDGE_S):
@@ -303,9 +355,7 @@
     peers: PeerClient, view: LedgerView, member: LedgerMember, request: Any
 ) -> Result[Any, Failure]:
     """Ask a member something under a view; one that knows only an earlier view is told it."""
-    answer = await peers.request(
-        member.address, request, timeout_s=ENTRY_TIMEOUT_S, idempotent=True
-    )
+    answer = await peers.request(member.address, request, timeout_s=KEEP_TIMEOUT_S, idempotent=True)
     if isinstance(answer, Err) or not isinstance(answer.ok_value, StaleEpoch):
         return answer
     if answer.ok_value.view.epoch >= view.epoch:
@@ -313,7 +363,7 @@
     await peers.request(
         member.address, CatchUp(view, ()), timeout_s=STATE_TIMEOUT_S, idempotent=True
     )
-    return await peers.request(member.address, request, timeout_s=ENTRY_TIMEOUT_S, idempotent=True)
+    return await peers.request(member.address, request, timeout_s=KEEP_TIMEOUT_S, idempotent=True)
 
 
 def _nothing(result: Result[Any, Failure]) -> Result[None, Failure]:
--- a/testing/ledger/test_entries.py
+++ b/testing/ledger/test_entries.py
@@ -13,6 +13,7 @@
 from bramleylead.standins import run_virtual
 from testing.ledger._fleet import LOSSES
 from testing.ledger._fleet import Ledger
+from testing.ledger._fleet import gate
 from testing.ledger._fleet import host
 from testing.ledger._fleet import ledger_of
 from testing.ledger._fleet import turn
@@ -173,3 +174,25 @@
                 self.assertEqual(sorted(known), ["a", "b"])
 
         play(main)
+
+
+class ContactTest(unittest.TestCase):
+    def test_without_contact_reservations_are_refused_at_once_until_members_answer(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            async with ledger.gateway(0) as gateway:
+                tasks.start_soon(gateway.run_probes)
+                await gateway.reserve(Spending("p", "a", 1, False))
+                for i in range(3):
+                    ledger.network.cut(gate(0), host(i))
+                self.assertTrue((await gateway.reserve(Spending("p", "b", 1, False))).is_err())
+                self.assertTrue(gateway.is_out)
+                started = anyio.current_time()
+                self.assertTrue((await gateway.reserve(Spending("p", "c", 1, False))).is_err())
+                self.assertLess(anyio.current_time() - started, 0.05)
+                for i in range(3):
+                    ledger.network.heal(gate(0), host(i))
+                await anyio.sleep(2)
+                self.assertFalse(gateway.is_out)
+                self.assertTrue((await gateway.reserve(Spending("p", "d", 1, False))).is_ok())
+
+        play(main)
