--- a/src/bramleylead/backends/_http_stream.py
+++ b/src/bramleylead/backends/_http_stream.py
@@ -15,11 +15,11 @@
 from bramleylead.backends._http_errors import error_of_answer
 from bramleylead.backends._http_errors import error_without_answer
 from bramleylead.backends._http_errors import malformed
-from bramleylead.backends._sse import EventReader
 from bramleylead.backends._types import BackendError
 from bramleylead.backends._types import BackendErrorKind
 from bramleylead.backends._types import EngineChunk
 from bramleylead.backends._types import GenerateCall
+from bramleylead.connection._events import EventReader
 from bramleylead.connection._http_client import HTTP_ERRORS
 from bramleylead.connection._http_client import HttpAnswer
 from bramleylead.connection._http_client import HttpClient
@@ -164,7 +164,7 @@
 
     def _take(self, part: bytes) -> BackendError | str:
         try:
-            events = [event for event in self._reader.feed(part) if event != DONE]
+            events = [event for event in self._reader.feed_data(part) if event != DONE]
             if events:
                 self._ready.append(_joined([_to_chunk(json.loads(event)) for event in events]))
         except (AttributeError, IndexError, KeyError, TypeError, ValueError) as error:
--- a/src/bramleylead/gateway/_events.py
+++ b/src/bramleylead/connection/_events.py
@@ -46,6 +46,13 @@
             raise EventTooLargeError(f"an event of over {MAX_EVENT_BYTES} bytes")
         return events
 
+    def feed_data(self, data: bytes) -> list[bytes]:
+        """Take in bytes and return the data of the whole events that have some.
+
+        :raises EventTooLargeError: if an event is larger than any may be.
+        """
+        return [event.data for event in self.feed(data) if event.data]
+
 
 def _end_of_event(buffer: bytes) -> int:
     """Return the length of the first event with its empty line; 0 if it is not whole."""
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -12,6 +12,8 @@
 from result import Ok
 from result import Result
 
+from bramleylead.connection._events import EventReader
+from bramleylead.connection._events import EventTooLargeError
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.gateway._budgets import Budgets
@@ -19,8 +21,6 @@
 from bramleylead.gateway._call import NotRun
 from bramleylead.gateway._call import Unknown
 from bramleylead.gateway._call import WholeAnswer
-from bramleylead.gateway._events import EventReader
-from bramleylead.gateway._events import EventTooLargeError
 from bramleylead.gateway._kept_turns import KeptTurns
 from bramleylead.gateway._plain import MOVED_LIMIT
 from bramleylead.gateway._plain import RETRY_AFTER_S
--- a/src/bramleylead/trials/_http_node.py
+++ b/src/bramleylead/trials/_http_node.py
@@ -14,7 +14,7 @@
 from result import Ok
 from result import Result
 
-from bramleylead.backends._sse import EventReader
+from bramleylead.connection._events import EventReader
 from bramleylead.connection._http_client import HTTP_ERRORS
 from bramleylead.connection._http_client import HttpAnswer
 from bramleylead.connection._http_client import HttpClient
@@ -124,7 +124,7 @@
                 return
             reader = EventReader()
             async for part in stream.body:
-                for data in reader.feed(part):
+                for data in reader.feed_data(part):
                     if data != DONE:
                         yield _item(json.loads(data))
         except HTTP_ERRORS as error:
--- a/testing/backends/test_http.py
+++ b/testing/backends/test_http.py
@@ -18,7 +18,7 @@
 from bramleylead.backends import Message
 from bramleylead.backends import Order
 from bramleylead.backends import OrderKind
-from bramleylead.backends._sse import EventReader
+from bramleylead.connection._events import EventReader
 from bramleylead.standins import FakeEngine
 from bramleylead.standins import FakeService
 from bramleylead.standins import ToolModel
@@ -305,7 +305,7 @@
         for size in range(1, len(body) + 1):
             reader = EventReader()
             parts = [body[start : start + size] for start in range(0, len(body), size)]
-            events = [event for part in parts for event in reader.feed(part)]
+            events = [event for part in parts for event in reader.feed_data(part)]
             self.assertEqual(events, [b"one", b"two\nlines"])
 
     def test_an_endless_event_is_refused(self) -> None:
--- a/testing/gateway/test_events.py
+++ b/testing/connection/test_events.py
@@ -9,9 +9,9 @@
 from hypothesis import settings
 from hypothesis import strategies
 
-from bramleylead.gateway._events import MAX_EVENT_BYTES
-from bramleylead.gateway._events import EventReader
-from bramleylead.gateway._events import EventTooLargeError
+from bramleylead.connection._events import MAX_EVENT_BYTES
+from bramleylead.connection._events import EventReader
+from bramleylead.connection._events import EventTooLargeError
 
 STREAM = b"id: 1\ndata: a\n\nweight-version: 2\nid: 2\ndata: b\ndata: c\n\nid: 3\r\ndata:d\r\n\r\n"
 
--- a/testing/process/test_real_node.py
+++ b/testing/process/test_real_node.py
@@ -13,7 +13,7 @@
 import httpcore
 
 from bramleylead.backends import Message
-from bramleylead.backends._sse import EventReader
+from bramleylead.connection._events import EventReader
 from bramleylead.connection._tcp import split_address
 from bramleylead.platform import MemoryStore
 from bramleylead.process._settings import RequestSettings
@@ -112,7 +112,7 @@
         await stream.send(session.raw("p-away", len(body)) + body)
         events: list[bytes] = []
         while not events:
-            events = reader.feed(await stream.receive())
+            events = reader.feed_data(await stream.receive())
     return text_of(events)
 
 
@@ -124,7 +124,7 @@
             f"http://{session.address}{path}",
             headers={"authorization": f"Bearer {session.key}"},
         )
-    return text_of(EventReader().feed(answered.content))
+    return text_of(EventReader().feed_data(answered.content))
 
 
 async def _send_slowly(session: Session) -> Got:
