Keep settling turns while the ledger is out; let a full disk or a huge turn end no process

Cause, by reading: a settlement that failed was dropped, so the turn counted at its most for good; a view or an old segment that the disk did not take, and a turn over a message's size, ended the process. Change: settlements are repeated for some 9 s; such a view is not adopted, such a segment stays, such a turn is refused. Each has a test that failed before, but for the segment.

--- a/src/bramleylead/gateway/_budgets.py
+++ b/src/bramleylead/gateway/_budgets.py
@@ -4,6 +4,7 @@
 
 from typing import final
 
+import anyio
 import structlog
 from anyio.abc import TaskGroup
 from result import Err
@@ -16,6 +17,9 @@
 from bramleylead.ledger._client import LedgerClient
 from bramleylead.ledger._records import Spending
 
+SETTLE_PAUSES_S = (0.3, 0.6, 1.2, 2.4, 4.8)
+"""Until a turn is settled its most counts as spent, so a failed try is repeated for a while."""
+
 log = structlog.get_logger()
 
 
@@ -75,15 +79,18 @@
 
     async def _settle(self, facts: CallFacts, tokens: int) -> None:
         spending = Spending(facts.program, facts.request, tokens, True)
-        settled = await self._ledger.settle(spending)
-        if isinstance(settled, Err):
-            log.warning(
-                "budget_unsettled",
-                request=facts.request,
-                program=facts.program,
-                tokens=tokens,
-                reason=settled.err_value.detail,
-            )
+        for pause_s in SETTLE_PAUSES_S:
+            settled = await self._ledger.settle(spending)
+            if isinstance(settled, Ok):
+                return
+            await anyio.sleep(pause_s)
+        log.warning(
+            "budget_unsettled",
+            request=facts.request,
+            program=facts.program,
+            tokens=tokens,
+            reason=settled.err_value.detail,
+        )
 
 
 def _most(facts: CallFacts) -> Spending:
--- a/src/bramleylead/ledger/_client.py
+++ b/src/bramleylead/ledger/_client.py
@@ -36,6 +36,8 @@
 from bramleylead.ledger._records import union
 
 RESERVE_TIMEOUT_S = 0.7
+MAX_TURN_BYTES = 3_900_000
+"""Input and output of one turn, which travel in one message between nodes."""
 KEEP_TIMEOUT_S = 1.5
 PROBE_INTERVAL_S = 0.3
 HEDGE_S = 0.06
@@ -185,6 +187,10 @@
 
     async def keep(self, turn: KeptTurn) -> Result[None, Failure]:
         """Keep a turn that was answered whole, and settle its spending."""
+        size = len(turn.given) + len(turn.made)
+        if size > MAX_TURN_BYTES:
+            detail = f"turn {turn.turn}: {size} bytes; at most {MAX_TURN_BYTES} are kept"
+            return Err(Failure(ErrorKind.TOO_LARGE, detail))
         return _nothing(
             await self._enter(lambda epoch: Keep(epoch, turn), timeout_s=KEEP_TIMEOUT_S)
         )
--- a/src/bramleylead/ledger/_node.py
+++ b/src/bramleylead/ledger/_node.py
@@ -143,7 +143,10 @@
         dropped = self._state.expire(anyio.current_time())
         if dropped:
             log.info("records_expired", node=self._node, dropped=dropped, held=len(self._state))
-        await self._disk.drop_unheld(lambda key: self._state.get(key) is not None)
+        try:
+            await self._disk.drop_unheld(lambda key: self._state.get(key) is not None)
+        except OSError as error:
+            log.error("segment_not_dropped", node=self._node, reason=str(error))
 
     def serve_on(self, server: PeerServer) -> None:
         """Register the handlers of the ledger's messages."""
@@ -157,12 +160,21 @@
         server.handle(CatchUp, self._catch_up)
 
     async def adopt(self, view: LedgerView) -> None:
-        """Take a later view for known; entries under an earlier one are refused from then on."""
+        """Take a later view for known; entries under an earlier one are refused from then on.
+
+        A view that the disk does not take is not adopted: after a restart it would be unknown.
+        """
         if view.epoch <= self._view.epoch:
             return
         before = self._view
+        try:
+            await self._disk.write_view(view)
+        except OSError as error:
+            log.error("disk_write_failed", node=self._node, epoch=view.epoch, reason=str(error))
+            return
+        if view.epoch <= self._view.epoch:
+            return
         self._view = view
-        await self._disk.write_view(view)
         log.info(
             "ledger_members_changed",
             node=self._node,
--- a/testing/gateway/test_streams.py
+++ b/testing/gateway/test_streams.py
@@ -179,6 +179,22 @@
 
         play(main, PLAIN)
 
+    def test_a_turn_is_settled_once_the_ledger_is_back(self) -> None:
+        async def main(site: Site) -> None:
+            async def script(asked: Asked, stream: ByteStream) -> None:
+                site.ledger.out = True
+                await stream.send(stream_of(asked, 1))
+
+            await site.add_replica("a", script)
+            await site.ask("/stream/x", body=b"q", headers=BUDGET)
+            await anyio.sleep(0.4)
+            self.assertFalse(site.ledger.known("p")["q1"].settled)
+            site.ledger.out = False
+            await anyio.sleep(2)
+            self.assertEqual(site.ledger.known("p")["q1"], Spending("p", "q1", EVENT_TOKENS, True))
+
+        play(main, PLAIN)
+
     def test_without_the_ledger_no_turn_with_a_budget_is_sent(self) -> None:
         async def main(site: Site) -> None:
             replica = await site.add_replica("a", tells(1))
--- a/testing/ledger/_fleet.py
+++ b/testing/ledger/_fleet.py
@@ -50,6 +50,8 @@
 
     async def write_view(self, view: LedgerView) -> None:
         await anyio.sleep(SYNC_S)
+        if self.full:
+            raise OSError(28, "No space left on device")
         self.view = view
 
     async def drop_unheld(self, is_held: Callable[[Key], bool]) -> None:
--- a/testing/ledger/test_entries.py
+++ b/testing/ledger/test_entries.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from bramleylead.connection._codec import MAX_FRAME_BYTES
 from bramleylead.errors import ErrorKind
 from bramleylead.ledger._records import Spending
 from bramleylead.standins import run_virtual
@@ -116,6 +117,24 @@
 
         play(main)
 
+    def test_a_turn_too_large_for_a_message_is_refused_and_harms_nothing(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            async with ledger.gateway(0) as gateway:
+                large = turn("a")._replace(given=bytes(MAX_FRAME_BYTES))
+                self.assertTrue((await gateway.keep(large)).is_err())
+                self.assertTrue((await gateway.keep(turn("b"))).is_ok())
+
+        play(main)
+
+    def test_a_view_that_the_disk_does_not_take_is_not_adopted(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            ledger.disks[0].full = True
+            before = ledger.nodes[0].view
+            await ledger.nodes[0].adopt(before._replace(epoch=before.epoch + 1))
+            self.assertEqual(ledger.nodes[0].view, before)
+
+        play(main)
+
     def test_entries_go_on_while_the_store_is_out(self) -> None:
         async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
             async with ledger.gateway(0) as gateway:
