--- a/src/bramleylead/request/_server.py
+++ b/src/bramleylead/request/_server.py
@@ -54,6 +54,7 @@
     def __init__(self, app: Callable[..., Any]) -> None:
         config = uvicorn.Config(
             app,
+            interface="asgi3",
             http=_Protocol,
             ws="none",
             lifespan="off",
--- a/testing/test_site_metrics.py
+++ b/testing/test_site_metrics.py
@@ -7,7 +7,9 @@
 
 import anyio
 
+from bramleylead.connection._http_client import HttpClient
 from bramleylead.site_metrics import SiteMetrics
+from bramleylead.standins._serving import serve_app
 from testing.asgi_client import RawRequest
 from testing.asgi_client import send
 
@@ -36,5 +38,17 @@
         self.assertIn('bramleylead_state{name="replicas"} 9', self.page(metrics, "/metrics")[1])
         self.assertEqual(json.loads(self.page(metrics, "/dump")[1]), {"node": "g1"})
 
+    def test_the_page_is_served_over_http(self) -> None:
+        """Uvicorn took an application that is a method for one of an old interface: status 500."""
+
+        async def main() -> int:
+            async with (
+                serve_app(SiteMetrics().app, "127.0.0.1:0") as address,
+                HttpClient(address) as client,
+            ):
+                return (await client.request("GET", "/metrics", timeout_s=5.0)).unwrap().status
+
+        self.assertEqual(anyio.run(main), 200)
+
     def test_another_path_is_not_found(self) -> None:
         self.assertEqual(self.page(SiteMetrics(), "/other")[0], 404)
