Split the ledger's client; follow the store in platform/, settings of both roles at the top

Members tell their data centre, so that turns are looked for nearby first, which the client could do and was never told.

--- a/src/bramleylead/cli/_site_process.py
+++ b/src/bramleylead/cli/_site_process.py
@@ -15,9 +15,9 @@
 
 from bramleylead._log_writer import LogWriter
 from bramleylead.cli._exit import ExitCode
-from bramleylead.gateway._settings import SiteSettings
 from bramleylead.logs import configure_buffered_logs
 from bramleylead.site_metrics import SiteMetrics
+from bramleylead.site_settings import SiteSettings
 from bramleylead.validation import load_model
 
 SETTINGS_VARIABLE = "BRAMLEYLEAD_NODE_FILE"
--- a/src/bramleylead/cli/commands/gateway.py
+++ b/src/bramleylead/cli/commands/gateway.py
@@ -8,7 +8,7 @@
 from bramleylead.cli._site_process import define_settings_flag
 from bramleylead.cli._site_process import run_site_process
 from bramleylead.gateway._run import run_gateway
-from bramleylead.gateway._settings import GatewaySettings
+from bramleylead.site_settings import GatewaySettings
 
 
 @command(
--- a/src/bramleylead/cli/commands/ledger.py
+++ b/src/bramleylead/cli/commands/ledger.py
@@ -7,8 +7,8 @@
 from bramleylead.cli._registry import command
 from bramleylead.cli._site_process import define_settings_flag
 from bramleylead.cli._site_process import run_site_process
-from bramleylead.gateway._settings import LedgerSettings
 from bramleylead.ledger._run import run_ledger
+from bramleylead.site_settings import LedgerSettings
 
 
 @command(
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -18,23 +18,23 @@
 from bramleylead.gateway._app import ready_app
 from bramleylead.gateway._budgets import Budgets
 from bramleylead.gateway._directory import Directory
-from bramleylead.gateway._follow import ConfigurationFollower
-from bramleylead.gateway._follow import ReplicaFollower
-from bramleylead.gateway._follow import follow
+from bramleylead.gateway._followers import ConfigurationFollower
+from bramleylead.gateway._followers import ReplicaFollower
 from bramleylead.gateway._kept_turns import KeptTurns
 from bramleylead.gateway._links import Links
 from bramleylead.gateway._plain import PlainCalls
 from bramleylead.gateway._replica_choice import ReplicaLoads
 from bramleylead.gateway._sender import Sender
-from bramleylead.gateway._settings import GatewaySettings
 from bramleylead.gateway._streams import StreamCalls
 from bramleylead.ledger._client import LedgerClient
 from bramleylead.ledger._member_list import StoredMemberList
 from bramleylead.ledger._members import view_to_plain
 from bramleylead.platform import _names as names
+from bramleylead.platform._follow import follow
 from bramleylead.platform._objects import PlatformStore
 from bramleylead.request._server import HttpServer
 from bramleylead.site_metrics import SiteMetrics
+from bramleylead.site_settings import GatewaySettings
 
 UPKEEP_S = 0.5
 UNREADY_FOR_S = 3.2
@@ -167,6 +167,7 @@
             peers,
             StoredMemberList(store).read,
             losses=settings.losses,
+            data_centre=settings.data_centre,
         ) as ledger,
         anyio.create_task_group() as tasks,
     ):
--- a/src/bramleylead/ledger/_client.py
+++ b/src/bramleylead/ledger/_client.py
@@ -19,18 +19,17 @@
 from bramleylead.connection import PeerClient
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.ledger._answers import ChainSearch
+from bramleylead.ledger._answers import EntryRound
+from bramleylead.ledger._answers import ask_member
 from bramleylead.ledger._members import NO_VIEW
 from bramleylead.ledger._members import LedgerMember
 from bramleylead.ledger._members import LedgerView
 from bramleylead.ledger._messages import AskState
-from bramleylead.ledger._messages import CatchUp
-from bramleylead.ledger._messages import Chain
-from bramleylead.ledger._messages import FindChain
 from bramleylead.ledger._messages import Keep
 from bramleylead.ledger._messages import NodeState
 from bramleylead.ledger._messages import Reserve
 from bramleylead.ledger._messages import Settle
-from bramleylead.ledger._messages import StaleEpoch
 from bramleylead.ledger._records import KeptTurn
 from bramleylead.ledger._records import Spending
 from bramleylead.ledger._records import union
@@ -51,45 +50,13 @@
 ReadMembers = Callable[[], Awaitable[Result[LedgerView, str]]]
 
 
-class _Round:
-    """The answers of one view's members to one entry."""
-
-    def __init__(self, view: LedgerView, need: int) -> None:
-        self.view = view
-        self.need = need
-        self.acks: list[Any] = []
-        self.newer: LedgerView | None = None
-        self.failures: list[str] = []
-        self.open = len(view.members)
-        self.decided = anyio.Event()
-
-    def take(self, member: LedgerMember, answer: Result[Any, Failure]) -> None:
-        self.open -= 1
-        if isinstance(answer, Err):
-            self.failures.append(f"{member.node}: {answer.err_value.detail}")
-        elif isinstance(answer.ok_value, StaleEpoch):
-            self._take_stale(member, answer.ok_value)
-        elif answer.ok_value.disk != member.disk or answer.ok_value.epoch != self.view.epoch:
-            self.failures.append(f"{member.node}: answered for another disk or epoch")
-        else:
-            self.acks.append(answer.ok_value)
-        if len(self.acks) >= self.need or self.newer is not None or not self.open:
-            self.decided.set()
-
-    def _take_stale(self, member: LedgerMember, stale: StaleEpoch) -> None:
-        if stale.view.epoch > self.view.epoch:
-            self.newer = stale.view
-        else:
-            self.failures.append(f"{member.node}: is no member at epoch {stale.view.epoch}")
-
-
 @final
 class LedgerClient:
     """Makes entries in the ledger and reads it.
 
     :param read_members: reads the list of members from the platform's store.
     :param losses: how many members may lose their disks at once.
-    :param is_near: whether a member is close by and asked first.
+    :param data_centre: members there are asked for turns first.
     """
 
     def __init__(
@@ -98,12 +65,12 @@
         read_members: ReadMembers,
         *,
         losses: int,
-        is_near: Callable[[LedgerMember], bool] = lambda member: False,
+        data_centre: str = "",
     ) -> None:
         self._peers = peers
         self._read_members = read_members
         self._losses = losses
-        self._is_near = is_near
+        self._data_centre = data_centre
         self._view = NO_VIEW
         self._learning = anyio.Lock()
         self._learned_at = -LEARN_INTERVAL_S
@@ -259,21 +226,21 @@
         self._note_out(detail)
         return Err(_unavailable(f"ledger at epoch {self._view.epoch}: {detail}"))
 
-    def _send_all(self, view: LedgerView, entry: Any) -> _Round:
+    def _send_all(self, view: LedgerView, entry: Any) -> EntryRound:
         """Start sending; those that are late still get the entry after it counts."""
         assert self._tasks is not None, "LedgerClient is used outside its context"
-        round_ = _Round(view, view.acks_needed(self._losses))
+        round_ = EntryRound(view, view.acks_needed(self._losses))
         for member in view.members:
             self._tasks.start_soon(self._send, member, entry, round_)
         return round_
 
-    async def _send(self, member: LedgerMember, entry: Any, round_: _Round) -> None:
+    async def _send(self, member: LedgerMember, entry: Any, round_: EntryRound) -> None:
         round_.take(member, await ask_member(self._peers, round_.view, member, entry))
 
     async def _find(self, view: LedgerView, turn: str) -> Result[list[KeptTurn], Failure] | None:
         """Ask the members, the near ones first; ``None`` to begin anew with another view."""
-        asked = _Search(self._peers, view, turn)
-        ordered = sorted(view.members, key=lambda member: not self._is_near(member))
+        asked = ChainSearch(self._peers, view, turn)
+        ordered = sorted(view.members, key=lambda member: member.data_centre != self._data_centre)
         async with anyio.create_task_group() as tasks:
             with anyio.move_on_after(RESERVE_TIMEOUT_S):
                 for member in ordered:
@@ -298,80 +265,6 @@
         return Err(_unavailable(f"turn {turn}: {asked.absent} of {len(view.members)} answered"))
 
 
-class _Search:
-    """The answers of one view's members on one turn."""
-
-    def __init__(self, peers: PeerClient, view: LedgerView, turn: str) -> None:
-        self._peers = peers
-        self._view = view
-        self._turn = turn
-        self._held: dict[str, KeptTurn] = {}
-        self._open = len(view.members)
-        self.absent = 0
-        self.newer: LedgerView | None = None
-        self.answered = anyio.Event()
-
-    @property
-    def is_over(self) -> bool:
-        """Whether no further answer is needed, or none is to come."""
-        return not self._open or self.newer is not None or self.whole() is not None
-
-    async def ask(self, member: LedgerMember) -> None:
-        """Ask one member."""
-        request = FindChain(self._view.epoch, self._turn)
-        answer = await ask_member(self._peers, self._view, member, request)
-        self._open -= 1
-        if isinstance(answer, Ok):
-            self._take(member, answer.ok_value)
-        else:
-            log.info(
-                "turn_lookup_failed",
-                turn=self._turn,
-                member=member.node,
-                reason=answer.err_value.detail,
-            )
-        self.answered.set()
-        self.answered = anyio.Event()
-
-    def whole(self) -> list[KeptTurn] | None:
-        """Return the chain, oldest first, if every turn of it is there."""
-        chain = []
-        name = self._turn
-        while name:
-            turn = self._held.get(name)
-            if turn is None:
-                return None
-            chain.append(turn)
-            name = turn.previous
-        return chain[::-1]
-
-    def _take(self, member: LedgerMember, answer: Any) -> None:
-        if isinstance(answer, StaleEpoch):
-            if answer.view.epoch > self._view.epoch:
-                self.newer = answer.view
-            return
-        if not isinstance(answer, Chain) or answer.disk != member.disk:
-            return
-        self._held |= {turn.turn: turn for turn in answer.turns}
-        if not answer.turns:
-            self.absent += 1
-
-
-async def ask_member(
-    peers: PeerClient, view: LedgerView, member: LedgerMember, request: Any
-) -> Result[Any, Failure]:
-    """Ask a member something under a view; one that knows only an earlier view is told it."""
-    answer = await peers.request(member.address, request, timeout_s=KEEP_TIMEOUT_S, idempotent=True)
-    if isinstance(answer, Err) or not isinstance(answer.ok_value, StaleEpoch):
-        return answer
-    if answer.ok_value.view.epoch >= view.epoch:
-        return answer
-    await peers.request(
-        member.address, CatchUp(view, ()), timeout_s=STATE_TIMEOUT_S, idempotent=True
-    )
-    return await peers.request(member.address, request, timeout_s=KEEP_TIMEOUT_S, idempotent=True)
-
-
 def _nothing(result: Result[Any, Failure]) -> Result[None, Failure]:
     return result if isinstance(result, Err) else Ok(None)
 
--- a/src/bramleylead/ledger/_members.py
+++ b/src/bramleylead/ledger/_members.py
@@ -23,6 +23,7 @@
     node: str
     address: str
     disk: str
+    data_centre: str = ""
 
 
 @message(163)
--- a/src/bramleylead/ledger/_node.py
+++ b/src/bramleylead/ledger/_node.py
@@ -67,9 +67,12 @@
     :param address: where gateways and other nodes reach it.
     """
 
-    def __init__(self, *, node: str, address: str, disk: Disk, peers: PeerClient) -> None:
+    def __init__(
+        self, *, node: str, address: str, disk: Disk, peers: PeerClient, data_centre: str = ""
+    ) -> None:
         self._node = node
         self._address = address
+        self._data_centre = data_centre
         self._disk = disk
         self._peers = peers
         self._run = secrets.token_hex(RUN_NAME_BYTES)
@@ -81,7 +84,7 @@
     @property
     def me(self) -> LedgerMember:
         """The entry of this node as a member."""
-        return LedgerMember(self._node, self._address, self._disk.name)
+        return LedgerMember(self._node, self._address, self._disk.name, self._data_centre)
 
     @property
     def view(self) -> LedgerView:
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -15,18 +15,18 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import TcpNetwork
-from bramleylead.gateway._follow import follow
-from bramleylead.gateway._settings import LedgerSettings
 from bramleylead.ledger._log import FileDisk
 from bramleylead.ledger._member_list import StoredMemberList
 from bramleylead.ledger._membership import Membership
 from bramleylead.ledger._node import LedgerNode
 from bramleylead.platform import _names as names
+from bramleylead.platform._follow import follow
 from bramleylead.platform._objects import ObjectChange
 from bramleylead.platform._objects import PlatformObject
 from bramleylead.platform._objects import PlatformStore
 from bramleylead.request._server import HttpServer
 from bramleylead.site_metrics import SiteMetrics
+from bramleylead.site_settings import LedgerSettings
 
 EXPIRE_INTERVAL_S = 10.0
 RETIRE_RETRY_S = 0.3
@@ -77,7 +77,13 @@
         anyio.create_task_group() as tasks,
     ):
         disk = FileDisk(Path(settings.data_folder))
-        node = LedgerNode(node=settings.node, address=address, disk=disk, peers=peers)
+        node = LedgerNode(
+            node=settings.node,
+            address=address,
+            disk=disk,
+            peers=peers,
+            data_centre=settings.data_centre,
+        )
         await node.load()
         node.serve_on(server)
         metrics.describe(node.gauges, node.dump)
--- a/testing/gateway/test_follow.py
+++ b/testing/gateway/test_follow.py
@@ -9,15 +9,15 @@
 import anyio
 
 from bramleylead.gateway._directory import Directory
-from bramleylead.gateway._follow import ConfigurationFollower
-from bramleylead.gateway._follow import ReplicaFollower
-from bramleylead.gateway._follow import follow
+from bramleylead.gateway._followers import ConfigurationFollower
+from bramleylead.gateway._followers import ReplicaFollower
 from bramleylead.ledger._member_list import KIND
 from bramleylead.ledger._member_list import NAME
 from bramleylead.ledger._member_list import StoredMemberList
 from bramleylead.ledger._members import NO_VIEW
 from bramleylead.ledger._members import LedgerMember
 from bramleylead.ledger._members import LedgerView
+from bramleylead.platform._follow import follow
 from bramleylead.platform._objects import PlatformStore
 from bramleylead.standins._platform_store import PlatformStoreStandIn
 from bramleylead.standins._serving import serve_app
--- a/testing/test_deploy.py
+++ b/testing/test_deploy.py
@@ -10,8 +10,8 @@
 
 from result import Ok
 
-from bramleylead.gateway._settings import GatewaySettings
-from bramleylead.gateway._settings import LedgerSettings
+from bramleylead.site_settings import GatewaySettings
+from bramleylead.site_settings import LedgerSettings
 from bramleylead.validation import load_model
 
 ROOT = Path(__file__).resolve().parent.parent
