--- a/src/bramleylead/ledger/_members.py
+++ b/src/bramleylead/ledger/_members.py
@@ -46,6 +46,13 @@
         """Return the next view, in which a node is a member too."""
         return LedgerView(self.epoch + 1, (*self.members, added))
 
+    def replacing(self, changed: LedgerMember) -> LedgerView:
+        """Return the next view, in which a member with the same disk is at another address."""
+        members = tuple(
+            changed if member.node == changed.node else member for member in self.members
+        )
+        return LedgerView(self.epoch + 1, members)
+
     def acks_needed(self, losses: int) -> int:
         """Return how many members must have an entry on disk before it counts.
 
--- a/src/bramleylead/ledger/_membership.py
+++ b/src/bramleylead/ledger/_membership.py
@@ -153,7 +153,10 @@
         await self._add_self(view)
 
     async def _replace_former(self, view: LedgerView, former: LedgerMember) -> None:
-        """Take out this node's entry with the disk, or at the address, that it no longer has."""
+        """Mend this node's entry: its address if only that is another, else take it out."""
+        if former.disk == self._node.me.disk:
+            await self._change(view, view.replacing(self._node.me))
+            return
         if len(view.members) == 1:
             log.error("ledger_lost", former_disk=former.disk, disk=self._node.me.disk)
             await self._change(view, LedgerView(view.epoch + 1, (self._node.me,)))
--- a/testing/ledger/_fleet.py
+++ b/testing/ledger/_fleet.py
@@ -87,6 +87,7 @@
         self.disks: dict[int, MemoryDisk] = {}
         self.nodes: dict[int, LedgerNode] = {}
         self.memberships: dict[int, Membership] = {}
+        self.ports: dict[int, int] = {}
         self._scopes: dict[int, anyio.CancelScope] = {}
         self._wipes = 0
 
@@ -139,7 +140,7 @@
                 PeerClient(view, node=f"s{i}", cluster_key=KEY) as peers,
                 anyio.create_task_group() as tasks,
             ):
-                address = f"{host(i)}:{PORT}"
+                address = f"{host(i)}:{self.ports.get(i, PORT)}"
                 node = LedgerNode(node=f"s{i}", address=address, disk=self.disks[i], peers=peers)
                 await node.load()
                 node.serve_on(server)
--- a/testing/ledger/test_membership.py
+++ b/testing/ledger/test_membership.py
@@ -66,6 +66,23 @@
 
         play(main)
 
+    def test_nodes_that_come_back_at_other_addresses_with_their_disks_are_members(self) -> None:
+        """All came back elsewhere, each waited for the others to answer, and none ever joined."""
+
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            async with ledger.gateway(0) as gateway:
+                await gateway.keep(turn("a"))
+            for i in range(3):
+                ledger.kill(i)
+                ledger.ports[i] = 7100 + i
+            for i in range(3):
+                await ledger.start(i, tasks=tasks)
+            await ledger.joined(0, 1, 2)
+            async with ledger.gateway(0) as gateway:
+                self.assertTrue((await gateway.find_chain("a")).is_ok())
+
+        play(main)
+
     def test_few_members_keep_one_that_is_silent(self) -> None:
         async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
             ledger.kill(0)
