--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from typing import NamedTuple
 from typing import Protocol
 from typing import final
 
@@ -74,13 +75,25 @@
     ANSWERED = "answered"
 
 
+class _Prepared(NamedTuple):
+    """What a stream is sent with.
+
+    :param body: the history, then the caller's input.
+    :param entry: the reservation to settle; empty without a budget.
+    """
+
+    body: bytes
+    entry: str
+
+
 class _Stream:
     """One stream on its way to the caller, over one replica or several in turn."""
 
-    def __init__(self, call: Call, caller: Caller, body: bytes) -> None:
+    def __init__(self, call: Call, caller: Caller, prepared: _Prepared) -> None:
         self.call = call
         self.caller = caller
-        self.body = body
+        self.body = prepared.body
+        self.entry = prepared.entry
         self.begun = False
         self.ended = False
         self.may_have_run = False
@@ -128,8 +141,8 @@
         else:
             await self._stream(_Stream(call, caller, prepared.ok_value))
 
-    async def _prepare(self, call: Call) -> Result[bytes, Failure]:
-        """Reserve a turn's budget and return the body to send, with the history before it."""
+    async def _prepare(self, call: Call) -> Result[_Prepared, Failure]:
+        """Find the history that a turn continues, and reserve its budget."""
         with anyio.move_on_after(max(0.0, call.left_s)):
             body = call.body
             if call.route.keeps_turns and call.facts.previous:
@@ -138,7 +151,9 @@
                     return found
                 body = found.ok_value + call.body
             reserved = await self._budgets.reserve(call.facts)
-            return reserved if isinstance(reserved, Err) else Ok(body)
+            if isinstance(reserved, Err):
+                return reserved
+            return Ok(_Prepared(body, reserved.ok_value))
         detail = "history and budget took up the request's time"
         return Err(Failure(ErrorKind.OVERLOADED, detail, RETRY_AFTER_S))
 
@@ -154,7 +169,7 @@
                     await self._give_up(stream)
         finally:
             if not kept:
-                self._budgets.settle(stream.call.facts, stream.tokens)
+                self._budgets.settle(stream.call.facts, stream.entry, stream.tokens)
 
     async def _try_replicas(self, stream: _Stream) -> bool:
         """Return whether the stream has come whole; the end is not sent yet."""
@@ -281,6 +296,7 @@
         turn=call.facts.request,
         previous=call.facts.previous,
         program=call.facts.program,
+        entry=stream.entry,
         tokens=stream.tokens,
         keep_s=call.route.keep_turns_s,
         given=call.body,
--- a/src/bramleylead/ledger/_records.py
+++ b/src/bramleylead/ledger/_records.py
@@ -23,6 +23,7 @@
     """A turn that was answered whole.
 
     :param previous: the turn that it continues; empty at the start of a chain.
+    :param entry: its entry among what the program's turns spend.
     :param tokens: what it generated, for the program's budget.
     :param keep_s: how long it must be found.
     :param given: the caller's new input.
@@ -32,6 +33,7 @@
     turn: str
     previous: str
     program: str
+    entry: str
     tokens: int
     keep_s: float
     given: bytes
@@ -40,10 +42,13 @@
 
 @message(161)
 class Spending(NamedTuple):
-    """What one turn of a program may spend at the most, or, once settled, has spent."""
+    """What one turn of a program may spend at the most, or, once settled, has spent.
+
+    :param entry: made anew for each attempt, so that no caller can spend twice under one id.
+    """
 
     program: str
-    turn: str
+    entry: str
     tokens: int
     settled: bool
 
@@ -57,7 +62,7 @@
     if isinstance(record, KeptTurn):
         return f"turn/{record.turn}"
     state = "settled" if record.settled else "reserved"
-    return f"{state}/{record.program}/{record.turn}"
+    return f"{state}/{record.program}/{record.entry}"
 
 
 @final
@@ -91,8 +96,8 @@
         self._numbers[self.last_number] = key
         if isinstance(record, KeptTurn):
             self._keep_s = max(self._keep_s, record.keep_s)
-            if record.program:
-                self._spend(Spending(record.program, record.turn, record.tokens, True))
+            if record.entry:
+                self._spend(Spending(record.program, record.entry, record.tokens, True))
         else:
             self._spend(record)
         return True
@@ -159,9 +164,9 @@
 
     def _spend(self, spending: Spending) -> None:
         turns = self._spent.setdefault(spending.program, {})
-        known = turns.get(spending.turn)
+        known = turns.get(spending.entry)
         if known is None or (spending.settled and not known.settled):
-            turns[spending.turn] = spending
+            turns[spending.entry] = spending
 
     def _drop(self, key: Key) -> None:
         self._records.pop(key, None)
@@ -173,7 +178,7 @@
     found: dict[str, Spending] = {}
     for copy in copies:
         for spending in copy:
-            known = found.get(spending.turn)
+            known = found.get(spending.entry)
             if known is None or (spending.settled and not known.settled):
-                found[spending.turn] = spending
+                found[spending.entry] = spending
     return found
--- a/testing/gateway/_site.py
+++ b/testing/gateway/_site.py
@@ -154,7 +154,7 @@
         if self.out:
             return self._failure()
         self.spendings.append(spending)
-        return Ok(self.known(spending.program))
+        return Ok(union([[item for item in self.spendings if item.program == spending.program]]))
 
     async def settle(self, spending: Spending) -> Result[None, Failure]:
         if self.out:
@@ -166,7 +166,7 @@
         if self.out:
             return self._failure()
         self.turns[turn.turn] = turn
-        self.spendings.append(Spending(turn.program, turn.turn, turn.tokens, True))
+        self.spendings.append(Spending(turn.program, turn.entry, turn.tokens, True))
         return Ok(None)
 
     async def find_chain(self, name: str) -> Result[list[KeptTurn], Failure]:
@@ -181,7 +181,9 @@
         return Ok(chain[::-1])
 
     def known(self, program: str) -> dict[str, Spending]:
-        return union([[item for item in self.spendings if item.program == program]])
+        """Return what is known of a program's turns, by the request of each."""
+        found = union([[item for item in self.spendings if item.program == program]])
+        return {entry.partition(".")[0]: spending for entry, spending in found.items()}
 
     def _failure(self) -> Err[Failure]:
         return Err(Failure(ErrorKind.NOT_DURABLE, "the ledger is out", 0.3))
--- a/testing/ledger/_fleet.py
+++ b/testing/ledger/_fleet.py
@@ -197,4 +197,6 @@
 
 
 def turn(name: str, previous: str = "") -> KeptTurn:
-    return KeptTurn(name, previous, "p", 10, 60.0, f"in {name};".encode(), f"out {name}\n".encode())
+    return KeptTurn(
+        name, previous, "p", name, 10, 60.0, f"in {name};".encode(), f"out {name}\n".encode()
+    )
