--- a/src/bramleylead/bench/_capacity_state.py
+++ b/src/bramleylead/bench/_capacity_state.py
@@ -8,16 +8,16 @@
 from typing import Any
 from typing import NamedTuple
 
-from bramleylead.process._entries import CallFinished
-from bramleylead.process._entries import CallIntended
-from bramleylead.process._entries import Entry
-from bramleylead.process._entries import ProgramOpened
-from bramleylead.process._state import CallStatus
-from bramleylead.process._state import PartitionState
-from bramleylead.process._state_codec import pack_entry
-from bramleylead.process._state_codec import pack_state
-from bramleylead.process._state_codec import unpack_entry
-from bramleylead.process._state_codec import unpack_state
+from bramleylead.process.journal._entries import CallFinished
+from bramleylead.process.journal._entries import CallIntended
+from bramleylead.process.journal._entries import Entry
+from bramleylead.process.journal._entries import ProgramOpened
+from bramleylead.process.journal._state import CallStatus
+from bramleylead.process.journal._state import PartitionState
+from bramleylead.process.journal._state_codec import pack_entry
+from bramleylead.process.journal._state_codec import pack_state
+from bramleylead.process.journal._state_codec import unpack_entry
+from bramleylead.process.journal._state_codec import unpack_state
 from bramleylead.request import CallKind
 from bramleylead.request import CallRequest
 
--- a/src/bramleylead/bench/_control.py
+++ b/src/bramleylead/bench/_control.py
@@ -25,7 +25,7 @@
 from bramleylead.bench._control_fleet import ControlFleet
 from bramleylead.bench._control_fleet import Running
 from bramleylead.bench._control_fleet import ticket_body
-from bramleylead.process._relay import relay_names
+from bramleylead.process.tickets._relay import relay_names
 from bramleylead.standins import run_virtual
 
 HEADER_BYTES = 40
--- a/src/bramleylead/bench/_control_fleet.py
+++ b/src/bramleylead/bench/_control_fleet.py
@@ -23,13 +23,13 @@
 from bramleylead.connection import PeerServer
 from bramleylead.errors import Failure
 from bramleylead.metrics import Metrics
+from bramleylead.node_settings import NodeSettings
 from bramleylead.platform import MemoryStore
 from bramleylead.platform import VmEntry
-from bramleylead.process._membership import Membership
-from bramleylead.process._settings import NodeSettings
 from bramleylead.process._store_health import ObservedStore
-from bramleylead.process._ticket_desk import TicketDesk
-from bramleylead.process._tickets import TicketLog
+from bramleylead.process.membership._membership import Membership
+from bramleylead.process.tickets._ticket_desk import TicketDesk
+from bramleylead.process.tickets._tickets import TicketLog
 from bramleylead.promises import Promises
 from bramleylead.standins import FakeNetwork
 from bramleylead.standins import FaultyStore
--- a/src/bramleylead/bench/_decision.py
+++ b/src/bramleylead/bench/_decision.py
@@ -18,7 +18,7 @@
 from bramleylead.backends import LoadReport
 from bramleylead.bench import Figure
 from bramleylead.bench import bench
-from bramleylead.process._settings import SchedulingSettings
+from bramleylead.node_settings import SchedulingSettings
 from bramleylead.scheduling import ChooserParameters
 from bramleylead.scheduling import Dispatcher
 from bramleylead.scheduling import PoolChooser
--- a/src/bramleylead/bench/_http.py
+++ b/src/bramleylead/bench/_http.py
@@ -21,7 +21,7 @@
 from bramleylead.bench._http_parts import key_of
 from bramleylead.bench._http_parts import read_answers
 from bramleylead.bench._http_parts import request_bytes
-from bramleylead.process._settings import RequestSettings
+from bramleylead.node_settings import RequestSettings
 from bramleylead.request import HttpApp
 from bramleylead.request import HttpServer
 from bramleylead.request import find_branch
--- a/src/bramleylead/bench/_path.py
+++ b/src/bramleylead/bench/_path.py
@@ -28,7 +28,7 @@
 from bramleylead.bench._path_parts import open_request
 from bramleylead.bench._path_parts import path_fleet
 from bramleylead.logs import configure_logs
-from bramleylead.process._settings import RequestSettings
+from bramleylead.node_settings import RequestSettings
 from bramleylead.standins import EngineModelSettings
 
 NODES_IN_USE = 2
--- a/src/bramleylead/bench/_path_parts.py
+++ b/src/bramleylead/bench/_path_parts.py
@@ -14,11 +14,11 @@
 from anyio.abc import ByteStream
 
 from bramleylead.connection._tcp import split_address
+from bramleylead.node_settings import RequestSettings
+from bramleylead.node_settings import StoreSettings
 from bramleylead.platform import MemoryStore
 from bramleylead.process._node import Node
 from bramleylead.process._run_node import free_address
-from bramleylead.process._settings import RequestSettings
-from bramleylead.process._settings import StoreSettings
 from bramleylead.standins import EngineModelSettings
 from bramleylead.standins import serve_objects
 from bramleylead.trials._deployments import MODEL
--- a/src/bramleylead/bench/_policy.py
+++ b/src/bramleylead/bench/_policy.py
@@ -25,7 +25,7 @@
 from bramleylead.bench._workload import Workload
 from bramleylead.bench._workload import draw_arrivals
 from bramleylead.bench._workload import load_workload
-from bramleylead.process._settings import SchedulingSettings
+from bramleylead.node_settings import SchedulingSettings
 from bramleylead.scheduling import policy_names
 
 DEFAULT = "bramleylead"
--- a/src/bramleylead/bench/_policy_trial.py
+++ b/src/bramleylead/bench/_policy_trial.py
@@ -31,7 +31,7 @@
 from bramleylead.bench._workload import Workload
 from bramleylead.bench._workload import alone_s
 from bramleylead.errors import Failure
-from bramleylead.process._settings import SchedulingSettings
+from bramleylead.node_settings import SchedulingSettings
 from bramleylead.promises import Promises
 from bramleylead.scheduling import ChooserParameters
 from bramleylead.scheduling import Dispatcher
--- a/src/bramleylead/cli/commands/check.py
+++ b/src/bramleylead/cli/commands/check.py
@@ -12,7 +12,7 @@
 
 from bramleylead.cli._exit import ExitCode
 from bramleylead.cli._registry import command
-from bramleylead.process._settings import NodeSettings
+from bramleylead.node_settings import NodeSettings
 from bramleylead.process._settings_file import check_together
 from bramleylead.process._settings_file import load_settings
 from bramleylead.validation import Fault
--- a/src/bramleylead/platform/_open.py
+++ b/src/bramleylead/platform/_open.py
@@ -18,7 +18,7 @@
 from bramleylead.platform._store import ObjectStore
 
 if TYPE_CHECKING:
-    from bramleylead.process._settings import StoreSettings
+    from bramleylead.node_settings import StoreSettings
 
 Opener = Callable[["StoreSettings"], AbstractAsyncContextManager[ObjectStore]]
 
--- a/src/bramleylead/process/_gauges.py
+++ b/src/bramleylead/process/_gauges.py
@@ -12,8 +12,8 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.metrics import Metrics
-from bramleylead.process._budget import BudgetEscrow
-from bramleylead.process._log import PartitionLog
+from bramleylead.process.budgets._budget import BudgetEscrow
+from bramleylead.process.journal._log import PartitionLog
 
 REFRESH_S = 5.0
 
--- a/src/bramleylead/process/_parts.py
+++ b/src/bramleylead/process/_parts.py
@@ -8,10 +8,10 @@
 
 from bramleylead.backends import BackendFactory
 from bramleylead.metrics import Metrics
-from bramleylead.process._budget import BudgetEscrow
-from bramleylead.process._log import PartitionDirectory
-from bramleylead.process._members import ConfigSource
-from bramleylead.process._settings import NodeSettings
+from bramleylead.node_settings import NodeSettings
+from bramleylead.process.budgets._budget import BudgetEscrow
+from bramleylead.process.journal._log import PartitionDirectory
+from bramleylead.process.membership._members import ConfigSource
 from bramleylead.promises import Promises
 from bramleylead.scheduling import Scheduler
 
--- a/src/bramleylead/process/_run_node.py
+++ b/src/bramleylead/process/_run_node.py
@@ -25,10 +25,10 @@
 from bramleylead.connection import TcpNetwork
 from bramleylead.connection._tcp import split_address
 from bramleylead.metrics import Metrics
+from bramleylead.node_settings import NodeSettings
 from bramleylead.platform import ObjectStore
 from bramleylead.platform import open_store
 from bramleylead.process._node import Node
-from bramleylead.process._settings import NodeSettings
 from bramleylead.request import HttpApp
 from bramleylead.request import HttpServer
 
--- a/src/bramleylead/process/_settings_file.py
+++ b/src/bramleylead/process/_settings_file.py
@@ -10,8 +10,8 @@
 from result import Ok
 from result import Result
 
-from bramleylead.process._settings import NodeSettings
-from bramleylead.process._settings import StoreSettings
+from bramleylead.node_settings import NodeSettings
+from bramleylead.node_settings import StoreSettings
 from bramleylead.request import key_matches
 from bramleylead.validation import Fault
 from bramleylead.validation import load_model
--- /dev/null
+++ b/src/bramleylead/process/budgets/__init__.py
@@ -0,0 +1,1 @@
+"""Budgets by escrow."""
--- a/src/bramleylead/process/_budget.py
+++ b/src/bramleylead/process/budgets/_budget.py
@@ -25,10 +25,10 @@
 from bramleylead.errors import Failure
 from bramleylead.platform import ObjectStore
 from bramleylead.platform import StoreErrorKind
-from bramleylead.process._entries import GrantAdded
-from bramleylead.process._entries import GrantForfeited
-from bramleylead.process._entries import GrantReturning
-from bramleylead.process._log import PartitionLog
+from bramleylead.process.journal._entries import GrantAdded
+from bramleylead.process.journal._entries import GrantForfeited
+from bramleylead.process.journal._entries import GrantReturning
+from bramleylead.process.journal._log import PartitionLog
 from bramleylead.promises import Promise
 from bramleylead.promises import Promises
 from bramleylead.version import Config
--- /dev/null
+++ b/src/bramleylead/process/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Calls of programs, from the entry to their journaled end."""
--- a/src/bramleylead/process/_admission.py
+++ b/src/bramleylead/process/calls/_admission.py
@@ -10,10 +10,10 @@
 
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
-from bramleylead.process._state import FIRST_INCARNATION
-from bramleylead.process._state import CallRecord
-from bramleylead.process._state import CallStatus
-from bramleylead.process._state import ProgramState
+from bramleylead.process.journal._state import FIRST_INCARNATION
+from bramleylead.process.journal._state import CallRecord
+from bramleylead.process.journal._state import CallStatus
+from bramleylead.process.journal._state import ProgramState
 from bramleylead.request import AnswerEnd
 from bramleylead.request import CallRequest
 from bramleylead.version import ProgramKind
--- a/src/bramleylead/process/_call_ends.py
+++ b/src/bramleylead/process/calls/_call_ends.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from bramleylead.process._entries import CallFinished
-from bramleylead.process._state import CallStatus
-from bramleylead.process._state import ProgramState
+from bramleylead.process.journal._entries import CallFinished
+from bramleylead.process.journal._state import CallStatus
+from bramleylead.process.journal._state import ProgramState
 
 
 def unknown_end(program: ProgramState, number: int, *, now_s: float) -> CallFinished:
--- a/src/bramleylead/process/_ending.py
+++ b/src/bramleylead/process/calls/_ending.py
@@ -17,16 +17,16 @@
 from result import Ok
 
 from bramleylead.errors import ErrorKind
-from bramleylead.process._call_ends import interrupted_end
-from bramleylead.process._entries import CacheHeld
-from bramleylead.process._entries import ProgramEnded
-from bramleylead.process._entries import ProgramForgotten
-from bramleylead.process._log import PartitionLog
-from bramleylead.process._owner import ProgramOwner
 from bramleylead.process._parts import OwnerParts
-from bramleylead.process._router import ProgramRouter
-from bramleylead.process._state import CallStatus
-from bramleylead.process._state import ProgramState
+from bramleylead.process.calls._call_ends import interrupted_end
+from bramleylead.process.calls._owner import ProgramOwner
+from bramleylead.process.calls._router import ProgramRouter
+from bramleylead.process.journal._entries import CacheHeld
+from bramleylead.process.journal._entries import ProgramEnded
+from bramleylead.process.journal._entries import ProgramForgotten
+from bramleylead.process.journal._log import PartitionLog
+from bramleylead.process.journal._state import CallStatus
+from bramleylead.process.journal._state import ProgramState
 from bramleylead.promises import Promise
 from bramleylead.request import EndProgram
 from bramleylead.version import EndpointKind
--- a/src/bramleylead/process/_router.py
+++ b/src/bramleylead/process/calls/_router.py
@@ -21,10 +21,10 @@
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.errors import Ran
-from bramleylead.process._log import PartitionDirectory
-from bramleylead.process._owner import ProgramOwner
-from bramleylead.process._place import partition_of
-from bramleylead.process._settings import NodeSettings
+from bramleylead.node_settings import NodeSettings
+from bramleylead.process.calls._owner import ProgramOwner
+from bramleylead.process.journal._log import PartitionDirectory
+from bramleylead.process.partitions._place import partition_of
 from bramleylead.promises import Promise
 from bramleylead.promises import Promises
 from bramleylead.request import AddChild
--- a/src/bramleylead/process/_sweep.py
+++ b/src/bramleylead/process/calls/_sweep.py
@@ -21,10 +21,10 @@
 from bramleylead.connection import Reply
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
-from bramleylead.process._members import MemberList
 from bramleylead.process._parts import OwnerParts
-from bramleylead.process._place import partition_of
-from bramleylead.process._rendezvous import ranked
+from bramleylead.process.membership._members import MemberList
+from bramleylead.process.partitions._place import partition_of
+from bramleylead.process.partitions._rendezvous import ranked
 from bramleylead.request import LivePrograms
 from bramleylead.version import EndpointKind
 
--- a/src/bramleylead/process/_tool_run.py
+++ b/src/bramleylead/process/calls/_tool_run.py
@@ -8,10 +8,10 @@
 from result import Err
 
 from bramleylead.backends import ServiceCall
-from bramleylead.process._run import Attempt
-from bramleylead.process._run import CallRun
-from bramleylead.process._run import Next
-from bramleylead.process._run import attempt_of_error
+from bramleylead.process.calls._run import Attempt
+from bramleylead.process.calls._run import CallRun
+from bramleylead.process.calls._run import Next
+from bramleylead.process.calls._run import attempt_of_error
 from bramleylead.scheduling import Slot
 from bramleylead.scheduling import SlotRequest
 from bramleylead.version import Tool
--- a/src/bramleylead/process/_views.py
+++ b/src/bramleylead/process/calls/_views.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from bramleylead.process._state import CallRecord
-from bramleylead.process._state import ProgramState
+from bramleylead.process.journal._state import CallRecord
+from bramleylead.process.journal._state import ProgramState
 from bramleylead.request import ProgramView
 
 
--- /dev/null
+++ b/src/bramleylead/process/journal/__init__.py
@@ -0,0 +1,1 @@
+"""A partition's journal: entries, state, segments in the store."""
--- a/src/bramleylead/process/_entries.py
+++ b/src/bramleylead/process/journal/_entries.py
@@ -52,7 +52,7 @@
 class CallFinished(NamedTuple):
     """A call ended with an answer, or its outcome will stay unknown.
 
-    :param status: a :class:`~bramleylead.process._state.CallStatus` value.
+    :param status: a :class:`~bramleylead.process.journal._state.CallStatus` value.
     :param answer: answer text of a model call, or the detail of a failure.
     :param value: JSON answer of a tool call.
     """
--- a/src/bramleylead/process/_journal_copy.py
+++ b/src/bramleylead/process/journal/_journal_copy.py
@@ -9,15 +9,15 @@
 
 import msgpack
 
-from bramleylead.process._entries import Entry
-from bramleylead.process._journal_tail import JournalTail
-from bramleylead.process._journal_tail import TailEntry
-from bramleylead.process._state import PartitionState
-from bramleylead.process._state_codec import EMPTY_DIGEST
-from bramleylead.process._state_codec import extend_digest
-from bramleylead.process._state_codec import pack_state
-from bramleylead.process._state_codec import unpack_entry
-from bramleylead.process._state_codec import unpack_state
+from bramleylead.process.journal._entries import Entry
+from bramleylead.process.journal._journal_tail import JournalTail
+from bramleylead.process.journal._journal_tail import TailEntry
+from bramleylead.process.journal._state import PartitionState
+from bramleylead.process.journal._state_codec import EMPTY_DIGEST
+from bramleylead.process.journal._state_codec import extend_digest
+from bramleylead.process.journal._state_codec import pack_state
+from bramleylead.process.journal._state_codec import unpack_entry
+from bramleylead.process.journal._state_codec import unpack_state
 
 
 @final
--- a/src/bramleylead/process/_journal_flush.py
+++ b/src/bramleylead/process/journal/_journal_flush.py
@@ -21,21 +21,21 @@
 
 from bramleylead.platform._store import StoreError
 from bramleylead.platform._store import StoreErrorKind
-from bramleylead.process._journal_store import SEGMENT
-from bramleylead.process._journal_store import SNAPSHOT
-from bramleylead.process._journal_store import BlobName
-from bramleylead.process._journal_store import Segment
-from bramleylead.process._journal_store import Snapshot
-from bramleylead.process._journal_store import delete_piece
-from bramleylead.process._journal_store import pieces_of
-from bramleylead.process._journal_store import read_pieces
-from bramleylead.process._journal_store import write_piece
-from bramleylead.process._partition import OwnedPartition
-from bramleylead.process._partition_context import PartitionContext
-from bramleylead.process._partition_table import PartitionTable
-from bramleylead.process._pending import Mode
-from bramleylead.process._state_codec import pack_state
-from bramleylead.process._state_codec import state_digest
+from bramleylead.process.journal._journal_store import SEGMENT
+from bramleylead.process.journal._journal_store import SNAPSHOT
+from bramleylead.process.journal._journal_store import BlobName
+from bramleylead.process.journal._journal_store import Segment
+from bramleylead.process.journal._journal_store import Snapshot
+from bramleylead.process.journal._journal_store import delete_piece
+from bramleylead.process.journal._journal_store import pieces_of
+from bramleylead.process.journal._journal_store import read_pieces
+from bramleylead.process.journal._journal_store import write_piece
+from bramleylead.process.journal._state_codec import pack_state
+from bramleylead.process.journal._state_codec import state_digest
+from bramleylead.process.partitions._partition import OwnedPartition
+from bramleylead.process.partitions._partition_context import PartitionContext
+from bramleylead.process.partitions._partition_table import PartitionTable
+from bramleylead.process.partitions._pending import Mode
 
 FLEET_WRITES_PER_S = 120.0  # of the store's several hundred, for all journals together
 SNAPSHOT_LEAST_BYTES = 1_000_000
--- a/src/bramleylead/process/_log.py
+++ b/src/bramleylead/process/journal/_log.py
@@ -7,8 +7,8 @@
 from result import Result
 
 from bramleylead.errors import Failure
-from bramleylead.process._entries import Entry
-from bramleylead.process._state import PartitionState
+from bramleylead.process.journal._entries import Entry
+from bramleylead.process.journal._state import PartitionState
 
 
 class PartitionLog(Protocol):
--- a/src/bramleylead/process/_state.py
+++ b/src/bramleylead/process/journal/_state.py
@@ -13,19 +13,19 @@
 from typing import Any
 from typing import final
 
-from bramleylead.process._entries import CacheHeld
-from bramleylead.process._entries import CallFinished
-from bramleylead.process._entries import CallIntended
-from bramleylead.process._entries import CallWithdrawn
-from bramleylead.process._entries import ChildOpened
-from bramleylead.process._entries import Entry
-from bramleylead.process._entries import GrantAdded
-from bramleylead.process._entries import GrantForfeited
-from bramleylead.process._entries import GrantReturning
-from bramleylead.process._entries import ProgramEnded
-from bramleylead.process._entries import ProgramForgotten
-from bramleylead.process._entries import ProgramOpened
-from bramleylead.process._entries import RolledBack
+from bramleylead.process.journal._entries import CacheHeld
+from bramleylead.process.journal._entries import CallFinished
+from bramleylead.process.journal._entries import CallIntended
+from bramleylead.process.journal._entries import CallWithdrawn
+from bramleylead.process.journal._entries import ChildOpened
+from bramleylead.process.journal._entries import Entry
+from bramleylead.process.journal._entries import GrantAdded
+from bramleylead.process.journal._entries import GrantForfeited
+from bramleylead.process.journal._entries import GrantReturning
+from bramleylead.process.journal._entries import ProgramEnded
+from bramleylead.process.journal._entries import ProgramForgotten
+from bramleylead.process.journal._entries import ProgramOpened
+from bramleylead.process.journal._entries import RolledBack
 from bramleylead.request import CallKind
 
 FIRST_INCARNATION = 1
--- a/src/bramleylead/process/_state_codec.py
+++ b/src/bramleylead/process/journal/_state_codec.py
@@ -14,12 +14,12 @@
 
 from bramleylead.connection import decode
 from bramleylead.connection import encode
-from bramleylead.process._entries import Entry
-from bramleylead.process._state import CallRecord
-from bramleylead.process._state import CallStatus
-from bramleylead.process._state import GrantState
-from bramleylead.process._state import PartitionState
-from bramleylead.process._state import ProgramState
+from bramleylead.process.journal._entries import Entry
+from bramleylead.process.journal._state import CallRecord
+from bramleylead.process.journal._state import CallStatus
+from bramleylead.process.journal._state import GrantState
+from bramleylead.process.journal._state import PartitionState
+from bramleylead.process.journal._state import ProgramState
 from bramleylead.request import CallKind
 
 EMPTY_DIGEST = 0
--- /dev/null
+++ b/src/bramleylead/process/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership by probes and news."""
--- a/src/bramleylead/process/_indirect_probes.py
+++ b/src/bramleylead/process/membership/_indirect_probes.py
@@ -14,10 +14,10 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import Reply
-from bramleylead.process._members import Member
-from bramleylead.process._membership_messages import ProbedFor
-from bramleylead.process._membership_messages import ProbeFor
-from bramleylead.process._settings import MembershipSettings
+from bramleylead.node_settings import MembershipSettings
+from bramleylead.process.membership._members import Member
+from bramleylead.process.membership._membership_messages import ProbedFor
+from bramleylead.process.membership._membership_messages import ProbeFor
 
 HELPER_TIMEOUT_PROBES = 2
 
--- a/src/bramleylead/process/_member_table.py
+++ b/src/bramleylead/process/membership/_member_table.py
@@ -14,11 +14,11 @@
 import anyio
 import xxhash
 
-from bramleylead.process._members import Member
-from bramleylead.process._members import MemberState
-from bramleylead.process._membership_messages import Facts
-from bramleylead.process._membership_messages import News
-from bramleylead.process._membership_messages import news_of
+from bramleylead.process.membership._members import Member
+from bramleylead.process.membership._members import MemberState
+from bramleylead.process.membership._membership_messages import Facts
+from bramleylead.process.membership._membership_messages import News
+from bramleylead.process.membership._membership_messages import news_of
 
 BUCKETS = 16
 DEAD_KEPT_S = 600.0
--- a/src/bramleylead/process/_membership.py
+++ b/src/bramleylead/process/membership/_membership.py
@@ -27,21 +27,21 @@
 from bramleylead.connection import PeerServer
 from bramleylead.connection import Reply
 from bramleylead.metrics import Metrics
-from bramleylead.process._indirect_probes import IndirectProbes
-from bramleylead.process._member_table import MemberTable
-from bramleylead.process._members import Member
-from bramleylead.process._members import MemberState
-from bramleylead.process._membership_messages import Facts
-from bramleylead.process._membership_messages import News
-from bramleylead.process._membership_messages import Probe
-from bramleylead.process._membership_messages import ProbeAnswer
-from bramleylead.process._membership_messages import news_of
-from bramleylead.process._news import NewsQueue
-from bramleylead.process._settings import NodeSettings
+from bramleylead.node_settings import NodeSettings
 from bramleylead.process._store_health import ObservedStore
 from bramleylead.process._store_poll import StorePoll
-from bramleylead.process._view_exchange import ViewExchange
-from bramleylead.process._vm_list import VmList
+from bramleylead.process.membership._indirect_probes import IndirectProbes
+from bramleylead.process.membership._member_table import MemberTable
+from bramleylead.process.membership._members import Member
+from bramleylead.process.membership._members import MemberState
+from bramleylead.process.membership._membership_messages import Facts
+from bramleylead.process.membership._membership_messages import News
+from bramleylead.process.membership._membership_messages import Probe
+from bramleylead.process.membership._membership_messages import ProbeAnswer
+from bramleylead.process.membership._membership_messages import news_of
+from bramleylead.process.membership._news import NewsQueue
+from bramleylead.process.membership._view_exchange import ViewExchange
+from bramleylead.process.membership._vm_list import VmList
 
 SPREAD_FANOUT = 3
 SPREAD_GATHER_S = 0.02
--- a/src/bramleylead/process/_membership_messages.py
+++ b/src/bramleylead/process/membership/_membership_messages.py
@@ -5,8 +5,8 @@
 from typing import NamedTuple
 
 from bramleylead.connection import message
-from bramleylead.process._members import Member
-from bramleylead.process._members import MemberState
+from bramleylead.process.membership._members import Member
+from bramleylead.process.membership._members import MemberState
 
 
 class News(NamedTuple):
--- a/src/bramleylead/process/_news.py
+++ b/src/bramleylead/process/membership/_news.py
@@ -5,7 +5,7 @@
 import math
 from typing import final
 
-from bramleylead.process._membership_messages import News
+from bramleylead.process.membership._membership_messages import News
 
 PIGGYBACK_BYTES = 1_200
 RECORD_OVERHEAD_BYTES = 24
--- a/src/bramleylead/process/_view_exchange.py
+++ b/src/bramleylead/process/membership/_view_exchange.py
@@ -11,10 +11,10 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import Reply
-from bramleylead.process._member_table import MemberTable
-from bramleylead.process._membership_messages import News
-from bramleylead.process._membership_messages import ViewAsked
-from bramleylead.process._membership_messages import ViewGiven
+from bramleylead.process.membership._member_table import MemberTable
+from bramleylead.process.membership._membership_messages import News
+from bramleylead.process.membership._membership_messages import ViewAsked
+from bramleylead.process.membership._membership_messages import ViewGiven
 
 INTERVAL_S = 5.0
 
--- /dev/null
+++ b/src/bramleylead/process/partitions/__init__.py
@@ -0,0 +1,1 @@
+"""Partitions of programs: owners, second copies, takeover and recovery."""
--- a/src/bramleylead/process/_partition.py
+++ b/src/bramleylead/process/partitions/_partition.py
@@ -13,19 +13,19 @@
 
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
-from bramleylead.process._entries import Entry
-from bramleylead.process._journal_copy import JournalCopy
-from bramleylead.process._partition_context import CLOCK_RATE_MARGIN
-from bramleylead.process._partition_context import PartitionContext
-from bramleylead.process._partition_messages import Append
-from bramleylead.process._partition_record import PartitionRecord
-from bramleylead.process._partition_record import StoredRecord
-from bramleylead.process._pending import Mode
-from bramleylead.process._pending import Pending
-from bramleylead.process._pending import may_be_lost
-from bramleylead.process._state import PartitionState
-from bramleylead.process._state_codec import extend_digest
-from bramleylead.process._state_codec import pack_entry
+from bramleylead.process.journal._entries import Entry
+from bramleylead.process.journal._journal_copy import JournalCopy
+from bramleylead.process.journal._state import PartitionState
+from bramleylead.process.journal._state_codec import extend_digest
+from bramleylead.process.journal._state_codec import pack_entry
+from bramleylead.process.partitions._partition_context import CLOCK_RATE_MARGIN
+from bramleylead.process.partitions._partition_context import PartitionContext
+from bramleylead.process.partitions._partition_messages import Append
+from bramleylead.process.partitions._partition_record import PartitionRecord
+from bramleylead.process.partitions._partition_record import StoredRecord
+from bramleylead.process.partitions._pending import Mode
+from bramleylead.process.partitions._pending import Pending
+from bramleylead.process.partitions._pending import may_be_lost
 from bramleylead.promises import Promise
 
 BATCH_BYTES = 500_000
--- a/src/bramleylead/process/_partition_audit.py
+++ b/src/bramleylead/process/partitions/_partition_audit.py
@@ -18,14 +18,14 @@
 import structlog
 from result import Ok
 
-from bramleylead.process._journal_flush import JournalFlusher
-from bramleylead.process._partition import OwnedPartition
-from bramleylead.process._partition_context import PartitionContext
-from bramleylead.process._partition_record import StoredRecord
-from bramleylead.process._partition_record import list_records
-from bramleylead.process._partition_record import read_record
-from bramleylead.process._partition_table import PartitionTable
-from bramleylead.process._pending import Mode
+from bramleylead.process.journal._journal_flush import JournalFlusher
+from bramleylead.process.partitions._partition import OwnedPartition
+from bramleylead.process.partitions._partition_context import PartitionContext
+from bramleylead.process.partitions._partition_record import StoredRecord
+from bramleylead.process.partitions._partition_record import list_records
+from bramleylead.process.partitions._partition_record import read_record
+from bramleylead.process.partitions._partition_table import PartitionTable
+from bramleylead.process.partitions._pending import Mode
 
 AUDIT_S = 2.0
 LIST_TIMEOUT_S = 1.0
--- a/src/bramleylead/process/_partition_context.py
+++ b/src/bramleylead/process/partitions/_partition_context.py
@@ -11,10 +11,10 @@
 from aioprometheus import Registry
 
 from bramleylead.connection import PeerClient
+from bramleylead.node_settings import NodeSettings
 from bramleylead.platform._store import ObjectStore
-from bramleylead.process._members import MemberList
-from bramleylead.process._partition_record import Holder
-from bramleylead.process._settings import NodeSettings
+from bramleylead.process.membership._members import MemberList
+from bramleylead.process.partitions._partition_record import Holder
 from bramleylead.promises import Promises
 
 CLOCK_RATE_MARGIN = 0.01  # clocks of two VMs may run this far apart before a lease is unsafe
--- a/src/bramleylead/process/_partition_dump.py
+++ b/src/bramleylead/process/partitions/_partition_dump.py
@@ -5,11 +5,11 @@
 from itertools import islice
 from typing import Any
 
-from bramleylead.process._partition import OwnedPartition
-from bramleylead.process._partition_record import Holder
-from bramleylead.process._partition_table import PartitionTable
-from bramleylead.process._replica import Replica
-from bramleylead.process._replica import ReplicaKeeper
+from bramleylead.process.partitions._partition import OwnedPartition
+from bramleylead.process.partitions._partition_record import Holder
+from bramleylead.process.partitions._partition_table import PartitionTable
+from bramleylead.process.partitions._replica import Replica
+from bramleylead.process.partitions._replica import ReplicaKeeper
 
 SHOWN = 256
 """Most partitions of each kind that are shown one by one; the counts tell of all."""
--- a/src/bramleylead/process/_partition_link.py
+++ b/src/bramleylead/process/partitions/_partition_link.py
@@ -10,17 +10,17 @@
 from result import Err
 
 from bramleylead.connection._rpc import PeerCall
-from bramleylead.process._partition import OwnedPartition
-from bramleylead.process._partition_context import PartitionContext
-from bramleylead.process._partition_messages import Acked
-from bramleylead.process._partition_messages import Attach
-from bramleylead.process._partition_messages import Attached
-from bramleylead.process._partition_messages import Beat
-from bramleylead.process._partition_messages import BeatAck
-from bramleylead.process._partition_messages import Detach
-from bramleylead.process._partition_messages import LinkOpened
-from bramleylead.process._partition_messages import Refused
-from bramleylead.process._pending import Mode
+from bramleylead.process.partitions._partition import OwnedPartition
+from bramleylead.process.partitions._partition_context import PartitionContext
+from bramleylead.process.partitions._partition_messages import Acked
+from bramleylead.process.partitions._partition_messages import Attach
+from bramleylead.process.partitions._partition_messages import Attached
+from bramleylead.process.partitions._partition_messages import Beat
+from bramleylead.process.partitions._partition_messages import BeatAck
+from bramleylead.process.partitions._partition_messages import Detach
+from bramleylead.process.partitions._partition_messages import LinkOpened
+from bramleylead.process.partitions._partition_messages import Refused
+from bramleylead.process.partitions._pending import Mode
 
 RECONNECT_S = 0.1
 KEPT_BEATS = 64
--- a/src/bramleylead/process/_partition_table.py
+++ b/src/bramleylead/process/partitions/_partition_table.py
@@ -10,11 +10,11 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from bramleylead.process._journal_copy import JournalCopy
-from bramleylead.process._partition import OwnedPartition
-from bramleylead.process._partition_context import PartitionContext
-from bramleylead.process._partition_link import PartitionLink
-from bramleylead.process._partition_record import StoredRecord
+from bramleylead.process.journal._journal_copy import JournalCopy
+from bramleylead.process.partitions._partition import OwnedPartition
+from bramleylead.process.partitions._partition_context import PartitionContext
+from bramleylead.process.partitions._partition_link import PartitionLink
+from bramleylead.process.partitions._partition_record import StoredRecord
 
 NOTE_TIMEOUT_S = 1.0
 
--- a/src/bramleylead/process/_partition_takeover.py
+++ b/src/bramleylead/process/partitions/_partition_takeover.py
@@ -21,23 +21,23 @@
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.platform._store import StoreErrorKind
-from bramleylead.process._entries import GrantForfeited
-from bramleylead.process._owner_map import OwnerMap
-from bramleylead.process._partition import SOLO_MARGIN_S
-from bramleylead.process._partition import OwnedPartition
-from bramleylead.process._partition_context import PartitionContext
-from bramleylead.process._partition_messages import HandedOver
-from bramleylead.process._partition_record import PartitionRecord
-from bramleylead.process._partition_record import StoredRecord
-from bramleylead.process._partition_record import read_record
-from bramleylead.process._partition_record import renewed
-from bramleylead.process._partition_record import swap_record
-from bramleylead.process._partition_repair import Outcome
-from bramleylead.process._partition_repair import PairRepair
-from bramleylead.process._partition_table import PartitionTable
-from bramleylead.process._pending import Mode
-from bramleylead.process._replica import Replica
-from bramleylead.process._replica import ReplicaKeeper
+from bramleylead.process.journal._entries import GrantForfeited
+from bramleylead.process.partitions._owner_map import OwnerMap
+from bramleylead.process.partitions._partition import SOLO_MARGIN_S
+from bramleylead.process.partitions._partition import OwnedPartition
+from bramleylead.process.partitions._partition_context import PartitionContext
+from bramleylead.process.partitions._partition_messages import HandedOver
+from bramleylead.process.partitions._partition_record import PartitionRecord
+from bramleylead.process.partitions._partition_record import StoredRecord
+from bramleylead.process.partitions._partition_record import read_record
+from bramleylead.process.partitions._partition_record import renewed
+from bramleylead.process.partitions._partition_record import swap_record
+from bramleylead.process.partitions._partition_repair import Outcome
+from bramleylead.process.partitions._partition_repair import PairRepair
+from bramleylead.process.partitions._partition_table import PartitionTable
+from bramleylead.process.partitions._pending import Mode
+from bramleylead.process.partitions._replica import Replica
+from bramleylead.process.partitions._replica import ReplicaKeeper
 
 RETRY_S = 0.5
 HANDOVER_TIMEOUT_S = 1.0
--- a/src/bramleylead/process/_partition_upkeep.py
+++ b/src/bramleylead/process/partitions/_partition_upkeep.py
@@ -14,17 +14,17 @@
 from result import Ok
 
 from bramleylead.platform._store import StoreErrorKind
-from bramleylead.process._journal_flush import JournalFlusher
-from bramleylead.process._partition import OwnedPartition
-from bramleylead.process._partition_context import PartitionContext
-from bramleylead.process._partition_record import read_record
-from bramleylead.process._partition_record import renewed
-from bramleylead.process._partition_record import swap_record
-from bramleylead.process._partition_table import PartitionTable
-from bramleylead.process._partition_takeover import Takeover
-from bramleylead.process._pending import Mode
-from bramleylead.process._rendezvous import owner_and_second
-from bramleylead.process._replica import ReplicaKeeper
+from bramleylead.process.journal._journal_flush import JournalFlusher
+from bramleylead.process.partitions._partition import OwnedPartition
+from bramleylead.process.partitions._partition_context import PartitionContext
+from bramleylead.process.partitions._partition_record import read_record
+from bramleylead.process.partitions._partition_record import renewed
+from bramleylead.process.partitions._partition_record import swap_record
+from bramleylead.process.partitions._partition_table import PartitionTable
+from bramleylead.process.partitions._partition_takeover import Takeover
+from bramleylead.process.partitions._pending import Mode
+from bramleylead.process.partitions._rendezvous import owner_and_second
+from bramleylead.process.partitions._replica import ReplicaKeeper
 
 ROUND_S = 0.5
 QUIET_S = 3.0
--- a/src/bramleylead/process/_pending.py
+++ b/src/bramleylead/process/partitions/_pending.py
@@ -10,11 +10,11 @@
 from result import Result
 
 from bramleylead.errors import Failure
-from bramleylead.process._entries import CallIntended
-from bramleylead.process._entries import Entry
-from bramleylead.process._entries import GrantAdded
-from bramleylead.process._entries import GrantReturning
-from bramleylead.process._entries import RolledBack
+from bramleylead.process.journal._entries import CallIntended
+from bramleylead.process.journal._entries import Entry
+from bramleylead.process.journal._entries import GrantAdded
+from bramleylead.process.journal._entries import GrantReturning
+from bramleylead.process.journal._entries import RolledBack
 
 
 class Mode(StrEnum):
--- a/src/bramleylead/process/_recovery.py
+++ b/src/bramleylead/process/partitions/_recovery.py
@@ -10,21 +10,21 @@
 
 from bramleylead.platform._store import ObjectStore
 from bramleylead.platform._store import StoreError
-from bramleylead.process._entries import RolledBack
-from bramleylead.process._journal_copy import JournalCopy
-from bramleylead.process._journal_store import SEGMENT
-from bramleylead.process._journal_store import SNAPSHOT
-from bramleylead.process._journal_store import BlobName
-from bramleylead.process._journal_store import Segment
-from bramleylead.process._journal_store import Snapshot
-from bramleylead.process._journal_store import join_pieces
-from bramleylead.process._journal_store import read_pieces
-from bramleylead.process._journal_tail import JournalTail
-from bramleylead.process._partition_record import PartitionRecord
-from bramleylead.process._state_codec import extend_digest
-from bramleylead.process._state_codec import pack_entry
-from bramleylead.process._state_codec import state_digest
-from bramleylead.process._state_codec import unpack_state
+from bramleylead.process.journal._entries import RolledBack
+from bramleylead.process.journal._journal_copy import JournalCopy
+from bramleylead.process.journal._journal_store import SEGMENT
+from bramleylead.process.journal._journal_store import SNAPSHOT
+from bramleylead.process.journal._journal_store import BlobName
+from bramleylead.process.journal._journal_store import Segment
+from bramleylead.process.journal._journal_store import Snapshot
+from bramleylead.process.journal._journal_store import join_pieces
+from bramleylead.process.journal._journal_store import read_pieces
+from bramleylead.process.journal._journal_tail import JournalTail
+from bramleylead.process.journal._state_codec import extend_digest
+from bramleylead.process.journal._state_codec import pack_entry
+from bramleylead.process.journal._state_codec import state_digest
+from bramleylead.process.journal._state_codec import unpack_state
+from bramleylead.process.partitions._partition_record import PartitionRecord
 
 FIRST_EPOCH = 1
 
--- a/src/bramleylead/process/_currency.py
+++ b/src/bramleylead/process/tickets/_currency.py
@@ -13,7 +13,7 @@
 
 import anyio
 
-from bramleylead.process._ticket_messages import Proof
+from bramleylead.process.tickets._ticket_messages import Proof
 
 KEPT_TICKS = 256
 
--- a/src/bramleylead/process/_relay.py
+++ b/src/bramleylead/process/tickets/_relay.py
@@ -13,8 +13,8 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from bramleylead.process._members import Member
-from bramleylead.process._rendezvous import ranked
+from bramleylead.process.membership._members import Member
+from bramleylead.process.partitions._rendezvous import ranked
 
 SEND_S = 0.0002
 LINK_IN_DATA_CENTRE_S = 0.0005
--- a/src/bramleylead/process/_ticket_spread.py
+++ b/src/bramleylead/process/tickets/_ticket_spread.py
@@ -11,15 +11,15 @@
 from result import Err
 
 from bramleylead.connection import PeerClient
-from bramleylead.process._applied_tickets import AppliedTickets
-from bramleylead.process._currency import Currency
-from bramleylead.process._members import Member
-from bramleylead.process._membership import Membership
-from bramleylead.process._relay import Relay
-from bramleylead.process._relay import make_relay
-from bramleylead.process._settings import TicketSettings
-from bramleylead.process._ticket_messages import Pushed
-from bramleylead.process._ticket_messages import PushTaken
+from bramleylead.node_settings import TicketSettings
+from bramleylead.process.membership._members import Member
+from bramleylead.process.membership._membership import Membership
+from bramleylead.process.tickets._applied_tickets import AppliedTickets
+from bramleylead.process.tickets._currency import Currency
+from bramleylead.process.tickets._relay import Relay
+from bramleylead.process.tickets._relay import make_relay
+from bramleylead.process.tickets._ticket_messages import Pushed
+from bramleylead.process.tickets._ticket_messages import PushTaken
 
 PUSH_TIMEOUT_S = 0.3
 PUSHED_BYTES = 100_000
--- a/src/bramleylead/process/_ticket_wakeup.py
+++ b/src/bramleylead/process/tickets/_ticket_wakeup.py
@@ -12,8 +12,8 @@
 import anyio
 from result import Err
 
-from bramleylead.process._ticket_store import TicketStore
-from bramleylead.process._ticket_store import number_of
+from bramleylead.process.tickets._ticket_store import TicketStore
+from bramleylead.process.tickets._ticket_store import number_of
 
 RETRY_S = 0.5
 
--- a/src/bramleylead/request/_http_app.py
+++ b/src/bramleylead/request/_http_app.py
@@ -37,7 +37,7 @@
 from bramleylead.request._service import NodeService
 
 if TYPE_CHECKING:
-    from bramleylead.process._settings import RequestSettings
+    from bramleylead.node_settings import RequestSettings
 
 ROUTE_MODULES = (_http_calls, _http_operators, _http_programs)
 """Importing them registers their routes."""
--- a/src/bramleylead/request/_http_routes.py
+++ b/src/bramleylead/request/_http_routes.py
@@ -28,7 +28,7 @@
 from bramleylead.validation import load_model
 
 if TYPE_CHECKING:
-    from bramleylead.process._settings import RequestSettings
+    from bramleylead.node_settings import RequestSettings
 
 SHOWN_FAULTS = 10
 
--- a/src/bramleylead/scheduling/_dispatcher.py
+++ b/src/bramleylead/scheduling/_dispatcher.py
@@ -20,7 +20,7 @@
 from bramleylead.backends import LoadReport
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
-from bramleylead.process._settings import SchedulingSettings
+from bramleylead.node_settings import SchedulingSettings
 from bramleylead.promises import Promise
 from bramleylead.promises import Promises
 from bramleylead.scheduling._decisions import Decision
--- a/src/bramleylead/scheduling/_node.py
+++ b/src/bramleylead/scheduling/_node.py
@@ -24,10 +24,10 @@
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.metrics import Metrics
-from bramleylead.process._members import ConfigSource
-from bramleylead.process._members import MemberList
-from bramleylead.process._rendezvous import pool_dispatcher
-from bramleylead.process._settings import NodeSettings
+from bramleylead.node_settings import NodeSettings
+from bramleylead.process.membership._members import ConfigSource
+from bramleylead.process.membership._members import MemberList
+from bramleylead.process.partitions._rendezvous import pool_dispatcher
 from bramleylead.promises import Promises
 from bramleylead.scheduling._chooser import PoolChoice
 from bramleylead.scheduling._chooser import PoolChooser
--- a/src/bramleylead/scheduling/_policy.py
+++ b/src/bramleylead/scheduling/_policy.py
@@ -13,7 +13,7 @@
 from pydantic import ValidationError
 
 from bramleylead.errors import Failure
-from bramleylead.process._settings import SchedulingSettings
+from bramleylead.node_settings import SchedulingSettings
 from bramleylead.scheduling._types import SlotFinished
 from bramleylead.scheduling._view import EndpointView
 from bramleylead.scheduling._view import Waiting
--- a/src/bramleylead/trials/_demo.py
+++ b/src/bramleylead/trials/_demo.py
@@ -12,8 +12,8 @@
 
 import anyio
 
+from bramleylead.node_settings import StoreSettings
 from bramleylead.platform import MemoryStore
-from bramleylead.process._settings import StoreSettings
 from bramleylead.standins import EngineModelSettings
 from bramleylead.standins import serve_objects
 from bramleylead.trials._caller import Caller
--- a/src/bramleylead/trials/_deployments.py
+++ b/src/bramleylead/trials/_deployments.py
@@ -5,7 +5,7 @@
 import hashlib
 from typing import NamedTuple
 
-from bramleylead.process._settings import NodeSettings
+from bramleylead.node_settings import NodeSettings
 from bramleylead.version import Branch
 from bramleylead.version import Budget
 from bramleylead.version import Endpoint
--- a/src/bramleylead/trials/_example.py
+++ b/src/bramleylead/trials/_example.py
@@ -11,9 +11,9 @@
 from result import Err
 from result import Result
 
+from bramleylead.node_settings import NodeSettings
+from bramleylead.node_settings import StoreSettings
 from bramleylead.process._run_node import free_address
-from bramleylead.process._settings import NodeSettings
-from bramleylead.process._settings import StoreSettings
 from bramleylead.process._settings_file import load_settings
 from bramleylead.trials._deployments import Deployment
 from bramleylead.trials._deployments import Place
--- a/src/bramleylead/trials/_fleet.py
+++ b/src/bramleylead/trials/_fleet.py
@@ -12,10 +12,10 @@
 from anyio.abc import TaskGroup
 
 from bramleylead.connection._tcp import split_address
+from bramleylead.node_settings import NodeSettings
 from bramleylead.platform import MemoryStore
 from bramleylead.platform import VmEntry
 from bramleylead.process._node import Node
-from bramleylead.process._settings import NodeSettings
 from bramleylead.promises import Violation
 from bramleylead.standins import FakeEndpoints
 from bramleylead.standins import FakeNetwork
--- a/src/bramleylead/trials/_live.py
+++ b/src/bramleylead/trials/_live.py
@@ -19,12 +19,12 @@
 
 from bramleylead.connection import TcpNetwork
 from bramleylead.metrics import Metrics
+from bramleylead.node_settings import NodeSettings
 from bramleylead.platform import MemoryStore
 from bramleylead.platform import VmEntry
 from bramleylead.platform import open_store
 from bramleylead.process._run_node import ServedNode
 from bramleylead.process._run_node import serve_node
-from bramleylead.process._settings import NodeSettings
 from bramleylead.promises import Promise
 from bramleylead.promises import Violation
 from bramleylead.standins import EngineLedger
--- a/src/bramleylead/trials/_target.py
+++ b/src/bramleylead/trials/_target.py
@@ -12,7 +12,7 @@
 from result import Result
 
 from bramleylead.errors import Failure
-from bramleylead.process._settings import NodeSettings
+from bramleylead.node_settings import NodeSettings
 from bramleylead.promises import Violation
 from bramleylead.request import CallItem
 from bramleylead.request import CallRequest
--- a/testing/bench/test_capacity.py
+++ b/testing/bench/test_capacity.py
@@ -12,7 +12,7 @@
 from bramleylead.bench._capacity_state import COPIES
 from bramleylead.bench._capacity_state import Shape
 from bramleylead.bench._capacity_state import memory_bytes
-from bramleylead.process._state_codec import pack_state
+from bramleylead.process.journal._state_codec import pack_state
 
 
 class StatesTest(unittest.TestCase):
--- a/testing/connection/test_codec.py
+++ b/testing/connection/test_codec.py
@@ -8,7 +8,7 @@
 from bramleylead.connection import decode
 from bramleylead.connection import encode
 from bramleylead.connection._codec import MAX_FRAME_BYTES
-from bramleylead.process._entries import ProgramForgotten
+from bramleylead.process.journal._entries import ProgramForgotten
 
 
 class SingleMessageTest(unittest.TestCase):
--- a/testing/gateway/_site.py
+++ b/testing/gateway/_site.py
@@ -135,7 +135,8 @@
     """Return a script that answers each request with bytes."""
 
     async def script(asked: Asked, stream: ByteStream) -> None:
-        await stream.send(make(asked))
+        if data := make(asked):
+            await stream.send(data)
         if then_close:
             await stream.aclose()
 
--- a/testing/platform/test_stores.py
+++ b/testing/platform/test_stores.py
@@ -14,6 +14,7 @@
 from anyio.abc import SocketStream
 from result import Ok
 
+from bramleylead.node_settings import StoreSettings
 from bramleylead.platform import HttpStore
 from bramleylead.platform import MemoryStore
 from bramleylead.platform import ObjectStore
@@ -23,7 +24,6 @@
 from bramleylead.platform import open_store
 from bramleylead.platform import store_kind
 from bramleylead.platform._memory import KEPT_DELETIONS
-from bramleylead.process._settings import StoreSettings
 from bramleylead.standins import run_virtual
 from bramleylead.standins import serve_objects
 from testing.platform._conformance import Conformance
--- a/testing/process/_partition_fleet.py
+++ b/testing/process/_partition_fleet.py
@@ -15,15 +15,15 @@
 
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
+from bramleylead.node_settings import NodeSettings
 from bramleylead.platform._memory import MemoryStore
 from bramleylead.platform._store import StoreError
 from bramleylead.platform._store import StoreErrorKind
-from bramleylead.process._entries import Entry
-from bramleylead.process._entries import ProgramOpened
-from bramleylead.process._members import Member
-from bramleylead.process._members import MemberState
-from bramleylead.process._partition_host import PartitionHost
-from bramleylead.process._settings import NodeSettings
+from bramleylead.process.journal._entries import Entry
+from bramleylead.process.journal._entries import ProgramOpened
+from bramleylead.process.membership._members import Member
+from bramleylead.process.membership._members import MemberState
+from bramleylead.process.partitions._partition_host import PartitionHost
 from bramleylead.promises import Promises
 from bramleylead.standins import FakeNetwork
 from bramleylead.standins import run_virtual
--- a/testing/process/test_budget.py
+++ b/testing/process/budgets/test_budget.py
@@ -13,11 +13,11 @@
 from bramleylead.errors import ErrorKind
 from bramleylead.platform import StoreError
 from bramleylead.platform import StoreErrorKind
-from bramleylead.process._budget import BudgetEscrow
-from bramleylead.process._entries import CallFinished
-from bramleylead.process._entries import CallIntended
-from bramleylead.process._entries import ProgramOpened
-from bramleylead.process._entries import RolledBack
+from bramleylead.process.budgets._budget import BudgetEscrow
+from bramleylead.process.journal._entries import CallFinished
+from bramleylead.process.journal._entries import CallIntended
+from bramleylead.process.journal._entries import ProgramOpened
+from bramleylead.process.journal._entries import RolledBack
 from bramleylead.promises import Promise
 from bramleylead.request import CallKind
 from bramleylead.version import Budget
--- a/testing/process/test_admission.py
+++ b/testing/process/calls/test_admission.py
@@ -6,8 +6,8 @@
 from typing import Any
 from unittest import mock
 
-from bramleylead.process import _admission
-from bramleylead.process._admission import request_digest
+from bramleylead.process.calls import _admission
+from bramleylead.process.calls._admission import request_digest
 from bramleylead.request import CallKind
 from bramleylead.request import CallRequest
 from testing.process.support import Bench
--- a/testing/process/test_ending.py
+++ b/testing/process/calls/test_ending.py
@@ -9,12 +9,12 @@
 import anyio
 from result import Ok
 
-from bramleylead.process._ending import KEEP_ENDED_S
-from bramleylead.process._ending import ProgramEnder
-from bramleylead.process._entries import CacheHeld
-from bramleylead.process._entries import CallIntended
-from bramleylead.process._entries import ChildOpened
-from bramleylead.process._entries import ProgramEnded
+from bramleylead.process.calls._ending import KEEP_ENDED_S
+from bramleylead.process.calls._ending import ProgramEnder
+from bramleylead.process.journal._entries import CacheHeld
+from bramleylead.process.journal._entries import CallIntended
+from bramleylead.process.journal._entries import ChildOpened
+from bramleylead.process.journal._entries import ProgramEnded
 from bramleylead.request import CallKind
 from testing.process.support import Bench
 from testing.process.support import run_with_owner
--- a/testing/process/test_owner.py
+++ b/testing/process/calls/test_owner.py
@@ -12,8 +12,8 @@
 from bramleylead.backends import EngineChunk
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Ran
-from bramleylead.process._entries import RolledBack
-from bramleylead.process._state import CallStatus
+from bramleylead.process.journal._entries import RolledBack
+from bramleylead.process.journal._state import CallStatus
 from bramleylead.promises import Promise
 from bramleylead.request import AnswerEnd
 from bramleylead.request import EndProgram
--- a/testing/process/test_journal_recovery.py
+++ b/testing/process/journal/test_journal_recovery.py
@@ -7,9 +7,9 @@
 import anyio
 from result import Ok
 
-from bramleylead.process._entries import ProgramForgotten
-from bramleylead.process._members import MemberState
-from bramleylead.process._partition import OwnedPartition
+from bramleylead.process.journal._entries import ProgramForgotten
+from bramleylead.process.membership._members import MemberState
+from bramleylead.process.partitions._partition import OwnedPartition
 from testing.process._partition_fleet import PartitionFleet
 from testing.process._partition_fleet import opened
 from testing.process._partition_fleet import run_fleet
--- a/testing/process/test_state_codec.py
+++ b/testing/process/journal/test_state_codec.py
@@ -4,13 +4,13 @@
 
 import unittest
 
-from bramleylead.process._entries import CallFinished
-from bramleylead.process._entries import CallIntended
-from bramleylead.process._entries import Entry
-from bramleylead.process._entries import ProgramOpened
-from bramleylead.process._state import PartitionState
-from bramleylead.process._state_codec import pack_state
-from bramleylead.process._state_codec import unpack_state
+from bramleylead.process.journal._entries import CallFinished
+from bramleylead.process.journal._entries import CallIntended
+from bramleylead.process.journal._entries import Entry
+from bramleylead.process.journal._entries import ProgramOpened
+from bramleylead.process.journal._state import PartitionState
+from bramleylead.process.journal._state_codec import pack_state
+from bramleylead.process.journal._state_codec import unpack_state
 from bramleylead.request import CallKind
 
 
--- a/testing/process/test_partition_audit.py
+++ b/testing/process/partitions/test_partition_audit.py
@@ -7,10 +7,10 @@
 import anyio
 from result import Ok
 
-from bramleylead.process._members import MemberState
-from bramleylead.process._partition_audit import EXPIRY_CHECK_S
-from bramleylead.process._partition_audit import PROOF_VALID_S
-from bramleylead.process._partition_audit import RECOVERY_WAIT_S
+from bramleylead.process.membership._members import MemberState
+from bramleylead.process.partitions._partition_audit import EXPIRY_CHECK_S
+from bramleylead.process.partitions._partition_audit import PROOF_VALID_S
+from bramleylead.process.partitions._partition_audit import RECOVERY_WAIT_S
 from testing.process._partition_fleet import PartitionFleet
 from testing.process._partition_fleet import opened
 from testing.process._partition_fleet import run_fleet
--- a/testing/process/test_partition_record.py
+++ b/testing/process/partitions/test_partition_record.py
@@ -10,11 +10,11 @@
 from bramleylead.platform import MemoryStore
 from bramleylead.platform import StoreError
 from bramleylead.platform import StoreErrorKind
-from bramleylead.process._partition_record import Holder
-from bramleylead.process._partition_record import PartitionRecord
-from bramleylead.process._partition_record import read_record
-from bramleylead.process._partition_record import renewed
-from bramleylead.process._partition_record import swap_record
+from bramleylead.process.partitions._partition_record import Holder
+from bramleylead.process.partitions._partition_record import PartitionRecord
+from bramleylead.process.partitions._partition_record import read_record
+from bramleylead.process.partitions._partition_record import renewed
+from bramleylead.process.partitions._partition_record import swap_record
 from bramleylead.standins import run_virtual
 
 FIRST = Holder(node="a", address="10.0.0.1:7000", boot="1")
--- a/testing/process/test_partition_survey.py
+++ b/testing/process/partitions/test_partition_survey.py
@@ -7,10 +7,10 @@
 
 import anyio
 
-from bramleylead.process import _partition_survey
-from bramleylead.process._partition_messages import Assign
-from bramleylead.process._partition_record import list_records
-from bramleylead.process._partition_survey import QUIET_ROUND_S
+from bramleylead.process.partitions import _partition_survey
+from bramleylead.process.partitions._partition_messages import Assign
+from bramleylead.process.partitions._partition_record import list_records
+from bramleylead.process.partitions._partition_survey import QUIET_ROUND_S
 from bramleylead.standins import run_virtual
 from bramleylead.trials._deployments import ratsakool
 from bramleylead.trials._fleet import running_fleet
--- a/testing/process/test_partition_takeover.py
+++ b/testing/process/partitions/test_partition_takeover.py
@@ -9,8 +9,8 @@
 from result import Ok
 
 from bramleylead.errors import ErrorKind
-from bramleylead.process._entries import GrantAdded
-from bramleylead.process._pending import Mode
+from bramleylead.process.journal._entries import GrantAdded
+from bramleylead.process.partitions._pending import Mode
 from testing.process._partition_fleet import PartitionFleet
 from testing.process._partition_fleet import opened
 from testing.process._partition_fleet import run_fleet
--- a/testing/process/test_rendezvous.py
+++ b/testing/process/partitions/test_rendezvous.py
@@ -4,11 +4,11 @@
 
 import unittest
 
-from bramleylead.process._members import Member
-from bramleylead.process._rendezvous import owner_and_second
-from bramleylead.process._rendezvous import owners
-from bramleylead.process._rendezvous import pool_dispatcher
-from bramleylead.process._rendezvous import ranked
+from bramleylead.process.membership._members import Member
+from bramleylead.process.partitions._rendezvous import owner_and_second
+from bramleylead.process.partitions._rendezvous import owners
+from bramleylead.process.partitions._rendezvous import pool_dispatcher
+from bramleylead.process.partitions._rendezvous import ranked
 
 PARTITIONS = 1024
 
--- a/testing/process/support.py
+++ b/testing/process/support.py
@@ -17,12 +17,12 @@
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.metrics import Metrics
+from bramleylead.node_settings import NodeSettings
 from bramleylead.platform import MemoryStore
-from bramleylead.process._budget import BudgetEscrow
-from bramleylead.process._owner import ProgramOwner
 from bramleylead.process._parts import OwnerParts
-from bramleylead.process._settings import NodeSettings
-from bramleylead.process._state import PartitionState
+from bramleylead.process.budgets._budget import BudgetEscrow
+from bramleylead.process.calls._owner import ProgramOwner
+from bramleylead.process.journal._state import PartitionState
 from bramleylead.promises import Promises
 from bramleylead.request import CallKind
 from bramleylead.request import CallRequest
--- a/testing/process/test_gauges.py
+++ b/testing/process/test_gauges.py
@@ -7,8 +7,8 @@
 
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
-from bramleylead.process._entries import CacheHeld
 from bramleylead.process._gauges import GaugeRefresher
+from bramleylead.process.journal._entries import CacheHeld
 from bramleylead.standins import FakeNetwork
 from testing.process.support import Bench
 from testing.process.support import run_with_owner
--- a/testing/process/test_real_node.py
+++ b/testing/process/test_real_node.py
@@ -15,9 +15,9 @@
 from bramleylead.backends import Message
 from bramleylead.connection._events import EventReader
 from bramleylead.connection._tcp import split_address
+from bramleylead.node_settings import RequestSettings
+from bramleylead.node_settings import StoreSettings
 from bramleylead.platform import MemoryStore
-from bramleylead.process._settings import RequestSettings
-from bramleylead.process._settings import StoreSettings
 from bramleylead.standins import answer_to
 from bramleylead.standins import serve_objects
 from bramleylead.trials._demo import demo_engine
--- a/testing/process/test_run_node.py
+++ b/testing/process/test_run_node.py
@@ -17,10 +17,10 @@
 import anyio
 import httpcore
 
+from bramleylead.node_settings import NodeSettings
 from bramleylead.process import _node
 from bramleylead.process._run_node import free_address
 from bramleylead.process._run_node import run_node
-from bramleylead.process._settings import NodeSettings
 
 TEST_LIMIT_S = 30.0
 KEY = "a shared key of the cluster"
--- a/testing/process/test_currency.py
+++ b/testing/process/tickets/test_currency.py
@@ -6,9 +6,9 @@
 
 import anyio
 
-from bramleylead.process._currency import Currency
-from bramleylead.process._currency import Ticks
-from bramleylead.process._ticket_messages import Proof
+from bramleylead.process.tickets._currency import Currency
+from bramleylead.process.tickets._currency import Ticks
+from bramleylead.process.tickets._ticket_messages import Proof
 from bramleylead.standins import run_virtual
 
 
--- a/testing/process/test_tickets.py
+++ b/testing/process/tickets/test_tickets.py
@@ -11,13 +11,13 @@
 from result import Ok
 
 from bramleylead.errors import ErrorKind
+from bramleylead.node_settings import TicketSettings
 from bramleylead.platform import StoreError
 from bramleylead.platform import StoreErrorKind
-from bramleylead.process._relay import make_relay
-from bramleylead.process._rendezvous import watchers
-from bramleylead.process._settings import TicketSettings
-from bramleylead.process._ticket_store import SNAPSHOT_KEY
-from bramleylead.process._ticket_store import ticket_key
+from bramleylead.process.partitions._rendezvous import watchers
+from bramleylead.process.tickets._relay import make_relay
+from bramleylead.process.tickets._ticket_store import SNAPSHOT_KEY
+from bramleylead.process.tickets._ticket_store import ticket_key
 from bramleylead.request import TicketAccepted
 from bramleylead.request import TicketState
 from bramleylead.standins import run_virtual
--- a/testing/request/fakes.py
+++ b/testing/request/fakes.py
@@ -19,7 +19,7 @@
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.metrics import Metrics
-from bramleylead.process._settings import RequestSettings
+from bramleylead.node_settings import RequestSettings
 from bramleylead.promises import Promises
 from bramleylead.request import AnswerChunk
 from bramleylead.request import AnswerEnd
--- a/testing/scheduling/_pool.py
+++ b/testing/scheduling/_pool.py
@@ -6,7 +6,7 @@
 
 from aioprometheus import Registry
 
-from bramleylead.process._settings import SchedulingSettings
+from bramleylead.node_settings import SchedulingSettings
 from bramleylead.promises import Promises
 from bramleylead.scheduling import Dispatcher
 from bramleylead.scheduling import SlotFinished
--- a/testing/scheduling/test_default.py
+++ b/testing/scheduling/test_default.py
@@ -15,7 +15,7 @@
 from bramleylead.errors import ANSWERS
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Ran
-from bramleylead.process._settings import SchedulingSettings
+from bramleylead.node_settings import SchedulingSettings
 from bramleylead.scheduling import Dispatcher
 from bramleylead.scheduling import RetryBudget
 from bramleylead.scheduling._policy import make_policy
--- a/testing/scheduling/test_node_scheduler.py
+++ b/testing/scheduling/test_node_scheduler.py
@@ -17,8 +17,8 @@
 from bramleylead.connection import PeerServer
 from bramleylead.errors import ErrorKind
 from bramleylead.metrics import Metrics
-from bramleylead.process._members import Member
-from bramleylead.process._settings import NodeSettings
+from bramleylead.node_settings import NodeSettings
+from bramleylead.process.membership._members import Member
 from bramleylead.promises import Promises
 from bramleylead.scheduling import NodeScheduler
 from bramleylead.standins import FakeNetwork
--- a/testing/test_examples.py
+++ b/testing/test_examples.py
@@ -6,7 +6,7 @@
 import unittest
 from pathlib import Path
 
-from bramleylead.process._settings import NodeSettings
+from bramleylead.node_settings import NodeSettings
 from bramleylead.process._settings_file import check_together
 from bramleylead.process._settings_file import load_settings
 from bramleylead.request import find_branch
--- a/testing/test_promises.py
+++ b/testing/test_promises.py
@@ -13,11 +13,11 @@
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.metrics import Metrics
-from bramleylead.process._applied_tickets import AppliedTickets
-from bramleylead.process._ending import ProgramEnder
-from bramleylead.process._entries import CacheHeld
-from bramleylead.process._entries import CallIntended
-from bramleylead.process._entries import ProgramOpened
+from bramleylead.process.calls._ending import ProgramEnder
+from bramleylead.process.journal._entries import CacheHeld
+from bramleylead.process.journal._entries import CallIntended
+from bramleylead.process.journal._entries import ProgramOpened
+from bramleylead.process.tickets._applied_tickets import AppliedTickets
 from bramleylead.promises import Promise
 from bramleylead.promises import PromiseBroken
 from bramleylead.promises import Promises
