Read the platform's objects through nodes of the ledger

A gateway that the store turns away, or that starts while the store is down, learnt nothing.

Change: nodes of the ledger watch configuration and replicas, and answer gateways' long polls of 1 s. A gateway asks the near ones first, leaves one that does not answer or has lost the store, and asks the store itself only after two of them, seldom while that fails. A whole list is taken only from a node that knows at least as much as the gateway; changes carry the store's revision. After a change a watch waits 0.15 s, so that changes in a row come with one call.

Tests on virtual time (testing/gateway/test_mirrored_store.py) count the calls: none by a gateway while nodes answer.

--- a/src/bramleylead/gateway/_directory.py
+++ b/src/bramleylead/gateway/_directory.py
@@ -71,9 +71,9 @@
             for replica in self._replicas.values()
         ]
 
-    def note_trouble(self) -> None:
-        """Take in that the store did not answer."""
-        self._trouble_at = anyio.current_time()
+    def note_trouble(self, ago_s: float = 0.0) -> None:
+        """Take in that the store did not answer some time ago."""
+        self._trouble_at = max(self._trouble_at, anyio.current_time() - ago_s)
 
     def adopt(self, configuration: Configuration, *, source: str) -> bool:
         """Put a configuration in force unless a later one is; returns whether it now is."""
--- a/src/bramleylead/gateway/_followers.py
+++ b/src/bramleylead/gateway/_followers.py
@@ -28,15 +28,20 @@
     def __init__(self, directory: Directory) -> None:
         self._directory = directory
 
-    def take_all(self, objects: Sequence[PlatformObject]) -> None:
+    def take_all(self, objects: Sequence[PlatformObject], *, as_of: int) -> None:
         """Take in the whole list."""
         for found in objects:
             self._take(found)
 
-    def take(self, change: ObjectChange) -> None:
-        """Take in one change."""
-        if not change.removed:
-            self._take(change.changed)
+    def take(self, changes: Sequence[ObjectChange], *, as_of: int) -> None:
+        """Take in changes in their order."""
+        for change in changes:
+            if not change.removed:
+                self._take(change.changed)
+
+    def note_trouble(self) -> None:
+        """Take in that the store did not answer."""
+        self._directory.note_trouble()
 
     def _take(self, found: PlatformObject) -> None:
         if found.name != names.CONFIGURATION_NAME:
@@ -58,19 +63,23 @@
     def __init__(self, directory: Directory) -> None:
         self._directory = directory
 
-    def take_all(self, objects: Sequence[PlatformObject]) -> None:
+    def take_all(self, objects: Sequence[PlatformObject], *, as_of: int) -> None:
         """Take in the whole list."""
         read = [self._read(found) for found in objects]
         self._directory.replace_all([replica for replica in read if replica is not None])
 
-    def take(self, change: ObjectChange) -> None:
-        """Take in one change."""
-        found = change.changed
-        replica = None if change.removed else self._read(found)
-        if replica is not None:
-            self._directory.put(replica)
-        else:
-            self._directory.remove(found.name)
+    def take(self, changes: Sequence[ObjectChange], *, as_of: int) -> None:
+        """Take in changes in their order."""
+        for change in changes:
+            replica = None if change.removed else self._read(change.changed)
+            if replica is not None:
+                self._directory.put(replica)
+            else:
+                self._directory.remove(change.changed.name)
+
+    def note_trouble(self) -> None:
+        """Take in that the store did not answer."""
+        self._directory.note_trouble()
 
     def _read(self, found: PlatformObject) -> Replica | None:
         try:
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -22,6 +22,7 @@
 from bramleylead.gateway._followers import ReplicaFollower
 from bramleylead.gateway._kept_turns import KeptTurns
 from bramleylead.gateway._links import Links
+from bramleylead.gateway._mirrored_store import MirroredStore
 from bramleylead.gateway._plain import PlainCalls
 from bramleylead.gateway._replica_choice import ReplicaLoads
 from bramleylead.gateway._sender import Sender
@@ -55,17 +56,25 @@
         *,
         network: Network,
         store: PlatformStore,
+        peers: PeerClient,
         ledger: LedgerClient,
         tasks: TaskGroup,
         metrics: SiteMetrics,
     ) -> None:
         self._settings = settings
-        self._store = store
         self._tasks = tasks
         self._ledger = ledger
         self._links = Links(network, id_header=names.REQUEST_ID)
         self._loads = ReplicaLoads()
         self.directory = Directory()
+        self._objects = MirroredStore(
+            store,
+            peers,
+            ledger,
+            place=settings.data_centre,
+            regions=settings.data_centres,
+            on_trouble=self.directory.note_trouble,
+        )
         sender = Sender(
             self.directory,
             self._links,
@@ -92,14 +101,9 @@
         await self._tasks.start(self._http.serve, self._settings.http_address)
         await self._tasks.start(self._ready.serve, self._settings.ready_address)
         await self._tasks.start(self._metrics.serve, self._settings.metrics_address)
-        on_trouble = self.directory.note_trouble
-        for follower in (
-            ConfigurationFollower(self.directory),
-            ReplicaFollower(self.directory),
-        ):
-            self._tasks.start_soon(follow, self._store, follower, on_trouble)
+        for follower in (ConfigurationFollower(self.directory), ReplicaFollower(self.directory)):
+            self._tasks.start_soon(follow, self._objects, follower)
         self._tasks.start_soon(self._run_upkeep)
-        self._tasks.start_soon(self._ledger.learn)
         self._tasks.start_soon(self._ledger.run_probes)
         log.info(
             "gateway_serving",
@@ -172,7 +176,13 @@
         anyio.create_task_group() as tasks,
     ):
         gateway = Gateway(
-            settings, network=network, store=store, ledger=ledger, tasks=tasks, metrics=metrics
+            settings,
+            network=network,
+            store=store,
+            peers=peers,
+            ledger=ledger,
+            tasks=tasks,
+            metrics=metrics,
         )
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             await gateway.start()
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -18,6 +18,7 @@
 from bramleylead.ledger._log import FileDisk
 from bramleylead.ledger._member_list import StoredMemberList
 from bramleylead.ledger._membership import Membership
+from bramleylead.ledger._mirror import Mirror
 from bramleylead.ledger._node import LedgerNode
 from bramleylead.platform import _names as names
 from bramleylead.platform._follow import follow
@@ -30,6 +31,7 @@
 
 EXPIRE_INTERVAL_S = 10.0
 RETIRE_RETRY_S = 0.3
+MIRRORED_KINDS = (names.CONFIGURATION_KIND, names.REPLICA_KIND)
 DRAIN_S = 1.0
 SILENT_AFTER_S = 1
 
@@ -46,15 +48,19 @@
         self._node = node
         self.wanted = anyio.Event()
 
-    def take_all(self, objects: Sequence[PlatformObject]) -> None:
+    def take_all(self, objects: Sequence[PlatformObject], *, as_of: int) -> None:
         """Take in the whole list."""
         for found in objects:
             self._take(found)
 
-    def take(self, change: ObjectChange) -> None:
-        """Take in one change."""
-        if not change.removed:
-            self._take(change.changed)
+    def take(self, changes: Sequence[ObjectChange], *, as_of: int) -> None:
+        """Take in changes in their order."""
+        for change in changes:
+            if not change.removed:
+                self._take(change.changed)
+
+    def note_trouble(self) -> None:
+        """Take no notice: what was read stays wanted, and the follower logs the trouble."""
 
     def _take(self, found: PlatformObject) -> None:
         if found.name == self._node and not self.wanted.is_set():
@@ -86,6 +92,8 @@
         )
         await node.load()
         node.serve_on(server)
+        mirror = Mirror(MIRRORED_KINDS)
+        mirror.serve_on(server)
         metrics.describe(node.gauges, node.dump)
         membership = Membership(node, StoredMemberList(store), peers, losses=settings.losses)
         retirement = RetirementFollower(settings.node)
@@ -94,7 +102,8 @@
             await tasks.start(network.serve, address, server.serve_stream)
             await tasks.start(HttpServer(metrics.app).serve, settings.metrics_address)
             tasks.start_soon(_run_expiry, node)
-            tasks.start_soon(follow, store, retirement, _nothing)
+            for follower in (retirement, *mirror.kinds.values()):
+                tasks.start_soon(follow, store, follower)
             tasks.start_soon(_run_membership, membership, retirement, store, settings.node)
             log.info("ledger_serving", node=settings.node, address=address, disk=disk.name)
             async for number in signals:
@@ -138,7 +147,3 @@
     while True:
         await anyio.sleep(EXPIRE_INTERVAL_S)
         await node.expire()
-
-
-def _nothing() -> None:
-    """Take no notice of trouble at the store: the follower logs it."""
--- a/src/bramleylead/platform/_follow.py
+++ b/src/bramleylead/platform/_follow.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -13,30 +12,51 @@
 from result import Ok
 from result import Result
 
+from bramleylead.platform._objects import ChangePage
 from bramleylead.platform._objects import ObjectChange
+from bramleylead.platform._objects import ObjectPage
 from bramleylead.platform._objects import PlatformObject
-from bramleylead.platform._objects import PlatformStore
 from bramleylead.platform._store import StoreError
 from bramleylead.platform._store import StoreErrorKind
 
 WATCH_S = 25.0
+GATHER_S = 0.15
+"""After a change the next watch waits this long, so that changes in a row come with one call."""
 FIRST_PAUSE_S = 0.15
 LONGEST_PAUSE_S = 0.8
 
 log = structlog.get_logger()
 
 
+class ObjectSource(Protocol):
+    """Where objects are read: the platform's store, or nodes that have read it."""
+
+    async def list(self, kind: str, *, after: str = "") -> Result[ObjectPage, StoreError]:
+        """Read a page of the objects of a kind, those after a name."""
+        ...
+
+    async def watch(
+        self, kind: str, *, after: int, wait_s: float
+    ) -> Result[ChangePage, StoreError]:
+        """Wait for changes of a kind after a revision; ``NOT_FOUND`` if that history is gone."""
+        ...
+
+
 class Follower(Protocol):
     """Takes in the objects of one kind."""
 
     kind: str
 
-    def take_all(self, objects: Sequence[PlatformObject]) -> None:
-        """Take in the whole list."""
+    def take_all(self, objects: Sequence[PlatformObject], *, as_of: int) -> None:
+        """Take in the whole list as of a revision."""
+        ...
+
+    def take(self, changes: Sequence[ObjectChange], *, as_of: int) -> None:
+        """Take in the changes up to a revision, in their order; there may be none."""
         ...
 
-    def take(self, change: ObjectChange) -> None:
-        """Take in one change."""
+    def note_trouble(self) -> None:
+        """Take in that a call failed: what is known grows old until the next list or changes."""
         ...
 
 
@@ -55,19 +75,16 @@
         await anyio.sleep(longest_s * random.uniform(0.5, 1.0))
 
 
-async def follow(store: PlatformStore, follower: Follower, on_trouble: Callable[[], None]) -> None:
-    """Keep a follower up to date until cancelled.
-
-    :param on_trouble: called whenever the store does not answer.
-    """
+async def follow(source: ObjectSource, follower: Follower) -> None:
+    """Keep a follower up to date until cancelled."""
     pause = _Pause()
     revision: int | None = None
     is_lost = False
     while True:
         if revision is None:
-            step = await _list(store, follower)
+            step = await _list(source, follower)
         else:
-            step = await _watch(store, follower, revision)
+            step = await _watch(source, follower, revision)
         if isinstance(step, Ok):
             if is_lost:
                 log.info("store_regained", kind=follower.kind, revision=step.ok_value)
@@ -80,34 +97,36 @@
             log.info("history_gone", kind=follower.kind, revision=revision)
             revision = None
             continue
-        on_trouble()
+        follower.note_trouble()
         if not is_lost:
             log.warning("store_lost", kind=follower.kind, revision=revision, reason=error.detail)
         is_lost = True
         await pause.wait()
 
 
-async def _list(store: PlatformStore, follower: Follower) -> Result[int, StoreError]:
+async def _list(source: ObjectSource, follower: Follower) -> Result[int, StoreError]:
     objects: list[PlatformObject] = []
     after = ""
     while True:
-        listed = await store.list(follower.kind, after=after)
+        listed = await source.list(follower.kind, after=after)
         if isinstance(listed, Err):
             return listed
         page = listed.ok_value
         objects += page.objects
         if not page.more or not page.objects:
-            follower.take_all(objects)
+            follower.take_all(objects, as_of=page.as_of)
             return Ok(page.as_of)
         after = page.objects[-1].name
 
 
 async def _watch(
-    store: PlatformStore, follower: Follower, revision: int
+    source: ObjectSource, follower: Follower, revision: int
 ) -> Result[int, StoreError]:
-    watched = await store.watch(follower.kind, after=revision, wait_s=WATCH_S)
+    watched = await source.watch(follower.kind, after=revision, wait_s=WATCH_S)
     if isinstance(watched, Err):
         return watched
-    for change in watched.ok_value.changes:
-        follower.take(change)
-    return Ok(watched.ok_value.as_of)
+    page = watched.ok_value
+    follower.take(page.changes, as_of=page.as_of)
+    if page.changes:
+        await anyio.sleep(GATHER_S)
+    return Ok(page.as_of)
--- a/testing/gateway/test_follow.py
+++ b/testing/gateway/test_follow.py
@@ -49,7 +49,7 @@
                 anyio.create_task_group() as tasks,
             ):
                 for follower in (ConfigurationFollower(directory), ReplicaFollower(directory)):
-                    tasks.start_soon(follow, store, follower, directory.note_trouble)
+                    tasks.start_soon(follow, store, follower)
                 await main(stand_in, directory)
                 tasks.cancel_scope.cancel()
 
--- /dev/null
+++ b/testing/gateway/test_mirrored_store.py
@@ -0,0 +1,230 @@
+"""Gateways that read the platform's objects through nodes of the ledger."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import anyio
+
+from bramleylead.connection import PeerClient
+from bramleylead.connection import PeerServer
+from bramleylead.errors import ErrorKind
+from bramleylead.gateway._directory import Directory
+from bramleylead.gateway._followers import ConfigurationFollower
+from bramleylead.gateway._followers import ReplicaFollower
+from bramleylead.gateway._mirrored_store import MirroredStore
+from bramleylead.ledger._client import LedgerClient
+from bramleylead.ledger._members import LedgerMember
+from bramleylead.ledger._members import LedgerView
+from bramleylead.ledger._mirror import AskMirror
+from bramleylead.ledger._mirror import Mirror
+from bramleylead.platform import _names as names
+from bramleylead.platform._follow import follow
+from bramleylead.standins import FakeNetwork
+from bramleylead.standins import run_virtual
+from testing.gateway._objects import FakeObjects
+from testing.gateway.test_follow import until
+from testing.platform.test_decode import ENTRY
+from testing.platform.test_decode import ROUTE
+from testing.platform.test_decode import plain
+
+KEY = "a shared key of the cluster"
+GATE = "10.0.1.0"
+NODES = 3
+KINDS = (names.CONFIGURATION_KIND, names.REPLICA_KIND)
+LOSSES = 1
+
+
+def node_host(i: int) -> str:
+    return f"10.0.0.{i}"
+
+
+def member(i: int) -> LedgerMember:
+    return LedgerMember(f"s{i}", f"{node_host(i)}:7000", f"disk{i}", f"d{i}")
+
+
+class Site:
+    """Three nodes of the ledger that watch the store, and one gateway."""
+
+    def __init__(self) -> None:
+        places = {node_host(i): (f"r{i}", f"d{i}") for i in range(NODES)}
+        self.network = FakeNetwork({**places, GATE: ("r0", "d0")})
+        self.store = FakeObjects()
+        self.directory = Directory()
+        self.mirrors: dict[int, Mirror] = {}
+
+    @property
+    def version(self) -> int:
+        configuration = self.directory.configuration
+        return 0 if configuration is None else configuration.version
+
+    def configure(self, version: int) -> None:
+        self.store.put("config", "main", {**plain(ROUTE), "version": version})
+
+    async def run_node(self, i: int) -> None:
+        view = self.network.view(node_host(i))
+        server = PeerServer(node=f"s{i}", cluster_key=KEY)
+        mirror = Mirror(KINDS)
+        self.mirrors[i] = mirror
+        mirror.serve_on(server)
+        async with anyio.create_task_group() as tasks:
+            for kind in mirror.kinds.values():
+                tasks.start_soon(follow, self.store.seen_by(f"s{i}"), kind)
+            await view.serve(f"{node_host(i)}:7000", server.serve_stream)
+
+    async def run_gateway(self) -> None:
+        network = self.network.view(GATE)
+        async with (
+            PeerClient(network, node="g", cluster_key=KEY) as peers,
+            LedgerClient(peers, self.store.read_members, losses=LOSSES) as ledger,
+            anyio.create_task_group() as tasks,
+        ):
+            objects = MirroredStore(
+                self.store.seen_by("g"),
+                peers,
+                ledger,
+                place="d0",
+                regions={f"d{i}": f"r{i}" for i in range(NODES)},
+                on_trouble=self.directory.note_trouble,
+            )
+            for follower in (
+                ConfigurationFollower(self.directory),
+                ReplicaFollower(self.directory),
+            ):
+                tasks.start_soon(follow, objects, follower)
+
+
+class MirroredStoreTest(unittest.TestCase):
+    def run_site(self, main: Callable[[Site], Awaitable[None]]) -> None:
+        async def run() -> None:
+            site = Site()
+            site.configure(1)
+            site.store.put("servers", "i-1", ENTRY)
+            site.store.members = LedgerView(1, tuple(map(member, range(NODES))))
+            async with anyio.create_task_group() as tasks:
+                for i in range(NODES):
+                    tasks.start_soon(site.run_node, i)
+                await anyio.sleep(0.5)
+                tasks.start_soon(site.run_gateway)
+                await until(lambda: site.directory.is_complete)
+                await main(site)
+                tasks.cancel_scope.cancel()
+
+        run_virtual(run, seed=1)
+
+    def test_changes_come_without_a_call_to_the_store(self) -> None:
+        async def main(site: Site) -> None:
+            site.configure(2)
+            site.store.remove("servers", "i-1")
+            with anyio.fail_after(1):
+                await until(lambda: site.version == 2 and not site.directory.names())
+            await anyio.sleep(30)
+            self.assertEqual(site.store.calls["g"], 0)
+
+        self.run_site(main)
+
+    def test_a_node_that_stands_still_is_left_for_another(self) -> None:
+        async def main(site: Site) -> None:
+            site.network.cut(GATE, node_host(0))
+            await anyio.sleep(2)
+            site.configure(2)
+            with anyio.fail_after(1):
+                await until(lambda: site.version == 2)
+            self.assertEqual(site.store.calls["g"], 0)
+
+        self.run_site(main)
+
+    def test_a_node_that_the_store_turns_away_is_left_for_another(self) -> None:
+        async def main(site: Site) -> None:
+            site.store.refused = {"s0"}
+            await anyio.sleep(2)
+            site.configure(2)
+            with anyio.fail_after(1):
+                await until(lambda: site.version == 2)
+
+        self.run_site(main)
+
+    def test_the_store_itself_is_asked_where_no_node_answers(self) -> None:
+        async def main(site: Site) -> None:
+            for i in range(NODES):
+                site.network.cut(GATE, node_host(i))
+            await anyio.sleep(4)
+            site.configure(2)
+            with anyio.fail_after(1):
+                await until(lambda: site.version == 2)
+
+        self.run_site(main)
+
+    def test_a_gateway_that_the_store_turns_away_goes_on_learning(self) -> None:
+        async def main(site: Site) -> None:
+            site.store.refused = {"g", "s1", "s2"}
+            site.configure(2)
+            with anyio.fail_after(1):
+                await until(lambda: site.version == 2)
+
+        self.run_site(main)
+
+    def test_gateways_ask_a_store_that_is_out_seldom(self) -> None:
+        async def main(site: Site) -> None:
+            site.store.refused = {"g", "s0", "s1", "s2"}
+            await anyio.sleep(10)
+            self.assertLess(site.store.calls["g"], 12)
+            site.store.refused = set()
+            site.configure(2)
+            with anyio.fail_after(2.5):
+                await until(lambda: site.version == 2)
+
+        self.run_site(main)
+
+    def test_a_node_whose_last_change_is_older_is_still_asked(self) -> None:
+        """A gateway that has asked the store knows a later revision than the nodes were told."""
+
+        async def main(site: Site) -> None:
+            for i in range(NODES):
+                site.network.cut(GATE, node_host(i))
+            await anyio.sleep(4)
+            for _ in range(50):
+                site.store.put("other", "x", {})
+            await anyio.sleep(12)
+            for i in range(NODES):
+                site.network.heal(GATE, node_host(i))
+            calls = site.store.calls["g"]
+            await anyio.sleep(12)
+            before = site.store.calls["g"]
+            self.assertLess(before - calls, 8)
+            site.configure(2)
+            with anyio.fail_after(1):
+                await until(lambda: site.version == 2)
+            self.assertEqual(site.store.calls["g"], before)
+
+        self.run_site(main)
+
+    def test_a_whole_list_is_never_older_than_what_was_seen(self) -> None:
+        """After lost history the list comes from who knows at least what the gateway knew."""
+
+        async def main(site: Site) -> None:
+            site.store.held = {"s0", "s1", "s2"}
+            site.store.remove("servers", "i-1")
+            site.store.compact()
+            question = AskMirror("servers", 1_000, True, 0.2)
+            answer = await site.mirrors[0].kinds["servers"].answer(question)
+            self.assertEqual(answer.kind, ErrorKind.NOT_CURRENT)
+            site.store.held = set()
+            await until(lambda: not site.directory.names())
+
+        self.run_site(main)
+
+    def test_trouble_of_a_node_at_the_store_is_known_at_the_gateway(self) -> None:
+        """Entries that lapsed while the store was out stay in use for a while."""
+
+        async def main(site: Site) -> None:
+            site.store.refused = {"s0", "s1", "s2"}
+            await anyio.sleep(0.4)
+            site.store.remove("servers", "i-1")
+            site.store.refused = set()
+            await anyio.sleep(1.2)
+            self.assertEqual(len(site.directory.replicas(ENTRY["service"])), 1)
+
+        self.run_site(main)
