Judge replicas by what becomes of requests; read the ledger's list in the store seldom

Cause: a replica that answers 5xx, or none at all, counted as sound: only broken connections put it aside, for 3 s whatever share of its requests failed. A 5xx of a replica was passed on where the request may be repeated. A connection that did not open took a second. And each failed entry of the ledger led to a call to the platform's store by every gateway, twice a second.

Safe requests and resumable streams go on at another replica after a 5xx; if none is left the replica's own failure is passed on. Connections are given 0.4 s. Gateways learn the ledger's members from the members at once, and read the list in the store every 2 s at the most.

Measured: with the tests: of 30 unsafe requests before one failing and one sound replica fewer than 5 go to the failing one; before, the least loaded took turns.

--- a/src/bramleylead/gateway/_call.py
+++ b/src/bramleylead/gateway/_call.py
@@ -13,6 +13,7 @@
 from bramleylead.gateway._upstream import ResponseHead
 
 Headers = list[tuple[str, str]]
+SERVER_ERROR_STATUS = 500
 
 
 class Call(NamedTuple):
@@ -44,6 +45,11 @@
     head: ResponseHead
     body: bytes
 
+    @property
+    def failed(self) -> bool:
+        """Whether the replica ran the request and says that it failed."""
+        return self.head.status >= SERVER_ERROR_STATUS
+
 
 class NotRun(NamedTuple):
     """The request certainly did not run at a replica.
--- a/src/bramleylead/gateway/_links.py
+++ b/src/bramleylead/gateway/_links.py
@@ -14,7 +14,9 @@
 from bramleylead.gateway._types import Replica
 from bramleylead.gateway._upstream import Upstream
 
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.4
+"""Shorter than the second after which a lost opening packet is sent again: another replica is
+reached sooner."""
 UNTOLD_KEEP_S = 4.0
 KEEP_MARGIN_S = 1.0
 """A kept connection is left this long before its replica says that it closes it: a request that
--- a/src/bramleylead/gateway/_plain.py
+++ b/src/bramleylead/gateway/_plain.py
@@ -16,7 +16,6 @@
 from bramleylead.gateway._call import Call
 from bramleylead.gateway._call import NotRun
 from bramleylead.gateway._call import Outcome
-from bramleylead.gateway._call import Unknown
 from bramleylead.gateway._call import WholeAnswer
 from bramleylead.gateway._sender import Sender
 from bramleylead.gateway._sender import Sent
@@ -51,7 +50,7 @@
         tries = _Tries(call)
         with anyio.move_on_after(max(0.0, call.left_s)):
             return await self._try_replicas(call, tries)
-        return Err(tries.out_of_time())
+        return tries.out_of_time()
 
     async def _try_replicas(self, call: Call, tries: _Tries) -> Result[WholeAnswer, Failure]:
         service = pick_service(call.route)
@@ -60,10 +59,11 @@
             if replica is None:
                 break
             outcome = await self._try(call, replica, tries)
-            if isinstance(outcome, WholeAnswer):
+            self._sender.note(replica, outcome)
+            if isinstance(outcome, WholeAnswer) and not (outcome.failed and call.route.repeatable):
                 return Ok(outcome)
             tries.take(replica, outcome)
-        return Err(tries.failure())
+        return tries.result()
 
     async def _try(self, call: Call, replica: Replica, tries: _Tries) -> Outcome:
         tries.begin()
@@ -81,6 +81,7 @@
         self._may_have_run = False
         self._under_way = False
         self._detail = "no replica is in use"
+        self._failed_answer: WholeAnswer | None = None
         self.tried: set[str] = set()
 
     @property
@@ -94,31 +95,41 @@
     def begin(self) -> None:
         self._under_way = True
 
-    def take(self, replica: Replica, outcome: NotRun | Unknown) -> None:
-        """Take in a try without an answer."""
+    def take(self, replica: Replica, outcome: Outcome) -> None:
+        """Take in a try that did not succeed."""
         self._under_way = False
         self.tried.add(replica.name)
-        self._detail = outcome.detail
-        offered = isinstance(outcome, Unknown) or outcome.sent
+        if isinstance(outcome, WholeAnswer):
+            self._failed_answer = outcome
+            self._detail = f"{replica.name} answered {outcome.head.status}"
+        else:
+            self._detail = outcome.detail
+        offered = not isinstance(outcome, NotRun) or outcome.sent
+        ran = not isinstance(outcome, NotRun)
         self._sent += offered
         self._moved += not offered
-        self._may_have_run = self._may_have_run or isinstance(outcome, Unknown)
+        self._may_have_run = self._may_have_run or ran
         log.info(
             "try_failed",
             request=self._call.facts.request,
             replica=replica.name,
-            may_have_run=isinstance(outcome, Unknown),
-            reason=outcome.detail,
+            may_have_run=ran,
+            reason=self._detail,
         )
 
-    def failure(self) -> Failure:
-        """Return the failure after the last try."""
+    def result(self) -> Result[WholeAnswer, Failure]:
+        """Return what the caller is told after the last try: a replica's own failure if it can."""
+        if self._failed_answer is not None:
+            return Ok(self._failed_answer)
         if self._may_have_run:
-            return Failure(ErrorKind.ENDPOINT_LOST, self._detail)
-        return Failure(ErrorKind.OVERLOADED, self._detail, RETRY_AFTER_S)
+            return Err(Failure(ErrorKind.ENDPOINT_LOST, self._detail))
+        return Err(Failure(ErrorKind.OVERLOADED, self._detail, RETRY_AFTER_S))
 
-    def out_of_time(self) -> Failure:
-        """Return the failure of a request whose time ran out."""
+    def out_of_time(self) -> Result[WholeAnswer, Failure]:
+        """Return what the caller of a request is told whose time ran out."""
+        if self._failed_answer is not None:
+            return Ok(self._failed_answer)
         if self._may_have_run or self._under_way:
-            return Failure(ErrorKind.OUTCOME_UNKNOWN, "no answer within the request's time")
-        return Failure(ErrorKind.OVERLOADED, "no replica within the request's time", RETRY_AFTER_S)
+            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "no answer within the request's time"))
+        detail = "no replica within the request's time"
+        return Err(Failure(ErrorKind.OVERLOADED, detail, RETRY_AFTER_S))
--- a/src/bramleylead/gateway/_replica_choice.py
+++ b/src/bramleylead/gateway/_replica_choice.py
@@ -15,14 +15,16 @@
 
 import anyio
 
+from bramleylead.gateway._replica_health import ReplicaHealth
+
 RUNNING_COST_TOKENS = 2_400.0
 """One more running request slows every other one on the replica, and itself."""
 QUEUED_COST_TOKENS = 8_000.0
 OTHER_CENTRE_COST_TOKENS = 400.0
 OTHER_REGION_COST_TOKENS = 5_000.0
 LOAD_FADES_S = 1.0
-FAILURE_FADES_S = 3.0
-FAILURE_COST_TOKENS = 60_000.0
+ASIDE_COST_TOKENS = 60_000.0
+"""A replica that is put aside gets work only when all others have long queues."""
 
 
 class Candidate(NamedTuple):
@@ -54,9 +56,9 @@
     """What one node knows of the load and caches of replicas."""
 
     def __init__(self) -> None:
+        self.health = ReplicaHealth()
         self._own: dict[str, int] = {}
         self._reported: dict[str, _Reported] = {}
-        self._failed_at: dict[str, float] = {}
         self._caches: dict[str, OrderedDict[str, int]] = {}
         self._turns = itertools.count()
 
@@ -66,15 +68,20 @@
             return None
         start = next(self._turns) % len(candidates)
         ordered = [*candidates[start:], *candidates[:start]]
-        return min(ordered, key=lambda candidate: self.cost(candidate, need))
+        aside = self.health.put_aside([candidate.name for candidate in candidates])
+
+        def cost(candidate: Candidate) -> float:
+            extra = ASIDE_COST_TOKENS if candidate.name in aside else 0.0
+            return extra + self.cost(candidate, need)
+
+        return min(ordered, key=cost)
 
     def cost(self, candidate: Candidate, need: Need) -> float:
-        """Return the cost of running a request at a replica, in tokens."""
+        """Return the cost of running a request at a sound replica, in tokens."""
         running = self.running(candidate.name)
         queued = max(0.0, running + 1 - candidate.slots) if candidate.slots else 0.0
         cost = RUNNING_COST_TOKENS * running + QUEUED_COST_TOKENS * queued
         cost += self._missing_tokens(candidate.name, need)
-        cost += FAILURE_COST_TOKENS * self._failing(candidate.name)
         if not candidate.same_region:
             return cost + OTHER_REGION_COST_TOKENS
         if not candidate.same_centre:
@@ -96,6 +103,7 @@
 
     def begin(self, candidate: Candidate, need: Need) -> None:
         """Count a request that is sent, and take its prompt for cached there."""
+        self.health.began(candidate.name)
         self._own[candidate.name] = self._own.get(candidate.name, 0) + 1
         cache = self._caches.setdefault(candidate.name, OrderedDict())
         for name, tokens in need.parts:
@@ -107,6 +115,7 @@
 
     def end(self, name: str) -> None:
         """Count the end of a request."""
+        self.health.ended(name)
         self._own[name] = max(0, self._own.get(name, 0) - 1)
 
     def report(self, name: str, total: int) -> None:
@@ -114,25 +123,16 @@
         others = max(0, total - self._own.get(name, 0))
         self._reported[name] = _Reported(float(others), anyio.current_time())
 
-    def failed(self, name: str) -> None:
-        """Take in that a replica did not answer as it should; it is avoided for a while."""
-        self._failed_at[name] = anyio.current_time()
-
     def forget(self, names: Iterable[str]) -> None:
         """Drop what is known of replicas that are gone."""
         for name in names:
-            for known in (self._own, self._reported, self._failed_at, self._caches):
+            self.health.forget(name)
+            for known in (self._own, self._reported, self._caches):
                 known.pop(name, None)
 
     def known(self) -> set[str]:
         """Return the replicas of which something is known."""
-        return {*self._own, *self._reported, *self._failed_at, *self._caches}
-
-    def _failing(self, name: str) -> float:
-        failed_at = self._failed_at.get(name)
-        if failed_at is None:
-            return 0.0
-        return max(0.0, 1.0 - (anyio.current_time() - failed_at) / FAILURE_FADES_S)
+        return {*self._own, *self._reported, *self._caches, *self.health.known()}
 
     def _missing_tokens(self, name: str, need: Need) -> int:
         """Return the tokens after the first part that is not cached: those are read again."""
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -33,6 +33,8 @@
 OTHER_INSTANCE_STATUS = 421
 MAX_ANSWER_BYTES = 64_000_000
 SMALL_BODY_BYTES = 16_384
+SILENT_S = 1.0
+"""A request given up after this long without the head of an answer counts against its replica."""
 
 log = structlog.get_logger()
 
@@ -109,7 +111,7 @@
         try:
             taken = await self._links.take(replica)
             if isinstance(taken, Err):
-                self._loads.failed(replica.name)
+                self._loads.health.unreached(replica.name, reason=taken.err_value)
                 log.info(
                     "replica_unreached",
                     request=call.facts.request,
@@ -128,6 +130,8 @@
         self, call: Call, replica: Replica, link: Upstream, body: bytes, resume_after: str
     ) -> AsyncIterator[Sent | NotRun | Unknown]:
         keep_s: float | None = None
+        begun: Sent | NotRun | Unknown | None = None
+        sent_at = anyio.current_time()
         try:
             async with anyio.create_task_group() as tasks:
                 begun = await self._begin(call, replica, link, body, resume_after, tasks)
@@ -136,6 +140,10 @@
                 yield begun
                 tasks.cancel_scope.cancel()
         finally:
+            waited_s = anyio.current_time() - sent_at
+            if begun is None and waited_s > SILENT_S:
+                reason = f"no answer within {waited_s:.1f} s"
+                self._loads.health.failed(replica.name, reason=reason)
             with anyio.CancelScope(shield=True):
                 await self._links.give_back(replica, link, keep_s)
 
@@ -171,7 +179,6 @@
         try:
             answer = await link.read_head()
         except UpstreamError as error:
-            self._loads.failed(replica.name)
             return Unknown(f"{replica.name}: {error}")
         return await self._judge(call, replica, link, answer)
 
@@ -193,10 +200,20 @@
             )
             return NotRun(f"{replica.name} refused: {answer.status}", sent=not other)
         if facts.encoded or (answer.status < 300 and not facts.signed):
-            self._loads.failed(replica.name)
             return Unknown(f"{replica.name}: {answer.status}: not the replica's own answer")
         return Sent(replica, link, answer, facts)
 
+    def note(self, replica: Replica, outcome: Outcome) -> None:
+        """Take in what became of a request, as evidence of whether a replica works."""
+        health = self._loads.health
+        if isinstance(outcome, Unknown):
+            health.failed(replica.name, reason=outcome.detail)
+        elif isinstance(outcome, WholeAnswer):
+            if outcome.failed:
+                health.failed(replica.name, reason=f"answered {outcome.head.status}")
+            else:
+                health.succeeded(replica.name)
+
     def _candidate(self, replica: Replica, engine: EngineSpec | None) -> Candidate:
         place = replica.data_centre
         return Candidate(
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -104,6 +104,7 @@
         self.made = bytearray()
         self.tried: set[str] = set()
         self.detail = "no replica is in use"
+        self.failed_answer: WholeAnswer | None = None
 
     @property
     def may_try_again(self) -> bool:
@@ -203,6 +204,7 @@
             return await self._relay(stream, begun)
 
     def _broken(self, stream: _Stream, replica: Replica, outcome: NotRun | Unknown) -> _End:
+        self._sender.note(replica, outcome)
         stream.detail = outcome.detail
         log.info(
             "try_failed",
@@ -220,9 +222,11 @@
         outcome = await read_whole(sent)
         if not isinstance(outcome, WholeAnswer):
             return self._broken(stream, sent.replica, outcome)
-        if stream.begun:
-            detail = f"{sent.replica.name}: {sent.head.status} in the middle of a stream"
+        if stream.begun or (outcome.failed and stream.may_try_again):
+            detail = f"{sent.replica.name} answered {sent.head.status}"
+            stream.failed_answer = outcome
             return self._broken(stream, sent.replica, Unknown(detail))
+        self._sender.note(sent.replica, outcome)
         stream.ended = True
         await stream.caller.answer(outcome)
         return _End.ANSWERED
@@ -240,6 +244,7 @@
         if not stream.begun:
             stream.begun = True
             await stream.caller.begin(sent.head)
+        self._sender.note(sent.replica, WholeAnswer(sent.replica, sent.head, b""))
         return _End.WHOLE
 
     async def _pass_on(self, stream: _Stream, sent: Sent, reader: EventReader, part: bytes) -> None:
@@ -283,6 +288,8 @@
         )
         if stream.begun:
             await stream.caller.break_off()
+        elif stream.failed_answer is not None:
+            await stream.caller.answer(stream.failed_answer)
         elif stream.may_have_run:
             kind = ErrorKind.OUTCOME_UNKNOWN if late else ErrorKind.ENDPOINT_LOST
             await stream.caller.refuse(Failure(kind, stream.detail))
--- a/src/bramleylead/ledger/_client.py
+++ b/src/bramleylead/ledger/_client.py
@@ -41,6 +41,8 @@
 PROBE_INTERVAL_S = 0.3
 HEDGE_S = 0.06
 LEARN_INTERVAL_S = 0.5
+STORE_INTERVAL_S = 2.0
+"""A gateway that knows members reads their list in the store no more often."""
 STATE_TIMEOUT_S = 0.5
 RETRIES = 3
 RETRY_AFTER_S = 0.3
@@ -74,6 +76,7 @@
         self._view = NO_VIEW
         self._learning = anyio.Lock()
         self._learned_at = -LEARN_INTERVAL_S
+        self._read_at = -STORE_INTERVAL_S
         self._out_since: float | None = None
         self._tasks: TaskGroup | None = None
 
@@ -175,21 +178,29 @@
         return Err(_unavailable(f"turn {turn}: the ledger's members change"))
 
     async def learn(self) -> None:
-        """Read the list of members, from a member or from the platform's store."""
+        """Read the list of members, from the members and now and then from the platform's store."""
         async with self._learning:
             if anyio.current_time() - self._learned_at < LEARN_INTERVAL_S:
                 return
             self._learned_at = anyio.current_time()
-            for member in self._view.members:
-                answer = await self._peers.request(
-                    member.address, AskState(), timeout_s=STATE_TIMEOUT_S, idempotent=True
-                )
-                if isinstance(answer, Ok) and isinstance(answer.ok_value, NodeState):
-                    self._adopt(answer.ok_value.view, source=member.node)
+            async with anyio.create_task_group() as tasks:
+                for member in self._view.members:
+                    tasks.start_soon(self._learn_from, member)
+            now = anyio.current_time()
+            if self._view.members and now - self._read_at < STORE_INTERVAL_S:
+                return
+            self._read_at = now
             read = await self._read_members()
             if isinstance(read, Ok):
                 self._adopt(read.ok_value, source="store")
 
+    async def _learn_from(self, member: LedgerMember) -> None:
+        answer = await self._peers.request(
+            member.address, AskState(), timeout_s=STATE_TIMEOUT_S, idempotent=True
+        )
+        if isinstance(answer, Ok) and isinstance(answer.ok_value, NodeState):
+            self._adopt(answer.ok_value.view, source=member.node)
+
     def _adopt(self, view: LedgerView, *, source: str) -> None:
         if view.epoch > self._view.epoch:
             self._view = view
--- a/testing/gateway/test_plain.py
+++ b/testing/gateway/test_plain.py
@@ -40,6 +40,10 @@
     return whole(asked, b"", "503 Service Unavailable", "Bramleylead-Not-Run: 1")
 
 
+def failing(asked: Asked) -> bytes:
+    return whole(asked, b"no", "500 Oops")
+
+
 async def hang(asked: Asked, stream: ByteStream) -> None:
     await anyio.sleep_forever()
 
@@ -176,6 +180,46 @@
 
         play(main)
 
+    def test_a_safe_request_that_a_replica_failed_goes_to_another(self) -> None:
+        async def main(site: Site) -> None:
+            await site.add_replica("a", says(failing))
+            await site.add_replica("b", says(good))
+            for _ in range(3):
+                self.assertEqual((await site.ask("/safe/x")).status, 200)
+
+        play(main)
+
+    def test_where_all_replicas_fail_their_own_failure_comes_back(self) -> None:
+        async def main(site: Site) -> None:
+            for name in "ab":
+                await site.add_replica(name, says(failing))
+            got = await site.ask("/safe/x")
+            self.assertEqual((got.status, got.body), (500, b"no"))
+
+        play(main)
+
+    def test_a_replica_that_fails_some_unsafe_requests_is_sent_few(self) -> None:
+        async def main(site: Site) -> None:
+            grey = await site.add_replica("a", says(failing))
+            sound = await site.add_replica("b", says(good))
+            for number in range(30):
+                await site.ask("/unsafe/x", body=b"o", headers={"x": str(number)})
+                await anyio.sleep(0.1)
+            self.assertLess(len(grey.asked), 5)
+            self.assertGreater(len(sound.asked), 25)
+
+        play(main)
+
+    def test_a_replica_that_never_answers_is_left(self) -> None:
+        async def main(site: Site) -> None:
+            await site.add_replica("a", hang)
+            await site.add_replica("b", says(good))
+            first = {(await site.ask("/unsafe/x", body=b"o")).status for _ in range(2)}
+            self.assertEqual(first, {504, 200})
+            self.assertEqual((await site.ask("/unsafe/x", body=b"o")).status, 200)
+
+        play(main)
+
     def test_a_replica_stops_work_once_the_caller_is_gone(self) -> None:
         async def main(site: Site) -> None:
             replica = await site.add_replica("a", hang)
--- a/testing/gateway/test_replica_choice.py
+++ b/testing/gateway/test_replica_choice.py
@@ -8,11 +8,11 @@
 
 import anyio
 
-from bramleylead.gateway._replica_choice import FAILURE_FADES_S
 from bramleylead.gateway._replica_choice import LOAD_FADES_S
 from bramleylead.gateway._replica_choice import Candidate
 from bramleylead.gateway._replica_choice import Need
 from bramleylead.gateway._replica_choice import ReplicaLoads
+from bramleylead.gateway._replica_health import LONGEST_ASIDE_S
 from bramleylead.standins import run_virtual
 
 NEAR = Candidate("near", 4, 50_000, True, True)
@@ -93,9 +93,9 @@
 
     def test_a_replica_that_failed_is_avoided_for_a_while(self) -> None:
         async def main(loads: ReplicaLoads) -> None:
-            loads.failed("near")
+            loads.health.unreached("near", reason="a test")
             self.assertEqual(self.chosen(loads), "far")
-            await anyio.sleep(FAILURE_FADES_S)
+            await anyio.sleep(LONGEST_ASIDE_S)
             self.assertEqual(self.chosen(loads), "near")
 
         play(main)
