Give the ledger as many members as losses ask for, and send an entry to the near ones

Each entry went to all nine nodes: with reserving, keeping and settling up to 27 messages and disk writes a turn.

Change: 2 * losses + 1 live members, the first of them spread over regions and data centres; other nodes are spares, which join within the time that a successor has when a member is silent or leaves. An entry goes to as many near members as must have it, and to the others when one of these fails or after 0.12 s; members copy from each other once a second. The rule when an entry counts is as before.

--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -172,6 +172,7 @@
             StoredMemberList(store).read,
             losses=settings.losses,
             data_centre=settings.data_centre,
+            regions=settings.data_centres,
         ) as ledger,
         anyio.create_task_group() as tasks,
     ):
--- a/src/bramleylead/ledger/_answers.py
+++ b/src/bramleylead/ledger/_answers.py
@@ -29,7 +29,11 @@
 
 @final
 class EntryRound:
-    """The answers of one view's members to one entry."""
+    """The answers of one view's members to one entry.
+
+    ``decided`` is set once it is certain what becomes of the entry, ``faltered`` once a member has
+    failed to take it.
+    """
 
     def __init__(self, view: LedgerView, need: int) -> None:
         self.view = view
@@ -39,6 +43,7 @@
         self.failures: list[str] = []
         self.open = len(view.members)
         self.decided = anyio.Event()
+        self.faltered = anyio.Event()
 
     def take(self, member: LedgerMember, answer: Result[Any, Failure]) -> None:
         self.open -= 1
@@ -50,6 +55,8 @@
             self.failures.append(f"{member.node}: answered for another disk or epoch")
         else:
             self.acks.append(answer.ok_value)
+        if self.failures:
+            self.faltered.set()
         if len(self.acks) >= self.need or self.newer is not None or not self.open:
             self.decided.set()
 
--- a/src/bramleylead/ledger/_client.py
+++ b/src/bramleylead/ledger/_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Awaitable
 from collections.abc import Callable
 from types import TracebackType
@@ -40,6 +41,8 @@
 KEEP_TIMEOUT_S = 1.5
 PROBE_INTERVAL_S = 0.3
 HEDGE_S = 0.06
+ENTRY_HEDGE_S = 0.12
+"""An entry goes to as many near members as must have it; after this long to the others too."""
 LEARN_INTERVAL_S = 0.5
 STORE_INTERVAL_S = 2.0
 """A gateway that knows members reads their list in the store no more often."""
@@ -58,7 +61,8 @@
 
     :param read_members: reads the list of members from the platform's store.
     :param losses: how many members may lose their disks at once.
-    :param data_centre: members there are asked for turns first.
+    :param data_centre: members there are asked first, then those of its region.
+    :param regions: the region of each data centre.
     """
 
     def __init__(
@@ -68,7 +72,10 @@
         *,
         losses: int,
         data_centre: str = "",
+        regions: dict[str, str] | None = None,
     ) -> None:
+        self._regions = regions or {}
+        self._ranks: dict[str, float] = {}
         self._peers = peers
         self._read_members = read_members
         self._losses = losses
@@ -215,16 +222,16 @@
     async def _enter(
         self, entry: Callable[[int], Any], *, timeout_s: float
     ) -> Result[list[Any], Failure]:
-        """Send an entry to all members and wait until it counts."""
+        """Send an entry to members and wait until it counts."""
         detail = ""
         for _ in range(RETRIES):
             view = await self._members()
             if len(view.members) <= self._losses:
                 detail = f"{len(view.members)} members, more than {self._losses} are needed"
                 break
-            round_ = self._send_all(view, entry(view.epoch))
+            round_ = EntryRound(view, view.acks_needed(self._losses))
             with anyio.move_on_after(timeout_s):
-                await round_.decided.wait()
+                await self._send_round(round_, entry(view.epoch))
             if round_.newer is not None:
                 self._adopt(round_.newer, source="answer")
                 continue
@@ -237,13 +244,34 @@
         self._note_out(detail)
         return Err(_unavailable(f"ledger at epoch {self._view.epoch}: {detail}"))
 
-    def _send_all(self, view: LedgerView, entry: Any) -> EntryRound:
-        """Start sending; those that are late still get the entry after it counts."""
+    async def _send_round(self, round_: EntryRound, entry: Any) -> None:
+        """Send an entry to enough near members, and to the others if these falter.
+
+        The members copy from each other, so in the end all have it.
+        """
         assert self._tasks is not None, "LedgerClient is used outside its context"
-        round_ = EntryRound(view, view.acks_needed(self._losses))
-        for member in view.members:
+        ordered = self._near_first(round_.view)
+        for member in ordered[: round_.need]:
             self._tasks.start_soon(self._send, member, entry, round_)
-        return round_
+        with anyio.move_on_after(ENTRY_HEDGE_S):
+            await first_of(round_.decided, round_.faltered)
+        if not round_.decided.is_set():
+            for member in ordered[round_.need :]:
+                self._tasks.start_soon(self._send, member, entry, round_)
+        await round_.decided.wait()
+
+    def _near_first(self, view: LedgerView) -> list[LedgerMember]:
+        """Return the members, near ones first; equals in an order of this gateway's own."""
+        region = self._regions.get(self._data_centre)
+
+        def distance(member: LedgerMember) -> tuple[bool, bool, float]:
+            return (
+                member.data_centre != self._data_centre,
+                self._regions.get(member.data_centre) != region,
+                self._ranks.setdefault(member.node, random.random()),
+            )
+
+        return sorted(view.members, key=distance)
 
     async def _send(self, member: LedgerMember, entry: Any, round_: EntryRound) -> None:
         round_.take(member, await ask_member(self._peers, round_.view, member, entry))
@@ -251,7 +279,7 @@
     async def _find(self, view: LedgerView, turn: str) -> Result[list[KeptTurn], Failure] | None:
         """Ask the members, the near ones first; ``None`` to begin anew with another view."""
         asked = ChainSearch(self._peers, view, turn)
-        ordered = sorted(view.members, key=lambda member: member.data_centre != self._data_centre)
+        ordered = self._near_first(view)
         async with anyio.create_task_group() as tasks:
             with anyio.move_on_after(RESERVE_TIMEOUT_S):
                 for member in ordered:
@@ -276,6 +304,18 @@
         return Err(_unavailable(f"turn {turn}: {asked.absent} of {len(view.members)} answered"))
 
 
+async def first_of(*events: anyio.Event) -> None:
+    """Wait until one of several events is set."""
+    async with anyio.create_task_group() as tasks:
+
+        async def wait(event: anyio.Event) -> None:
+            await event.wait()
+            tasks.cancel_scope.cancel()
+
+        for event in events:
+            tasks.start_soon(wait, event)
+
+
 def _nothing(result: Result[Any, Failure]) -> Result[None, Failure]:
     return result if isinstance(result, Err) else Ok(None)
 
--- a/src/bramleylead/ledger/_membership.py
+++ b/src/bramleylead/ledger/_membership.py
@@ -26,9 +26,17 @@
 from bramleylead.ledger._messages import CatchUp
 from bramleylead.ledger._node import LedgerNode
 
+LEAST_MEMBERS = 3
 CHECK_INTERVAL_S = 0.5
 COPY_INTERVAL_S = 1.0
 DEAD_AFTER_S = 3.0
+SPARE_INTERVAL_S = 0.5
+VACANT_AFTER_S = 1.0
+"""A spare takes a silent member's place sooner than the member is taken out: one member more does
+no harm."""
+PATIENCE_S = 0.7
+"""While the first members join, a place is left for so long to a node of a region, then to one of
+a data centre, that has no member yet."""
 CATCH_UP_TIMEOUT_S = 5.0
 
 log = structlog.get_logger()
@@ -51,11 +59,24 @@
     """Keeps one node a member, and the list of members in order.
 
     :param losses: how many members may lose their disks at once.
+    :param wanted: how many live members there should be; by default ``2 * losses + 1``, since more
+        would only make entries dearer. Other nodes are spares, which join when a place is vacant.
+    :param regions: the region of each data centre.
     """
 
     def __init__(
-        self, node: LedgerNode, members: MemberList, peers: PeerClient, *, losses: int
+        self,
+        node: LedgerNode,
+        members: MemberList,
+        peers: PeerClient,
+        *,
+        losses: int,
+        wanted: int | None = None,
+        regions: dict[str, str] | None = None,
     ) -> None:
+        self._wanted = wanted or max(LEAST_MEMBERS, 2 * losses + 1)
+        self._regions = regions or {}
+        self._vacant_since: float | None = None
         self._node = node
         self._members = members
         self._peers = peers
@@ -150,7 +171,38 @@
         if former is not None:
             await self._replace_former(view, former)
             return
-        await self._add_self(view)
+        if await self._finds_vacancy(view):
+            await self._add_self(view)
+        else:
+            await anyio.sleep(SPARE_INTERVAL_S)
+
+    async def _finds_vacancy(self, view: LedgerView) -> bool:
+        """Return whether too few members are alive, and this node is the one to join."""
+        async with anyio.create_task_group() as tasks:
+            for member in view.members:
+                tasks.start_soon(self._hear, member)
+        now = anyio.current_time()
+        alive = [
+            member
+            for member in view.members
+            if now - self._heard_at.setdefault(member.node, now) < VACANT_AFTER_S
+        ]
+        if len(alive) >= self._wanted:
+            self._vacant_since = None
+            return False
+        if self._vacant_since is None:
+            self._vacant_since = now
+        if len(view.members) >= self._wanted:
+            return True
+        return now - self._vacant_since >= self._patience_s(alive)
+
+    def _patience_s(self, alive: list[LedgerMember]) -> float:
+        centres = {member.data_centre for member in alive}
+        own = self._node.me.data_centre
+        if own in centres:
+            return 2 * PATIENCE_S
+        regions = {self._regions.get(centre, centre) for centre in centres}
+        return PATIENCE_S if self._regions.get(own, own) in regions else 0.0
 
     async def _replace_former(self, view: LedgerView, former: LedgerMember) -> None:
         """Mend this node's entry: its address if only that is another, else take it out."""
--- a/src/bramleylead/ledger/_node.py
+++ b/src/bramleylead/ledger/_node.py
@@ -46,7 +46,7 @@
 
 KEYS_LIMIT = 2_000
 RECORDS_LIMIT_BYTES = 1_000_000
-PEER_TIMEOUT_S = 1.0
+PEER_TIMEOUT_S = 0.6
 COPY_TIMEOUT_S = 3.0
 RUN_NAME_BYTES = 6
 
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -95,7 +95,13 @@
         mirror = Mirror(MIRRORED_KINDS)
         mirror.serve_on(server)
         metrics.describe(node.gauges, node.dump)
-        membership = Membership(node, StoredMemberList(store), peers, losses=settings.losses)
+        membership = Membership(
+            node,
+            StoredMemberList(store),
+            peers,
+            losses=settings.losses,
+            regions=settings.data_centres,
+        )
         retirement = RetirementFollower(settings.node)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             tasks.start_soon(node.run_writer)
--- /dev/null
+++ b/src/bramleylead/trials/site/__init__.py
@@ -0,0 +1,1 @@
+"""Real processes under faults from outside, judged by what callers and replicas saw."""
--- /dev/null
+++ b/src/bramleylead/trials/site/_plan.py
@@ -0,0 +1,85 @@
+"""The faults of a soak, drawn from its seed: a seed always gives the same plan."""
+
+from __future__ import annotations
+
+import random
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class FaultKind(StrEnum):
+    """What can be done to a deployment from outside."""
+
+    KILL_GATEWAY = "kill_gateway"
+    STOP_GATEWAY = "stop_gateway"
+    FREEZE_GATEWAY = "freeze_gateway"
+    KILL_LEDGER = "kill_ledger"
+    STOP_LEDGER = "stop_ledger"
+    FREEZE_LEDGER = "freeze_ledger"
+    WIPE_LEDGER = "wipe_ledger"
+    KILL_ALL = "kill_all"
+    STORE_OUT = "store_out"
+    STORE_SILENT = "store_silent"
+    STORE_FORGETS = "store_forgets"
+    STORE_TURNS_AWAY = "store_turns_away"
+    REPLICA_SILENT = "replica_silent"
+    REPLICA_DEAF = "replica_deaf"
+    REPLICA_SLOW = "replica_slow"
+    REPLICA_REFUSES = "replica_refuses"
+    REPLICA_RESETS = "replica_resets"
+    REPLICA_GREY = "replica_grey"
+    REPLICA_DRAINS = "replica_drains"
+    CONFIGURE = "configure"
+
+
+LEDGER_LOSSES = (
+    FaultKind.KILL_LEDGER,
+    FaultKind.STOP_LEDGER,
+    FaultKind.FREEZE_LEDGER,
+    FaultKind.WIPE_LEDGER,
+    FaultKind.KILL_ALL,
+)
+"""One of these at a time: more is beyond what a deployment says that it bears."""
+FIRST_AT_S = 1.0
+LONGEST_FAULT_S = 3.0
+LEDGER_REST_S = 6.0
+"""After a node of the ledger is back the others need this long to copy to it."""
+ALL_KINDS = tuple(FaultKind)
+
+
+class Fault(NamedTuple):
+    """One fault.
+
+    :param at_s: from the start of traffic.
+    :param target: drawn from the nodes or replicas that the kind fits, by its remainder.
+    """
+
+    at_s: float
+    kind: FaultKind
+    target: int
+    for_s: float
+
+
+def draw_plan(seed: int, *, length_s: float, gap_s: float) -> list[Fault]:
+    """Return the faults of a seed in order of time.
+
+    :param gap_s: the mean time from one to the next.
+    """
+    rng = random.Random(f"{seed}/faults")
+    plan = []
+    at_s = FIRST_AT_S
+    ledger_rests_until = 0.0
+    while at_s < length_s:
+        fault = Fault(
+            round(at_s, 3),
+            rng.choice(ALL_KINDS),
+            rng.randrange(1_000),
+            round(rng.uniform(0.3, LONGEST_FAULT_S), 3),
+        )
+        at_s += rng.expovariate(1 / gap_s)
+        if fault.kind in LEDGER_LOSSES:
+            if fault.at_s < ledger_rests_until:
+                continue
+            ledger_rests_until = fault.at_s + fault.for_s + LEDGER_REST_S
+        plan.append(fault)
+    return plan
--- a/testing/ledger/_fleet.py
+++ b/testing/ledger/_fleet.py
@@ -28,6 +28,7 @@
 PORT = 7000
 SYNC_S = 0.002
 LOSSES = 1
+REGIONS = {f"d{i}": f"r{i}" for i in range(3)}
 
 
 class MemoryDisk:
@@ -88,6 +89,7 @@
         self.nodes: dict[int, LedgerNode] = {}
         self.memberships: dict[int, Membership] = {}
         self.ports: dict[int, int] = {}
+        self.wanted: int | None = None
         self._scopes: dict[int, anyio.CancelScope] = {}
         self._wipes = 0
 
@@ -141,7 +143,13 @@
                 anyio.create_task_group() as tasks,
             ):
                 address = f"{host(i)}:{self.ports.get(i, PORT)}"
-                node = LedgerNode(node=f"s{i}", address=address, disk=self.disks[i], peers=peers)
+                node = LedgerNode(
+                    node=f"s{i}",
+                    address=address,
+                    disk=self.disks[i],
+                    peers=peers,
+                    data_centre=f"d{i % 3}",
+                )
                 await node.load()
                 node.serve_on(server)
                 self.nodes[i] = node
@@ -151,7 +159,14 @@
                         address, server.serve_stream, task_status=task_status
                     )
                 )
-                membership = Membership(node, self.members, peers, losses=LOSSES)
+                membership = Membership(
+                    node,
+                    self.members,
+                    peers,
+                    losses=LOSSES,
+                    wanted=self.wanted,
+                    regions=REGIONS,
+                )
                 self.memberships[i] = membership
                 tasks.start_soon(membership.run)
                 task_status.started()
@@ -172,10 +187,12 @@
 async def ledger_of(count: int) -> AsyncIterator[tuple[Ledger, anyio.abc.TaskGroup]]:
     """Run a ledger of so many members."""
     ledger = Ledger()
+    ledger.wanted = count
     async with anyio.create_task_group() as tasks:
         for i in range(count):
             await ledger.start(i, tasks=tasks)
         await ledger.joined(*range(count))
+        ledger.wanted = None
         yield ledger, tasks
         tasks.cancel_scope.cancel()
 
--- a/testing/ledger/test_membership.py
+++ b/testing/ledger/test_membership.py
@@ -10,17 +10,22 @@
 from bramleylead.ledger._members import LedgerView
 from bramleylead.ledger._members import view_from_plain
 from bramleylead.ledger._members import view_to_plain
+from bramleylead.standins import run_virtual
 from testing.ledger._fleet import LOSSES
 from testing.ledger._fleet import Ledger
 from testing.ledger._fleet import turn
 from testing.ledger.test_entries import play
 
+CATCH_UP_S = 4.8
+"""The platform's pages give a successor this long to hold what counted."""
+
 
 class MembershipTest(unittest.TestCase):
     def test_a_node_that_joins_holds_what_counted_before(self) -> None:
         async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
             async with ledger.gateway(0) as gateway:
                 await gateway.keep(turn("a"))
+                ledger.wanted = 4
                 await ledger.start(3, tasks=tasks)
                 await ledger.joined(3)
                 self.assertIn(3, ledger.holders("turn/a"))
@@ -42,6 +47,7 @@
 
     def test_the_other_members_hear_of_a_node_that_joined(self) -> None:
         async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            ledger.wanted = 4
             await ledger.start(3, tasks=tasks)
             await ledger.joined(3)
             await anyio.sleep(0.2)
@@ -127,6 +133,59 @@
         play(main)
 
 
+class SpareTest(unittest.TestCase):
+    def test_more_nodes_than_are_wanted_stay_out(self) -> None:
+        """All nodes were members, and each entry went to all of them."""
+
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            for i in (3, 4):
+                await ledger.start(i, tasks=tasks)
+            await anyio.sleep(10)
+            self.assertFalse(ledger.nodes[3].is_member or ledger.nodes[4].is_member)
+
+        play(main)
+
+    def test_a_spare_takes_the_place_of_a_member_that_is_gone(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            await ledger.start(3, tasks=tasks)
+            async with ledger.gateway(0) as gateway:
+                await gateway.keep(turn("a"))
+                ledger.kill(1)
+                started = anyio.current_time()
+                await ledger.joined(3)
+                self.assertIn(3, ledger.holders("turn/a"))
+                await anyio.sleep(started + CATCH_UP_S - anyio.current_time())
+                ledger.kill(0)
+                self.assertTrue((await gateway.keep(turn("b", "a"))).is_ok())
+
+        play(main)
+
+    def test_a_spare_takes_the_place_of_a_member_that_leaves(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            await ledger.start(3, tasks=tasks)
+            await anyio.sleep(2)
+            self.assertFalse(ledger.nodes[3].is_member)
+            await ledger.leave(1)
+            with anyio.fail_after(CATCH_UP_S):
+                await ledger.joined(3)
+
+        play(main)
+
+    def test_members_are_spread_over_regions(self) -> None:
+        async def run() -> None:
+            ledger = Ledger()
+            async with anyio.create_task_group() as tasks:
+                for i in (0, 3, 6, 1, 4, 2):
+                    await ledger.start(i, tasks=tasks)
+                await anyio.sleep(8)
+                members = ledger.members.view.members
+                self.assertEqual(len(members), 3)
+                self.assertEqual({member.data_centre for member in members}, {"d0", "d1", "d2"})
+                tasks.cancel_scope.cancel()
+
+        run_virtual(run, seed=1)
+
+
 class ViewTest(unittest.TestCase):
     def test_a_majority_and_more_than_the_losses_must_acknowledge(self) -> None:
         for members, losses, needed in ((1, 0, 1), (3, 1, 2), (4, 1, 3), (3, 2, 3), (5, 1, 3)):
