--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -37,7 +37,7 @@
 from bramleylead.site_metrics import SiteMetrics
 from bramleylead.site_settings import GatewaySettings
 
-UPKEEP_S = 0.5
+UPKEEP_S = 1.0
 UNREADY_FOR_S = 3.2
 """From the signal to stop: the balancer needs two refusals, a second apart, to send no more."""
 STOP_MARGIN_S = 1.0
--- a/src/bramleylead/ledger/_client.py
+++ b/src/bramleylead/ledger/_client.py
@@ -85,6 +85,7 @@
         self._learned_at = -LEARN_INTERVAL_S
         self._read_at = -STORE_INTERVAL_S
         self._out_since: float | None = None
+        self._went_out = anyio.Event()
         self._tasks: TaskGroup | None = None
 
     async def __aenter__(self) -> Self:
@@ -115,9 +116,9 @@
     async def run_probes(self) -> None:
         """While entries fail, ask the members until enough of them answer."""
         while True:
+            await self._went_out.wait()
             await anyio.sleep(PROBE_INTERVAL_S)
-            if self._out_since is not None:
-                await self._probe()
+            await self._probe()
 
     async def _probe(self) -> None:
         await self.learn()
@@ -138,11 +139,13 @@
         if enough and self._out_since is not None:
             out_s = anyio.current_time() - self._out_since
             self._out_since = None
+            self._went_out = anyio.Event()
             log.info("ledger_regained", epoch=view.epoch, out_s=round(out_s, 3))
 
     def _note_out(self, detail: str) -> None:
         if self._out_since is None:
             self._out_since = anyio.current_time()
+            self._went_out.set()
             log.warning("ledger_lost_contact", epoch=self._view.epoch, reason=detail)
 
     async def reserve(self, spending: Spending) -> Result[dict[str, Spending], Failure]:
