--- a/src/bramleylead/ledger/_membership.py
+++ b/src/bramleylead/ledger/_membership.py
@@ -105,6 +105,9 @@
         """Leave the ledger for good; returns whether all that counted is held by the others."""
         self._leaving = True
         if not self._left:
+            read = await self._members.read()
+            if isinstance(read, Ok):
+                await self._node.adopt(read.ok_value)
             self._left = await self._take_out(self._node.me.node)
         if not self._left:
             return False
--- a/testing/ledger/test_membership.py
+++ b/testing/ledger/test_membership.py
@@ -171,6 +171,18 @@
 
         play(main)
 
+    def test_a_spare_may_be_emptied_right_after_its_start(self) -> None:
+        """It knew no list yet, and never read one once it was to leave."""
+
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            await ledger.start(3, tasks=tasks)
+            await ledger.leave(3)
+            self.assertIsNone(ledger.members.view.member("s3"))
+            async with ledger.gateway(0) as gateway:
+                self.assertTrue((await gateway.keep(turn("a"))).is_ok())
+
+        play(main)
+
     def test_members_are_spread_over_regions(self) -> None:
         async def run() -> None:
             ledger = Ledger()
--- /dev/null
+++ b/testing/platform/test_encode.py
@@ -0,0 +1,24 @@
+"""What stand-ins write is what the product reads."""
+
+from __future__ import annotations
+
+import unittest
+
+from bramleylead.gateway._types import Replica
+from bramleylead.platform._decode import read_configuration
+from bramleylead.platform._decode import read_replica
+from bramleylead.platform._encode import write_configuration
+from bramleylead.platform._encode import write_replica
+from testing.platform.test_decode import ROUTE
+from testing.platform.test_decode import plain
+
+
+class EncodeTest(unittest.TestCase):
+    def test_a_configuration_survives(self) -> None:
+        read = read_configuration(plain(ROUTE))
+        self.assertEqual(read_configuration(write_configuration(read)), read)
+
+    def test_an_entry_of_a_replica_survives(self) -> None:
+        for leaving in (False, True):
+            replica = Replica("i-1", "s", "10.0.0.1:80", "d", leaving, 4)
+            self.assertEqual(read_replica("i-1", write_replica(replica)), replica)
