Let a gateway learn the ledger's members from the nodes that its settings name

Change: the deployment's seed nodes are the ledger's VMs; while no member is known they are asked first, the store after them. Measured: the new test fails without seeds (no configuration within 1 s).

--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -173,6 +173,7 @@
             losses=settings.losses,
             data_centre=settings.data_centre,
             regions=settings.data_centres,
+            seeds=settings.ledger_seeds,
         ) as ledger,
         anyio.create_task_group() as tasks,
     ):
--- a/src/bramleylead/ledger/_client.py
+++ b/src/bramleylead/ledger/_client.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 from types import TracebackType
 from typing import Any
 from typing import Self
@@ -63,6 +64,7 @@
     :param losses: how many members may lose their disks at once.
     :param data_centre: members there are asked first, then those of its region.
     :param regions: the region of each data centre.
+    :param seeds: addresses where nodes of the ledger may be, asked while no member is known.
     """
 
     def __init__(
@@ -73,7 +75,9 @@
         losses: int,
         data_centre: str = "",
         regions: dict[str, str] | None = None,
+        seeds: Sequence[str] = (),
     ) -> None:
+        self._seeds = list(seeds)
         self._regions = regions or {}
         self._ranks: dict[str, float] = {}
         self._peers = peers
@@ -193,23 +197,26 @@
             if anyio.current_time() - self._learned_at < LEARN_INTERVAL_S:
                 return
             self._learned_at = anyio.current_time()
+            known_before = self._view.members
+            addresses = [member.address for member in known_before] or self._seeds
             async with anyio.create_task_group() as tasks:
-                for member in self._view.members:
-                    tasks.start_soon(self._learn_from, member)
+                for address in addresses:
+                    tasks.start_soon(self._learn_from, address)
             now = anyio.current_time()
-            if self._view.members and now - self._read_at < STORE_INTERVAL_S:
+            is_new = not known_before
+            if self._view.members and (is_new or now - self._read_at < STORE_INTERVAL_S):
                 return
             self._read_at = now
             read = await self._read_members()
             if isinstance(read, Ok):
                 self._adopt(read.ok_value, source="store")
 
-    async def _learn_from(self, member: LedgerMember) -> None:
+    async def _learn_from(self, address: str) -> None:
         answer = await self._peers.request(
-            member.address, AskState(), timeout_s=STATE_TIMEOUT_S, idempotent=True
+            address, AskState(), timeout_s=STATE_TIMEOUT_S, idempotent=True
         )
         if isinstance(answer, Ok) and isinstance(answer.ok_value, NodeState):
-            self._adopt(answer.ok_value.view, source=member.node)
+            self._adopt(answer.ok_value.view, source=answer.ok_value.node)
 
     def _adopt(self, view: LedgerView, *, source: str) -> None:
         if view.epoch > self._view.epoch:
--- a/src/bramleylead/site_settings.py
+++ b/src/bramleylead/site_settings.py
@@ -46,10 +46,19 @@
 
     :param http_address: where callers connect.
     :param ready_address: where the balancer asks whether it may send callers.
+    :param seeds: addresses of some VMs that hold or held the ledger; the ports are not used, since
+        its nodes listen on the first of ``peer_ports`` everywhere.
     """
 
     http_address: Address
     ready_address: Address
+    seeds: tuple[Address, ...] = ()
+
+    @property
+    def ledger_seeds(self) -> list[str]:
+        """Where nodes of the ledger may listen."""
+        hosts = [seed.rpartition(":")[0] for seed in self.seeds]
+        return [f"{host}:{self.peer_ports[0]}" for host in hosts]
 
 
 class LedgerSettings(SiteSettings):
--- a/testing/gateway/test_mirrored_store.py
+++ b/testing/gateway/test_mirrored_store.py
@@ -10,14 +10,18 @@
 
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
+from bramleylead.connection import Reply
 from bramleylead.errors import ErrorKind
 from bramleylead.gateway._directory import Directory
 from bramleylead.gateway._followers import ConfigurationFollower
 from bramleylead.gateway._followers import ReplicaFollower
 from bramleylead.gateway._mirrored_store import MirroredStore
 from bramleylead.ledger._client import LedgerClient
+from bramleylead.ledger._members import NO_VIEW
 from bramleylead.ledger._members import LedgerMember
 from bramleylead.ledger._members import LedgerView
+from bramleylead.ledger._messages import AskState
+from bramleylead.ledger._messages import NodeState
 from bramleylead.ledger._mirror import AskMirror
 from bramleylead.ledger._mirror import Mirror
 from bramleylead.platform import _names as names
@@ -45,6 +49,9 @@
     return LedgerMember(f"s{i}", f"{node_host(i)}:7000", f"disk{i}", f"d{i}")
 
 
+MEMBERS = LedgerView(1, tuple(map(member, range(NODES))))
+
+
 class Site:
     """Three nodes of the ledger that watch the store, and one gateway."""
 
@@ -66,6 +73,7 @@
     async def run_node(self, i: int) -> None:
         view = self.network.view(node_host(i))
         server = PeerServer(node=f"s{i}", cluster_key=KEY)
+        server.handle(AskState, self._ask_state)
         mirror = Mirror(KINDS)
         self.mirrors[i] = mirror
         mirror.serve_on(server)
@@ -74,11 +82,16 @@
                 tasks.start_soon(follow, self.store.seen_by(f"s{i}"), kind)
             await view.serve(f"{node_host(i)}:7000", server.serve_stream)
 
+    async def _ask_state(self, request: AskState, reply: Reply) -> None:
+        await reply.send(NodeState("s2", "disk2", "run", MEMBERS))
+
     async def run_gateway(self) -> None:
         network = self.network.view(GATE)
         async with (
             PeerClient(network, node="g", cluster_key=KEY) as peers,
-            LedgerClient(peers, self.store.read_members, losses=LOSSES) as ledger,
+            LedgerClient(
+                peers, self.store.read_members, losses=LOSSES, seeds=[f"{node_host(2)}:7000"]
+            ) as ledger,
             anyio.create_task_group() as tasks,
         ):
             objects = MirroredStore(
@@ -102,7 +115,7 @@
             site = Site()
             site.configure(1)
             site.store.put("servers", "i-1", ENTRY)
-            site.store.members = LedgerView(1, tuple(map(member, range(NODES))))
+            site.store.members = MEMBERS
             async with anyio.create_task_group() as tasks:
                 for i in range(NODES):
                     tasks.start_soon(site.run_node, i)
@@ -216,6 +229,23 @@
 
         self.run_site(main)
 
+    def test_a_gateway_that_starts_while_the_store_turns_it_away_learns_from_the_nodes(
+        self,
+    ) -> None:
+        """It knew no node of the ledger, and no configuration until the store answered."""
+
+        async def main(site: Site) -> None:
+            site.store.refused = {"g"}
+            site.store.members = NO_VIEW
+            site.directory = Directory()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(site.run_gateway)
+                with anyio.fail_after(1):
+                    await until(lambda: site.directory.is_complete)
+                tasks.cancel_scope.cancel()
+
+        self.run_site(main)
+
     def test_trouble_of_a_node_at_the_store_is_known_at_the_gateway(self) -> None:
         """Entries that lapsed while the store was out stay in use for a while."""
 
--- a/testing/test_deploy.py
+++ b/testing/test_deploy.py
@@ -28,6 +28,7 @@
     "listen-addresses.front": "10.0.0.1:8149",
     "listen-addresses.ready": "10.0.0.1:8141",
     "data-directory": "/data/ledger",
+    "seed-nodes": ["10.0.0.2:8144", "10.0.0.3:8144"],
 }
 
 
@@ -38,7 +39,12 @@
         given = VALUES[found[1]]
         return json.dumps(given) if found[2] else str(given)
 
+    def section(found: re.Match[str]) -> str:
+        parts = [found[2].replace("{{.|json}}", json.dumps(entry)) for entry in VALUES[found[1]]]
+        return "".join(part.replace("{{,}}", "" if part is parts[-1] else ",") for part in parts)
+
     text = (ROOT / "deploy" / name).read_text()
+    text = re.sub(r"\{\{#([^}]+)\}\}(.*?)\{\{/\1\}\}", section, text)
     return re.sub(r"\{\{([^}|]+)(\|json)?\}\}", value, text)
 
 
