Give watches up that a silent store has forgotten

Change: while a watch waits, a read that may be old (a tenth of a call's price) is made every 1.5 s; if it gets no answer within a second all watches are given up, and the next ones wait for 0.5 s until one is answered.

Tests: test_watches_that_a_silent_store_forgot_are_given_up fails without the pulse, passes with it.

--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -33,6 +33,7 @@
 from bramleylead.platform import _names as names
 from bramleylead.platform._follow import follow
 from bramleylead.platform._objects import PlatformStore
+from bramleylead.platform._pulse import PulsedStore
 from bramleylead.request._server import HttpServer
 from bramleylead.site_metrics import SiteMetrics
 from bramleylead.site_settings import GatewaySettings
@@ -67,8 +68,9 @@
         self._links = Links(network, id_header=names.REQUEST_ID)
         self._loads = ReplicaLoads()
         self.directory = Directory()
+        self._store = PulsedStore(store)
         self._objects = MirroredStore(
-            store,
+            self._store,
             peers,
             ledger,
             place=settings.data_centre,
@@ -103,6 +105,7 @@
         await self._tasks.start(self._metrics.serve, self._settings.metrics_address)
         for follower in (ConfigurationFollower(self.directory), ReplicaFollower(self.directory)):
             self._tasks.start_soon(follow, self._objects, follower)
+        self._tasks.start_soon(self._store.run)
         self._tasks.start_soon(self._run_upkeep)
         self._tasks.start_soon(self._ledger.run_probes)
         log.info(
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -25,6 +25,7 @@
 from bramleylead.platform._objects import ObjectChange
 from bramleylead.platform._objects import PlatformObject
 from bramleylead.platform._objects import PlatformStore
+from bramleylead.platform._pulse import PulsedStore
 from bramleylead.request._server import HttpServer
 from bramleylead.site_metrics import SiteMetrics
 from bramleylead.site_settings import LedgerSettings
@@ -92,6 +93,7 @@
         )
         await node.load()
         node.serve_on(server)
+        objects = PulsedStore(store)
         mirror = Mirror(MIRRORED_KINDS)
         mirror.serve_on(server)
         metrics.describe(node.gauges, node.dump)
@@ -108,8 +110,9 @@
             await tasks.start(network.serve, address, server.serve_stream)
             await tasks.start(HttpServer(metrics.app).serve, settings.metrics_address)
             tasks.start_soon(_run_expiry, node)
+            tasks.start_soon(objects.run)
             for follower in (retirement, *mirror.kinds.values()):
-                tasks.start_soon(follow, store, follower)
+                tasks.start_soon(follow, objects, follower)
             tasks.start_soon(_run_membership, membership, retirement, store, settings.node)
             log.info("ledger_serving", node=settings.node, address=address, disk=disk.name)
             async for number in signals:
--- a/src/bramleylead/platform/_objects.py
+++ b/src/bramleylead/platform/_objects.py
@@ -26,7 +26,7 @@
 
 JSON_HEADERS = {"content-type": "application/json"}
 CALL_TIMEOUT_S = 1.5
-WATCH_SLACK_S = 2.0
+WATCH_SLACK_S = 1.0
 STATUS_KINDS = {
     404: StoreErrorKind.NOT_FOUND,
     409: StoreErrorKind.CONFLICT,
@@ -112,6 +112,12 @@
         answer = await self._call("GET", f"{_path(kind)}?{query}", timeout_s=wait_s + WATCH_SLACK_S)
         return _parsed(answer, _to_changes)
 
+    async def is_alive(self, *, timeout_s: float) -> bool:
+        """Whether the store answers a read; any answer will do, so a cheap and maybe old one."""
+        path = f"{_path(names.LEDGER_KIND, names.LEDGER_NAME)}?{names.STALE_READ}"
+        answer = await self._client.request("GET", path, timeout_s=timeout_s)
+        return isinstance(answer, Ok) and answer.ok_value.status in (200, 404)
+
     async def create(self, kind: str, name: str, value: Any) -> Result[PlatformObject, StoreError]:
         """Create an object; ``CONFLICT`` if it exists."""
         body = {"metadata": {"name": name}, "specification": value}
--- a/testing/gateway/_objects.py
+++ b/testing/gateway/_objects.py
@@ -21,6 +21,8 @@
 from bramleylead.platform._store import StoreErrorKind
 
 ANSWER_S = 0.004
+SLACK_S = 1.0
+"""A call without an answer is given up this long after it should have come."""
 
 
 class _Event(NamedTuple):
@@ -32,14 +34,17 @@
 class FakeObjects:
     """Objects by kind, as any number of processes read them.
 
-    ``refused`` names processes that are turned away, ``held`` those whose watches tell nothing.
+    ``refused`` names processes that are turned away, ``held`` those whose watches tell nothing, and
+    ``silent`` those whose calls, once begun, are never answered.
     """
 
     def __init__(self) -> None:
         self.members: LedgerView = NO_VIEW
         self.refused: set[str] = set()
         self.held: set[str] = set()
+        self.silent: set[str] = set()
         self.calls: Counter[str] = Counter()
+        self.pulses: Counter[str] = Counter()
         self._objects: dict[str, dict[str, PlatformObject]] = {}
         self._events: list[_Event] = []
         self._revision = 1
@@ -90,10 +95,20 @@
     async def list(self, kind: str, *, after: str = "") -> Result[ObjectPage, StoreError]:
         self._objects.calls[self._process] += 1
         await anyio.sleep(ANSWER_S)
+        if self._process in self._objects.silent:
+            await anyio.sleep(SLACK_S)
+            return _turned_away()
         if self._process in self._objects.refused:
             return _turned_away()
         return Ok(self._objects.page(kind))
 
+    async def is_alive(self, *, timeout_s: float) -> bool:
+        self._objects.pulses[self._process] += 1
+        await anyio.sleep(ANSWER_S)
+        if self._process in self._objects.silent:
+            await anyio.sleep(timeout_s)
+        return self._process not in self._objects.silent | self._objects.refused
+
     async def watch(
         self, kind: str, *, after: int, wait_s: float
     ) -> Result[ChangePage, StoreError]:
@@ -101,6 +116,9 @@
         ends_at = anyio.current_time() + wait_s
         while True:
             await anyio.sleep(ANSWER_S)
+            if self._process in self._objects.silent:
+                await anyio.sleep(ends_at + SLACK_S - anyio.current_time())
+                return _turned_away()
             if self._process in self._objects.refused:
                 return _turned_away()
             if self._process in self._objects.held:
--- a/testing/gateway/test_mirrored_store.py
+++ b/testing/gateway/test_mirrored_store.py
@@ -26,6 +26,7 @@
 from bramleylead.ledger._mirror import Mirror
 from bramleylead.platform import _names as names
 from bramleylead.platform._follow import follow
+from bramleylead.platform._pulse import PulsedStore
 from bramleylead.standins import FakeNetwork
 from bramleylead.standins import run_virtual
 from testing.gateway._objects import FakeObjects
@@ -78,8 +79,10 @@
         self.mirrors[i] = mirror
         mirror.serve_on(server)
         async with anyio.create_task_group() as tasks:
+            objects = PulsedStore(self.store.seen_by(f"s{i}"))  # type: ignore[arg-type]
+            tasks.start_soon(objects.run)
             for kind in mirror.kinds.values():
-                tasks.start_soon(follow, self.store.seen_by(f"s{i}"), kind)
+                tasks.start_soon(follow, objects, kind)
             await view.serve(f"{node_host(i)}:7000", server.serve_stream)
 
     async def _ask_state(self, request: AskState, reply: Reply) -> None:
@@ -94,8 +97,10 @@
             ) as ledger,
             anyio.create_task_group() as tasks,
         ):
+            store = PulsedStore(self.store.seen_by("g"))  # type: ignore[arg-type]
+            tasks.start_soon(store.run)
             objects = MirroredStore(
-                self.store.seen_by("g"),
+                store,
                 peers,
                 ledger,
                 place="d0",
@@ -229,6 +234,21 @@
 
         self.run_site(main)
 
+    def test_watches_that_a_silent_store_forgot_are_given_up(self) -> None:
+        """A watch that waited then got no answer for 27 s: a gateway refused a route 4 s old."""
+
+        async def main(site: Site) -> None:
+            site.store.silent = {"s0", "s1", "s2", "g"}
+            await anyio.sleep(9)
+            site.store.silent = set()
+            await anyio.sleep(0.5)
+            site.configure(2)
+            with anyio.fail_after(2.5):
+                await until(lambda: site.version == 2)
+            self.assertLess(site.store.pulses["s0"], 12)
+
+        self.run_site(main)
+
     def test_a_gateway_that_starts_while_the_store_turns_it_away_learns_from_the_nodes(
         self,
     ) -> None:
