Bound the labels of counted lines; tell the new beliefs in a request's story

Cause: the field source was a label of every counted line, and named the store's revision or a node for some: each change of the configuration made a counter (found by reading; the test fails before).

Change: it is a label only for where a turn was found. explain shows when a gateway's source of objects changed, a watch was found dead, and a replica was put aside.

Conclusion: no decision of either role is touched.

--- a/src/bramleylead/cli/_story.py
+++ b/src/bramleylead/cli/_story.py
@@ -21,12 +21,23 @@
         "log_lines_dropped",
         "log_lines_suppressed",
         "settings_changed",
+        "source_changed",
         "store_lost",
         "store_regained",
+        "store_silent",
+        "watch_missed_change",
     }
 )
 REPLICA_BELIEFS = frozenset(
-    {"replica_added", "replica_changed", "replica_gone", "replica_missing", "replica_unreadable"}
+    {
+        "replica_added",
+        "replica_changed",
+        "replica_gone",
+        "replica_missing",
+        "replica_put_aside",
+        "replica_trusted",
+        "replica_unreadable",
+    }
 )
 LEDGER_BELIEFS = frozenset(
     {
--- a/src/bramleylead/site_metrics.py
+++ b/src/bramleylead/site_metrics.py
@@ -27,8 +27,10 @@
 METRICS_PATH = "/metrics"
 DUMP_PATH = "/dump"
 SECONDS_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
-REASON_FIELDS = ("kind", "status", "source", "may_have_run")
+REASON_FIELDS = ("kind", "status", "may_have_run")
 """Fields of a line that name a reason and take few values."""
+COUNTED_SOURCES = ("memory", "ledger")
+"""Where a turn was found. Other sources name nodes or revisions, of which there is no end."""
 
 Gauges = Callable[[], Mapping[str, float]]
 Dump = Callable[[], Mapping[str, Any]]
@@ -68,6 +70,8 @@
         for field in REASON_FIELDS:
             if field in event:
                 labels[field] = str(event[field])
+        if event.get("source") in COUNTED_SOURCES:
+            labels["source"] = event["source"]
         self._lines.inc(labels)
         if "took_s" in event:
             self._answers.observe({"event": event["event"]}, event["took_s"])
--- a/testing/test_site_metrics.py
+++ b/testing/test_site_metrics.py
@@ -32,6 +32,15 @@
         self.assertIn('bramleylead_answer_seconds_count{event="refused"} 3', text)
         self.assertNotIn('request="q"', text)
 
+    def test_sources_without_end_are_no_labels(self) -> None:
+        """Each revision of the store and each node's name made a counter of its own."""
+        metrics = SiteMetrics()
+        for source in ("memory", "store at 4", "store at 5", "storage-1"):
+            metrics.count_line(None, "info", {"event": "seen", "source": source})
+        _, text = self.page(metrics, "/metrics")
+        self.assertIn('bramleylead_decisions_total{event="seen"} 3', text)
+        self.assertIn('bramleylead_decisions_total{event="seen",source="memory"} 1', text)
+
     def test_the_state_is_shown_as_numbers_and_as_a_dump(self) -> None:
         metrics = SiteMetrics()
         metrics.describe(lambda: {"replicas": 9}, lambda: {"node": "g1"})
