Order the ledger's nodes in one place

Cause: the client of the ledger and the mirrored store each sorted members by distance, and a limit on a gateway's own watches was above the watches' own. Change: one method, one limit less; the order in which nodes are asked is the same.

--- a/src/bramleylead/gateway/_mirrored_store.py
+++ b/src/bramleylead/gateway/_mirrored_store.py
@@ -39,7 +39,6 @@
 """A node answers at least this often, so that one that stands still is left soon."""
 ANSWER_SLACK_S = 0.6
 AVOID_S = 3.0
-STORE_WATCH_S = 10.0
 STORE_PAUSE_S = 2.0
 """The store may turn away one of many gateways, or all: each asks it seldom then."""
 
@@ -53,8 +52,6 @@
     """The platform's objects as one gateway reads them.
 
     :param store: asked where no node answers.
-    :param place: the gateway's data centre; nodes there are asked first.
-    :param regions: the region of each data centre.
     :param on_trouble: called with the seconds since a node last had trouble at the store.
     """
 
@@ -64,19 +61,14 @@
         peers: PeerClient,
         ledger: LedgerClient,
         *,
-        place: str,
-        regions: dict[str, str],
         on_trouble: Callable[[float], None],
     ) -> None:
         self._store = store
         self._peers = peers
         self._ledger = ledger
-        self._place = place
-        self._regions = regions
         self._on_trouble = on_trouble
         self._seen: dict[str, int] = {}
         self._failed_at: dict[str, float] = {}
-        self._ranks: dict[str, float] = {}
         self._store_from = float("-inf")
         self._sources: dict[str, str] = {}
 
@@ -98,7 +90,7 @@
         self._seen[kind] = after
         told = await self._ask_nodes(kind, whole=False)
         if told is None:
-            return await self._watch_store(kind, after, min(wait_s, STORE_WATCH_S))
+            return await self._watch_store(kind, after, wait_s)
         if told.whole:
             detail = f"{kind}: changes since {after} are not known any more"
             return Err(StoreError(StoreErrorKind.NOT_FOUND, detail))
@@ -132,19 +124,12 @@
         return None
 
     def _nearest(self) -> Sequence[LedgerMember]:
-        """Return the nodes in the order in which they are asked."""
+        """Return the nodes as they are asked: near ones first, those that failed just now last."""
         now = anyio.current_time()
-        region = self._regions.get(self._place)
-
-        def cost(member: LedgerMember) -> tuple[bool, bool, bool, float]:
-            return (
-                now - self._failed_at.get(member.node, -AVOID_S) < AVOID_S,
-                member.data_centre != self._place,
-                self._regions.get(member.data_centre) != region,
-                self._ranks.setdefault(member.node, random.random()),
-            )
-
-        return sorted(self._ledger.view.members, key=cost)
+        return sorted(
+            self._ledger.near_members(),
+            key=lambda member: now - self._failed_at.get(member.node, -AVOID_S) < AVOID_S,
+        )
 
     async def _ask_store(self, call: Callable[[], Awaitable[_Answer]]) -> _Answer:
         """Ask the store itself, unless a call to it has failed just now."""
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -70,12 +70,7 @@
         self.directory = Directory()
         self._store = PulsedStore(store)
         self._objects = MirroredStore(
-            self._store,
-            peers,
-            ledger,
-            place=settings.data_centre,
-            regions=settings.data_centres,
-            on_trouble=self.directory.note_trouble,
+            self._store, peers, ledger, on_trouble=self.directory.note_trouble
         )
         sender = Sender(
             self.directory,
--- a/src/bramleylead/ledger/_client.py
+++ b/src/bramleylead/ledger/_client.py
@@ -117,6 +117,22 @@
         """Whether entries fail for want of members that answer; probes tell when this ends."""
         return self._out_since is not None
 
+    def near_members(self, view: LedgerView | None = None) -> list[LedgerMember]:
+        """Return the members of a view, or of the present one, near ones first.
+
+        Equals come in an order of this gateway's own, so that gateways spread over them.
+        """
+        region = self._regions.get(self._data_centre)
+
+        def distance(member: LedgerMember) -> tuple[bool, bool, float]:
+            return (
+                member.data_centre != self._data_centre,
+                self._regions.get(member.data_centre) != region,
+                self._ranks.setdefault(member.node, random.random()),
+            )
+
+        return sorted((view or self._view).members, key=distance)
+
     async def run_probes(self) -> None:
         """While entries fail, ask the members until enough of them answer."""
         while True:
@@ -260,7 +276,7 @@
         The members copy from each other, so in the end all have it.
         """
         assert self._tasks is not None, "LedgerClient is used outside its context"
-        ordered = self._near_first(round_.view)
+        ordered = self.near_members(round_.view)
         for member in ordered[: round_.need]:
             self._tasks.start_soon(self._send, member, entry, round_)
         with anyio.move_on_after(ENTRY_HEDGE_S):
@@ -270,26 +286,13 @@
                 self._tasks.start_soon(self._send, member, entry, round_)
         await round_.decided.wait()
 
-    def _near_first(self, view: LedgerView) -> list[LedgerMember]:
-        """Return the members, near ones first; equals in an order of this gateway's own."""
-        region = self._regions.get(self._data_centre)
-
-        def distance(member: LedgerMember) -> tuple[bool, bool, float]:
-            return (
-                member.data_centre != self._data_centre,
-                self._regions.get(member.data_centre) != region,
-                self._ranks.setdefault(member.node, random.random()),
-            )
-
-        return sorted(view.members, key=distance)
-
     async def _send(self, member: LedgerMember, entry: Any, round_: EntryRound) -> None:
         round_.take(member, await ask_member(self._peers, round_.view, member, entry))
 
     async def _find(self, view: LedgerView, turn: str) -> Result[list[KeptTurn], Failure] | None:
         """Ask the members, the near ones first; ``None`` to begin anew with another view."""
         asked = ChainSearch(self._peers, view, turn)
-        ordered = self._near_first(view)
+        ordered = self.near_members(view)
         async with anyio.create_task_group() as tasks:
             with anyio.move_on_after(RESERVE_TIMEOUT_S):
                 for member in ordered:
--- a/src/bramleylead/trials/site/_proxy.py
+++ b/src/bramleylead/trials/site/_proxy.py
@@ -10,6 +10,7 @@
 from typing import final
 
 import anyio
+import structlog
 from anyio.abc import SocketAttribute
 from anyio.abc import SocketStream
 
@@ -19,6 +20,8 @@
 DELAY_S = 0.25
 READ_BYTES = 65_536
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+log = structlog.get_logger()
+
 ENDS = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 
@@ -77,8 +80,8 @@
             async with near, far, anyio.create_task_group() as tasks:
                 tasks.start_soon(self._pass, near, far, tasks, (Way.SILENT,))
                 tasks.start_soon(self._pass, far, near, tasks, (Way.SILENT, Way.DEAF))
-        except* ENDS:
-            pass  # either end closed or was reset: that is what a proxy passes on
+        except* ENDS as ends:
+            log.debug("proxy_stream_ended", target=self.target, reason=str(ends.exceptions[0]))
         finally:
             self._streams.discard(near)
 
--- a/testing/gateway/test_mirrored_store.py
+++ b/testing/gateway/test_mirrored_store.py
@@ -93,7 +93,12 @@
         async with (
             PeerClient(network, node="g", cluster_key=KEY) as peers,
             LedgerClient(
-                peers, self.store.read_members, losses=LOSSES, seeds=[f"{node_host(2)}:7000"]
+                peers,
+                self.store.read_members,
+                losses=LOSSES,
+                data_centre="d0",
+                regions={f"d{i}": f"r{i}" for i in range(NODES)},
+                seeds=[f"{node_host(2)}:7000"],
             ) as ledger,
             anyio.create_task_group() as tasks,
         ):
@@ -103,8 +108,6 @@
                 store,
                 peers,
                 ledger,
-                place="d0",
-                regions={f"d{i}": f"r{i}" for i in range(NODES)},
                 on_trouble=self.directory.note_trouble,
             )
             for follower in (
