--- a/src/bramleylead/trials/site/_soak.py
+++ b/src/bramleylead/trials/site/_soak.py
@@ -30,6 +30,7 @@
 from bramleylead.standins._serving import serve_app
 from bramleylead.trials.site._callers import HOST_NAME
 from bramleylead.trials.site._callers import Callers
+from bramleylead.trials.site._faults import UNEASY_S
 from bramleylead.trials.site._faults import Faults
 from bramleylead.trials.site._judge import EVENT_TOKENS
 from bramleylead.trials.site._judge import Finding
@@ -47,6 +48,8 @@
 LOSSES = 1
 START_PATIENCE_S = 40.0
 BALANCER_S = 0.3
+PACE_S = 0.1
+STALL_S = 0.4
 REST_S = 8.0
 """After the last fault traffic goes on this long: what was kept must be found then."""
 MODEL_SERVICE = "models"
@@ -119,6 +122,7 @@
             await node.open(address, stack)
         tasks = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(tasks.cancel_scope.cancel)
+        tasks.start_soon(self._watch_own_pace)
         for node in self.gateways:
             tasks.start_soon(self._watch_ready, node)
         with anyio.fail_after(START_PATIENCE_S):
@@ -146,6 +150,16 @@
         self.store.put(names.CONFIGURATION_KIND, names.CONFIGURATION_NAME, made)
         self.judge.moved(service)
 
+    async def _watch_own_pace(self) -> None:
+        """Hold no bound on time against gateways of a machine that itself stands still."""
+        while True:
+            started_at = anyio.current_time()
+            await anyio.sleep(PACE_S)
+            now = anyio.current_time()
+            if now - started_at > PACE_S + STALL_S:
+                log.warning("machine_stalled", for_s=round(now - started_at, 2))
+                self.judge.unsettle([node.name for node in self.gateways], now + UNEASY_S)
+
     async def _watch_ready(self, node: Node) -> None:
         """Ask a gateway as the balancer does: two misses take it out, one answer brings it back."""
         misses = 0
