Skip most polls of sockets while callbacks are ready; load less in a gateway

Change: the event loop's selector answers polls without a wait itself, at most 8 in a row. Gateways no longer import the interface of the product's own nodes (HTTP plumbing moved to http/), and load the HTTP client of the store with the first call.

--- a/src/bramleylead/bench/_workload.py
+++ b/src/bramleylead/bench/_workload.py
@@ -17,7 +17,7 @@
 from pydantic import Field
 
 from bramleylead.standins import EngineModelSettings
-from bramleylead.version._schema import Strict
+from bramleylead.validation import Strict
 
 WORKLOADS = Path(__file__).parent / "workloads"
 
--- a/src/bramleylead/cli/_site_process.py
+++ b/src/bramleylead/cli/_site_process.py
@@ -13,6 +13,7 @@
 from absl import flags
 from result import Err
 
+from bramleylead._event_loop import new_event_loop
 from bramleylead._log_writer import LogWriter
 from bramleylead.cli._exit import ExitCode
 from bramleylead.logs import configure_buffered_logs
@@ -60,5 +61,6 @@
     with LogWriter(sys.stdout) as writer:
         metrics = SiteMetrics()
         configure_buffered_logs(writer, node=settings.node, count_line=metrics.count_line)
-        anyio.run(run, settings, Path(file), metrics, backend="asyncio")
+        options = {"loop_factory": new_event_loop}
+        anyio.run(run, settings, Path(file), metrics, backend="asyncio", backend_options=options)
     return ExitCode.OK
--- a/src/bramleylead/cli/commands/node.py
+++ b/src/bramleylead/cli/commands/node.py
@@ -9,6 +9,7 @@
 from absl import flags
 from result import Err
 
+from bramleylead._event_loop import new_event_loop
 from bramleylead.cli._exit import ExitCode
 from bramleylead.cli._registry import command
 from bramleylead.logs import configure_logs
@@ -39,7 +40,8 @@
     configure_logs(settings.log_format)
     code = ExitCode.INVALID
     try:
-        graceful = anyio.run(run_node, settings, backend="asyncio")
+        options = {"loop_factory": new_event_loop}
+        graceful = anyio.run(run_node, settings, backend="asyncio", backend_options=options)
         code = ExitCode.OK if graceful else ExitCode.FAILED
     except* (OSError, ValueError) as errors:
         for error in _leaves(errors):
--- a/src/bramleylead/gateway/_app.py
+++ b/src/bramleylead/gateway/_app.py
@@ -20,14 +20,14 @@
 from bramleylead.gateway._types import CallMetadata
 from bramleylead.gateway._types import Route
 from bramleylead.gateway._upstream import ResponseHead
+from bramleylead.http._exchange import Exchange
+from bramleylead.http._exchange import Receive
+from bramleylead.http._exchange import Scope
+from bramleylead.http._exchange import Send
+from bramleylead.http._responses import JSON_TYPE
+from bramleylead.http._responses import encode_json
 from bramleylead.platform import _names as names
 from bramleylead.platform import _wire as wire
-from bramleylead.request._exchange import Exchange
-from bramleylead.request._exchange import Receive
-from bramleylead.request._exchange import Scope
-from bramleylead.request._exchange import Send
-from bramleylead.request._http_responses import JSON_TYPE
-from bramleylead.request._http_responses import encode_json
 
 log = structlog.get_logger()
 
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -27,6 +27,7 @@
 from bramleylead.gateway._sender import Sender
 from bramleylead.gateway._streams import StreamCalls
 from bramleylead.gateway._turn_history import TurnHistory
+from bramleylead.http._server import HttpServer
 from bramleylead.ledger._client import LedgerClient
 from bramleylead.ledger._member_list import StoredMemberList
 from bramleylead.ledger._members import view_to_plain
@@ -34,7 +35,6 @@
 from bramleylead.platform._follow import follow
 from bramleylead.platform._monitored_store import MonitoredStore
 from bramleylead.platform._objects import PlatformStore
-from bramleylead.request._server import HttpServer
 from bramleylead.site_metrics import SiteMetrics
 from bramleylead.site_settings import GatewaySettings
 
--- a/src/bramleylead/request/_http_responses.py
+++ b/src/bramleylead/http/_responses.py
@@ -9,7 +9,7 @@
 
 from bramleylead.errors import Failure
 from bramleylead.errors import Ran
-from bramleylead.request._exchange import HeaderList
+from bramleylead.http._exchange import HeaderList
 
 NO_ERROR = "none"
 JSON_TYPE = "application/json"
--- a/src/bramleylead/request/_server.py
+++ b/src/bramleylead/http/_server.py
@@ -24,11 +24,11 @@
 from bramleylead.connection._tcp import split_address
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
-from bramleylead.request._http_responses import JSON_TYPE
-from bramleylead.request._http_responses import CallRef
-from bramleylead.request._http_responses import encode_json
-from bramleylead.request._http_responses import failure_body
-from bramleylead.request._http_responses import failure_headers
+from bramleylead.http._responses import JSON_TYPE
+from bramleylead.http._responses import CallRef
+from bramleylead.http._responses import encode_json
+from bramleylead.http._responses import failure_body
+from bramleylead.http._responses import failure_headers
 
 BACKLOG_CONNECTIONS = 1024
 HEADER_TIMEOUT_S = 10.0
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -15,6 +15,7 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import TcpNetwork
+from bramleylead.http._server import HttpServer
 from bramleylead.ledger._disk import FileDisk
 from bramleylead.ledger._member_list import StoredMemberList
 from bramleylead.ledger._membership import Membership
@@ -26,7 +27,6 @@
 from bramleylead.platform._objects import ObjectChange
 from bramleylead.platform._objects import PlatformObject
 from bramleylead.platform._objects import PlatformStore
-from bramleylead.request._server import HttpServer
 from bramleylead.site_metrics import SiteMetrics
 from bramleylead.site_settings import LedgerSettings
 
--- a/src/bramleylead/node_settings.py
+++ b/src/bramleylead/node_settings.py
@@ -9,9 +9,9 @@
 from pydantic import ValidationInfo
 from pydantic import field_validator
 
-from bramleylead.version._schema import Address
-from bramleylead.version._schema import Name
-from bramleylead.version._schema import Strict
+from bramleylead.validation import Address
+from bramleylead.validation import Name
+from bramleylead.validation import Strict
 
 
 class StoreSettings(Strict):
--- a/src/bramleylead/platform/_objects.py
+++ b/src/bramleylead/platform/_objects.py
@@ -8,6 +8,7 @@
 
 import json
 from types import TracebackType
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
 from typing import Self
@@ -19,14 +20,17 @@
 from result import Ok
 from result import Result
 
-from bramleylead.connection._http_client import HttpClient
-from bramleylead.connection._http_client import HttpResponse
 from bramleylead.platform import _names as names
 from bramleylead.platform._store import StoreError
 from bramleylead.platform._store import StoreErrorKind
 
+if TYPE_CHECKING:
+    from bramleylead.connection._http_client import HttpClient
+    from bramleylead.connection._http_client import HttpResponse
+
 JSON_HEADERS = {"content-type": "application/json"}
 CALL_TIMEOUT_S = 1.5
+KEEPALIVE_IDLE_S = 2
 WATCH_SLACK_S = 1.0
 STATUS_KINDS = {
     404: StoreErrorKind.NOT_FOUND,
@@ -78,10 +82,14 @@
 
 @final
 class PlatformStore:
-    """The store at ``host:port``; leaving the context closes the connections."""
+    """The store at ``host:port``; leaving the context closes the connections.
+
+    The HTTP client and its library are loaded by the first call, since a gateway may need none.
+    """
 
     def __init__(self, address: str) -> None:
-        self._client = HttpClient(address, keepalive_idle_s=2)
+        self._address = address
+        self._client: HttpClient | None = None
 
     async def __aenter__(self) -> Self:
         return self
@@ -92,7 +100,8 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        await self._client.aclose()
+        if self._client is not None:
+            await self._client.aclose()
 
     async def list(self, kind: str, *, after: str = "") -> Result[ObjectPage, StoreError]:
         """Read a page of the objects of a kind, those after a name."""
@@ -145,7 +154,7 @@
         self, method: str, target: str, *, timeout_s: float, body: Any = None
     ) -> Result[HttpResponse, StoreError]:
         content = b"" if body is None else json.dumps(body).encode()
-        answer = await self._client.request(
+        answer = await self._http_client().request(
             method, target, body=content, headers=JSON_HEADERS, timeout_s=timeout_s
         )
         if isinstance(answer, Err):
@@ -162,6 +171,13 @@
         )
         return Err(StoreError(kind, detail))
 
+    def _http_client(self) -> HttpClient:
+        if self._client is None:
+            from bramleylead.connection._http_client import HttpClient
+
+            self._client = HttpClient(self._address, keepalive_idle_s=KEEPALIVE_IDLE_S)
+        return self._client
+
 
 def _path(kind: str, name: str = "") -> str:
     path = f"{names.OBJECTS_PATH}/{quote(kind, safe='')}"
--- a/src/bramleylead/process/partitions/_partition_record.py
+++ b/src/bramleylead/process/partitions/_partition_record.py
@@ -19,7 +19,7 @@
 from bramleylead.platform._store import StoredObject
 from bramleylead.platform._store import StoreError
 from bramleylead.platform._store import StoreErrorKind
-from bramleylead.version._schema import Strict
+from bramleylead.validation import Strict
 
 PREFIX = "partitions/"
 TOKEN_BYTES = 12
--- a/src/bramleylead/request/__init__.py
+++ b/src/bramleylead/request/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bramleylead.http._server import HttpServer
 from bramleylead.request._answer_buffer import AnswerBuffer
 from bramleylead.request._http_app import HttpApp
 from bramleylead.request._keys import find_branch
@@ -19,7 +20,6 @@
 from bramleylead.request._messages import ProgramView
 from bramleylead.request._messages import ReadProgram
 from bramleylead.request._messages import ResumeCall
-from bramleylead.request._server import HttpServer
 from bramleylead.request._service import CallItem
 from bramleylead.request._service import NodeService
 from bramleylead.request._service import NodeTicket
--- a/src/bramleylead/request/_answer_assembler.py
+++ b/src/bramleylead/request/_answer_assembler.py
@@ -9,9 +9,9 @@
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.errors import Ran
+from bramleylead.http._responses import CallRef
 from bramleylead.promises import Promise
 from bramleylead.promises import Promises
-from bramleylead.request._http_responses import CallRef
 from bramleylead.request._messages import AnswerChunk
 from bramleylead.request._messages import AnswerEnd
 from bramleylead.request._messages import AnswerStart
--- a/src/bramleylead/request/_http_bodies.py
+++ b/src/bramleylead/request/_http_bodies.py
@@ -18,8 +18,8 @@
 
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
-from bramleylead.version._schema import Name
-from bramleylead.version._schema import Strict
+from bramleylead.validation import Name
+from bramleylead.validation import Strict
 
 MAX_DEADLINE_S = 86_400.0
 MAX_KEY_CHARACTERS = 200
--- a/src/bramleylead/request/_http_formats.py
+++ b/src/bramleylead/request/_http_formats.py
@@ -5,7 +5,7 @@
 from typing import Any
 from typing import final
 
-from bramleylead.request._http_responses import CallRef
+from bramleylead.http._responses import CallRef
 from bramleylead.request._messages import AnswerEnd
 
 
--- a/src/bramleylead/request/_http_programs.py
+++ b/src/bramleylead/request/_http_programs.py
@@ -9,8 +9,8 @@
 
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.http._responses import success_fields
 from bramleylead.request._http_bodies import OpenProgramBody
-from bramleylead.request._http_responses import success_fields
 from bramleylead.request._http_routes import Access
 from bramleylead.request._http_routes import HttpRequest
 from bramleylead.request._http_routes import route
--- a/src/bramleylead/request/_http_routes.py
+++ b/src/bramleylead/request/_http_routes.py
@@ -19,11 +19,11 @@
 
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
-from bramleylead.request._exchange import Exchange
-from bramleylead.request._http_responses import JSON_TYPE
-from bramleylead.request._http_responses import CallRef
-from bramleylead.request._http_responses import encode_json
-from bramleylead.request._http_responses import success_headers
+from bramleylead.http._exchange import Exchange
+from bramleylead.http._responses import JSON_TYPE
+from bramleylead.http._responses import CallRef
+from bramleylead.http._responses import encode_json
+from bramleylead.http._responses import success_headers
 from bramleylead.request._service import NodeService
 from bramleylead.validation import load_model
 
--- a/src/bramleylead/request/_http_sinks.py
+++ b/src/bramleylead/request/_http_sinks.py
@@ -13,13 +13,13 @@
 
 from bramleylead.errors import Failure
 from bramleylead.errors import Ran
-from bramleylead.request._exchange import Exchange
-from bramleylead.request._http_responses import JSON_TYPE
-from bramleylead.request._http_responses import CallRef
-from bramleylead.request._http_responses import encode_json
-from bramleylead.request._http_responses import failure_body
-from bramleylead.request._http_responses import success_fields
-from bramleylead.request._http_responses import success_headers
+from bramleylead.http._exchange import Exchange
+from bramleylead.http._responses import JSON_TYPE
+from bramleylead.http._responses import CallRef
+from bramleylead.http._responses import encode_json
+from bramleylead.http._responses import failure_body
+from bramleylead.http._responses import success_fields
+from bramleylead.http._responses import success_headers
 from bramleylead.request._messages import AnswerEnd
 
 KEEP_ALIVE_S = 10.0
--- a/src/bramleylead/scheduling/_baseline_policies.py
+++ b/src/bramleylead/scheduling/_baseline_policies.py
@@ -18,7 +18,7 @@
 from bramleylead.scheduling._pool_load import DrainEstimate
 from bramleylead.scheduling._types import SlotFinished
 from bramleylead.scheduling._types import SlotRequest
-from bramleylead.version._schema import Strict
+from bramleylead.validation import Strict
 
 
 class NoParameters(Strict):
--- a/src/bramleylead/scheduling/_default_policy.py
+++ b/src/bramleylead/scheduling/_default_policy.py
@@ -34,7 +34,7 @@
 from bramleylead.scheduling._served_shares import ServedShares
 from bramleylead.scheduling._speed import update_speed
 from bramleylead.scheduling._types import SlotFinished
-from bramleylead.version._schema import Strict
+from bramleylead.validation import Strict
 
 MIN_RECHECK_S = 0.01
 RECHECK_S = 0.5
--- a/src/bramleylead/scheduling/_policy.py
+++ b/src/bramleylead/scheduling/_policy.py
@@ -17,7 +17,7 @@
 from bramleylead.scheduling._endpoint_view import EndpointView
 from bramleylead.scheduling._endpoint_view import ScheduledCall
 from bramleylead.scheduling._types import SlotFinished
-from bramleylead.version._schema import Strict
+from bramleylead.validation import Strict
 
 Endpoints = Mapping[str, EndpointView]
 
--- a/src/bramleylead/scheduling/_pool_chooser.py
+++ b/src/bramleylead/scheduling/_pool_chooser.py
@@ -26,8 +26,8 @@
 from bramleylead.scheduling._pool_load import PoolNews
 from bramleylead.scheduling._pools import PoolKey
 from bramleylead.scheduling._types import SlotRequest
+from bramleylead.validation import Strict
 from bramleylead.version import Endpoint
-from bramleylead.version._schema import Strict
 
 PROMPT_BYTES_PER_TOKEN = 5
 """Bytes sent between regions for each token of prompt or answer, which are sent as text."""
--- a/src/bramleylead/site_metrics.py
+++ b/src/bramleylead/site_metrics.py
@@ -17,12 +17,12 @@
 from aioprometheus import Registry
 from aioprometheus import render
 
-from bramleylead.request._exchange import Exchange
-from bramleylead.request._exchange import Receive
-from bramleylead.request._exchange import Scope
-from bramleylead.request._exchange import Send
-from bramleylead.request._http_responses import JSON_TYPE
-from bramleylead.request._http_responses import encode_json
+from bramleylead.http._exchange import Exchange
+from bramleylead.http._exchange import Receive
+from bramleylead.http._exchange import Scope
+from bramleylead.http._exchange import Send
+from bramleylead.http._responses import JSON_TYPE
+from bramleylead.http._responses import encode_json
 
 METRICS_PATH = "/metrics"
 DUMP_PATH = "/dump"
--- a/src/bramleylead/site_settings.py
+++ b/src/bramleylead/site_settings.py
@@ -6,9 +6,9 @@
 
 from pydantic import Field
 
-from bramleylead.version._schema import Address
-from bramleylead.version._schema import Name
-from bramleylead.version._schema import Strict
+from bramleylead.validation import Address
+from bramleylead.validation import Name
+from bramleylead.validation import Strict
 
 
 class StoreAddress(Strict):
--- a/src/bramleylead/standins/_engine_settings.py
+++ b/src/bramleylead/standins/_engine_settings.py
@@ -12,7 +12,7 @@
 
 from pydantic import Field
 
-from bramleylead.version._schema import Strict
+from bramleylead.validation import Strict
 
 DEFAULT_MODEL = "assistant"
 
--- a/src/bramleylead/standins/_platform_store.py
+++ b/src/bramleylead/standins/_platform_store.py
@@ -10,13 +10,13 @@
 
 import anyio
 
+from bramleylead.http._exchange import Exchange
+from bramleylead.http._exchange import Receive
+from bramleylead.http._exchange import Scope
+from bramleylead.http._exchange import Send
+from bramleylead.http._responses import JSON_TYPE
+from bramleylead.http._responses import encode_json
 from bramleylead.platform import _names as names
-from bramleylead.request._exchange import Exchange
-from bramleylead.request._exchange import Receive
-from bramleylead.request._exchange import Scope
-from bramleylead.request._exchange import Send
-from bramleylead.request._http_responses import JSON_TYPE
-from bramleylead.request._http_responses import encode_json
 
 PAGE_OBJECTS = 500
 MAX_BODY_BYTES = 2_000_000
--- a/src/bramleylead/standins/_service.py
+++ b/src/bramleylead/standins/_service.py
@@ -27,7 +27,7 @@
 from bramleylead.standins._engine_ledger import split_call
 from bramleylead.standins._link import Link
 from bramleylead.standins._link import connect
-from bramleylead.version._schema import Strict
+from bramleylead.validation import Strict
 
 Rate = Annotated[float, Field(ge=0, le=1)]
 
--- a/src/bramleylead/standins/_serving.py
+++ b/src/bramleylead/standins/_serving.py
@@ -11,7 +11,7 @@
 
 import anyio
 
-from bramleylead.request._server import HttpServer
+from bramleylead.http._server import HttpServer
 
 
 class _DropCancelled(logging.Filter):
--- a/src/bramleylead/validation.py
+++ b/src/bramleylead/validation.py
@@ -6,11 +6,14 @@
 import types
 import typing
 from collections.abc import Sequence
+from typing import Annotated
 from typing import Any
 from typing import NamedTuple
 from typing import TypeVar
 
 from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import Field
 from pydantic import ValidationError
 from pydantic_core import ErrorDetails
 from result import Err
@@ -21,9 +24,18 @@
 SECRET_WORDS = ("key", "secret", "token_value", "password")
 HIDDEN = "(hidden)"
 
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+Address = Annotated[str, Field(pattern=r"^[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}$")]
+
 _Model = TypeVar("_Model", bound=BaseModel)
 
 
+class Strict(BaseModel):
+    """Base of every model read from a file: unknown keys and loose types are errors."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
+
+
 class Fault(NamedTuple):
     """One thing that is wrong in a file or a body."""
 
--- a/src/bramleylead/version/_schema.py
+++ b/src/bramleylead/version/_schema.py
@@ -5,18 +5,11 @@
 from enum import StrEnum
 from typing import Annotated
 
-from pydantic import BaseModel
-from pydantic import ConfigDict
 from pydantic import Field
 
-Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
-Address = Annotated[str, Field(pattern=r"^[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}$")]
-
-
-class Strict(BaseModel):
-    """Base of every model read from a file: unknown keys and loose types are errors."""
-
-    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
+from bramleylead.validation import Address
+from bramleylead.validation import Name
+from bramleylead.validation import Strict
 
 
 class Branch(Strict):
--- a/testing/request/test_server.py
+++ b/testing/http/test_server.py
@@ -16,10 +16,10 @@
 from anyio.abc import SocketStream
 
 from bramleylead.connection._tcp import split_address
+from bramleylead.http import _server
 from bramleylead.request import AnswerChunk
 from bramleylead.request import HttpApp
 from bramleylead.request import HttpServer
-from bramleylead.request import _server
 from testing.request.fakes import PRAIRIE_KEY
 from testing.request.fakes import SETTINGS
 from testing.request.fakes import FakeNode
--- a/testing/test_promises.py
+++ b/testing/test_promises.py
@@ -12,6 +12,7 @@
 
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.http._responses import CallRef
 from bramleylead.metrics import Metrics
 from bramleylead.process.calls._garbage_collection import ProgramGarbageCollector
 from bramleylead.process.journal._entries import CacheHeld
@@ -24,7 +25,6 @@
 from bramleylead.request import AnswerChunk
 from bramleylead.request import CallKind
 from bramleylead.request._answer_assembler import AnswerAssembler
-from bramleylead.request._http_responses import CallRef
 from bramleylead.standins import run_virtual
 from bramleylead.trials._caller import Caller
 from bramleylead.trials._caller import Plan
--- a/testing/test_validation.py
+++ b/testing/test_validation.py
@@ -8,8 +8,8 @@
 from pydantic import Field
 from result import Ok
 
+from bramleylead.validation import Strict
 from bramleylead.validation import load_model
-from bramleylead.version._schema import Strict
 
 
 class Inner(Strict):
