Share loads through the ledger, admit programs by them; deny no turn without evidence

Cause: gateways that learnt the ledger's members in its first second knew two of them, never asked again before their first turn, and were cut off by then. With two members known and three acknowledgements needed, the condition for 'no such turn' was 0 > -1: true without any answer. Change: LedgerView.absences_needed, which also allows for entries of the epoch before (a committed turn may lack on three of six members right after a join: the second way to the same fault, found by reading); a mirror's answer carries the epoch, so gateways without turns follow the members. Tests: three of the new ones fail without the change.

Blind placement and missing admission. Every reservation now carries the gateway's running requests, with the replica planned for the turn, and returns those of the other gateways and where the prompt is cached; members pass reports on four times a second. A program's first turn is refused while the replicas run as many requests as they have slots, each refusal raising the limit for its return. Also: affinity keys, Server-Leaving.

--- a/src/bramleylead/gateway/_budgets.py
+++ b/src/bramleylead/gateway/_budgets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import secrets
+from typing import NamedTuple
 from typing import final
 
 import anyio
@@ -17,6 +18,9 @@
 from bramleylead.gateway._types import CallMetadata
 from bramleylead.ledger._client import LedgerClient
 from bramleylead.ledger._records import Spending
+from bramleylead.placement._admission import Progress
+from bramleylead.placement._fleet_table import NO_FLEET_LOAD
+from bramleylead.placement._fleet_table import FleetLoad
 
 RESERVATION_ID_BYTES = 4
 SETTLE_RETRY_DELAYS_S = (0.3, 0.6, 1.2, 2.4, 4.8)
@@ -25,6 +29,21 @@
 log = structlog.get_logger()
 
 
+class BudgetReservation(NamedTuple):
+    """A turn's reservation, and what the ledger knows of its program and of the fleet.
+
+    :param reservation_id: the reservation to settle; empty without a budget.
+    :param progress: ``None`` if the program has no budget, so that nothing is known of it.
+    """
+
+    reservation_id: str
+    progress: Progress | None
+    fleet: FleetLoad
+
+
+NO_RESERVATION = BudgetReservation("", None, NO_FLEET_LOAD)
+
+
 @final
 class Budgets:
     """Reserves and settles the tokens of turns.
@@ -36,28 +55,31 @@
         self._ledger = ledger
         self._tasks = tasks
 
-    async def reserve(self, metadata: CallMetadata) -> Result[str, Failure]:
-        """Reserve a turn's maximum and return the reservation to settle, empty without a budget.
+    async def reserve(self, metadata: CallMetadata) -> Result[BudgetReservation, Failure]:
+        """Reserve a turn's maximum.
 
         Fails with ``BUDGET_EXHAUSTED`` if the turn's maximum exceeds the rest of the budget.
         """
         if metadata.budget_tokens is None:
-            return Ok("")
+            return Ok(NO_RESERVATION)
         reservation_id = f"{metadata.request_id}.{secrets.token_hex(RESERVATION_ID_BYTES)}"
         fits = False
         try:
             reserved = await self._ledger.reserve(
-                Spending(metadata.program, reservation_id, metadata.max_output_tokens, False)
+                Spending(metadata.program, reservation_id, metadata.max_output_tokens, False),
+                prompt_parts=tuple(part.name for part in metadata.prompt),
             )
             if isinstance(reserved, Err):
                 return reserved
-            fits = self._fits_budget(metadata, reservation_id, reserved.ok_value)
+            spendings, fleet = reserved.ok_value
+            fits = self._fits_budget(metadata, reservation_id, spendings)
         finally:
             if not fits:
                 # Ledger members may hold the reservation; a turn that is not sent must not count.
                 self.settle(metadata, reservation_id, 0)
         if fits:
-            return Ok(reservation_id)
+            progress = _progress_of(spendings, reservation_id)
+            return Ok(BudgetReservation(reservation_id, progress, fleet))
         detail = (
             f"program {metadata.program}: {metadata.budget_tokens} tokens do not cover the tokens "
             f"already spent and {metadata.max_output_tokens} more"
@@ -105,3 +127,10 @@
             tokens=tokens,
             reason=settled.err_value.detail,
         )
+
+
+def _progress_of(spendings: dict[str, Spending], reservation_id: str) -> Progress:
+    """Return how far a program has come before the turn of a reservation."""
+    others = [spending for entry, spending in spendings.items() if entry != reservation_id]
+    refusals = sum(spending.settled and not spending.tokens for spending in others)
+    return Progress(turns=len(others) - refusals, refusals=refusals)
--- a/src/bramleylead/gateway/_directory.py
+++ b/src/bramleylead/gateway/_directory.py
@@ -31,6 +31,7 @@
         self._configuration: Configuration | None = None
         self._replicas: dict[str, Replica] = {}
         self._missing_since: dict[str, float] = {}
+        self._announced_leaving: set[str] = set()
         self._store_failed_at = float("-inf")
         self._replicas_listed = False
         self.changed = anyio.Event()
@@ -53,6 +54,7 @@
             for replica in self._replicas.values()
             if replica.service == service
             and not replica.leaving
+            and replica.name not in self._announced_leaving
             and now - self._missing_since.get(replica.name, now) < EXPIRY_GRACE_S
         ]
 
@@ -91,9 +93,22 @@
         self._notify_changed()
         return True
 
+    def record_leaving(self, replica: Replica) -> None:
+        """Record that a replica has announced in a response that it leaves.
+
+        It gets no further request, whatever the list says, until the list has a new replica under
+        its name.
+        """
+        if replica.name in self._announced_leaving or replica.name not in self._replicas:
+            return
+        self._announced_leaving.add(replica.name)
+        log.info("replica_leaving", replica=replica.name, address=replica.address)
+
     def put_replica(self, replica: Replica) -> None:
         """Add or update a replica."""
         previous = self._replicas.get(replica.name)
+        if previous is not None and previous.address != replica.address:
+            self._announced_leaving.discard(replica.name)
         self._missing_since.pop(replica.name, None)
         if previous == replica:
             return
@@ -138,6 +153,7 @@
 
     def _drop_replica(self, name: str, reason: str) -> None:
         self._missing_since.pop(name, None)
+        self._announced_leaving.discard(name)
         self._replicas.pop(name, None)
         log.info("replica_gone", replica=name, reason=reason)
         self._notify_changed()
--- a/src/bramleylead/gateway/_mirrored_store.py
+++ b/src/bramleylead/gateway/_mirrored_store.py
@@ -119,6 +119,8 @@
             if isinstance(response, Ok) and isinstance(response.ok_value, Mirrored):
                 mirrored = response.ok_value
                 self._record_read(kind, member.node, mirrored.as_of)
+                if mirrored.ledger_epoch > self._ledger.view.epoch:
+                    await self._ledger.refresh()
                 if mirrored.since_failure_s >= 0:
                     self._on_store_failure(mirrored.since_failure_s)
                 return mirrored
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import signal
 from pathlib import Path
 from typing import Any
@@ -21,9 +22,9 @@
 from bramleylead.gateway._directory import Directory
 from bramleylead.gateway._followers import ConfigurationFollower
 from bramleylead.gateway._followers import ReplicaFollower
+from bramleylead.gateway._load_reporter import LoadReporter
 from bramleylead.gateway._mirrored_store import MirroredStore
 from bramleylead.gateway._plain_calls import PlainCalls
-from bramleylead.gateway._replica_selector import ReplicaSelector
 from bramleylead.gateway._sender import Sender
 from bramleylead.gateway._streams import StreamCalls
 from bramleylead.gateway._turn_history import TurnHistory
@@ -31,6 +32,7 @@
 from bramleylead.ledger._client import LedgerClient
 from bramleylead.ledger._member_list import StoredMemberList
 from bramleylead.ledger._members import view_to_plain
+from bramleylead.placement._replica_selector import ReplicaSelector
 from bramleylead.platform import _names as names
 from bramleylead.platform._follow import follow
 from bramleylead.platform._monitored_store import MonitoredStore
@@ -44,6 +46,7 @@
 sending them after two failed checks, one second apart."""
 STOP_MARGIN_S = 1.0
 PEER_SILENT_AFTER_S = 1
+MAX_FIRST_TURN = 1_000
 
 log = structlog.get_logger()
 
@@ -67,16 +70,19 @@
         self._tasks = tasks
         self._ledger = ledger
         self._connections = ConnectionPool(network, id_header=names.REQUEST_ID)
-        self._selector = ReplicaSelector()
+        self._selector = ReplicaSelector(first_turn=random.randrange(MAX_FIRST_TURN))
         self.directory = Directory()
         self._store = MonitoredStore(store)
         self._objects = MirroredStore(
             self._store, peers, ledger, on_store_failure=self.directory.record_store_failure
         )
+        reporter = LoadReporter(settings.node, self._selector)
+        ledger.report_load = reporter.report
         sender = Sender(
             self.directory,
             self._connections,
             self._selector,
+            reporter,
             data_centre=settings.data_centre,
             regions=settings.data_centres,
         )
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from collections.abc import Iterable
+from collections.abc import Iterator
 from contextlib import asynccontextmanager
+from contextlib import contextmanager
 from typing import NamedTuple
 from typing import final
 
@@ -18,9 +21,8 @@
 from bramleylead.gateway._call import UnknownOutcome
 from bramleylead.gateway._connection_pool import ConnectionPool
 from bramleylead.gateway._directory import Directory
-from bramleylead.gateway._replica_selector import Candidate
-from bramleylead.gateway._replica_selector import Prompt
-from bramleylead.gateway._replica_selector import ReplicaSelector
+from bramleylead.gateway._load_reporter import LoadReporter
+from bramleylead.gateway._types import CallKind
 from bramleylead.gateway._types import EngineSpec
 from bramleylead.gateway._types import Replica
 from bramleylead.gateway._types import ResponseMetadata
@@ -28,6 +30,14 @@
 from bramleylead.gateway._upstream import ResponseHead
 from bramleylead.gateway._upstream import UpstreamConnection
 from bramleylead.gateway._upstream import UpstreamError
+from bramleylead.placement._admission import Progress
+from bramleylead.placement._admission import Refusal
+from bramleylead.placement._admission import ServiceLoad
+from bramleylead.placement._admission import check_admission
+from bramleylead.placement._fleet_table import FleetLoad
+from bramleylead.placement._replica_selector import Candidate
+from bramleylead.placement._replica_selector import Prompt
+from bramleylead.placement._replica_selector import ReplicaSelector
 from bramleylead.platform import _wire as wire
 
 MISDIRECTED_STATUS = 421
@@ -35,6 +45,9 @@
 SMALL_REQUEST_BYTES = 16_384
 NO_RESPONSE_FAILURE_S = 1.0
 """A request abandoned after this long without a response head counts as a replica failure."""
+INITIAL_TURN_S = 0.35
+TURN_WEIGHT = 0.05
+"""Weight of each turn in the moving average of their durations."""
 
 log = structlog.get_logger()
 
@@ -52,6 +65,7 @@
 class Sender:
     """Chooses replicas and sends requests to them.
 
+    :param reporter: is told where turns have run.
     :param data_centre: the gateway's data centre.
     :param regions: the region of each data centre.
     """
@@ -61,6 +75,7 @@
         directory: Directory,
         connections: ConnectionPool,
         selector: ReplicaSelector,
+        reporter: LoadReporter,
         *,
         data_centre: str,
         regions: dict[str, str],
@@ -68,20 +83,19 @@
         self._directory = directory
         self._connections = connections
         self._selector = selector
+        self._reporter = reporter
+        self._mean_turn_s = INITIAL_TURN_S
         self._data_centre = data_centre
         self._regions = regions
 
     def choose(self, call: Call, service: str, tried_replicas: set[str]) -> Replica | None:
         """Return the next replica to send a request to, or ``None`` if none is left."""
-        replicas = [
-            replica
+        by_name = {
+            replica.name: replica
             for replica in self._directory.replicas(service)
             if replica.name not in tried_replicas
-        ]
-        spec = call.configuration.services.get(service)
-        engine = None if spec is None else spec.engine
-        by_name = {replica.name: replica for replica in replicas}
-        candidates = [self._candidate(replica, engine) for replica in replicas]
+        }
+        candidates = self._candidates(call, service, by_name.values())
         chosen = self._selector.choose(candidates, prompt_of(call))
         if chosen is None:
             return None
@@ -98,6 +112,54 @@
         )
         return by_name[chosen.name]
 
+    @contextmanager
+    def planned(self, call: Call, service: str) -> Iterator[None]:
+        """Count a request as running at the replica that would be chosen now.
+
+        A turn is placed again once its budget is reserved. Until then, the gateways that place
+        turns at the same moment should not all choose the same replica.
+        """
+        candidates = self._candidates(call, service, self._directory.replicas(service))
+        planned = self._selector.plan(candidates, prompt_of(call))
+        try:
+            yield
+        finally:
+            if planned is not None:
+                self._selector.cancel_plan(planned.name)
+
+    def record_fleet_load(self, call: Call, load: FleetLoad) -> None:
+        """Record the load of all other gateways, as learned with a turn's reservation."""
+        if load.running or load.holders:
+            self._selector.record_fleet_load(load, prompt_of(call))
+
+    def check_admission(self, call: Call, service: str, progress: Progress) -> Refusal | None:
+        """Return a refusal if a turn should not start now."""
+        priorities = {
+            route.priority
+            for route in call.configuration.routes
+            if route.kind is CallKind.STREAM and any(s.service == service for s in route.shares)
+        }
+        return check_admission(
+            self._service_load(call, service),
+            progress,
+            less_urgent_priorities=sum(other > call.route.priority for other in priorities),
+            turn_s=self._mean_turn_s,
+        )
+
+    def record_turn(self, call: Call, replica: Replica, *, took_s: float) -> None:
+        """Record that a replica has run a turn completely."""
+        self._mean_turn_s += TURN_WEIGHT * (took_s - self._mean_turn_s)
+        self._reporter.record_turn(replica.name, prompt_of(call))
+
+    def _service_load(self, call: Call, service: str) -> ServiceLoad:
+        candidates = self._candidates(call, service, self._directory.replicas(service))
+        ejected = self._selector.health.ejected([candidate.name for candidate in candidates])
+        usable = [candidate for candidate in candidates if candidate.name not in ejected]
+        return ServiceLoad(
+            running=sum(self._selector.running(candidate.name) for candidate in usable),
+            slots=sum(candidate.slots for candidate in usable),
+        )
+
     @asynccontextmanager
     async def send(
         self, call: Call, replica: Replica, *, body: bytes, resume_after: str = ""
@@ -199,6 +261,8 @@
         self, call: Call, replica: Replica, connection: UpstreamConnection, response: ResponseHead
     ) -> StartedResponse | NotRun | UnknownOutcome:
         metadata = wire.read_answer(response.header_map())
+        if metadata.leaving:
+            self._directory.record_leaving(replica)
         if metadata.load is not None:
             self._selector.record_load(replica.name, metadata.load.running + metadata.load.waiting)
         if metadata.not_run or response.status == MISDIRECTED_STATUS:
@@ -231,6 +295,11 @@
             else:
                 health.record_success(replica.name)
 
+    def _candidates(self, call: Call, service: str, replicas: Iterable[Replica]) -> list[Candidate]:
+        spec = call.configuration.services.get(service)
+        engine = None if spec is None else spec.engine
+        return [self._candidate(replica, engine) for replica in replicas]
+
     def _candidate(self, replica: Replica, engine: EngineSpec | None) -> Candidate:
         data_centre = replica.data_centre
         return Candidate(
@@ -243,8 +312,9 @@
 
 
 def prompt_of(call: Call) -> Prompt:
-    """Return the prompt that a request's headers describe."""
-    return Prompt(tuple((part.name, part.tokens) for part in call.metadata.prompt))
+    """Return what a replica may have cached of a request, as its headers describe it."""
+    affinity = call.metadata.affinity if call.route.sticky else ""
+    return Prompt(tuple((part.name, part.tokens) for part in call.metadata.prompt), affinity)
 
 
 async def read_complete(response: StartedResponse) -> Outcome:
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -80,10 +80,12 @@
 
     :param body: the turn history, followed by the caller's input.
     :param reservation_id: the reservation to settle; empty without a budget.
+    :param service: the service that is to run it.
     """
 
     body: bytes
     reservation_id: str
+    service: str
 
 
 class _Stream:
@@ -94,6 +96,8 @@
         self.writer = writer
         self.body = prepared.body
         self.reservation_id = prepared.reservation_id
+        self.service = prepared.service
+        self.started_at = anyio.current_time()
         self.started = False
         self.finished = False
         self.may_have_run = False
@@ -155,13 +159,27 @@
                 if isinstance(history, Err):
                     return history
                 body = history.ok_value + call.body
-            reserved = await self._budgets.reserve(call.metadata)
-            if isinstance(reserved, Err):
-                return reserved
-            return Ok(_PreparedRequest(body, reserved.ok_value))
+            return await self._reserve(call, body)
         detail = "history and budget were not ready within the request's deadline"
         return Err(Failure(ErrorKind.OVERLOADED, detail, RETRY_AFTER_S))
 
+    async def _reserve(self, call: Call, body: bytes) -> Result[_PreparedRequest, Failure]:
+        """Reserve a turn's budget, unless the replicas are too full for the turn to start."""
+        service = pick_service(call.route)
+        with self._sender.planned(call, service):
+            reserved = await self._budgets.reserve(call.metadata)
+        if isinstance(reserved, Err):
+            return reserved
+        reservation = reserved.ok_value
+        self._sender.record_fleet_load(call, reservation.fleet)
+        if reservation.progress is not None:
+            refusal = self._sender.check_admission(call, service, reservation.progress)
+            if refusal is not None:
+                self._budgets.settle(call.metadata, reservation.reservation_id, 0)
+                failure = Failure(ErrorKind.OVERLOADED, refusal.detail, refusal.retry_after_s)
+                return Err(failure)
+        return Ok(_PreparedRequest(body, reservation.reservation_id, service))
+
     async def _stream(self, stream: _Stream) -> None:
         """Run a stream; its spending is settled in every case."""
         turn_saved = False
@@ -178,9 +196,8 @@
 
     async def _try_replicas(self, stream: _Stream) -> bool:
         """Relay the stream; return whether it is complete. The end is not sent yet."""
-        service = pick_service(stream.call.route)
         while stream.can_retry:
-            replica = self._sender.choose(stream.call, service, stream.tried_replicas)
+            replica = self._sender.choose(stream.call, stream.service, stream.tried_replicas)
             if replica is None:
                 break
             end = await self._attempt(stream, replica)
@@ -255,6 +272,8 @@
         self._sender.record_outcome(
             response.replica, CompleteResponse(response.replica, response.head, b"")
         )
+        took_s = anyio.current_time() - stream.started_at
+        self._sender.record_turn(stream.call, response.replica, took_s=took_s)
         return _StreamEnd.WHOLE
 
     async def _relay_chunk(
--- a/src/bramleylead/gateway/_types.py
+++ b/src/bramleylead/gateway/_types.py
@@ -31,6 +31,7 @@
     :param retains_turns: whether turns are stored, so that a later turn sends only its new input.
     :param turn_retention_s: how long a stored turn must remain available.
     :param resumable: whether a broken stream may be continued at another replica.
+    :param sticky: whether a replica works faster on what it has handled recently.
     """
 
     name: str
@@ -45,6 +46,7 @@
     retains_turns: bool
     turn_retention_s: float
     resumable: bool
+    sticky: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -137,6 +139,7 @@
     :param max_output_tokens: the most tokens that this turn generates.
     :param previous_turn: the turn that this one continues; empty at the start of a chain.
     :param resume_after: id of the last event received from a broken stream; empty if none.
+    :param affinity: identifies the object that the request concerns; empty if not specified.
     """
 
     request_id: str
@@ -150,6 +153,7 @@
     previous_turn: str
     resume_after: str
     prompt: tuple[PromptPart, ...]
+    affinity: str = ""
 
 
 class Load(NamedTuple):
@@ -168,6 +172,7 @@
     :param not_run: whether the replica reports that the request did not run.
     :param encoded: whether the body has a content encoding that was not requested.
     :param keep_alive_s: how long the replica keeps idle connections; ``None`` if not specified.
+    :param leaving: whether the replica announces that it takes no further requests.
     """
 
     request_id: str
@@ -176,3 +181,4 @@
     encoded: bool
     load: Load | None
     keep_alive_s: float | None
+    leaving: bool = False
--- a/src/bramleylead/ledger/_client.py
+++ b/src/bramleylead/ledger/_client.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 from types import TracebackType
 from typing import Any
+from typing import NamedTuple
 from typing import Self
 from typing import final
 
@@ -35,6 +36,10 @@
 from bramleylead.ledger._records import KeptTurn
 from bramleylead.ledger._records import Spending
 from bramleylead.ledger._records import merge_spendings
+from bramleylead.placement._fleet_table import NO_REPORT
+from bramleylead.placement._fleet_table import FleetLoad
+from bramleylead.placement._fleet_table import LoadReport
+from bramleylead.placement._fleet_table import merge_fleet_loads
 
 RESERVE_TIMEOUT_S = 0.7
 MAX_TURN_BYTES = 3_900_000
@@ -56,6 +61,17 @@
 ReadMembers = Callable[[], Awaitable[Result[LedgerView, str]]]
 
 
+class Reservation(NamedTuple):
+    """A committed reservation.
+
+    :param spendings: all known spendings of the program, by entry.
+    :param fleet: the load of the other gateways, and where the turn's prompt is cached.
+    """
+
+    spendings: dict[str, Spending]
+    fleet: FleetLoad
+
+
 @final
 class LedgerClient:
     """Writes entries to the ledger and reads them.
@@ -65,6 +81,8 @@
     :param data_centre: its members are preferred, then those of its region.
     :param regions: the region of each data centre.
     :param seeds: addresses of possible ledger nodes, queried while no member is known.
+
+    ``report_load`` returns what this gateway reports of its load with each entry.
     """
 
     def __init__(
@@ -91,6 +109,7 @@
         self._unavailable_since: float | None = None
         self._became_unavailable = anyio.Event()
         self._tasks: TaskGroup | None = None
+        self.report_load: Callable[[], LoadReport] = lambda: NO_REPORT
 
     async def __aenter__(self) -> Self:
         self._tasks = anyio.create_task_group()
@@ -168,21 +187,31 @@
             self._became_unavailable.set()
             log.warning("ledger_lost_contact", epoch=self._view.epoch, reason=detail)
 
-    async def reserve(self, spending: Spending) -> Result[dict[str, Spending], Failure]:
-        """Reserve the most that a turn may spend; return all known spendings of its program."""
+    async def reserve(
+        self, spending: Spending, *, prompt_parts: tuple[str, ...] = ()
+    ) -> Result[Reservation, Failure]:
+        """Reserve the most that a turn may spend.
+
+        :param prompt_parts: the parts of the turn's prompt, to learn where they are cached.
+        """
         if self.is_unavailable:
             return Err(_unavailable("too few ledger members respond"))
         acks = await self._write_entry(
-            lambda epoch: Reserve(epoch, spending), timeout_s=RESERVE_TIMEOUT_S
+            lambda epoch: Reserve(epoch, spending, self.report_load(), prompt_parts),
+            timeout_s=RESERVE_TIMEOUT_S,
         )
         if isinstance(acks, Err):
             return acks
-        return Ok(merge_spendings(ack.spendings for ack in acks.ok_value))
+        spendings = merge_spendings(ack.spendings for ack in acks.ok_value)
+        return Ok(Reservation(spendings, merge_fleet_loads(ack.fleet for ack in acks.ok_value)))
 
     async def settle(self, spending: Spending) -> Result[None, Failure]:
         """Record what a turn has spent."""
         return _discard_value(
-            await self._write_entry(lambda epoch: Settle(epoch, spending), timeout_s=KEEP_TIMEOUT_S)
+            await self._write_entry(
+                lambda epoch: Settle(epoch, spending, self.report_load()),
+                timeout_s=KEEP_TIMEOUT_S,
+            )
         )
 
     async def keep(self, turn: KeptTurn) -> Result[None, Failure]:
@@ -192,7 +221,9 @@
             detail = f"turn {turn.turn}: {size} bytes exceed the limit of {MAX_TURN_BYTES}"
             return Err(Failure(ErrorKind.TOO_LARGE, detail))
         return _discard_value(
-            await self._write_entry(lambda epoch: Keep(epoch, turn), timeout_s=KEEP_TIMEOUT_S)
+            await self._write_entry(
+                lambda epoch: Keep(epoch, turn, self.report_load()), timeout_s=KEEP_TIMEOUT_S
+            )
         )
 
     async def find_chain(self, turn: str) -> Result[list[KeptTurn], Failure]:
@@ -316,7 +347,7 @@
         chain = search.complete_chain()
         if chain is not None:
             return Ok(chain)
-        if search.absent_count > len(view.members) - view.acks_needed(self._losses):
+        if search.absent_count >= view.absences_needed(self._losses):
             return Err(Failure(ErrorKind.UNKNOWN_TURN, f"turn {turn} is not stored"))
         assert self._tasks is not None
         self._tasks.start_soon(self.refresh)
--- a/src/bramleylead/ledger/_members.py
+++ b/src/bramleylead/ledger/_members.py
@@ -58,7 +58,27 @@
 
         :param losses: how many members may lose their disks at once.
         """
-        return max(len(self.members) // 2 + 1, losses + 1)
+        return _acks_needed(len(self.members), losses)
+
+    def absences_needed(self, losses: int) -> int:
+        """Return how many members must lack an entry before it is certain that it does not exist.
+
+        The entry may have been committed in the epoch before, while a member joined that had copied
+        the records already, or by a member that has been removed since.
+
+        :param losses: how many members may lose their disks at once.
+        """
+        count = len(self.members)
+        if count <= losses:
+            return count + 1
+        holders = min(_acks_needed(count, losses), _acks_needed(count + 1, losses) - 1)
+        if count - 1 > losses:
+            holders = min(holders, _acks_needed(count - 1, losses))
+        return count - holders + 1
+
+
+def _acks_needed(member_count: int, losses: int) -> int:
+    return max(member_count // 2 + 1, losses + 1)
 
 
 NO_VIEW = LedgerView(0, ())
--- a/src/bramleylead/ledger/_messages.py
+++ b/src/bramleylead/ledger/_messages.py
@@ -8,24 +8,39 @@
 from bramleylead.ledger._members import LedgerView
 from bramleylead.ledger._records import KeptTurn
 from bramleylead.ledger._records import Spending
+from bramleylead.placement._fleet_table import NO_FLEET_LOAD
+from bramleylead.placement._fleet_table import NO_REPORT
+from bramleylead.placement._fleet_table import FleetLoad
+from bramleylead.placement._fleet_table import GatewayLoad
+from bramleylead.placement._fleet_table import LoadReport
 
 
 @message(164)
 class Reserve(NamedTuple):
-    """Reserves the most that a turn may spend; answered by :class:`Reserved`."""
+    """Reserves the most that a turn may spend; answered by :class:`Reserved`.
+
+    :param report: the gateway's own load, with the replica that it plans to use for the turn.
+    :param prompt_parts: the parts of the turn's prompt, to learn where they are cached.
+    """
 
     epoch: int
     spending: Spending
+    report: LoadReport = NO_REPORT
+    prompt_parts: tuple[str, ...] = ()
 
 
 @message(165)
 class Reserved(NamedTuple):
-    """The reservation is on disk; ``spendings`` are all that the node holds for the program."""
+    """The reservation is on disk; ``spendings`` are all that the node holds for the program.
+
+    :param fleet: what the node knows of the load of the other gateways.
+    """
 
     node: str
     disk: str
     epoch: int
     spendings: tuple[Spending, ...]
+    fleet: FleetLoad = NO_FLEET_LOAD
 
 
 @message(166)
@@ -34,6 +49,7 @@
 
     epoch: int
     spending: Spending
+    report: LoadReport = NO_REPORT
 
 
 @message(167)
@@ -42,6 +58,7 @@
 
     epoch: int
     turn: KeptTurn
+    report: LoadReport = NO_REPORT
 
 
 @message(168)
@@ -143,3 +160,10 @@
 
     view: LedgerView
     sources: tuple[str, ...]
+
+
+@message(182)
+class ShareLoads(NamedTuple):
+    """Passes on what gateways have reported to the sending node; answered by ``Done``."""
+
+    loads: tuple[GatewayLoad, ...]
--- a/src/bramleylead/ledger/_mirror.py
+++ b/src/bramleylead/ledger/_mirror.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
 from typing import Any
@@ -64,12 +65,14 @@
     :param as_of: the store's revision of the last answer that the node received.
     :param since_failure_s: seconds since a call of the node to the store last failed; negative if
         none has failed.
+    :param ledger_epoch: the epoch of the node's view of the ledger's members.
     """
 
     full_list: bool
     objects: tuple[MirroredObject, ...]
     as_of: int
     since_failure_s: float
+    ledger_epoch: int = 0
 
 
 class _Change(NamedTuple):
@@ -179,9 +182,15 @@
 
 @final
 class Mirror:
-    """Serves several kinds of objects to gateways."""
+    """Serves several kinds of objects to gateways.
 
-    def __init__(self, kinds: Iterable[str]) -> None:
+    :param ledger_epoch: returns the epoch to report with each answer.
+    """
+
+    def __init__(
+        self, kinds: Iterable[str], *, ledger_epoch: Callable[[], int] = lambda: 0
+    ) -> None:
+        self._ledger_epoch = ledger_epoch
         self.kinds = {kind: MirroredKind(kind) for kind in kinds}
 
     def register_handlers(self, server: PeerServer) -> None:
@@ -198,7 +207,7 @@
         if isinstance(answer, Failure):
             await reply.fail(answer)
         else:
-            await reply.send(answer)
+            await reply.send(answer._replace(ledger_epoch=self._ledger_epoch()))
 
 
 def _to_mirrored(found: PlatformObject, *, removed: bool) -> MirroredObject:
--- a/src/bramleylead/platform/_decode.py
+++ b/src/bramleylead/platform/_decode.py
@@ -90,6 +90,7 @@
         retains_turns=bool(plain.get("retained", False)),
         turn_retention_s=float(plain.get("retention-s", 0.0)),
         resumable=bool(plain.get("resumable", False)),
+        sticky=bool(plain.get("sticky", False)),
     )
 
 
--- a/src/bramleylead/platform/_encode.py
+++ b/src/bramleylead/platform/_encode.py
@@ -56,6 +56,7 @@
         "retained": route.retains_turns,
         "retention-s": route.turn_retention_s,
         "resumable": route.resumable,
+        "sticky": route.sticky,
     }
 
 
--- a/src/bramleylead/platform/_names.py
+++ b/src/bramleylead/platform/_names.py
@@ -16,6 +16,10 @@
 SERVER_LOAD = "bramleylead-server-load"
 NOT_RUN = "bramleylead-not-run"
 LAST_EVENT_ID = "last-event-id"
+AFFINITY_KEY = "bramleylead-affinity-key"
+SERVER_LEAVING = "server-leaving"
+LEAVING = "1"
+"""Value of the header with which a replica announces that it leaves."""
 RETRY_AFTER = "retry-after"
 
 HOP_HEADERS = frozenset(
--- a/src/bramleylead/platform/_wire.py
+++ b/src/bramleylead/platform/_wire.py
@@ -35,6 +35,7 @@
         previous_turn=headers.get(names.PREVIOUS_TURN, ""),
         resume_after=headers.get(names.LAST_EVENT_ID, ""),
         prompt=_parse_prompt(headers.get(names.PROMPT_PREFIX, "")),
+        affinity=headers.get(names.AFFINITY_KEY, ""),
     )
 
 
@@ -76,6 +77,7 @@
         encoded=headers.get("content-encoding", "identity") != "identity",
         load=_parse_load(headers.get(names.SERVER_LOAD, "")),
         keep_alive_s=_parse_keep_alive_s(headers.get("keep-alive", "")),
+        leaving=headers.get(names.SERVER_LEAVING, "").strip() == names.LEAVING,
     )
 
 
--- a/testing/gateway/_site.py
+++ b/testing/gateway/_site.py
@@ -20,8 +20,8 @@
 from bramleylead.gateway._budgets import Budgets
 from bramleylead.gateway._connection_pool import ConnectionPool
 from bramleylead.gateway._directory import Directory
+from bramleylead.gateway._load_reporter import LoadReporter
 from bramleylead.gateway._plain_calls import PlainCalls
-from bramleylead.gateway._replica_selector import ReplicaSelector
 from bramleylead.gateway._sender import Sender
 from bramleylead.gateway._streams import StreamCalls
 from bramleylead.gateway._turn_history import TurnHistory
@@ -33,9 +33,13 @@
 from bramleylead.gateway._types import Route
 from bramleylead.gateway._types import Service
 from bramleylead.gateway._types import Share
+from bramleylead.ledger._client import Reservation
 from bramleylead.ledger._records import KeptTurn
 from bramleylead.ledger._records import Spending
 from bramleylead.ledger._records import merge_spendings
+from bramleylead.placement._fleet_table import NO_FLEET_LOAD
+from bramleylead.placement._fleet_table import FleetLoad
+from bramleylead.placement._replica_selector import ReplicaSelector
 from bramleylead.standins import FakeNetwork
 from testing.asgi_client import RawRequest
 from testing.asgi_client import send
@@ -167,14 +171,16 @@
         self.turns: dict[str, KeptTurn] = {}
         self.spendings: list[Spending] = []
         self.unavailable = False
+        self.fleet_load: FleetLoad = NO_FLEET_LOAD
 
-    async def reserve(self, spending: Spending) -> Result[dict[str, Spending], Failure]:
+    async def reserve(
+        self, spending: Spending, *, prompt_parts: tuple[str, ...] = ()
+    ) -> Result[Reservation, Failure]:
         if self.unavailable:
             return self._failure()
         self.spendings.append(spending)
-        return Ok(
-            merge_spendings([[item for item in self.spendings if item.program == spending.program]])
-        )
+        spendings = [item for item in self.spendings if item.program == spending.program]
+        return Ok(Reservation(merge_spendings([spendings]), self.fleet_load))
 
     async def settle(self, spending: Spending) -> Result[None, Failure]:
         if self.unavailable:
@@ -231,7 +237,12 @@
         view = self.network.view(GATEWAY_IP)
         self.connections = ConnectionPool(view, id_header=REQUEST_ID_HEADER)
         sender = Sender(
-            self.directory, self.connections, self.selector, data_centre="d", regions={"d": "r"}
+            self.directory,
+            self.connections,
+            self.selector,
+            LoadReporter("g0", self.selector),
+            data_centre="d",
+            regions={"d": "r"},
         )
         budgets = Budgets(self.ledger, tasks)  # type: ignore[arg-type]
         history = TurnHistory(self.ledger)  # type: ignore[arg-type]
--- a/testing/gateway/test_mirrored_store.py
+++ b/testing/gateway/test_mirrored_store.py
@@ -62,6 +62,8 @@
         self.store = FakeObjects()
         self.directory = Directory()
         self.mirrors: dict[int, Mirror] = {}
+        self.members = MEMBERS
+        self.ledger: LedgerClient | None = None
 
     @property
     def version(self) -> int:
@@ -75,7 +77,7 @@
         view = self.network.view(node_host(i))
         server = PeerServer(node=f"s{i}", cluster_key=KEY)
         server.handle(AskState, self._send_state)
-        mirror = Mirror(KINDS)
+        mirror = Mirror(KINDS, ledger_epoch=lambda: self.members.epoch)
         self.mirrors[i] = mirror
         mirror.register_handlers(server)
         async with anyio.create_task_group() as tasks:
@@ -86,7 +88,7 @@
             await view.serve(f"{node_host(i)}:7000", server.serve_stream)
 
     async def _send_state(self, request: AskState, reply: Reply) -> None:
-        await reply.send(NodeState("s2", "disk2", "run", MEMBERS))
+        await reply.send(NodeState("s2", "disk2", "run", self.members))
 
     async def run_gateway(self) -> None:
         network = self.network.view(GATEWAY_IP)
@@ -102,6 +104,7 @@
             ) as ledger,
             anyio.create_task_group() as tasks,
         ):
+            self.ledger = ledger
             store = MonitoredStore(self.store.source_for("g"))
             tasks.start_soon(store.run)
             objects = MirroredStore(
@@ -146,6 +149,15 @@
 
         self.run_site(main)
 
+    def test_a_gateway_without_turns_learns_of_new_members_of_the_ledger(self) -> None:
+        # A gateway that is then cut off must not judge by the members of the first second.
+        async def main(site: Site) -> None:
+            site.members = MEMBERS._replace(epoch=MEMBERS.epoch + 4)
+            with anyio.fail_after(3):
+                await wait_until(lambda: site.ledger.view.epoch == site.members.epoch)
+
+        self.run_site(main)
+
     def test_another_node_replaces_an_unreachable_one(self) -> None:
         async def main(site: Site) -> None:
             site.network.cut(GATEWAY_IP, node_host(0))
--- a/testing/ledger/_fleet.py
+++ b/testing/ledger/_fleet.py
@@ -158,6 +158,7 @@
                 node.register_handlers(server)
                 self.nodes[i] = node
                 tasks.start_soon(node.run_writer)
+                tasks.start_soon(node.run_load_sharing)
                 await tasks.start(
                     lambda task_status: view.serve(
                         address, server.serve_stream, task_status=task_status
--- a/testing/ledger/test_entries.py
+++ b/testing/ledger/test_entries.py
@@ -10,9 +10,12 @@
 
 from bramleylead.connection._codec import MAX_FRAME_BYTES
 from bramleylead.errors import ErrorKind
+from bramleylead.ledger._members import LedgerMember
+from bramleylead.ledger._members import LedgerView
 from bramleylead.ledger._records import Spending
 from bramleylead.standins import run_virtual
 from testing.ledger._fleet import LOSSES
+from testing.ledger._fleet import PORT
 from testing.ledger._fleet import Ledger
 from testing.ledger._fleet import gateway_host
 from testing.ledger._fleet import host
@@ -149,13 +152,68 @@
         run_with_ledger(main)
 
 
+class UnknownTurnTest(unittest.TestCase):
+    """A turn is only said to be unknown if enough members lack it."""
+
+    def test_a_gateway_that_knows_too_few_members_does_not_deny_a_turn(self) -> None:
+        # A gateway that learnt of the first members only, and was then cut off from all of them,
+        # needed no member at all to lack the turn.
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            async with ledger.gateway(0) as gateway, ledger.gateway(1) as other:
+                self.assertTrue((await other.keep(turn("a"))).is_ok())
+                few = LedgerView(1, (ledger.nodes[0].own_entry,))
+                gateway._adopt(few, source="a test")
+                for i in range(3):
+                    ledger.network.cut(gateway_host(0), host(i))
+                ledger.members.unavailable = True
+                found = await gateway.find_chain("a")
+                self.assertEqual(found.err_value.kind, ErrorKind.NOT_DURABLE)
+
+        run_with_ledger(main)
+
+    def test_a_turn_committed_while_a_node_joined_is_not_denied(self) -> None:
+        # It is on two of three disks; the joining node had copied the records before.
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            async with ledger.gateway(0) as gateway:
+                self.assertTrue((await gateway.keep(turn("a"))).is_ok())
+                before = ledger.nodes[0].view
+                joined = LedgerMember("s3", f"{host(3)}:{PORT}", "disk-3", "d0")
+                after = before.with_member(joined)
+                lacking = len(after.members) - before.acks_needed(LOSSES)
+                self.assertEqual(lacking, 2)
+                self.assertGreater(after.absences_needed(LOSSES), lacking)
+
+        run_with_ledger(main)
+
+    def test_an_entry_of_the_epoch_before_is_never_denied(self) -> None:
+        members = [LedgerMember(f"s{i}", "", f"disk-{i}") for i in range(9)]
+        for losses in (1, 2):
+            for count in range(losses + 1, 8):
+                view = LedgerView(1, tuple(members[:count]))
+                lacking = count - view.acks_needed(losses)
+                for after, joined in (
+                    (view.with_member(members[8]), 1),
+                    (view.without("s0"), 0),
+                    (view.without(f"s{count - 1}"), -1),
+                ):
+                    self.assertGreater(after.absences_needed(losses), lacking + joined)
+
+    def test_a_turn_that_no_member_has_is_unknown(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            async with ledger.gateway(0) as gateway:
+                found = await gateway.find_chain("never kept")
+                self.assertEqual(found.err_value.kind, ErrorKind.UNKNOWN_TURN)
+
+        run_with_ledger(main)
+
+
 class SpendingTest(unittest.TestCase):
     def test_a_settled_turn_is_charged_what_it_spent(self) -> None:
         async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
             async with ledger.gateway(0) as gateway:
                 await gateway.reserve(Spending("p", "a", 100, False))
                 await gateway.settle(Spending("p", "a", 7, True))
-                known = (await gateway.reserve(Spending("p", "b", 100, False))).unwrap()
+                known = (await gateway.reserve(Spending("p", "b", 100, False))).unwrap().spendings
                 self.assertEqual(known["a"].tokens, 7)
 
         run_with_ledger(main)
@@ -171,7 +229,7 @@
 
                     async def reserve(gateway, turn_, program=program, seen=seen) -> None:
                         spending = Spending(program, turn_, 100, False)
-                        seen[turn_] = (await gateway.reserve(spending)).unwrap()
+                        seen[turn_] = (await gateway.reserve(spending)).unwrap().spendings
 
                     async with anyio.create_task_group() as both:
                         both.start_soon(reserve, near, "a")
@@ -191,7 +249,7 @@
                 await ledger.wait_for_members(held)
                 other = next(i for i in range(3) if i != held)
                 ledger.kill(other)
-                known = (await gateway.reserve(Spending("p", "b", 100, False))).unwrap()
+                known = (await gateway.reserve(Spending("p", "b", 100, False))).unwrap().spendings
                 self.assertEqual(sorted(known), ["a", "b"])
 
         run_with_ledger(main)
--- a/testing/gateway/test_replica_health.py
+++ b/testing/placement/test_replica_health.py
@@ -8,9 +8,9 @@
 
 import anyio
 
-from bramleylead.gateway._replica_health import MAX_EJECTED_SHARE
-from bramleylead.gateway._replica_health import MAX_EJECTION_S
-from bramleylead.gateway._replica_health import ReplicaHealth
+from bramleylead.placement._replica_health import MAX_EJECTED_SHARE
+from bramleylead.placement._replica_health import MAX_EJECTION_S
+from bramleylead.placement._replica_health import ReplicaHealth
 from bramleylead.standins import run_virtual
 
 NAMES = [f"i-{i}" for i in range(6)]
--- a/testing/gateway/test_replica_selector.py
+++ b/testing/placement/test_replica_selector.py
@@ -8,11 +8,11 @@
 
 import anyio
 
-from bramleylead.gateway._replica_health import MAX_EJECTION_S
-from bramleylead.gateway._replica_selector import REPORTED_LOAD_DECAY_S
-from bramleylead.gateway._replica_selector import Candidate
-from bramleylead.gateway._replica_selector import Prompt
-from bramleylead.gateway._replica_selector import ReplicaSelector
+from bramleylead.placement._replica_health import MAX_EJECTION_S
+from bramleylead.placement._replica_selector import REPORTED_LOAD_DECAY_S
+from bramleylead.placement._replica_selector import Candidate
+from bramleylead.placement._replica_selector import Prompt
+from bramleylead.placement._replica_selector import ReplicaSelector
 from bramleylead.standins import run_virtual
 
 NEAR = Candidate("near", 4, 50_000, True, True)
