Report placements at once, keep last slots free; answer partial requests at a stop; end stalled streams

Change: two members are told of each placement at once; a replica's last 1.5 slots cost as much as a part of a turn (100,000 tokens a slot), so few slots weigh more. A stop closed connections with a part of a request; now the request is answered. 3. The progress timeout of engine streams began anew with every byte; now only events count, and two resumes without one end the call.

--- a/src/bramleylead/backends/_http_stream.py
+++ b/src/bramleylead/backends/_http_stream.py
@@ -30,6 +30,7 @@
 CANCEL_TIMEOUT_S = 1.0
 RESUME_TIMEOUT_S = 2.0
 DRAIN_TIMEOUT_S = 0.2
+MAX_RESUMES_WITHOUT_EVENT = 2
 MAX_ERROR_BYTES = 10_000
 DONE = b"[DONE]"
 STREAM_HEADERS = {"content-type": "application/json", "accept": "text/event-stream"}
@@ -102,14 +103,20 @@
                 error = await self._resume(error.detail)
             if error is not None:
                 return Err(error)
+        deadline = anyio.current_time() + self._progress_timeout_s
+        resumes_before = self.resumes
         while not self._pending_chunks:
-            problem = await self._read_part()
+            problem = await self._read_part(deadline)
             if isinstance(problem, BackendError):
                 return Err(problem)
             if problem:
                 error = await self._resume(problem)
                 if error is not None:
                     return Err(error)
+                if self.resumes - resumes_before > MAX_RESUMES_WITHOUT_EVENT:
+                    detail = f"{self._name}: {problem}; resumed without success"
+                    return Err(BackendError(BackendErrorKind.LOST, detail))
+                deadline = anyio.current_time() + self._progress_timeout_s
         chunk = self._pending_chunks.pop(0)
         self._received += chunk.tokens
         if chunk.tokens and self._stream is not None:
@@ -153,10 +160,13 @@
             self._may_have_run = False
         return error
 
-    async def _read_part(self) -> BackendError | str:
-        """Read one part of the body; returns why the connection is unusable, or ``""``."""
+    async def _read_part(self, deadline: float) -> BackendError | str:
+        """Read one part of the body; returns why the connection is unusable, or ``""``.
+
+        :param deadline: when the next event must be complete. Single bytes are no progress.
+        """
         assert self._stream is not None
-        with anyio.move_on_after(self._progress_timeout_s):
+        with anyio.CancelScope(deadline=deadline):
             try:
                 part = await anext(self._stream.body)
             except StopAsyncIteration:
@@ -164,7 +174,7 @@
             except HTTP_ERRORS as error:
                 return f"{type(error).__name__}: {error}"
             return self._parse_part(part)
-        return f"silent for {self._progress_timeout_s:g} s"
+        return f"no event for {self._progress_timeout_s:g} s"
 
     def _parse_part(self, part: bytes) -> BackendError | str:
         try:
--- a/src/bramleylead/gateway/_load_reporter.py
+++ b/src/bramleylead/gateway/_load_reporter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import final
 
 from bramleylead.placement._fleet_table import LoadReport
@@ -16,13 +17,21 @@
     """The running requests of a gateway, and where its latest turns ran.
 
     :param node: identifies the gateway.
+    :param send_now: sends a report in the background, without waiting for another message.
     """
 
-    def __init__(self, node: str, selector: ReplicaSelector) -> None:
+    def __init__(
+        self, node: str, selector: ReplicaSelector, *, send_now: Callable[[], None] = lambda: None
+    ) -> None:
         self._node = node
         self._selector = selector
+        self._send_now = send_now
         self._prompts: list[tuple[str, tuple[str, ...]]] = []
 
+    def report_placement(self) -> None:
+        """Report at once that a turn was placed, so that others don't choose the same replica."""
+        self._send_now()
+
     def record_turn(self, replica: str, prompt: Prompt) -> None:
         """Record that a replica has run a turn and has its prompt cached."""
         if prompt.parts and len(self._prompts) < MAX_PROMPTS_PER_REPORT:
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -81,7 +81,7 @@
             on_store_failure=self.directory.record_store_failure,
             patience_s=START_PATIENCE_S if settings.ledger_seeds else 0.0,
         )
-        reporter = LoadReporter(settings.node, self._selector)
+        reporter = LoadReporter(settings.node, self._selector, send_now=ledger.report_placement)
         ledger.report_load = reporter.report
         sender = Sender(
             self.directory,
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -4,9 +4,7 @@
 
 from collections.abc import AsyncIterator
 from collections.abc import Iterable
-from collections.abc import Iterator
 from contextlib import asynccontextmanager
-from contextlib import contextmanager
 from typing import NamedTuple
 from typing import final
 
@@ -112,21 +110,6 @@
         )
         return by_name[chosen.name]
 
-    @contextmanager
-    def planned(self, call: Call, service: str) -> Iterator[None]:
-        """Count a request as running at the replica that would be chosen now.
-
-        A turn is placed again once its budget is reserved. Until then, the gateways that place
-        turns at the same moment should not all choose the same replica.
-        """
-        candidates = self._candidates(call, service, self._directory.replicas(service))
-        planned = self._selector.plan(candidates, prompt_of(call))
-        try:
-            yield
-        finally:
-            if planned is not None:
-                self._selector.cancel_plan(planned.name)
-
     def record_fleet_load(self, call: Call, load: FleetLoad) -> None:
         """Record the load of all other gateways, as learned with a turn's reservation."""
         if load.running or load.holders:
@@ -172,6 +155,8 @@
         spec = call.configuration.services.get(replica.service)
         candidate = self._candidate(replica, None if spec is None else spec.engine)
         self._selector.start_request(candidate, prompt_of(call))
+        if call.metadata.budget_tokens is not None:
+            self._reporter.report_placement()
         try:
             acquired = await self._connections.acquire(replica)
             if isinstance(acquired, Err):
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -166,8 +166,7 @@
     async def _reserve(self, call: Call, body: bytes) -> Result[_PreparedRequest, Failure]:
         """Reserve a turn's budget, unless the replicas are too full for the turn to start."""
         service = pick_service(call.route)
-        with self._sender.planned(call, service):
-            reserved = await self._budgets.reserve(call.metadata)
+        reserved = await self._budgets.reserve(call.metadata)
         if isinstance(reserved, Err):
             return reserved
         reservation = reserved.ok_value
--- a/src/bramleylead/http/_server.py
+++ b/src/bramleylead/http/_server.py
@@ -149,6 +149,7 @@
 
     _header_timer: asyncio.TimerHandle | None = None
     _received_any = False
+    _stopping = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         super().connection_made(transport)
@@ -166,6 +167,17 @@
         if self._request_in_progress():
             self._cancel_header_timer()
 
+    def shutdown(self) -> None:
+        """Close the connection at a stop, unless a request has arrived in part.
+
+        Such a request is answered, and the application then closes the connection; a caller that
+        does not send the rest is stopped by the header timeout.
+        """
+        self._stopping = True
+        if self._received_any and not self._request_in_progress():
+            return
+        super().shutdown()
+
     def send_400_response(self, msg: str) -> None:
         """Refuse a request that h11 could not parse; called while the h11 error is handled."""
         error = sys.exc_info()[1]
@@ -179,6 +191,8 @@
     def on_response_complete(self) -> None:
         self._received_any = False
         super().on_response_complete()
+        if self._stopping:
+            self.transport.close()
 
     def _send_refusal(self, failure: Failure) -> None:
         self._cancel_header_timer()
--- a/src/bramleylead/ledger/_client.py
+++ b/src/bramleylead/ledger/_client.py
@@ -31,6 +31,7 @@
 from bramleylead.ledger._messages import AskState
 from bramleylead.ledger._messages import Keep
 from bramleylead.ledger._messages import NodeState
+from bramleylead.ledger._messages import ReportLoad
 from bramleylead.ledger._messages import Reserve
 from bramleylead.ledger._messages import Settle
 from bramleylead.ledger._records import KeptTurn
@@ -55,6 +56,10 @@
 STATE_TIMEOUT_S = 0.5
 MAX_ATTEMPTS = 3
 RETRY_AFTER_S = 0.3
+PLACEMENT_REPORTS = 2
+"""Members told of each placement. They tell the others some time later, and with one only, more
+turns meet at a replica in the meantime."""
+PLACEMENT_REPORT_TIMEOUT_S = 0.5
 
 log = structlog.get_logger()
 
@@ -209,6 +214,20 @@
         spendings = merge_spendings(ack.spendings for ack in acks.ok_value)
         return Ok(Reservation(spendings, merge_fleet_loads(ack.fleet for ack in acks.ok_value)))
 
+    def report_placement(self) -> None:
+        """Tell the nearest members in the background that a turn was placed."""
+        assert self._tasks is not None, "LedgerClient is used outside its context"
+        if self.is_unavailable:
+            return
+        report = ReportLoad(self.report_load())
+        for member in self.members_by_distance()[:PLACEMENT_REPORTS]:
+            self._tasks.start_soon(self._send_report, member, report)
+
+    async def _send_report(self, member: LedgerMember, report: ReportLoad) -> None:
+        await self._peers.request(
+            member.address, report, timeout_s=PLACEMENT_REPORT_TIMEOUT_S, idempotent=False
+        )
+
     async def settle(self, spending: Spending) -> Result[None, Failure]:
         """Record what a turn has spent."""
         return _discard_value(
--- a/src/bramleylead/ledger/_messages.py
+++ b/src/bramleylead/ledger/_messages.py
@@ -19,7 +19,7 @@
 class Reserve(NamedTuple):
     """Reserves the most that a turn may spend; answered by :class:`Reserved`.
 
-    :param report: the gateway's own load, with the replica that it plans to use for the turn.
+    :param report: the gateway's own load.
     :param prompt_parts: the parts of the turn's prompt, to learn where they are cached.
     """
 
@@ -169,3 +169,10 @@
     """Passes on what gateways have reported to the sending node; answered by ``Done``."""
 
     loads: tuple[GatewayLoad, ...]
+
+
+@message(183)
+class ReportLoad(NamedTuple):
+    """Reports a gateway's load right after it has placed a turn; answered by ``Done``."""
+
+    report: LoadReport
--- a/src/bramleylead/ledger/_node.py
+++ b/src/bramleylead/ledger/_node.py
@@ -35,6 +35,7 @@
 from bramleylead.ledger._messages import NodeState
 from bramleylead.ledger._messages import OnDisk
 from bramleylead.ledger._messages import Records
+from bramleylead.ledger._messages import ReportLoad
 from bramleylead.ledger._messages import Reserve
 from bramleylead.ledger._messages import Reserved
 from bramleylead.ledger._messages import Settle
@@ -187,6 +188,7 @@
         server.handle(AskRecords, self._ask_records)
         server.handle(CatchUp, self._catch_up)
         server.handle(ShareLoads, self._record_shared_loads)
+        server.handle(ReportLoad, self._record_report)
 
     async def adopt(self, view: LedgerView) -> None:
         """Adopt a later view; entries for an earlier epoch are refused from then on.
@@ -286,6 +288,10 @@
             answer = Reserved(self._node, self._disk.name, self._view.epoch, known, load)
             await reply.send(answer)
 
+    async def _record_report(self, request: ReportLoad, reply: Reply) -> None:
+        self._fleet.record(request.report, now=anyio.current_time())
+        await reply.send(Done())
+
     async def _record_shared_loads(self, request: ShareLoads, reply: Reply) -> None:
         self._fleet.record_shared(request.loads, now=anyio.current_time())
         await reply.send(Done())
--- a/src/bramleylead/placement/_replica_selector.py
+++ b/src/bramleylead/placement/_replica_selector.py
@@ -27,7 +27,11 @@
 
 RUNNING_COST_TOKENS = 2_400.0
 """Each running request slows down all others on the replica, and the new one."""
-QUEUED_COST_TOKENS = 8_000.0
+FULL_TURN_COST_TOKENS = 100_000.0
+"""Cost of waiting for a whole turn. With more slots, the next one is free sooner."""
+SPARE_SLOTS = 1.5
+"""A replica's last slots are left free as long as others have room, since its load is never known
+exactly."""
 OTHER_DATA_CENTRE_COST_TOKENS = 400.0
 OTHER_REGION_COST_TOKENS = 5_000.0
 SIMILAR_COST_TOKENS = 900.0
@@ -93,22 +97,6 @@
         self._turn += 1
         return similar[(self._turn - 1) % len(similar)]
 
-    def plan(self, candidates: Sequence[Candidate], prompt: Prompt) -> Candidate | None:
-        """Return the candidate that would be chosen now, and count a request there.
-
-        The count ends with :meth:`cancel_plan`.
-        """
-        similar = self._cheapest(candidates, prompt)
-        if not similar:
-            return None
-        planned = similar[self._turn % len(similar)]
-        self._count_start(planned.name)
-        return planned
-
-    def cancel_plan(self, name: str) -> None:
-        """Stop counting a planned request."""
-        self._count_end(name)
-
     def _cheapest(self, candidates: Sequence[Candidate], prompt: Prompt) -> list[Candidate]:
         """Return the candidates of the lowest cost and those that are nearly as good."""
         if not candidates:
@@ -129,8 +117,10 @@
     def cost(self, candidate: Candidate, prompt: Prompt) -> float:
         """Return the cost of running a request on a healthy replica, in tokens."""
         running = self.running(candidate.name)
-        queued = max(0.0, running + 1 - candidate.slots) if candidate.slots else 0.0
-        cost = RUNNING_COST_TOKENS * running + QUEUED_COST_TOKENS * queued
+        cost = RUNNING_COST_TOKENS * running
+        if candidate.slots:
+            queued = max(0.0, running + 1 - (candidate.slots - SPARE_SLOTS))
+            cost += queued * FULL_TURN_COST_TOKENS / candidate.slots
         cost += self._uncached_tokens(candidate.name, prompt)
         if not candidate.same_region:
             return cost + OTHER_REGION_COST_TOKENS
--- a/testing/backends/test_http.py
+++ b/testing/backends/test_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import unittest
 from collections.abc import Awaitable
@@ -34,6 +35,7 @@
 
 FAST = EXACT.model_copy(update={"step_base_ms": 0.2, "checks_fence": True})
 PROGRESS_TIMEOUT_S = 0.3
+CLOSED_ERRORS = (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream)
 
 
 def with_engine(body: Callable[[FakeEngine, Any], Awaitable[Any]], settings: Any = FAST) -> Any:
@@ -88,6 +90,18 @@
     return data
 
 
+def tolerant(
+    handler: Callable[[SocketStream], Awaitable[None]],
+) -> Callable[[SocketStream], Awaitable[None]]:
+    """Return a handler that ends when the client closes its connection."""
+
+    async def handle(stream: SocketStream) -> None:
+        with contextlib.suppress(*CLOSED_ERRORS):
+            await handler(stream)
+
+    return handle
+
+
 def reply(status: str, body: str, headers: str = "") -> bytes:
     head = f"HTTP/1.1 {status}\r\ncontent-length: {len(body)}\r\n{headers}\r\n"
     return (head + body).encode()
@@ -132,6 +146,23 @@
 
         with_engine(body)
 
+    def test_a_stalled_stream_that_sends_a_byte_now_and_then_is_lost(self) -> None:
+        async def trickle(stream: SocketStream) -> None:
+            async with stream:
+                await read_request(stream)
+                await stream.send(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+                while True:
+                    await anyio.sleep(PROGRESS_TIMEOUT_S / 4)
+                    await stream.send(b"1\r\n:\r\n")
+
+        async def body(backends: HttpBackends, address: str) -> None:
+            client = backends.engine("e", endpoint(EndpointKind.ENGINE, address))
+            with anyio.fail_after(20 * PROGRESS_TIMEOUT_S):
+                _, _, error = await collect(client, ask())
+            self.assertEqual(error.kind, BackendErrorKind.LOST)
+
+        with_raw_server(tolerant(trickle), body)
+
     def test_a_call_to_a_hung_engine_is_lost(self) -> None:
         async def body(engine: FakeEngine, client: Any) -> None:
             engine.hang()
--- a/testing/http/test_server.py
+++ b/testing/http/test_server.py
@@ -89,6 +89,21 @@
         serve(node, body)
         self.assertIs(signal.getsignal(signal.SIGTERM), before)
 
+    def test_a_request_of_which_a_part_has_arrived_is_answered_despite_a_stop(self) -> None:
+        # Under load, a stop cut off connections whose request had arrived in part.
+        async def body(server: HttpServer, address: str) -> None:
+            request = b"GET /v1/programs/x HTTP/1.1\r\nhost: a\r\n\r\n"
+            async with await anyio.connect_tcp(*split_address(address)) as stream:
+                await stream.send(request[:20])
+                await anyio.sleep(0.1)
+                server.stop(grace_s=10)
+                await anyio.sleep(0.1)
+                await stream.send(request[20:])
+                response = await _read_all(stream)
+            self.assertTrue(response.startswith(b"HTTP/1.1 401"), response[:80])
+
+        serve(FakeNode([]), body)
+
     def test_connections_have_tcp_nodelay_set(self) -> None:
         """Without an explicit protocol on the listener socket, each first token was 40 ms late."""
         node = FakeNode([AnswerChunk(0, "hel", 1), 60.0, answer_end("hel")])
