--- a/testing/placement/test_replica_selector.py
+++ b/testing/placement/test_replica_selector.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from bramleylead.placement._fleet_table import FleetLoad
 from bramleylead.placement._replica_health import MAX_EJECTION_S
 from bramleylead.placement._replica_selector import REPORTED_LOAD_DECAY_S
 from bramleylead.placement._replica_selector import Candidate
@@ -108,6 +109,46 @@
 
         run_with_selector(main)
 
+    def test_requests_on_the_same_object_go_to_the_same_replica_while_it_has_room(self) -> None:
+        async def main(selector: ReplicaSelector) -> None:
+            group = [NEAR._replace(name=f"i{number}") for number in range(4)]
+            prompt = Prompt((), affinity="object-1")
+            names = {selector.choose(group, prompt).name for _ in range(8)}
+            self.assertEqual(len(names), 1)
+            preferred = next(candidate for candidate in group if candidate.name in names)
+            for _ in range(3):
+                selector.start_request(preferred, prompt)
+            self.assertNotEqual(selector.choose(group, prompt).name, preferred.name)
+
+        run_with_selector(main)
+
+    def test_the_load_of_other_gateways_counts(self) -> None:
+        async def main(selector: ReplicaSelector) -> None:
+            selector.record_fleet_load(FleetLoad({"near": 4}, ()), EMPTY_PROMPT)
+            self.assertEqual(self.choose(selector), "far")
+
+        run_with_selector(main)
+
+    def test_a_prompt_is_sent_where_another_gateway_had_it_run(self) -> None:
+        async def main(selector: ReplicaSelector) -> None:
+            holders = (("far",), ("far",))
+            selector.record_fleet_load(FleetLoad({}, holders), LONG_PROMPT)
+            self.assertEqual(self.choose(selector, LONG_PROMPT), "far")
+
+        run_with_selector(main)
+
+    def test_a_session_is_sent_where_its_latest_turn_ran(self) -> None:
+        async def main(selector: ReplicaSelector) -> None:
+            pair = [NEAR, NEAR._replace(name="next")]
+            selector.start_request(NEAR, Prompt((("session", 2_000),)))
+            selector.end_request("near")
+            longer = Prompt((("session", 9_000),))
+            selector.record_fleet_load(FleetLoad({}, (("next", "near"),)), longer)
+            for _ in range(4):
+                self.assertEqual(selector.choose(pair, longer).name, "next")
+
+        run_with_selector(main)
+
     def test_without_candidates_none_is_chosen(self) -> None:
         async def main(selector: ReplicaSelector) -> None:
             self.assertIsNone(selector.choose([], EMPTY_PROMPT))
