--- a/src/bramleylead/_event_loop.py
+++ b/src/bramleylead/_event_loop.py
@@ -21,9 +21,7 @@
         super().__init__()
         self._skipped_polls = 0
 
-    def select(
-        self, timeout: float | None = None
-    ) -> list[tuple[selectors.SelectorKey, selectors._EventMask]]:
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         """Wait for events; without a wait, return none unless many polls were skipped."""
         is_poll = timeout is not None and timeout <= 0
         if is_poll and self._skipped_polls < MAX_SKIPPED_POLLS:
--- a/src/bramleylead/gateway/_app.py
+++ b/src/bramleylead/gateway/_app.py
@@ -16,9 +16,6 @@
 from bramleylead.gateway._directory import Directory
 from bramleylead.gateway._plain_calls import PlainCalls
 from bramleylead.gateway._streams import StreamCalls
-from bramleylead.gateway._types import CallKind
-from bramleylead.gateway._types import CallMetadata
-from bramleylead.gateway._types import Route
 from bramleylead.gateway._upstream import ResponseHead
 from bramleylead.http._exchange import Exchange
 from bramleylead.http._exchange import Receive
@@ -28,6 +25,9 @@
 from bramleylead.http._responses import encode_json
 from bramleylead.platform import _names as names
 from bramleylead.platform import _wire as wire
+from bramleylead.platform._types import CallKind
+from bramleylead.platform._types import CallMetadata
+from bramleylead.platform._types import Route
 
 log = structlog.get_logger()
 
--- a/src/bramleylead/gateway/_budgets.py
+++ b/src/bramleylead/gateway/_budgets.py
@@ -15,12 +15,12 @@
 
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
-from bramleylead.gateway._types import CallMetadata
 from bramleylead.ledger._client import LedgerClient
 from bramleylead.ledger._records import Spending
 from bramleylead.placement._admission import Progress
 from bramleylead.placement._fleet_table import NO_FLEET_LOAD
 from bramleylead.placement._fleet_table import FleetLoad
+from bramleylead.platform._types import CallMetadata
 
 RESERVATION_ID_BYTES = 4
 SETTLE_RETRY_DELAYS_S = (0.3, 0.6, 1.2, 2.4, 4.8)
--- a/src/bramleylead/gateway/_call.py
+++ b/src/bramleylead/gateway/_call.py
@@ -6,11 +6,11 @@
 
 import anyio
 
-from bramleylead.gateway._types import CallMetadata
-from bramleylead.gateway._types import Configuration
-from bramleylead.gateway._types import Replica
-from bramleylead.gateway._types import Route
 from bramleylead.gateway._upstream import ResponseHead
+from bramleylead.platform._types import CallMetadata
+from bramleylead.platform._types import Configuration
+from bramleylead.platform._types import Replica
+from bramleylead.platform._types import Route
 
 Headers = list[tuple[str, str]]
 SERVER_ERROR_STATUS = 500
--- a/src/bramleylead/gateway/_connection_pool.py
+++ b/src/bramleylead/gateway/_connection_pool.py
@@ -11,8 +11,8 @@
 from result import Result
 
 from bramleylead.connection import Network
-from bramleylead.gateway._types import Replica
 from bramleylead.gateway._upstream import UpstreamConnection
+from bramleylead.platform._types import Replica
 
 CONNECT_TIMEOUT_S = 0.4
 """Shorter than the second after which TCP resends a lost SYN: trying another replica is faster."""
--- a/src/bramleylead/gateway/_directory.py
+++ b/src/bramleylead/gateway/_directory.py
@@ -13,8 +13,8 @@
 import anyio
 import structlog
 
-from bramleylead.gateway._types import Configuration
-from bramleylead.gateway._types import Replica
+from bramleylead.platform._types import Configuration
+from bramleylead.platform._types import Replica
 
 EXPIRY_WINDOW_S = 6.0
 """An entry removed this soon after a store failure may only have expired during the failure."""
--- a/src/bramleylead/gateway/_followers.py
+++ b/src/bramleylead/gateway/_followers.py
@@ -8,13 +8,13 @@
 import structlog
 
 from bramleylead.gateway._directory import Directory
-from bramleylead.gateway._types import Replica
 from bramleylead.platform import _names as names
 from bramleylead.platform._decode import UnreadableError
 from bramleylead.platform._decode import read_configuration
 from bramleylead.platform._decode import read_replica
 from bramleylead.platform._objects import ObjectChange
 from bramleylead.platform._objects import PlatformObject
+from bramleylead.platform._types import Replica
 
 log = structlog.get_logger()
 
--- a/src/bramleylead/gateway/_plain_calls.py
+++ b/src/bramleylead/gateway/_plain_calls.py
@@ -20,8 +20,8 @@
 from bramleylead.gateway._sender import Sender
 from bramleylead.gateway._sender import StartedResponse
 from bramleylead.gateway._sender import read_complete
-from bramleylead.gateway._types import Replica
-from bramleylead.gateway._types import Route
+from bramleylead.platform._types import Replica
+from bramleylead.platform._types import Route
 
 MAX_UNREACHED_REPLICAS = 4
 """Replicas that are unreachable or replaced don't count as attempts; this limits their number."""
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -20,10 +20,6 @@
 from bramleylead.gateway._connection_pool import ConnectionPool
 from bramleylead.gateway._directory import Directory
 from bramleylead.gateway._load_reporter import LoadReporter
-from bramleylead.gateway._types import CallKind
-from bramleylead.gateway._types import EngineSpec
-from bramleylead.gateway._types import Replica
-from bramleylead.gateway._types import ResponseMetadata
 from bramleylead.gateway._upstream import RequestHead
 from bramleylead.gateway._upstream import ResponseHead
 from bramleylead.gateway._upstream import UpstreamConnection
@@ -37,6 +33,10 @@
 from bramleylead.placement._replica_selector import Prompt
 from bramleylead.placement._replica_selector import ReplicaSelector
 from bramleylead.platform import _wire as wire
+from bramleylead.platform._types import CallKind
+from bramleylead.platform._types import EngineSpec
+from bramleylead.platform._types import Replica
+from bramleylead.platform._types import ResponseMetadata
 
 MISDIRECTED_STATUS = 421
 MAX_RESPONSE_BYTES = 64_000_000
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -29,10 +29,10 @@
 from bramleylead.gateway._sender import StartedResponse
 from bramleylead.gateway._sender import read_complete
 from bramleylead.gateway._turn_history import TurnHistory
-from bramleylead.gateway._types import Replica
 from bramleylead.gateway._upstream import ResponseHead
 from bramleylead.gateway._upstream import UpstreamError
 from bramleylead.ledger._records import KeptTurn
+from bramleylead.platform._types import Replica
 
 OK_STATUS = 200
 
--- a/src/bramleylead/ledger/_client.py
+++ b/src/bramleylead/ledger/_client.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import random
-from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
 from types import TracebackType
@@ -25,12 +23,13 @@
 from bramleylead.ledger._answers import ChainSearch
 from bramleylead.ledger._answers import EntryRound
 from bramleylead.ledger._answers import request_member
-from bramleylead.ledger._members import NO_VIEW
+from bramleylead.ledger._known_members import STATE_TIMEOUT_S
+from bramleylead.ledger._known_members import KnownMembers
+from bramleylead.ledger._known_members import ReadMembers
 from bramleylead.ledger._members import LedgerMember
 from bramleylead.ledger._members import LedgerView
 from bramleylead.ledger._messages import AskState
 from bramleylead.ledger._messages import Keep
-from bramleylead.ledger._messages import NodeState
 from bramleylead.ledger._messages import ReportLoad
 from bramleylead.ledger._messages import Reserve
 from bramleylead.ledger._messages import Settle
@@ -50,10 +49,6 @@
 LOOKUP_HEDGE_DELAY_S = 0.06
 ENTRY_HEDGE_DELAY_S = 0.12
 """An entry is sent to the required number of near members, and after this delay to all others."""
-REFRESH_INTERVAL_S = 0.5
-STORE_READ_INTERVAL_S = 2.0
-"""Minimum time between reads of the member list in the store, while members are known."""
-STATE_TIMEOUT_S = 0.5
 MAX_ATTEMPTS = 3
 RETRY_AFTER_S = 0.3
 PLACEMENT_REPORTS = 2
@@ -63,8 +58,6 @@
 
 log = structlog.get_logger()
 
-ReadMembers = Callable[[], Awaitable[Result[LedgerView, str]]]
-
 
 class Reservation(NamedTuple):
     """A committed reservation.
@@ -103,18 +96,16 @@
         seeds: Sequence[str] = (),
         patience_s: float = 0.0,
     ) -> None:
-        self._seeds = list(seeds)
-        self._regions = regions or {}
-        self._tie_breakers: dict[str, float] = {}
+        self._members = KnownMembers(
+            peers,
+            read_members,
+            data_centre=data_centre,
+            regions=regions or {},
+            seeds=seeds,
+            patience_s=patience_s,
+        )
         self._peers = peers
-        self._read_members = read_members
         self._losses = losses
-        self._data_centre = data_centre
-        self._view = NO_VIEW
-        self._refresh_lock = anyio.Lock()
-        self._refreshed_at = -REFRESH_INTERVAL_S
-        self._store_read_at = -STORE_READ_INTERVAL_S
-        self._patient_until = anyio.current_time() + patience_s
         self._unavailable_since: float | None = None
         self._became_unavailable = anyio.Event()
         self._tasks: TaskGroup | None = None
@@ -138,7 +129,7 @@
     @property
     def view(self) -> LedgerView:
         """The latest view that this client knows."""
-        return self._view
+        return self._members.view
 
     @property
     def is_unavailable(self) -> bool:
@@ -146,20 +137,12 @@
         return self._unavailable_since is not None
 
     def members_by_distance(self, view: LedgerView | None = None) -> list[LedgerMember]:
-        """Return the members of a view, by default the current one, nearest first.
-
-        Equally near members are in an order that is random for each gateway, to balance the load.
-        """
-        region = self._regions.get(self._data_centre)
+        """Return the members of a view, by default the current one, nearest first."""
+        return self._members.by_distance(view)
 
-        def distance(member: LedgerMember) -> tuple[bool, bool, float]:
-            return (
-                member.data_centre != self._data_centre,
-                self._regions.get(member.data_centre) != region,
-                self._tie_breakers.setdefault(member.node, random.random()),
-            )
-
-        return sorted((view or self._view).members, key=distance)
+    async def refresh(self) -> None:
+        """Refresh the view from the members and, less often, from the platform's store."""
+        await self._members.refresh()
 
     async def run_probes(self) -> None:
         """Probe the members whenever the ledger is unavailable, until enough of them respond."""
@@ -170,7 +153,7 @@
 
     async def _probe(self) -> None:
         await self.refresh()
-        view = self._view
+        view = self.view
         answering: list[LedgerMember] = []
 
         async def probe_member(member: LedgerMember) -> None:
@@ -194,7 +177,7 @@
         if self._unavailable_since is None:
             self._unavailable_since = anyio.current_time()
             self._became_unavailable.set()
-            log.warning("ledger_lost_contact", epoch=self._view.epoch, reason=detail)
+            log.warning("ledger_lost_contact", epoch=self.view.epoch, reason=detail)
 
     async def reserve(
         self, spending: Spending, *, prompt_parts: tuple[str, ...] = ()
@@ -261,47 +244,10 @@
                 return found
         return Err(_unavailable(f"turn {turn}: the ledger's members keep changing"))
 
-    async def refresh(self) -> None:
-        """Refresh the view from the members and, less often, from the platform's store."""
-        async with self._refresh_lock:
-            if anyio.current_time() - self._refreshed_at < REFRESH_INTERVAL_S:
-                return
-            self._refreshed_at = anyio.current_time()
-            known_members = self._view.members
-            addresses = [member.address for member in known_members] or self._seeds
-            async with anyio.create_task_group() as tasks:
-                for address in addresses:
-                    tasks.start_soon(self._refresh_from, address)
-            now = anyio.current_time()
-            is_first = not known_members
-            if self._view.members and (
-                is_first or now - self._store_read_at < STORE_READ_INTERVAL_S
-            ):
-                return
-            if now < self._patient_until:
-                return
-            self._store_read_at = now
-            read = await self._read_members()
-            if isinstance(read, Ok):
-                self._adopt(read.ok_value, source="store")
-
-    async def _refresh_from(self, address: str) -> None:
-        answer = await self._peers.request(
-            address, AskState(), timeout_s=STATE_TIMEOUT_S, idempotent=True
-        )
-        if isinstance(answer, Ok) and isinstance(answer.ok_value, NodeState):
-            self._adopt(answer.ok_value.view, source=answer.ok_value.node)
-
-    def _adopt(self, view: LedgerView, *, source: str) -> None:
-        if view.epoch > self._view.epoch:
-            self._view = view
-            names = [member.node for member in view.members]
-            log.info("ledger_members_changed", epoch=view.epoch, members=names, source=source)
-
     async def _known_view(self) -> LedgerView:
-        if len(self._view.members) <= self._losses:
+        if len(self.view.members) <= self._losses:
             await self.refresh()
-        return self._view
+        return self.view
 
     async def _write_entry(
         self, entry: Callable[[int], Any], *, timeout_s: float
@@ -317,7 +263,7 @@
             with anyio.move_on_after(timeout_s):
                 await self._send_round(round_, entry(view.epoch))
             if round_.newer_view is not None:
-                self._adopt(round_.newer_view, source="answer")
+                self._members.adopt(round_.newer_view, source="answer")
                 continue
             if len(round_.acks) >= round_.required_acks:
                 return Ok(list(round_.acks))
@@ -328,7 +274,7 @@
             self._tasks.start_soon(self.refresh)
             break
         self._mark_unavailable(detail)
-        return Err(_unavailable(f"ledger at epoch {self._view.epoch}: {detail}"))
+        return Err(_unavailable(f"ledger at epoch {self.view.epoch}: {detail}"))
 
     async def _send_round(self, round_: EntryRound, entry: Any) -> None:
         """Send an entry to enough near members, and to the others if these fail or are slow.
@@ -367,7 +313,7 @@
                     await search.answered.wait()
             tasks.cancel_scope.cancel()
         if search.newer_view is not None:
-            self._adopt(search.newer_view, source="answer")
+            self._members.adopt(search.newer_view, source="answer")
             return None
         chain = search.complete_chain()
         if chain is not None:
--- /dev/null
+++ b/src/bramleylead/ledger/_load_sharing.py
@@ -0,0 +1,58 @@
+"""Receives the gateways' load reports that come in messages of their own, and passes reports on."""
+
+from __future__ import annotations
+
+from typing import final
+
+import anyio
+
+from bramleylead.connection import Done
+from bramleylead.connection import PeerClient
+from bramleylead.connection import PeerServer
+from bramleylead.connection import Reply
+from bramleylead.ledger._members import LedgerMember
+from bramleylead.ledger._messages import ReportLoad
+from bramleylead.ledger._messages import ShareLoads
+from bramleylead.ledger._node import LedgerNode
+
+SHARE_INTERVAL_S = 0.25
+SHARE_TIMEOUT_S = 0.5
+
+
+@final
+class LoadSharing:
+    """Keeps the members' tables of load reports alike; each gateway reports to some of them."""
+
+    def __init__(self, node: LedgerNode, peers: PeerClient) -> None:
+        self._node = node
+        self._peers = peers
+
+    def register_handlers(self, server: PeerServer) -> None:
+        """Register the handlers of load reports."""
+        server.handle(ReportLoad, self._record_report)
+        server.handle(ShareLoads, self._record_shared)
+
+    async def run(self) -> None:
+        """Pass on the gateways' reports to the other members until cancelled."""
+        while True:
+            await anyio.sleep(SHARE_INTERVAL_S)
+            loads = self._node.fleet.take_unshared(now=anyio.current_time())
+            if not loads or not self._node.is_member:
+                continue
+            async with anyio.create_task_group() as tasks:
+                for member in self._node.view.members:
+                    if member != self._node.own_entry:
+                        tasks.start_soon(self._share, member, ShareLoads(loads))
+
+    async def _share(self, member: LedgerMember, message: ShareLoads) -> None:
+        await self._peers.request(
+            member.address, message, timeout_s=SHARE_TIMEOUT_S, idempotent=True
+        )
+
+    async def _record_report(self, request: ReportLoad, reply: Reply) -> None:
+        self._node.fleet.record(request.report, now=anyio.current_time())
+        await reply.send(Done())
+
+    async def _record_shared(self, request: ShareLoads, reply: Reply) -> None:
+        self._node.fleet.record_shared(request.loads, now=anyio.current_time())
+        await reply.send(Done())
--- a/src/bramleylead/ledger/_membership.py
+++ b/src/bramleylead/ledger/_membership.py
@@ -20,13 +20,11 @@
 from result import Result
 
 from bramleylead.connection import PeerClient
-from bramleylead.errors import ErrorKind
-from bramleylead.errors import Failure
 from bramleylead.ledger._members import NO_VIEW
 from bramleylead.ledger._members import LedgerMember
 from bramleylead.ledger._members import LedgerView
-from bramleylead.ledger._messages import CatchUp
 from bramleylead.ledger._node import LedgerNode
+from bramleylead.ledger._synchronisation import Synchroniser
 
 MIN_MEMBERS = 3
 CHECK_INTERVAL_S = 0.5
@@ -41,7 +39,6 @@
 JOIN_DELAY_S = 0.7
 """While the first members join, only nodes of regions without a member may join at once. Nodes of
 other data centres without a member wait this long, and all other nodes twice as long."""
-CATCH_UP_TIMEOUT_S = 5.0
 MAX_SPARE_DELAY_S = 0.4
 """Spares that notice a vacancy at the same moment wait a random part of this, so that most of them
 learn from a member that it is filled, without a call to the store."""
@@ -93,8 +90,8 @@
         self._regions = regions or {}
         self._vacant_since: float | None = None
         self._node = node
+        self._synchroniser = Synchroniser(node, peers)
         self._members = members
-        self._peers = peers
         self._losses = losses
         self._last_answer_at: dict[str, float] = {}
         self._last_copy_at = 0.0
@@ -130,7 +127,9 @@
         if not self._is_removed:
             return False
         view = self._node.view
-        synchronised = await self._synchronise(view, view.members, required=len(view.members))
+        synchronised = await self._synchroniser.synchronise(
+            view, view.members, required=len(view.members)
+        )
         return isinstance(synchronised, Ok)
 
     def _is_replaced(self) -> bool:
@@ -283,7 +282,9 @@
 
     async def _add_self(self, view: LedgerView) -> None:
         others = view.members
-        synchronised = await self._synchronise(view, others, required=view.acks_needed(0))
+        synchronised = await self._synchroniser.synchronise(
+            view, others, required=view.acks_needed(0)
+        )
         if isinstance(synchronised, Err):
             log.info("join_waits", epoch=view.epoch, reason=synchronised.err_value.detail)
             return
@@ -300,65 +301,12 @@
         others = tuple(member for member in view.members if member.node != node)
         # Each committed entry is held by at least one of any ``required`` of the others.
         required = max(1, len(view.members) - view.acks_needed(self._losses) + 1)
-        synchronised = await self._synchronise(view, others, required=required)
+        synchronised = await self._synchroniser.synchronise(view, others, required=required)
         if isinstance(synchronised, Err):
             log.info("removal_waits", member=node, reason=synchronised.err_value.detail)
             return False
         return await self._change(view, view.without(node))
 
-    async def _synchronise(
-        self, view: LedgerView, members: tuple[LedgerMember, ...], *, required: int
-    ) -> Result[list[LedgerMember], Failure]:
-        """Make the members that answer adopt the view and copy records from each other.
-
-        :param required: how many of them must do so.
-        """
-        live = await self._answering_members(members)
-        if len(live) < required:
-            detail = f"{len(live)} of {len(members)} members answered, {required} required"
-            return Err(Failure(ErrorKind.NOT_DURABLE, detail))
-        sources = tuple(member.node for member in live)
-        # The first pass ends entries for earlier epochs, the second copies those committed by then.
-        for _ in range(2):
-            for member in live:
-                caught_up = await self._catch_up(member, view, sources)
-                if isinstance(caught_up, Err):
-                    return caught_up
-        return Ok(live)
-
-    async def _answering_members(self, members: tuple[LedgerMember, ...]) -> list[LedgerMember]:
-        answering = []
-
-        async def probe(member: LedgerMember) -> None:
-            if member == self._node.own_entry:
-                answering.append(member)
-                return
-            state = await self._node.fetch_state(member)
-            if state is not None and state.disk == member.disk:
-                answering.append(member)
-
-        async with anyio.create_task_group() as tasks:
-            for member in members:
-                tasks.start_soon(probe, member)
-        return sorted(answering)
-
-    async def _catch_up(
-        self, member: LedgerMember, view: LedgerView, sources: tuple[str, ...]
-    ) -> Result[None, Failure]:
-        if member == self._node.own_entry:
-            await self._node.adopt(view)
-            for name in sources:
-                other = view.member(name)
-                if other is not None and other != member:
-                    copied = await self._node.copy_from(other)
-                    if isinstance(copied, Err):
-                        return copied
-            return Ok(None)
-        answer = await self._peers.request(
-            member.address, CatchUp(view, sources), timeout_s=CATCH_UP_TIMEOUT_S, idempotent=True
-        )
-        return answer if isinstance(answer, Err) else Ok(None)
-
     async def _change(self, before: LedgerView, after: LedgerView) -> bool:
         changed = await self._members.change(before, after)
         if isinstance(changed, Err):
@@ -374,7 +322,7 @@
         """Send a view to its members; gateways send it to those that are not reached now."""
         async with anyio.create_task_group() as tasks:
             for member in self._other_members(view):
-                tasks.start_soon(self._catch_up, member, view, ())
+                tasks.start_soon(self._synchroniser.catch_up, member, view, ())
 
     def _other_members(self, view: LedgerView) -> tuple[LedgerMember, ...]:
         return tuple(member for member in view.members if member.node != self._node.own_entry.node)
--- a/src/bramleylead/ledger/_node.py
+++ b/src/bramleylead/ledger/_node.py
@@ -35,11 +35,9 @@
 from bramleylead.ledger._messages import NodeState
 from bramleylead.ledger._messages import OnDisk
 from bramleylead.ledger._messages import Records
-from bramleylead.ledger._messages import ReportLoad
 from bramleylead.ledger._messages import Reserve
 from bramleylead.ledger._messages import Reserved
 from bramleylead.ledger._messages import Settle
-from bramleylead.ledger._messages import ShareLoads
 from bramleylead.ledger._messages import StaleEpoch
 from bramleylead.ledger._records import KeptTurn
 from bramleylead.ledger._records import LedgerState
@@ -51,8 +49,6 @@
 MAX_RECORDS_BYTES = 1_000_000
 PEER_TIMEOUT_S = 0.6
 COPY_TIMEOUT_S = 3.0
-SHARE_LOADS_INTERVAL_S = 0.25
-SHARE_LOADS_TIMEOUT_S = 0.5
 RUN_ID_BYTES = 6
 
 log = structlog.get_logger()
@@ -85,7 +81,7 @@
         self._writer = RecordWriter(disk, self._state)
         self._cursors: dict[str, _Cursor] = {}
         self._view = NO_VIEW
-        self._fleet = FleetTable()
+        self.fleet = FleetTable()
         self.leaving = False
         self.vacancies = 0
         self.view_changed = anyio.Event()
@@ -150,23 +146,6 @@
         """Write records until cancelled."""
         await self._writer.run()
 
-    async def run_load_sharing(self) -> None:
-        """Pass on the gateways' reports to the other members until cancelled."""
-        while True:
-            await anyio.sleep(SHARE_LOADS_INTERVAL_S)
-            loads = self._fleet.take_unshared(now=anyio.current_time())
-            if not loads or not self.is_member:
-                continue
-            async with anyio.create_task_group() as tasks:
-                for member in self._view.members:
-                    if member != self.own_entry:
-                        tasks.start_soon(self._share_loads, member, ShareLoads(loads))
-
-    async def _share_loads(self, member: LedgerMember, message: ShareLoads) -> None:
-        await self._peers.request(
-            member.address, message, timeout_s=SHARE_LOADS_TIMEOUT_S, idempotent=True
-        )
-
     async def expire(self) -> None:
         """Drop the records past their retention, and the files that only contain such records."""
         dropped = self._state.expire(anyio.current_time())
@@ -187,8 +166,6 @@
         server.handle(AskKeys, self._ask_keys)
         server.handle(AskRecords, self._ask_records)
         server.handle(CatchUp, self._catch_up)
-        server.handle(ShareLoads, self._record_shared_loads)
-        server.handle(ReportLoad, self._record_report)
 
     async def adopt(self, view: LedgerView) -> None:
         """Adopt a later view; entries for an earlier epoch are refused from then on.
@@ -279,30 +256,22 @@
         return True
 
     async def _reserve(self, request: Reserve, reply: Reply) -> None:
-        self._fleet.record(request.report, now=anyio.current_time())
+        self.fleet.record(request.report, now=anyio.current_time())
         if await self._write_record(request.epoch, request.spending, reply):
             known = tuple(self._state.spendings(request.spending.program))
-            load = self._fleet.load_for(
+            load = self.fleet.load_for(
                 request.report.gateway, request.prompt_parts, now=anyio.current_time()
             )
             answer = Reserved(self._node, self._disk.name, self._view.epoch, known, load)
             await reply.send(answer)
 
-    async def _record_report(self, request: ReportLoad, reply: Reply) -> None:
-        self._fleet.record(request.report, now=anyio.current_time())
-        await reply.send(Done())
-
-    async def _record_shared_loads(self, request: ShareLoads, reply: Reply) -> None:
-        self._fleet.record_shared(request.loads, now=anyio.current_time())
-        await reply.send(Done())
-
     async def _settle(self, request: Settle, reply: Reply) -> None:
-        self._fleet.record(request.report, now=anyio.current_time())
+        self.fleet.record(request.report, now=anyio.current_time())
         if await self._write_record(request.epoch, request.spending, reply):
             await reply.send(OnDisk(self._node, self._disk.name, self._view.epoch))
 
     async def _keep(self, request: Keep, reply: Reply) -> None:
-        self._fleet.record(request.report, now=anyio.current_time())
+        self.fleet.record(request.report, now=anyio.current_time())
         if await self._write_record(request.epoch, request.turn, reply):
             await reply.send(OnDisk(self._node, self._disk.name, self._view.epoch))
 
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -17,6 +17,7 @@
 from bramleylead.connection import TcpNetwork
 from bramleylead.http._server import HttpServer
 from bramleylead.ledger._disk import FileDisk
+from bramleylead.ledger._load_sharing import LoadSharing
 from bramleylead.ledger._member_list import StoredMemberList
 from bramleylead.ledger._membership import Membership
 from bramleylead.ledger._mirror import Mirror
@@ -97,6 +98,8 @@
         )
         await node.load()
         node.register_handlers(server)
+        load_sharing = LoadSharing(node, peers)
+        load_sharing.register_handlers(server)
         monitored_store = MonitoredStore(store)
         mirror = Mirror(MIRRORED_KINDS, ledger_epoch=lambda: node.view.epoch)
         mirror.register_handlers(server)
@@ -112,7 +115,7 @@
         retirement = RetirementFollower(settings.node)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             tasks.start_soon(node.run_writer)
-            tasks.start_soon(node.run_load_sharing)
+            tasks.start_soon(load_sharing.run)
             await tasks.start(network.serve, address, server.serve_stream)
             await tasks.start(HttpServer(metrics.app).serve, settings.metrics_address)
             tasks.start_soon(_run_expiry, node)
--- /dev/null
+++ b/src/bramleylead/ledger/_synchronisation.py
@@ -0,0 +1,82 @@
+"""Makes members adopt a view and copy records from each other, before the member list changes."""
+
+from __future__ import annotations
+
+from typing import final
+
+import anyio
+from result import Err
+from result import Ok
+from result import Result
+
+from bramleylead.connection import PeerClient
+from bramleylead.errors import ErrorKind
+from bramleylead.errors import Failure
+from bramleylead.ledger._members import LedgerMember
+from bramleylead.ledger._members import LedgerView
+from bramleylead.ledger._messages import CatchUp
+from bramleylead.ledger._node import LedgerNode
+
+CATCH_UP_TIMEOUT_S = 5.0
+
+
+@final
+class Synchroniser:
+    """Synchronises members on behalf of one node."""
+
+    def __init__(self, node: LedgerNode, peers: PeerClient) -> None:
+        self._node = node
+        self._peers = peers
+
+    async def synchronise(
+        self, view: LedgerView, members: tuple[LedgerMember, ...], *, required: int
+    ) -> Result[list[LedgerMember], Failure]:
+        """Make the members that answer adopt the view and copy records from each other.
+
+        :param required: how many of them must do so.
+        """
+        live = await self._answering_members(members)
+        if len(live) < required:
+            detail = f"{len(live)} of {len(members)} members answered, {required} required"
+            return Err(Failure(ErrorKind.NOT_DURABLE, detail))
+        sources = tuple(member.node for member in live)
+        # The first pass ends entries for earlier epochs, the second copies those committed by then.
+        for _ in range(2):
+            for member in live:
+                caught_up = await self.catch_up(member, view, sources)
+                if isinstance(caught_up, Err):
+                    return caught_up
+        return Ok(live)
+
+    async def _answering_members(self, members: tuple[LedgerMember, ...]) -> list[LedgerMember]:
+        answering = []
+
+        async def probe(member: LedgerMember) -> None:
+            if member == self._node.own_entry:
+                answering.append(member)
+                return
+            state = await self._node.fetch_state(member)
+            if state is not None and state.disk == member.disk:
+                answering.append(member)
+
+        async with anyio.create_task_group() as tasks:
+            for member in members:
+                tasks.start_soon(probe, member)
+        return sorted(answering)
+
+    async def catch_up(
+        self, member: LedgerMember, view: LedgerView, sources: tuple[str, ...]
+    ) -> Result[None, Failure]:
+        if member == self._node.own_entry:
+            await self._node.adopt(view)
+            for name in sources:
+                other = view.member(name)
+                if other is not None and other != member:
+                    copied = await self._node.copy_from(other)
+                    if isinstance(copied, Err):
+                        return copied
+            return Ok(None)
+        answer = await self._peers.request(
+            member.address, CatchUp(view, sources), timeout_s=CATCH_UP_TIMEOUT_S, idempotent=True
+        )
+        return answer if isinstance(answer, Err) else Ok(None)
--- a/src/bramleylead/placement/_replica_health.py
+++ b/src/bramleylead/placement/_replica_health.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Sequence
 from typing import final
 
@@ -30,13 +31,11 @@
 
     :ivar failure_rate: moving average of the share of its requests that fail.
     :ivar ejected_until: until then it is sent no request while others can take it.
-    :ivar probes: requests in flight that show whether it has recovered.
     """
 
     def __init__(self) -> None:
         self.failure_rate = 0.0
         self.ejected_until = float("-inf")
-        self.probes = 0
 
 
 @final
@@ -45,18 +44,17 @@
 
     def __init__(self) -> None:
         self._records: dict[str, _ReplicaRecord] = {}
+        self._in_flight: Counter[str] = Counter()
 
     def start_request(self, name: str) -> None:
         """Record that a request is sent to a replica."""
-        record = self._records.get(name)
-        if record is not None:
-            record.probes += 1
+        self._in_flight[name] += 1
 
     def end_request(self, name: str) -> None:
         """Record that a request to a replica has ended, with any outcome."""
-        record = self._records.get(name)
-        if record is not None:
-            record.probes = max(0, record.probes - 1)
+        self._in_flight[name] -= 1
+        if self._in_flight[name] <= 0:
+            del self._in_flight[name]
 
     def record_success(self, name: str) -> None:
         """Record that a replica answered correctly."""
@@ -105,4 +103,4 @@
         record = self._records.get(name)
         if record is None or record.failure_rate < HEALTHY_BELOW:
             return False
-        return anyio.current_time() < record.ejected_until or record.probes > 0
+        return anyio.current_time() < record.ejected_until or self._in_flight[name] > 0
--- a/src/bramleylead/placement/_replica_selector.py
+++ b/src/bramleylead/placement/_replica_selector.py
@@ -69,7 +69,7 @@
 class _OtherRequests(NamedTuple):
     """The requests of other gateways on a replica, as of a time."""
 
-    count: float
+    running: float
     as_of: float
 
 
@@ -135,7 +135,7 @@
         reported = self._reported_loads.get(name)
         if reported is not None and reported.as_of > self._fleet_as_of:
             age_s = now - reported.as_of
-            return own + reported.count * max(0.0, 1.0 - age_s / REPORTED_LOAD_DECAY_S)
+            return own + reported.running * max(0.0, 1.0 - age_s / REPORTED_LOAD_DECAY_S)
         if not self._fleet_running:
             return own
         weight = max(0.0, 1.0 - (now - self._fleet_as_of) / FLEET_LOAD_DECAY_S)
--- a/src/bramleylead/platform/_decode.py
+++ b/src/bramleylead/platform/_decode.py
@@ -4,14 +4,14 @@
 
 from typing import Any
 
-from bramleylead.gateway._types import CallKind
-from bramleylead.gateway._types import Configuration
-from bramleylead.gateway._types import EngineSpec
-from bramleylead.gateway._types import Limits
-from bramleylead.gateway._types import Replica
-from bramleylead.gateway._types import Route
-from bramleylead.gateway._types import Service
-from bramleylead.gateway._types import Share
+from bramleylead.platform._types import CallKind
+from bramleylead.platform._types import Configuration
+from bramleylead.platform._types import EngineSpec
+from bramleylead.platform._types import Limits
+from bramleylead.platform._types import Replica
+from bramleylead.platform._types import Route
+from bramleylead.platform._types import Service
+from bramleylead.platform._types import Share
 
 MS_PER_S = 1000.0
 CALL_KINDS = {"safe": CallKind.SAFE, "unsafe": CallKind.UNSAFE, "streaming": CallKind.STREAM}
--- a/src/bramleylead/platform/_encode.py
+++ b/src/bramleylead/platform/_encode.py
@@ -4,12 +4,12 @@
 
 from typing import Any
 
-from bramleylead.gateway._types import Configuration
-from bramleylead.gateway._types import Replica
-from bramleylead.gateway._types import Route
-from bramleylead.gateway._types import Service
 from bramleylead.platform._decode import CALL_KINDS
 from bramleylead.platform._decode import MS_PER_S
+from bramleylead.platform._types import Configuration
+from bramleylead.platform._types import Replica
+from bramleylead.platform._types import Route
+from bramleylead.platform._types import Service
 
 Plain = dict[str, Any]
 CALL_KIND_NAMES = {kind: name for name, kind in CALL_KINDS.items()}
--- a/src/bramleylead/gateway/_types.py
+++ b/src/bramleylead/platform/_types.py
@@ -1,4 +1,4 @@
-"""Types of the gateway: configuration, replicas, and the metadata of requests and responses."""
+"""Decoded types of the platform: configuration, replicas, metadata of requests and responses."""
 
 from __future__ import annotations
 
--- a/src/bramleylead/platform/_wire.py
+++ b/src/bramleylead/platform/_wire.py
@@ -6,11 +6,11 @@
 
 import structlog
 
-from bramleylead.gateway._types import CallMetadata
-from bramleylead.gateway._types import Load
-from bramleylead.gateway._types import PromptPart
-from bramleylead.gateway._types import ResponseMetadata
 from bramleylead.platform import _names as names
+from bramleylead.platform._types import CallMetadata
+from bramleylead.platform._types import Load
+from bramleylead.platform._types import PromptPart
+from bramleylead.platform._types import ResponseMetadata
 
 MS_PER_S = 1000.0
 
--- a/src/bramleylead/trials/site/_callers.py
+++ b/src/bramleylead/trials/site/_callers.py
@@ -12,8 +12,8 @@
 from bramleylead.connection._http_client import HTTP_ERRORS
 from bramleylead.connection._http_client import HttpClient
 from bramleylead.connection._http_client import HttpStream
-from bramleylead.gateway._types import CallKind
 from bramleylead.platform import _names as names
+from bramleylead.platform._types import CallKind
 from bramleylead.trials.site._judge import EVENT_TOKENS
 from bramleylead.trials.site._judge import Judge
 from bramleylead.trials.site._judge import made_by
--- a/src/bramleylead/trials/site/_replica.py
+++ b/src/bramleylead/trials/site/_replica.py
@@ -8,12 +8,12 @@
 
 import anyio
 
-from bramleylead.gateway._types import Replica
 from bramleylead.http._exchange import Exchange
 from bramleylead.http._exchange import Receive
 from bramleylead.http._exchange import Scope
 from bramleylead.http._exchange import Send
 from bramleylead.platform import _names as names
+from bramleylead.platform._types import Replica
 from bramleylead.standins._serving import serve_app
 from bramleylead.trials.site._judge import Judge
 from bramleylead.trials.site._judge import answer_of
--- a/src/bramleylead/trials/site/_soak.py
+++ b/src/bramleylead/trials/site/_soak.py
@@ -16,16 +16,16 @@
 import structlog
 
 from bramleylead.connection._http_client import HttpClient
-from bramleylead.gateway._types import CallKind
-from bramleylead.gateway._types import Configuration
-from bramleylead.gateway._types import EngineSpec
-from bramleylead.gateway._types import Limits
-from bramleylead.gateway._types import Route
-from bramleylead.gateway._types import Service
-from bramleylead.gateway._types import Share
 from bramleylead.platform import _names as names
 from bramleylead.platform._encode import write_configuration
 from bramleylead.platform._encode import write_replica
+from bramleylead.platform._types import CallKind
+from bramleylead.platform._types import Configuration
+from bramleylead.platform._types import EngineSpec
+from bramleylead.platform._types import Limits
+from bramleylead.platform._types import Route
+from bramleylead.platform._types import Service
+from bramleylead.platform._types import Share
 from bramleylead.standins._platform_store import PlatformStoreStandIn
 from bramleylead.standins._serving import serve_app
 from bramleylead.trials.site._callers import HOST_NAME
--- a/testing/gateway/test_admission.py
+++ b/testing/gateway/test_admission.py
@@ -4,8 +4,8 @@
 
 import unittest
 
-from bramleylead.gateway._types import CallKind
 from bramleylead.placement._fleet_table import FleetLoad
+from bramleylead.platform._types import CallKind
 from testing.gateway._site import Site
 from testing.gateway._site import event_stream
 from testing.gateway._site import respond_with
--- a/testing/gateway/test_causes.py
+++ b/testing/gateway/test_causes.py
@@ -14,8 +14,8 @@
 
 from bramleylead.cli._story import read_lines
 from bramleylead.cli._story import tell
-from bramleylead.gateway._types import CallKind
-from bramleylead.gateway._types import Route
+from bramleylead.platform._types import CallKind
+from bramleylead.platform._types import Route
 from testing.gateway._site import ReceivedRequest
 from testing.gateway._site import ReceivedResponse
 from testing.gateway._site import Site
--- a/testing/gateway/test_directory.py
+++ b/testing/gateway/test_directory.py
@@ -11,8 +11,8 @@
 from bramleylead.gateway._directory import EXPIRY_GRACE_S
 from bramleylead.gateway._directory import EXPIRY_WINDOW_S
 from bramleylead.gateway._directory import Directory
-from bramleylead.gateway._types import CallKind
-from bramleylead.gateway._types import Replica
+from bramleylead.platform._types import CallKind
+from bramleylead.platform._types import Replica
 from bramleylead.standins import run_virtual
 from testing.gateway._site import HOST
 from testing.gateway._site import configuration
--- a/testing/gateway/test_leaving_replicas.py
+++ b/testing/gateway/test_leaving_replicas.py
@@ -4,8 +4,8 @@
 
 import unittest
 
-from bramleylead.gateway._types import CallKind
-from bramleylead.gateway._types import Replica
+from bramleylead.platform._types import CallKind
+from bramleylead.platform._types import Replica
 from testing.gateway._site import ReceivedRequest
 from testing.gateway._site import Site
 from testing.gateway._site import event_stream
--- a/testing/gateway/test_plain_calls.py
+++ b/testing/gateway/test_plain_calls.py
@@ -9,8 +9,8 @@
 import anyio
 from anyio.abc import ByteStream
 
-from bramleylead.gateway._types import CallKind
-from bramleylead.gateway._types import Route
+from bramleylead.platform._types import CallKind
+from bramleylead.platform._types import Route
 from bramleylead.standins import run_virtual
 from testing.gateway._site import ReceivedRequest
 from testing.gateway._site import Site
--- a/testing/gateway/test_streams.py
+++ b/testing/gateway/test_streams.py
@@ -7,8 +7,8 @@
 import anyio
 from anyio.abc import ByteStream
 
-from bramleylead.gateway._types import CallKind
 from bramleylead.ledger._records import Spending
+from bramleylead.platform._types import CallKind
 from testing.gateway._site import EVENT_TOKENS
 from testing.gateway._site import ReceivedRequest
 from testing.gateway._site import Site
--- a/testing/ledger/_fleet.py
+++ b/testing/ledger/_fleet.py
@@ -14,6 +14,7 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.ledger._client import LedgerClient
+from bramleylead.ledger._load_sharing import LoadSharing
 from bramleylead.ledger._members import NO_VIEW
 from bramleylead.ledger._members import LedgerView
 from bramleylead.ledger._membership import Membership
@@ -160,7 +161,9 @@
                 node.register_handlers(server)
                 self.nodes[i] = node
                 tasks.start_soon(node.run_writer)
-                tasks.start_soon(node.run_load_sharing)
+                load_sharing = LoadSharing(node, peers)
+                load_sharing.register_handlers(server)
+                tasks.start_soon(load_sharing.run)
                 await tasks.start(
                     lambda task_status: view.serve(
                         address, server.serve_stream, task_status=task_status
--- a/testing/ledger/test_entries.py
+++ b/testing/ledger/test_entries.py
@@ -162,7 +162,7 @@
             async with ledger.gateway(0) as gateway, ledger.gateway(1) as other:
                 self.assertTrue((await other.keep(turn("a"))).is_ok())
                 few = LedgerView(1, (ledger.nodes[0].own_entry,))
-                gateway._adopt(few, source="a test")
+                gateway._members.adopt(few, source="a test")
                 for i in range(3):
                     ledger.network.cut(gateway_host(0), host(i))
                 ledger.members.unavailable = True
--- a/testing/ledger/test_fleet_load.py
+++ b/testing/ledger/test_fleet_load.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from bramleylead.ledger._node import SHARE_LOADS_INTERVAL_S
+from bramleylead.ledger._load_sharing import SHARE_INTERVAL_S
 from bramleylead.ledger._records import Spending
 from bramleylead.placement._fleet_table import FleetLoad
 from bramleylead.placement._fleet_table import LoadReport
@@ -39,9 +39,9 @@
             async with ledger.gateway(0) as gateway:
                 gateway.report_load = lambda: LoadReport("g0", {"i0": 2})
                 await gateway.reserve(reservation("p"))
-                await anyio.sleep(SHARE_LOADS_INTERVAL_S + MESSAGE_S)
+                await anyio.sleep(SHARE_INTERVAL_S + MESSAGE_S)
                 for i in range(3):
-                    load = ledger.nodes[i]._fleet.load_for("g9", (), now=anyio.current_time())
+                    load = ledger.nodes[i].fleet.load_for("g9", (), now=anyio.current_time())
                     self.assertEqual(load.running, {"i0": 2})
 
         run_with_ledger(main)
--- a/testing/placement/test_replica_health.py
+++ b/testing/placement/test_replica_health.py
@@ -56,6 +56,17 @@
 
         run_with_health(main)
 
+    def test_a_request_begun_before_the_first_failure_does_not_make_room_for_a_probe(self) -> None:
+        async def main(health: ReplicaHealth) -> None:
+            health.start_request("i-0")
+            health.record_connect_failure("i-0", reason="a test")
+            await anyio.sleep(MAX_EJECTION_S)
+            health.start_request("i-0")
+            health.end_request("i-0")
+            self.assertEqual(health.ejected(NAMES), {"i-0"})
+
+        run_with_health(main)
+
     def test_a_failed_probe_ejects_a_replica_again(self) -> None:
         async def main(health: ReplicaHealth) -> None:
             health.record_connect_failure("i-0", reason="a test")
--- a/testing/platform/test_decode.py
+++ b/testing/platform/test_decode.py
@@ -5,14 +5,14 @@
 import unittest
 from typing import Any
 
-from bramleylead.gateway._types import CallKind
-from bramleylead.gateway._types import Load
-from bramleylead.gateway._types import PromptPart
-from bramleylead.gateway._types import Share
 from bramleylead.platform import _wire as wire
 from bramleylead.platform._decode import UnreadableError
 from bramleylead.platform._decode import read_configuration
 from bramleylead.platform._decode import read_replica
+from bramleylead.platform._types import CallKind
+from bramleylead.platform._types import Load
+from bramleylead.platform._types import PromptPart
+from bramleylead.platform._types import Share
 
 ROUTE: dict[str, Any] = {
     "name": "r",
--- a/testing/platform/test_encode.py
+++ b/testing/platform/test_encode.py
@@ -4,11 +4,11 @@
 
 import unittest
 
-from bramleylead.gateway._types import Replica
 from bramleylead.platform._decode import read_configuration
 from bramleylead.platform._decode import read_replica
 from bramleylead.platform._encode import write_configuration
 from bramleylead.platform._encode import write_replica
+from bramleylead.platform._types import Replica
 from testing.platform.test_decode import ROUTE
 from testing.platform.test_decode import configuration_with
 
