Admit programs that continue a stored turn; forget the load of lost gateways after 2 s

Both found by asking what admission does after all power was lost: callers then go on from stored turns in new programs, which counted as not started; and reports of killed gateways would have had new programs refused for 4 s while the replicas were idle. Each test failed before.

--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -171,7 +171,8 @@
             return reserved
         reservation = reserved.ok_value
         self._sender.record_fleet_load(call, reservation.fleet)
-        if reservation.progress is not None:
+        continues_turn = bool(call.metadata.previous_turn)
+        if reservation.progress is not None and not continues_turn:
             refusal = self._sender.check_admission(call, service, reservation.progress)
             if refusal is not None:
                 self._budgets.settle(call.metadata, reservation.reservation_id, 0)
--- a/src/bramleylead/placement/_fleet_table.py
+++ b/src/bramleylead/placement/_fleet_table.py
@@ -13,8 +13,9 @@
 from typing import NamedTuple
 from typing import final
 
-REPORT_LIFETIME_S = 4.0
-"""A gateway reports at least with each poll of its configuration; older reports are dropped."""
+REPORT_LIFETIME_S = 2.0
+"""A gateway reports when a turn starts and when it ends. An older report is more often that of a
+gateway that was lost than that of one whose turns last so long."""
 PROMPT_LIFETIME_S = 30.0
 MAX_PROMPT_PARTS = 20_000
 MAX_HOLDERS_REPORTED = 24
--- a/testing/gateway/test_admission.py
+++ b/testing/gateway/test_admission.py
@@ -55,6 +55,23 @@
 
         run_with_site(main, STREAM)
 
+    def test_a_program_that_continues_a_stored_turn_is_under_way(self) -> None:
+        # After a loss of power, callers go on from what was said before, in new programs.
+        async def main(site: Site) -> None:
+            await site.add_replica("a", respond_with(lambda q: event_stream(q, 1)))
+            first = await site.request("/stream/x", body=b"q", headers=TURN)
+            site.ledger.fleet_load = FULL
+            later = {
+                **TURN,
+                "bramleylead-request-id": "q2",
+                "bramleylead-program-id": "p2",
+                "bramleylead-previous-turn": "q1",
+            }
+            response = await site.request("/stream/x", body=b"q", headers=later)
+            self.assertEqual((first.status, response.status), (200, 200))
+
+        run_with_site(main, STREAM._replace(retains_turns=True))
+
     def test_a_program_refused_several_times_is_admitted(self) -> None:
         async def main(site: Site) -> None:
             await site.add_replica("a", respond_with(lambda q: event_stream(q, 1)))
--- a/testing/placement/test_fleet_table.py
+++ b/testing/placement/test_fleet_table.py
@@ -30,6 +30,12 @@
         self.table.record(LoadReport("g0", {}), now=1.0)
         self.assertEqual(self.running("g1", now=1.0), {})
 
+    def test_gateways_that_were_killed_are_soon_no_longer_counted(self) -> None:
+        # Otherwise new programs are refused for seconds after many gateways were lost at once.
+        for number in range(20):
+            self.table.record(LoadReport(f"g{number}", {"i0": 5}), now=0.0)
+        self.assertEqual(self.running("g20", now=2.5), {})
+
     def test_a_silent_gateway_is_no_longer_counted(self) -> None:
         self.table.record(LoadReport("g0", {"i0": 2}), now=0.0)
         self.assertEqual(self.running("g1", now=REPORT_LIFETIME_S + 0.1), {})
