Trust the load that plain replicas report; move the fleet's members below scheduling

Cause: a gateway's report comes with its turns, so what gateways tell of plain replicas is old; yet it took precedence over the load that the replica itself had reported just before. Found by reading; the test failed before. Move without a change of behaviour: process/membership/_members and process/partitions/_rendezvous stand in fleet/; scheduling/ imports nothing from process/ any more.

--- a/src/bramleylead/bench/_capacity_pair.py
+++ b/src/bramleylead/bench/_capacity_pair.py
@@ -18,13 +18,13 @@
 from bramleylead.bench._capacity_state import turn
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
+from bramleylead.fleet._members import Member
+from bramleylead.fleet._members import MemberState
 from bramleylead.node_settings import NodeSettings
 from bramleylead.node_settings import PartitionSettings
 from bramleylead.platform import MemoryStore
 from bramleylead.process.journal._entries import Entry
 from bramleylead.process.journal._partition_log import PartitionLog
-from bramleylead.process.membership._members import Member
-from bramleylead.process.membership._members import MemberState
 from bramleylead.process.partitions._partition_host import PartitionHost
 from bramleylead.promises import Promises
 from bramleylead.standins import FakeNetwork
--- a/src/bramleylead/process/partitions/_rendezvous.py
+++ b/src/bramleylead/fleet/_rendezvous.py
@@ -13,7 +13,7 @@
 
 import xxhash
 
-from bramleylead.process.membership._members import Member
+from bramleylead.fleet._members import Member
 
 HASH_SPAN = 2.0**64
 
--- a/src/bramleylead/placement/_replica_selector.py
+++ b/src/bramleylead/placement/_replica_selector.py
@@ -133,7 +133,9 @@
         now = anyio.current_time()
         own = float(self._own_requests.get(name, 0))
         reported = self._reported_loads.get(name)
-        if reported is not None and reported.as_of > self._fleet_as_of:
+        runs_turns = bool(self._caches.get(name))
+        # Gateways report with their turns only, too rarely for replicas of plain services.
+        if reported is not None and (reported.as_of > self._fleet_as_of or not runs_turns):
             age_s = now - reported.as_of
             return own + reported.running * max(0.0, 1.0 - age_s / REPORTED_LOAD_DECAY_S)
         if not self._fleet_running:
--- a/src/bramleylead/process/_owner_dependencies.py
+++ b/src/bramleylead/process/_owner_dependencies.py
@@ -7,11 +7,11 @@
 from typing import Protocol
 
 from bramleylead.backends import BackendFactory
+from bramleylead.fleet._members import ConfigSource
 from bramleylead.metrics import Metrics
 from bramleylead.node_settings import NodeSettings
 from bramleylead.process.budgets._budget import BudgetEscrow
 from bramleylead.process.journal._partition_log import PartitionDirectory
-from bramleylead.process.membership._members import ConfigSource
 from bramleylead.promises import Promises
 from bramleylead.scheduling import Scheduler
 
--- a/src/bramleylead/process/_store_poll.py
+++ b/src/bramleylead/process/_store_poll.py
@@ -13,11 +13,11 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import Reply
+from bramleylead.fleet._members import Member
+from bramleylead.fleet._rendezvous import store_watchers
 from bramleylead.process._store_health import ObservedStore
-from bramleylead.process.membership._members import Member
 from bramleylead.process.membership._membership_messages import StoreAsked
 from bramleylead.process.membership._membership_messages import StoreHeard
-from bramleylead.process.partitions._rendezvous import store_watchers
 
 PEERS_PER_DATA_CENTRE = 2
 POLL_TIMEOUT_S = 1.2
--- a/src/bramleylead/process/calls/_cache_sweep.py
+++ b/src/bramleylead/process/calls/_cache_sweep.py
@@ -21,10 +21,10 @@
 from bramleylead.connection import Reply
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.fleet._members import MemberList
+from bramleylead.fleet._rendezvous import rank_members
 from bramleylead.process._owner_dependencies import OwnerDependencies
-from bramleylead.process.membership._members import MemberList
 from bramleylead.process.partitions._partition_hash import partition_of
-from bramleylead.process.partitions._rendezvous import rank_members
 from bramleylead.request import LivePrograms
 from bramleylead.version import EndpointKind
 
--- a/src/bramleylead/process/membership/_indirect_probes.py
+++ b/src/bramleylead/process/membership/_indirect_probes.py
@@ -14,8 +14,8 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import Reply
+from bramleylead.fleet._members import Member
 from bramleylead.node_settings import MembershipSettings
-from bramleylead.process.membership._members import Member
 from bramleylead.process.membership._membership_messages import ProbedFor
 from bramleylead.process.membership._membership_messages import ProbeFor
 
--- a/src/bramleylead/process/membership/_member_table.py
+++ b/src/bramleylead/process/membership/_member_table.py
@@ -14,8 +14,8 @@
 import anyio
 import xxhash
 
-from bramleylead.process.membership._members import Member
-from bramleylead.process.membership._members import MemberState
+from bramleylead.fleet._members import Member
+from bramleylead.fleet._members import MemberState
 from bramleylead.process.membership._membership_messages import MemberUpdate
 from bramleylead.process.membership._membership_messages import NodeStatus
 from bramleylead.process.membership._membership_messages import update_of
--- a/src/bramleylead/process/membership/_membership.py
+++ b/src/bramleylead/process/membership/_membership.py
@@ -29,14 +29,14 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import Reply
+from bramleylead.fleet._members import Member
+from bramleylead.fleet._members import MemberState
 from bramleylead.metrics import Metrics
 from bramleylead.node_settings import NodeSettings
 from bramleylead.process._store_health import ObservedStore
 from bramleylead.process._store_poll import StorePoll
 from bramleylead.process.membership._indirect_probes import IndirectProbes
 from bramleylead.process.membership._member_table import MemberTable
-from bramleylead.process.membership._members import Member
-from bramleylead.process.membership._members import MemberState
 from bramleylead.process.membership._membership_messages import MemberUpdate
 from bramleylead.process.membership._membership_messages import NodeStatus
 from bramleylead.process.membership._membership_messages import Probe
--- a/src/bramleylead/process/membership/_membership_messages.py
+++ b/src/bramleylead/process/membership/_membership_messages.py
@@ -5,8 +5,8 @@
 from typing import NamedTuple
 
 from bramleylead.connection import message
-from bramleylead.process.membership._members import Member
-from bramleylead.process.membership._members import MemberState
+from bramleylead.fleet._members import Member
+from bramleylead.fleet._members import MemberState
 
 
 class MemberUpdate(NamedTuple):
--- a/src/bramleylead/process/partitions/_owner_map.py
+++ b/src/bramleylead/process/partitions/_owner_map.py
@@ -14,13 +14,13 @@
 import anyio
 from result import Ok
 
+from bramleylead.fleet._rendezvous import rank_owners
 from bramleylead.process.partitions._partition_context import PartitionContext
 from bramleylead.process.partitions._partition_messages import AskOwner
 from bramleylead.process.partitions._partition_messages import Assign
 from bramleylead.process.partitions._partition_messages import OwnerIs
 from bramleylead.process.partitions._partition_record import PartitionRecord
 from bramleylead.process.partitions._partition_record import read_record
-from bramleylead.process.partitions._rendezvous import rank_owners
 
 PEER_TIMEOUT_S = 0.3
 REFRESH_INTERVAL_S = 0.1
--- a/src/bramleylead/process/partitions/_partition_context.py
+++ b/src/bramleylead/process/partitions/_partition_context.py
@@ -11,9 +11,9 @@
 from aioprometheus import Registry
 
 from bramleylead.connection import PeerClient
+from bramleylead.fleet._members import MemberList
 from bramleylead.node_settings import NodeSettings
 from bramleylead.platform._store import ObjectStore
-from bramleylead.process.membership._members import MemberList
 from bramleylead.process.partitions._partition_record import Holder
 from bramleylead.promises import Promises
 
--- a/src/bramleylead/process/partitions/_partition_host.py
+++ b/src/bramleylead/process/partitions/_partition_host.py
@@ -16,11 +16,11 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import Reply
+from bramleylead.fleet._members import MemberList
 from bramleylead.node_settings import NodeSettings
 from bramleylead.platform._store import ObjectStore
 from bramleylead.process.journal._journal_flush import JournalFlusher
 from bramleylead.process.journal._partition_log import PartitionLog
-from bramleylead.process.membership._members import MemberList
 from bramleylead.process.partitions._owner_map import OwnerMap
 from bramleylead.process.partitions._partition import OwnedPartition
 from bramleylead.process.partitions._partition_audit import PartitionAudit
--- a/src/bramleylead/process/partitions/_partition_rebalancer.py
+++ b/src/bramleylead/process/partitions/_partition_rebalancer.py
@@ -13,6 +13,7 @@
 import structlog
 from result import Ok
 
+from bramleylead.fleet._rendezvous import preferred_owner_and_second
 from bramleylead.platform._store import StoreErrorKind
 from bramleylead.process.journal._journal_flush import JournalFlusher
 from bramleylead.process.partitions._partition import OwnedPartition
@@ -23,7 +24,6 @@
 from bramleylead.process.partitions._partition_table import PartitionTable
 from bramleylead.process.partitions._partition_takeover import Takeover
 from bramleylead.process.partitions._pending_append import ReplicationMode
-from bramleylead.process.partitions._rendezvous import preferred_owner_and_second
 from bramleylead.process.partitions._replica import ReplicaServer
 
 ROUND_INTERVAL_S = 0.5
--- a/src/bramleylead/process/partitions/_partition_repair.py
+++ b/src/bramleylead/process/partitions/_partition_repair.py
@@ -19,10 +19,12 @@
 from bramleylead.connection._rpc import first_answer
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.fleet._members import Member
+from bramleylead.fleet._rendezvous import choose_second_copy
+from bramleylead.fleet._rendezvous import rank_owners
 from bramleylead.platform._store import StoreErrorKind
 from bramleylead.process.journal._state_codec import pack_state
 from bramleylead.process.journal._state_codec import state_digest
-from bramleylead.process.membership._members import Member
 from bramleylead.process.partitions._partition import OwnedPartition
 from bramleylead.process.partitions._partition_context import PartitionContext
 from bramleylead.process.partitions._partition_messages import AskOwner
@@ -39,8 +41,6 @@
 from bramleylead.process.partitions._partition_record import with_next_epoch
 from bramleylead.process.partitions._partition_table import PartitionTable
 from bramleylead.process.partitions._pending_append import ReplicationMode
-from bramleylead.process.partitions._rendezvous import choose_second_copy
-from bramleylead.process.partitions._rendezvous import rank_owners
 
 CHUNK_BYTES = 250_000
 INSTALL_BASE_TIMEOUT_S = 0.5
--- a/src/bramleylead/process/partitions/_partition_scanner.py
+++ b/src/bramleylead/process/partitions/_partition_scanner.py
@@ -18,8 +18,10 @@
 from bramleylead.connection import PeerServer
 from bramleylead.connection import Reply
 from bramleylead.connection._rpc import Done
+from bramleylead.fleet._members import MemberState
+from bramleylead.fleet._rendezvous import rank_members
+from bramleylead.fleet._rendezvous import rank_owners
 from bramleylead.process.journal._journal_copy import JournalCopy
-from bramleylead.process.membership._members import MemberState
 from bramleylead.process.partitions._owner_map import OwnerMap
 from bramleylead.process.partitions._partition import OwnedPartition
 from bramleylead.process.partitions._partition_audit import RECOVERY_DELAY_S
@@ -40,8 +42,6 @@
 from bramleylead.process.partitions._partition_table import PartitionTable
 from bramleylead.process.partitions._recovery import FIRST_EPOCH
 from bramleylead.process.partitions._recovery import recover
-from bramleylead.process.partitions._rendezvous import rank_members
-from bramleylead.process.partitions._rendezvous import rank_owners
 
 SCAN_INTERVAL_S = 1.0
 STARTUP_DELAY_S = 2.0
--- a/src/bramleylead/process/tickets/_relay.py
+++ b/src/bramleylead/process/tickets/_relay.py
@@ -13,8 +13,8 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from bramleylead.process.membership._members import Member
-from bramleylead.process.partitions._rendezvous import rank_members
+from bramleylead.fleet._members import Member
+from bramleylead.fleet._rendezvous import rank_members
 
 SEND_S = 0.0002
 LINK_IN_DATA_CENTRE_S = 0.0005
--- a/src/bramleylead/process/tickets/_ticket_admin.py
+++ b/src/bramleylead/process/tickets/_ticket_admin.py
@@ -16,8 +16,8 @@
 from bramleylead.connection import PeerClient
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
-from bramleylead.process.membership._members import Member
-from bramleylead.process.membership._members import MemberState
+from bramleylead.fleet._members import Member
+from bramleylead.fleet._members import MemberState
 from bramleylead.process.membership._membership import Membership
 from bramleylead.process.tickets._applied_tickets import digest_of
 from bramleylead.process.tickets._ticket_messages import NumberAsked
--- a/src/bramleylead/process/tickets/_ticket_pusher.py
+++ b/src/bramleylead/process/tickets/_ticket_pusher.py
@@ -11,8 +11,8 @@
 from result import Err
 
 from bramleylead.connection import PeerClient
+from bramleylead.fleet._members import Member
 from bramleylead.node_settings import TicketSettings
-from bramleylead.process.membership._members import Member
 from bramleylead.process.membership._membership import Membership
 from bramleylead.process.tickets._applied_tickets import AppliedTickets
 from bramleylead.process.tickets._currency import Currency
--- a/src/bramleylead/process/tickets/_tickets.py
+++ b/src/bramleylead/process/tickets/_tickets.py
@@ -21,13 +21,13 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import Reply
+from bramleylead.fleet._members import Member
+from bramleylead.fleet._rendezvous import store_watchers
 from bramleylead.metrics import Metrics
 from bramleylead.node_settings import NodeSettings
 from bramleylead.process._store_health import ObservedStore
-from bramleylead.process.membership._members import Member
 from bramleylead.process.membership._membership import Membership
 from bramleylead.process.membership._membership_messages import NodeStatus
-from bramleylead.process.partitions._rendezvous import store_watchers
 from bramleylead.process.tickets._applied_tickets import AppliedTickets
 from bramleylead.process.tickets._currency import Currency
 from bramleylead.process.tickets._currency import Ticks
--- a/src/bramleylead/scheduling/_node.py
+++ b/src/bramleylead/scheduling/_node.py
@@ -23,11 +23,11 @@
 from bramleylead.connection import PeerServer
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.fleet._members import ConfigSource
+from bramleylead.fleet._members import MemberList
+from bramleylead.fleet._rendezvous import pool_dispatcher
 from bramleylead.metrics import Metrics
 from bramleylead.node_settings import NodeSettings
-from bramleylead.process.membership._members import ConfigSource
-from bramleylead.process.membership._members import MemberList
-from bramleylead.process.partitions._rendezvous import pool_dispatcher
 from bramleylead.promises import Promises
 from bramleylead.scheduling._decisions import Decision
 from bramleylead.scheduling._decisions import DecisionLog
--- a/testing/process/partitions/test_rendezvous.py
+++ b/testing/fleet/test_rendezvous.py
@@ -4,11 +4,11 @@
 
 import unittest
 
-from bramleylead.process.membership._members import Member
-from bramleylead.process.partitions._rendezvous import pool_dispatcher
-from bramleylead.process.partitions._rendezvous import preferred_owner_and_second
-from bramleylead.process.partitions._rendezvous import rank_members
-from bramleylead.process.partitions._rendezvous import rank_owners
+from bramleylead.fleet._members import Member
+from bramleylead.fleet._rendezvous import pool_dispatcher
+from bramleylead.fleet._rendezvous import preferred_owner_and_second
+from bramleylead.fleet._rendezvous import rank_members
+from bramleylead.fleet._rendezvous import rank_owners
 
 PARTITIONS = 1024
 
--- a/testing/placement/test_replica_selector.py
+++ b/testing/placement/test_replica_selector.py
@@ -129,6 +129,18 @@
 
         run_with_selector(main)
 
+    def test_the_load_that_a_plain_replica_reports_outlasts_what_gateways_report(self) -> None:
+        # Gateways report with their turns, so what they tell of plain replicas is often old.
+        async def main(selector: ReplicaSelector) -> None:
+            selector.start_request(NEAR, EMPTY_PROMPT)
+            selector.record_load("near", 5)
+            selector.end_request("near")
+            await anyio.sleep(0.01)
+            selector.record_fleet_load(FleetLoad({"far": 1}, ()), LONG_PROMPT)
+            self.assertEqual(self.choose(selector), "far")
+
+        run_with_selector(main)
+
     def test_a_prompt_is_sent_where_another_gateway_had_it_run(self) -> None:
         async def main(selector: ReplicaSelector) -> None:
             holders = (("far",), ("far",))
--- a/testing/process/_partition_fleet.py
+++ b/testing/process/_partition_fleet.py
@@ -15,14 +15,14 @@
 
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
+from bramleylead.fleet._members import Member
+from bramleylead.fleet._members import MemberState
 from bramleylead.node_settings import NodeSettings
 from bramleylead.platform._memory import MemoryStore
 from bramleylead.platform._store import StoreError
 from bramleylead.platform._store import StoreErrorKind
 from bramleylead.process.journal._entries import Entry
 from bramleylead.process.journal._entries import ProgramOpened
-from bramleylead.process.membership._members import Member
-from bramleylead.process.membership._members import MemberState
 from bramleylead.process.partitions._partition_host import PartitionHost
 from bramleylead.promises import Promises
 from bramleylead.standins import FakeNetwork
--- a/testing/process/journal/test_journal_recovery.py
+++ b/testing/process/journal/test_journal_recovery.py
@@ -7,8 +7,8 @@
 import anyio
 from result import Ok
 
+from bramleylead.fleet._members import MemberState
 from bramleylead.process.journal._entries import ProgramForgotten
-from bramleylead.process.membership._members import MemberState
 from bramleylead.process.partitions._partition import OwnedPartition
 from testing.process._partition_fleet import PartitionFleet
 from testing.process._partition_fleet import program_opened
--- a/testing/process/membership/test_membership.py
+++ b/testing/process/membership/test_membership.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from bramleylead.process.membership._members import MemberState
+from bramleylead.fleet._members import MemberState
 from bramleylead.standins import run_virtual
 from testing.process.fleet import Fleet
 from testing.process.fleet import host
--- a/testing/process/partitions/test_partition_audit.py
+++ b/testing/process/partitions/test_partition_audit.py
@@ -7,7 +7,7 @@
 import anyio
 from result import Ok
 
-from bramleylead.process.membership._members import MemberState
+from bramleylead.fleet._members import MemberState
 from bramleylead.process.partitions._partition_audit import EXPIRY_CHECK_INTERVAL_S
 from bramleylead.process.partitions._partition_audit import RECOVERY_DELAY_S
 from bramleylead.process.partitions._partition_audit import VERIFICATION_VALID_S
--- a/testing/process/partitions/test_partition_moves.py
+++ b/testing/process/partitions/test_partition_moves.py
@@ -8,7 +8,7 @@
 import anyio
 from result import Ok
 
-from bramleylead.process.membership._members import MemberState
+from bramleylead.fleet._members import MemberState
 from testing.process._partition_fleet import PartitionFleet
 from testing.process._partition_fleet import program_opened
 from testing.process._partition_fleet import run_fleet
--- a/testing/process/tickets/test_tickets.py
+++ b/testing/process/tickets/test_tickets.py
@@ -11,10 +11,10 @@
 from result import Ok
 
 from bramleylead.errors import ErrorKind
+from bramleylead.fleet._rendezvous import store_watchers
 from bramleylead.node_settings import TicketSettings
 from bramleylead.platform import StoreError
 from bramleylead.platform import StoreErrorKind
-from bramleylead.process.partitions._rendezvous import store_watchers
 from bramleylead.process.tickets._relay import make_relay
 from bramleylead.process.tickets._ticket_store import SNAPSHOT_KEY
 from bramleylead.process.tickets._ticket_store import ticket_key
--- a/testing/scheduling/test_node_scheduler.py
+++ b/testing/scheduling/test_node_scheduler.py
@@ -16,9 +16,9 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.errors import ErrorKind
+from bramleylead.fleet._members import Member
 from bramleylead.metrics import Metrics
 from bramleylead.node_settings import NodeSettings
-from bramleylead.process.membership._members import Member
 from bramleylead.promises import Promises
 from bramleylead.scheduling import NodeScheduler
 from bramleylead.standins import FakeNetwork
