Bound what a gateway remembers of a replica's cache

What other gateways report of replicas that this one never uses was kept without end: some bytes a turn. Found by reading.

--- a/src/bramleylead/placement/_replica_selector.py
+++ b/src/bramleylead/placement/_replica_selector.py
@@ -40,7 +40,9 @@
 """Cost of a replica that is not the preferred one of the request's object."""
 REPORTED_LOAD_DECAY_S = 1.0
 FLEET_LOAD_DECAY_S = 3.0
-"""Over this time, what is known of one replica's load gives way to the mean of all."""
+"""Over this time, what other gateways have reported loses its weight."""
+MAX_KNOWN_PARTS = 512
+"""Prompt parts that are remembered of one replica."""
 EJECTED_COST_TOKENS = 60_000.0
 """An ejected replica is chosen only if all others have long queues."""
 
@@ -160,7 +162,7 @@
         ):
             # The last part grows from turn to turn, so only its latest holder has all of it.
             for name in holders[:1] if position == last else holders:
-                self._caches.setdefault(name, OrderedDict())[part] = tokens
+                self._remember(name, part, tokens)
 
     def own_requests(self, name: str) -> int:
         """Return the number of this node's own requests on a replica."""
@@ -171,9 +173,8 @@
         self.health.start_request(candidate.name)
         self._count_start(candidate.name)
         cache = self._caches.setdefault(candidate.name, OrderedDict())
-        for name, tokens in prompt.parts:
-            cache[name] = tokens
-            cache.move_to_end(name)
+        for part, tokens in prompt.parts:
+            self._remember(candidate.name, part, tokens)
         cached_tokens = sum(cache.values())
         while cached_tokens > candidate.cache_tokens and len(cache) > 1:
             cached_tokens -= cache.popitem(last=False)[1]
@@ -204,6 +205,14 @@
             *self.health.known_replicas(),
         }
 
+    def _remember(self, name: str, part: str, tokens: int) -> None:
+        """Assume that a replica has a prompt part cached."""
+        cache = self._caches.setdefault(name, OrderedDict())
+        cache[part] = tokens
+        cache.move_to_end(part)
+        if len(cache) > MAX_KNOWN_PARTS:
+            cache.popitem(last=False)
+
     def _count_start(self, name: str) -> None:
         self._own_requests[name] = self._own_requests.get(name, 0) + 1
 
--- a/testing/placement/test_replica_selector.py
+++ b/testing/placement/test_replica_selector.py
@@ -10,6 +10,7 @@
 
 from bramleylead.placement._fleet_table import FleetLoad
 from bramleylead.placement._replica_health import MAX_EJECTION_S
+from bramleylead.placement._replica_selector import MAX_KNOWN_PARTS
 from bramleylead.placement._replica_selector import REPORTED_LOAD_DECAY_S
 from bramleylead.placement._replica_selector import Candidate
 from bramleylead.placement._replica_selector import Prompt
@@ -149,6 +150,15 @@
 
         run_with_selector(main)
 
+    def test_what_is_known_of_a_replica_that_is_never_chosen_stays_small(self) -> None:
+        async def main(selector: ReplicaSelector) -> None:
+            for number in range(2 * MAX_KNOWN_PARTS):
+                prompt = Prompt(((f"session-{number}", 10),))
+                selector.record_fleet_load(FleetLoad({}, (("far",),)), prompt)
+            self.assertLessEqual(len(selector._caches["far"]), MAX_KNOWN_PARTS)
+
+        run_with_selector(main)
+
     def test_a_session_is_sent_where_its_latest_turn_ran(self) -> None:
         async def main(selector: ReplicaSelector) -> None:
             pair = [NEAR, NEAR._replace(name="next")]
