Seed the load replays, and compare goodput over two seeds

The replay of twice the capacity failed once (118.8 programs on time a second against 0.9 of 135.5) and had passed before. Traced: the replays draw from Python's random numbers, which run_virtual does not seed, so each run was another load; the same seed twice gave 124.0 and 130.3 at the capacity.

--- a/testing/placement/test_overload.py
+++ b/testing/placement/test_overload.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 
 from bramleylead.standins import run_virtual
@@ -12,13 +13,14 @@
 
 
 def replay(load: Load, *, seed: int = 1) -> Replay:
-    """Replay a load and return what was counted."""
+    """Replay a load and return what was counted; the same seed gives the same replay."""
     replays = []
 
     async def main() -> None:
         replays.append(Replay(load))
         await replays[0].run()
 
+    random.seed(seed)
     run_virtual(main, seed=seed)
     return replays[0]
 
@@ -51,6 +53,7 @@
             self.assertGreater(joining.read_tokens, 0)
             self.assertLessEqual(joining.most_present, joining.slots)
 
+        random.seed(1)
         run_virtual(main, seed=1)
 
 
@@ -58,9 +61,10 @@
     """More programs start than the replicas can run."""
 
     def test_goodput_at_twice_the_capacity_is_that_at_capacity(self) -> None:
-        at_capacity = replay(at(1.0))
-        overloaded = replay(at(2.0))
-        self.assertGreaterEqual(overloaded.on_time_per_s, 0.9 * at_capacity.on_time_per_s)
+        # Over two seeds, as the programs that begin within seconds vary by a tenth.
+        at_capacity = sum(replay(at(1.0), seed=seed).on_time for seed in (1, 2))
+        overloaded = sum(replay(at(2.0), seed=seed).on_time for seed in (1, 2))
+        self.assertGreaterEqual(overloaded, 0.9 * at_capacity)
 
     def test_without_admission_goodput_collapses(self) -> None:
         """Shows that the load is one under which the decision matters."""
