Report the age of what gateways and ledger nodes know of the store

Change: a watch of the store that is answered, or that waits while probes sent after it are answered, confirms what is known up to that time. Ledger nodes pass the age on with each answer; gateways show it per kind among the metrics, with each change of source, and with each choice of a replica. No decision uses it yet.

--- a/src/bramleylead/gateway/_directory.py
+++ b/src/bramleylead/gateway/_directory.py
@@ -13,6 +13,8 @@
 import anyio
 import structlog
 
+from bramleylead.platform import _names as names
+from bramleylead.platform._follow import ConfirmingSource
 from bramleylead.platform._types import Configuration
 from bramleylead.platform._types import Replica
 
@@ -34,6 +36,7 @@
         self._announced_leaving: set[str] = set()
         self._store_failed_at = float("-inf")
         self._replicas_listed = False
+        self._source: ConfirmingSource | None = None
         self.changed = anyio.Event()
 
     @property
@@ -46,6 +49,17 @@
         """Whether both the configuration and the list of replicas have been read."""
         return self._configuration is not None and self._replicas_listed
 
+    @property
+    def replica_list_age_s(self) -> float:
+        """Seconds since the time up to which all changes of the replicas are known."""
+        if self._source is None:
+            return float("inf")
+        return anyio.current_time() - self._source.confirmed_at(names.REPLICA_KIND)
+
+    def set_source(self, source: ConfirmingSource) -> None:
+        """Set the source that the replicas are read from, which tells the age of the list."""
+        self._source = source
+
     def replicas(self, service: str) -> Sequence[Replica]:
         """Return the replicas of a service that may be sent new requests."""
         now = anyio.current_time()
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -35,6 +35,7 @@
 from bramleylead.placement._replica_selector import ReplicaSelector
 from bramleylead.platform import _names as names
 from bramleylead.platform._follow import follow
+from bramleylead.platform._follow import object_ages
 from bramleylead.platform._monitored_store import MonitoredStore
 from bramleylead.platform._objects import PlatformStore
 from bramleylead.site_metrics import SiteMetrics
@@ -81,6 +82,7 @@
             on_store_failure=self.directory.record_store_failure,
             patience_s=START_PATIENCE_S if settings.ledger_seeds else 0.0,
         )
+        self.directory.set_source(self._objects)
         reporter = LoadReporter(settings.node, self._selector, send_now=ledger.report_placement)
         ledger.report_load = reporter.report
         sender = Sender(
@@ -148,6 +150,7 @@
             "connections_opened": self._connections.opened,
             "requests_running": self.app.in_flight,
             "ready": self.is_ready(),
+            **object_ages(self._objects, (names.CONFIGURATION_KIND, names.REPLICA_KIND)),
         }
 
     def _dump(self) -> dict[str, Any]:
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -107,6 +107,7 @@
             cost=round(self._selector.cost(chosen, prompt_of(call))),
             among=len(candidates),
             configuration=call.configuration.version,
+            list_age_s=round(self._directory.replica_list_age_s, 3),
         )
         return by_name[chosen.name]
 
--- a/src/bramleylead/ledger/_mirror.py
+++ b/src/bramleylead/ledger/_mirror.py
@@ -21,6 +21,7 @@
 from bramleylead.connection import message
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.platform._follow import ConfirmingSource
 from bramleylead.platform._objects import ObjectChange
 from bramleylead.platform._objects import PlatformObject
 
@@ -66,6 +67,8 @@
     :param since_failure_s: seconds since a call of the node to the store last failed; negative if
         none has failed.
     :param ledger_epoch: the epoch of the node's view of the ledger's members.
+    :param age_s: seconds since the time up to which the node knows every change.
+    :param waited_s: seconds for which the node held the request.
     """
 
     full_list: bool
@@ -73,6 +76,8 @@
     as_of: int
     since_failure_s: float
     ledger_epoch: int = 0
+    age_s: float = 0.0
+    waited_s: float = 0.0
 
 
 class _Change(NamedTuple):
@@ -86,8 +91,9 @@
 class MirroredKind:
     """The objects of one kind, and their recent changes."""
 
-    def __init__(self, kind: str) -> None:
+    def __init__(self, kind: str, source: ConfirmingSource) -> None:
         self.kind = kind
+        self._source = source
         self._objects: dict[str, PlatformObject] = {}
         self._changes: deque[_Change] = deque(maxlen=MAX_HISTORY_CHANGES)
         self._as_of = NO_REVISION
@@ -127,6 +133,7 @@
 
     async def answer(self, request: AskMirror) -> Mirrored | Failure:
         """Return the changes since a revision, waiting until there are any."""
+        started_at = anyio.current_time()
         with anyio.move_on_after(request.wait_s):
             while self.is_current and not self._has_update(request):
                 await self._updated.wait()
@@ -137,7 +144,14 @@
             )
             return Failure(ErrorKind.NOT_CURRENT, detail)
         objects = self._all_objects() if full_list else self._changes_since(request.known_revision)
-        return Mirrored(full_list, tuple(objects), self._as_of, self._since_failure_s())
+        return Mirrored(
+            full_list,
+            tuple(objects),
+            self._as_of,
+            self._since_failure_s(),
+            age_s=self._age_s(),
+            waited_s=anyio.current_time() - started_at,
+        )
 
     def _has_update(self, request: AskMirror) -> bool:
         if request.full_list:
@@ -170,6 +184,9 @@
         self._failing_since = None
         self._notify_waiters()
 
+    def _age_s(self) -> float:
+        return anyio.current_time() - self._source.confirmed_at(self.kind)
+
     def _since_failure_s(self) -> float:
         return (
             -1.0 if self._last_failure_at is None else anyio.current_time() - self._last_failure_at
@@ -184,14 +201,19 @@
 class Mirror:
     """Serves several kinds of objects to gateways.
 
+    :param source: where the node reads the objects.
     :param ledger_epoch: returns the epoch to report with each answer.
     """
 
     def __init__(
-        self, kinds: Iterable[str], *, ledger_epoch: Callable[[], int] = lambda: 0
+        self,
+        kinds: Iterable[str],
+        source: ConfirmingSource,
+        *,
+        ledger_epoch: Callable[[], int] = lambda: 0,
     ) -> None:
         self._ledger_epoch = ledger_epoch
-        self.kinds = {kind: MirroredKind(kind) for kind in kinds}
+        self.kinds = {kind: MirroredKind(kind, source) for kind in kinds}
 
     def register_handlers(self, server: PeerServer) -> None:
         """Register the handler of the gateways' requests."""
--- a/src/bramleylead/ledger/_mirrored_store.py
+++ b/src/bramleylead/ledger/_mirrored_store.py
@@ -28,7 +28,7 @@
 from bramleylead.ledger._mirror import AskMirror
 from bramleylead.ledger._mirror import Mirrored
 from bramleylead.ledger._mirror import to_object_change
-from bramleylead.platform._follow import ObjectSource
+from bramleylead.platform._follow import ConfirmingSource
 from bramleylead.platform._objects import ChangePage
 from bramleylead.platform._objects import ObjectPage
 from bramleylead.platform._store import StoreError
@@ -79,7 +79,7 @@
 
     def __init__(
         self,
-        store: ObjectSource,
+        store: ConfirmingSource,
         peers: PeerClient,
         ledger: MemberSource,
         *,
@@ -95,6 +95,14 @@
         self._store_retry_at = anyio.current_time() + patience_s
         self._members_answer = True
         self._sources: dict[str, str] = {}
+        self._confirmed_at: dict[str, float] = {}
+
+    def confirmed_at(self, kind: str) -> float:
+        """Return the time up to which all changes of a kind were reported; ``-inf`` if none."""
+        return max(
+            self._confirmed_at.get(kind, float("-inf")),
+            self._store.confirmed_at(kind),
+        )
 
     async def list(self, kind: str, *, after: str = "") -> Result[ObjectPage, StoreError]:
         """Read the objects of a kind; only lists from the store itself are paginated."""
@@ -137,12 +145,14 @@
             kind, self._seen_revisions.get(kind, NO_REVISION), full_list, NODE_WAIT_S
         )
         for member in self._members_by_preference()[:MAX_NODES_QUERIED]:
+            started_at = anyio.current_time()
             response = await self._peers.request(
                 member.address, request, timeout_s=NODE_WAIT_S + RESPONSE_SLACK_S, idempotent=True
             )
             if isinstance(response, Ok) and isinstance(response.ok_value, Mirrored):
                 mirrored = response.ok_value
                 self._record_read(kind, member.node, mirrored.as_of)
+                self._confirm(kind, started_at + mirrored.waited_s - mirrored.age_s)
                 if mirrored.ledger_epoch > self._ledger.view.epoch:
                     await self._ledger.refresh()
                 self._members_answer = True
@@ -178,6 +188,9 @@
             self._store_retry_at = anyio.current_time() + delay_s
         return response
 
+    def _confirm(self, kind: str, at: float) -> None:
+        self._confirmed_at[kind] = max(self._confirmed_at.get(kind, float("-inf")), at)
+
     def _record_read(self, kind: str, source: str, as_of: int) -> None:
         """Record the source and the revision at which a kind was read."""
         self._seen_revisions[kind] = max(self._seen_revisions.get(kind, NO_REVISION), as_of)
@@ -185,5 +198,10 @@
             previous_source = self._sources.get(kind)
             self._sources[kind] = source
             log.info(
-                "source_changed", kind=kind, source=source, former=previous_source, as_of=as_of
+                "source_changed",
+                kind=kind,
+                source=source,
+                former=previous_source,
+                as_of=as_of,
+                age_s=round(anyio.current_time() - self.confirmed_at(kind), 3),
             )
--- a/src/bramleylead/ledger/_node_objects.py
+++ b/src/bramleylead/ledger/_node_objects.py
@@ -17,7 +17,7 @@
 from bramleylead.ledger._members import LedgerView
 from bramleylead.ledger._mirrored_store import MirroredStore
 from bramleylead.ledger._node import LedgerNode
-from bramleylead.platform._follow import ObjectSource
+from bramleylead.platform._follow import ConfirmingSource
 from bramleylead.platform._objects import ChangePage
 from bramleylead.platform._objects import ObjectPage
 from bramleylead.platform._store import StoreError
@@ -51,7 +51,7 @@
 class NodeObjects:
     """The platform's objects as one ledger node reads them."""
 
-    def __init__(self, node: LedgerNode, store: ObjectSource, peers: PeerClient) -> None:
+    def __init__(self, node: LedgerNode, store: ConfirmingSource, peers: PeerClient) -> None:
         self._node = node
         self._store = store
         self._mirrored = MirroredStore(
@@ -68,5 +68,9 @@
         """Wait for changes of a kind."""
         return await self._source().watch(kind, after=after, wait_s=wait_s)
 
-    def _source(self) -> ObjectSource:
+    def confirmed_at(self, kind: str) -> float:
+        """Return the time up to which all changes of a kind were reported; ``-inf`` if none."""
+        return self._source().confirmed_at(kind)
+
+    def _source(self) -> ConfirmingSource:
         return self._store if self._node.is_member else self._mirrored
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -27,6 +27,7 @@
 from bramleylead.platform._follow import Follower
 from bramleylead.platform._follow import SharedFollower
 from bramleylead.platform._follow import follow
+from bramleylead.platform._follow import object_ages
 from bramleylead.platform._monitored_store import MonitoredStore
 from bramleylead.platform._objects import ObjectChange
 from bramleylead.platform._objects import PlatformObject
@@ -101,10 +102,12 @@
         load_sharing = LoadSharing(node, peers)
         load_sharing.register_handlers(server)
         monitored_store = MonitoredStore(store)
-        mirror = Mirror(MIRRORED_KINDS, ledger_epoch=lambda: node.view.epoch)
-        mirror.register_handlers(server)
         objects = NodeObjects(node, monitored_store, peers)
-        metrics.describe(node.gauges, node.dump)
+        mirror = Mirror(MIRRORED_KINDS, objects, ledger_epoch=lambda: node.view.epoch)
+        mirror.register_handlers(server)
+        metrics.describe(
+            lambda: {**node.gauges(), **object_ages(objects, MIRRORED_KINDS)}, node.dump
+        )
         membership = Membership(
             node,
             StoredMemberList(store),
--- a/src/bramleylead/platform/_follow.py
+++ b/src/bramleylead/platform/_follow.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 from collections.abc import Sequence
 from typing import Protocol
 from typing import final
@@ -44,6 +45,17 @@
         ...
 
 
+class ConfirmingSource(ObjectSource, Protocol):
+    """A source that knows up to which time it has reported every change."""
+
+    def confirmed_at(self, kind: str) -> float:
+        """Return the event loop's time up to which all changes of a kind were reported.
+
+        ``-inf`` if the kind has not been read yet.
+        """
+        ...
+
+
 class Follower(Protocol):
     """Maintains state that is derived from the objects of one kind."""
 
@@ -62,6 +74,13 @@
         ...
 
 
+def object_ages(source: ConfirmingSource, kinds: Iterable[str]) -> dict[str, float]:
+    """Return metrics that give, for each kind that was read, the age of what is known in s."""
+    now = anyio.current_time()
+    ages = {kind: now - source.confirmed_at(kind) for kind in kinds}
+    return {f"{kind}_age_s": round(age, 3) for kind, age in ages.items() if age < float("inf")}
+
+
 @final
 class SharedFollower:
     """Passes everything about one kind to several followers, so that it is read only once."""
--- a/src/bramleylead/platform/_monitored_store.py
+++ b/src/bramleylead/platform/_monitored_store.py
@@ -47,6 +47,7 @@
 
     kind: str
     after: int
+    started_at: float
     scope: anyio.CancelScope
 
 
@@ -59,6 +60,15 @@
         self._pending: list[_Watch] = []
         self._watch_started = anyio.Event()
         self._is_unconfirmed = True
+        self._confirmed_at: dict[str, float] = {}
+
+    def confirmed_at(self, kind: str) -> float:
+        """Return the time up to which all changes of a kind were reported; ``-inf`` if none.
+
+        An answered watch shows the store's state as of its answer. A pending watch shows that
+        nothing has changed as long as probes sent after it are answered.
+        """
+        return self._confirmed_at.get(kind, float("-inf"))
 
     async def run(self) -> None:
         """Probe the store periodically while watches are pending, until cancelled."""
@@ -71,7 +81,11 @@
 
     async def list(self, kind: str, *, after: str = "") -> Result[ObjectPage, StoreError]:
         """Read a page of the objects of a kind."""
-        return await self._store.list(kind, after=after)
+        started_at = anyio.current_time()
+        listed = await self._store.list(kind, after=after)
+        if isinstance(listed, Ok):
+            self._confirm(kind, started_at)
+        return listed
 
     async def watch(
         self, kind: str, *, after: int, wait_s: float
@@ -81,7 +95,7 @@
             wait_s = min(wait_s, UNCONFIRMED_WATCH_TIMEOUT_S)
         answer: Result[ChangePage, StoreError] | None = None
         with anyio.CancelScope() as scope:
-            pending = _Watch(kind, after, scope)
+            pending = _Watch(kind, after, anyio.current_time(), scope)
             self._pending.append(pending)
             self._watch_started.set()
             try:
@@ -93,11 +107,14 @@
         if answer is None:
             answer = Err(StoreError(StoreErrorKind.UNAVAILABLE, f"{kind}: the watch is dead"))
         self._is_unconfirmed = not isinstance(answer, Ok)
+        if isinstance(answer, Ok):
+            self._confirm(kind, anyio.current_time())
         return answer
 
     async def _probe(self, kind: str) -> None:
         """List a kind, and cancel its watches that will not be answered."""
         probed = [watch for watch in self._pending if watch.kind == kind]
+        started_at = anyio.current_time()
         listed = await self._store.list_stale(kind, timeout_s=PROBE_TIMEOUT_S)
         if isinstance(listed, Err):
             log.warning("store_silent", kind=kind, reason=listed.err_value.detail)
@@ -110,6 +127,11 @@
             if any(watch in self._pending for watch in missed):
                 log.warning("watch_missed_change", kind=kind, revision=newest)
             self._cancel(missed)
+        elif any(watch in self._pending for watch in probed):
+            self._confirm(kind, started_at)
+
+    def _confirm(self, kind: str, at: float) -> None:
+        self._confirmed_at[kind] = max(self.confirmed_at(kind), at)
 
     def _cancel(self, watches: list[_Watch]) -> None:
         for watch in watches:
--- a/testing/ledger/test_mirrored_store.py
+++ b/testing/ledger/test_mirrored_store.py
@@ -77,11 +77,11 @@
         view = self.network.view(node_host(i))
         server = PeerServer(node=f"s{i}", cluster_key=KEY)
         server.handle(AskState, self._send_state)
-        mirror = Mirror(KINDS, ledger_epoch=lambda: self.members.epoch)
+        objects = MonitoredStore(self.store.source_for(f"s{i}"))
+        mirror = Mirror(KINDS, objects, ledger_epoch=lambda: self.members.epoch)
         self.mirrors[i] = mirror
         mirror.register_handlers(server)
         async with anyio.create_task_group() as tasks:
-            objects = MonitoredStore(self.store.source_for(f"s{i}"))
             tasks.start_soon(objects.run)
             for kind in mirror.kinds.values():
                 tasks.start_soon(follow, objects, kind)
