Reproduce DRAIN: a gateway uses a leaving replica while its ledger node lost the store

Callers' requests reached a replica up to 2,973 ms after the store had acknowledged that it leaves (bound 2,500 ms).

The tests cut one, two or all ledger nodes off from the store without an error, right before a replica announces that it leaves, at twelve moments of the watches and probes.

--- a/testing/ledger/test_mirrored_store.py
+++ b/testing/ledger/test_mirrored_store.py
@@ -40,6 +40,10 @@
 NODES = 3
 KINDS = (names.CONFIGURATION_KIND, names.REPLICA_KIND)
 LOSSES = 1
+DRAIN_S = 2.5
+"""How long a replica still serves after the store has acknowledged that it leaves."""
+WATCH_PHASES_S = tuple(0.29 * i for i in range(12))
+"""Delays before a fault, to hit every state of watches and probes that repeat periodically."""
 
 
 def node_host(i: int) -> str:
@@ -120,23 +124,29 @@
                 tasks.start_soon(follow, objects, follower)
 
 
+def run_with_site(main: Callable[[Site], Awaitable[None]]) -> None:
+    """Run a test once the gateway has read everything."""
+
+    async def run() -> None:
+        site = Site()
+        site.configure(1)
+        site.store.put("servers", "i-1", ENTRY)
+        site.store.members = MEMBERS
+        async with anyio.create_task_group() as tasks:
+            for i in range(NODES):
+                tasks.start_soon(site.run_node, i)
+            await anyio.sleep(0.5)
+            tasks.start_soon(site.run_gateway)
+            await wait_until(lambda: site.directory.is_complete)
+            await main(site)
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run, seed=1)
+
+
 class MirroredStoreTest(unittest.TestCase):
     def run_site(self, main: Callable[[Site], Awaitable[None]]) -> None:
-        async def run() -> None:
-            site = Site()
-            site.configure(1)
-            site.store.put("servers", "i-1", ENTRY)
-            site.store.members = MEMBERS
-            async with anyio.create_task_group() as tasks:
-                for i in range(NODES):
-                    tasks.start_soon(site.run_node, i)
-                await anyio.sleep(0.5)
-                tasks.start_soon(site.run_gateway)
-                await wait_until(lambda: site.directory.is_complete)
-                await main(site)
-                tasks.cancel_scope.cancel()
-
-        run_virtual(run, seed=1)
+        run_with_site(main)
 
     def test_changes_arrive_without_a_call_to_the_store(self) -> None:
         async def main(site: Site) -> None:
@@ -306,3 +316,52 @@
             self.assertEqual(len(site.directory.replicas(ENTRY["service"])), 1)
 
         self.run_site(main)
+
+
+class LeavingReplicaTest(unittest.TestCase):
+    """Requests must not reach a replica ``DRAIN_S`` after it has announced that it leaves."""
+
+    def measure_news(self, fault: Callable[[Site], None], *, delay_s: float) -> float:
+        """Return how long a gateway uses a replica that leaves right after a fault."""
+        took_s: list[float] = []
+
+        async def main(site: Site) -> None:
+            await anyio.sleep(delay_s)
+            fault(site)
+            await anyio.sleep(0.01)
+            site.store.put("servers", "i-1", {**ENTRY, "state": "draining"})
+            left_at = anyio.current_time()
+            await wait_until(lambda: not site.directory.replicas(ENTRY["service"]))
+            took_s.append(anyio.current_time() - left_at)
+
+        run_with_site(main)
+        return took_s[0]
+
+    def assert_known_in_time(self, fault: Callable[[Site], None]) -> None:
+        for delay_s in WATCH_PHASES_S:
+            with self.subTest(delay_s=delay_s):
+                self.assertLess(self.measure_news(fault, delay_s=delay_s), DRAIN_S)
+
+    def test_known_in_time_though_the_nearest_node_lost_the_store(self) -> None:
+        """The node went on reporting no change for over 3 s; gateways sent to the replica."""
+        self.assert_known_in_time(lambda site: site.store.silent.add("s0"))
+
+    def test_known_in_time_though_two_nodes_lost_the_store(self) -> None:
+        self.assert_known_in_time(lambda site: site.store.silent.update({"s0", "s1"}))
+
+    def test_known_in_time_though_all_nodes_lost_the_store(self) -> None:
+        self.assert_known_in_time(lambda site: site.store.silent.update({"s0", "s1", "s2"}))
+
+    def test_known_in_time_though_the_nearest_nodes_are_unreachable(self) -> None:
+        def cut(site: Site) -> None:
+            site.network.cut(GATEWAY_IP, node_host(0))
+            site.network.cut(GATEWAY_IP, node_host(1))
+
+        self.assert_known_in_time(cut)
+
+    def test_known_in_time_though_one_node_is_unreachable_and_one_lost_the_store(self) -> None:
+        def cut(site: Site) -> None:
+            site.network.cut(GATEWAY_IP, node_host(1))
+            site.store.silent.add("s0")
+
+        self.assert_known_in_time(cut)
