Bound the age of a gateway's knowledge: ledger nodes that lost the store are left in 1 s

Cause: a gateway read the list of replicas through a ledger node that had lost the store without an error. The node noticed only by a probe every 1.5 s, with up to 1 s for each kind probed before, still counted as current for 0.6 s, and the gateway then waited for its answer or for a second node in turn. No constant bound the sum. Class: a cache that serves without knowing its own age.

Evidence: storage-manitoba-a-1 made no call to the store from 4 to 10 s and noticed at 7.767 s for the replicas; front-manitoba-a-1 counted no changed replica by 8.04 s.

Change: the node answers only if what it knows was confirmed within 1.0 s, and ends waiting requests when that passes. Probes come as soon as knowledge is 0.4 s old, in turn over the kinds (as many as before), and one that is answered confirms all pending watches. A gateway lets one node wait only as long as its own knowledge stays under 1.6 s, then asks all others at the same time, then the store within 0.3 s.

--- a/src/bramleylead/ledger/_mirror.py
+++ b/src/bramleylead/ledger/_mirror.py
@@ -28,6 +28,9 @@
 NO_REVISION = -1
 STALE_AFTER_S = 0.6
 """A single failed call must not make the gateways switch to another source."""
+MAX_NODE_AGE_S = 1.0
+"""A node whose knowledge was confirmed longer ago may have lost the store without an error."""
+MIN_WAIT_S = 0.01
 MAX_HISTORY_CHANGES = 2_000
 
 
@@ -105,7 +108,7 @@
     @property
     def is_current(self) -> bool:
         """Whether the objects have been read and the store has answered recently."""
-        if self._as_of == NO_REVISION:
+        if self._as_of == NO_REVISION or self._age_s() >= MAX_NODE_AGE_S:
             return False
         since = self._failing_since
         return since is None or anyio.current_time() - since < STALE_AFTER_S
@@ -136,11 +139,13 @@
         started_at = anyio.current_time()
         with anyio.move_on_after(request.wait_s):
             while self.is_current and not self._has_update(request):
-                await self._updated.wait()
+                with anyio.move_on_after(max(MIN_WAIT_S, MAX_NODE_AGE_S - self._age_s())):
+                    await self._updated.wait()
         full_list = request.full_list or request.known_revision < self._history_from
         if not self.is_current or (full_list and self._as_of < request.known_revision):
             detail = (
-                f"{self.kind}: known as of {self._as_of}, requested as of {request.known_revision}"
+                f"{self.kind}: known as of {self._as_of}, {self._age_s():.1f} s ago, "
+                f"requested as of {request.known_revision}"
             )
             return Failure(ErrorKind.NOT_CURRENT, detail)
         objects = self._all_objects() if full_list else self._changes_since(request.known_revision)
--- a/src/bramleylead/ledger/_mirrored_store.py
+++ b/src/bramleylead/ledger/_mirrored_store.py
@@ -1,8 +1,8 @@
 """Reads the platform's objects through members of the ledger, which watch the store for all others.
 
-If a node does not answer or has lost contact with the store, another node is queried, and at last
-the store itself. Each request carries the latest revision that this gateway has seen, so that no
-node answers with older data.
+One node is queried at a time. If it does not confirm in time that what this process knows is
+current, all other nodes are queried at once, and at last the store itself. Each request carries the
+latest revision that this process has seen, so that no node answers with older data.
 """
 
 from __future__ import annotations
@@ -35,14 +35,15 @@
 from bramleylead.platform._store import StoreErrorKind
 
 STORE = "store"
-MAX_NODES_QUERIED = 2
-NODE_WAIT_S = 1.0
+MAX_AGE_S = 1.6
+"""Age of what is known at which all nodes are queried; a leaving replica must be known in 2.5 s."""
+NODE_WAIT_S = 0.8
 """How long a node waits for changes before it answers; short, so that a stall is noticed soon."""
-RESPONSE_SLACK_S = 0.6
+RESPONSE_SLACK_S = 0.3
 AVOID_FAILED_NODE_S = 3.0
 STORE_RETRY_DELAY_S = 2.0
 """The store may refuse one process or all of them; after a failure each retries it rarely."""
-MAX_STORE_DELAY_S = 1.0
+MAX_STORE_DELAY_S = 0.3
 """When the members stop answering, all gateways notice it at the same time."""
 
 log = structlog.get_logger()
@@ -141,26 +142,59 @@
         """Return a node's response, or ``None`` if no queried node has recent enough data."""
         if not self._ledger.view.members:
             await self._ledger.refresh()
-        request = AskMirror(
-            kind, self._seen_revisions.get(kind, NO_REVISION), full_list, NODE_WAIT_S
+        members = self._members_by_preference()
+        if not members:
+            return None
+        wait_s = self._node_wait_s(kind)
+        known_revision = self._seen_revisions.get(kind, NO_REVISION)
+        request = AskMirror(kind, known_revision, full_list, wait_s)
+        mirrored = await self._query_first([members[0]], request)
+        if mirrored is None:
+            mirrored = await self._query_first(members[1:], request._replace(wait_s=0.0))
+        if mirrored is not None and mirrored.ledger_epoch > self._ledger.view.epoch:
+            await self._ledger.refresh()
+        return mirrored
+
+    def _node_wait_s(self, kind: str) -> float:
+        """Return how long a node may wait, so that others can be queried before ``MAX_AGE_S``."""
+        age_s = anyio.current_time() - self.confirmed_at(kind)
+        return max(0.0, min(NODE_WAIT_S, MAX_AGE_S - RESPONSE_SLACK_S - age_s))
+
+    async def _query_first(
+        self, members: Sequence[LedgerMember], request: AskMirror
+    ) -> Mirrored | None:
+        """Query nodes at the same time and return the first response with current data."""
+        responses: list[Mirrored] = []
+
+        async def query(member: LedgerMember) -> None:
+            response = await self._query_node(member, request)
+            if response is not None:
+                responses.append(response)
+                queries.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as queries:
+            for member in members:
+                queries.start_soon(query, member)
+        return responses[0] if responses else None
+
+    async def _query_node(self, member: LedgerMember, request: AskMirror) -> Mirrored | None:
+        started_at = anyio.current_time()
+        response = await self._peers.request(
+            member.address,
+            request,
+            timeout_s=request.wait_s + RESPONSE_SLACK_S,
+            idempotent=True,
         )
-        for member in self._members_by_preference()[:MAX_NODES_QUERIED]:
-            started_at = anyio.current_time()
-            response = await self._peers.request(
-                member.address, request, timeout_s=NODE_WAIT_S + RESPONSE_SLACK_S, idempotent=True
-            )
-            if isinstance(response, Ok) and isinstance(response.ok_value, Mirrored):
-                mirrored = response.ok_value
-                self._record_read(kind, member.node, mirrored.as_of)
-                self._confirm(kind, started_at + mirrored.waited_s - mirrored.age_s)
-                if mirrored.ledger_epoch > self._ledger.view.epoch:
-                    await self._ledger.refresh()
-                self._members_answer = True
-                if mirrored.since_failure_s >= 0:
-                    self._on_store_failure(mirrored.since_failure_s)
-                return mirrored
+        if isinstance(response, Err) or not isinstance(response.ok_value, Mirrored):
             self._failed_at[member.node] = anyio.current_time()
-        return None
+            return None
+        mirrored = response.ok_value
+        self._record_read(request.kind, member.node, mirrored.as_of)
+        self._confirm(request.kind, started_at + mirrored.waited_s - mirrored.age_s)
+        self._members_answer = True
+        if mirrored.since_failure_s >= 0:
+            self._on_store_failure(mirrored.since_failure_s)
+        return mirrored
 
     def _members_by_preference(self) -> Sequence[LedgerMember]:
         """Return the nodes in query order: nearest first, recently failed ones last."""
--- a/src/bramleylead/platform/_monitored_store.py
+++ b/src/bramleylead/platform/_monitored_store.py
@@ -1,10 +1,13 @@
 """Detects within seconds that a pending watch of the platform's store will never be answered.
 
 A store that stops answering for a while may never answer the watches that were pending or sent in
-that time, although its connections look alive. Therefore, while a watch is pending, its kind is
-listed periodically by a cheap read that may return old data. If the list is not answered, the store
-is silent. If it shows a change that the watch should have reported, the watch is dead. In both
-cases the watch is cancelled, and later watches use a short timeout until one is answered.
+that time, although its connections look alive. Therefore, while watches are pending, their kinds
+are listed in turn by a cheap read that may return old data. If a list is not answered, the store is
+silent. If it shows a change that a watch should have reported, the watch is dead. In both cases the
+watches concerned are cancelled, and later watches use a short timeout until one is answered.
+
+Each answer also confirms what is known up to the time at which it was requested, so that whoever
+relies on it can tell its age.
 """
 
 from __future__ import annotations
@@ -25,7 +28,9 @@
 from bramleylead.platform._store import StoreError
 from bramleylead.platform._store import StoreErrorKind
 
-PROBE_INTERVAL_S = 1.5
+PROBE_AGE_S = 0.4
+"""Age of what is known of a kind from which on its pending watch is probed."""
+PROBE_CHECK_INTERVAL_S = 0.2
 PROBE_TIMEOUT_S = 1.0
 DELIVERY_GRACE_S = 0.3
 """A change in the list may still be on its way to the watch."""
@@ -61,6 +66,8 @@
         self._watch_started = anyio.Event()
         self._is_unconfirmed = True
         self._confirmed_at: dict[str, float] = {}
+        self._probed_at: dict[str, float] = {}
+        self._missed_since: dict[_Watch, float] = {}
 
     def confirmed_at(self, kind: str) -> float:
         """Return the time up to which all changes of a kind were reported; ``-inf`` if none.
@@ -75,9 +82,11 @@
         while True:
             if not self._pending:
                 await self._watch_started.wait()
-            await anyio.sleep(PROBE_INTERVAL_S)
-            for kind in {watch.kind for watch in self._pending}:
-                await self._probe(kind)
+            await anyio.sleep(PROBE_CHECK_INTERVAL_S)
+            self._cancel_dead_watches()
+            oldest_at = min((self.confirmed_at(watch.kind) for watch in self._pending), default=0.0)
+            if self._pending and anyio.current_time() - oldest_at >= PROBE_AGE_S:
+                await self._probe(self._next_probed_kind())
 
     async def list(self, kind: str, *, after: str = "") -> Result[ObjectPage, StoreError]:
         """Read a page of the objects of a kind."""
@@ -102,6 +111,7 @@
                 answer = await self._store.watch(kind, after=after, wait_s=wait_s)
             finally:
                 self._pending.remove(pending)
+                self._missed_since.pop(pending, None)
                 if not self._pending:
                     self._watch_started = anyio.Event()
         if answer is None:
@@ -111,24 +121,37 @@
             self._confirm(kind, anyio.current_time())
         return answer
 
+    def _next_probed_kind(self) -> str:
+        """Return the kind with pending watches that was probed least recently."""
+        kinds = {watch.kind for watch in self._pending}
+        return min(sorted(kinds), key=lambda kind: self._probed_at.get(kind, float("-inf")))
+
     async def _probe(self, kind: str) -> None:
-        """List a kind, and cancel its watches that will not be answered."""
-        probed = [watch for watch in self._pending if watch.kind == kind]
+        """List a kind, and confirm the pending watches or detect those that are dead."""
         started_at = anyio.current_time()
+        self._probed_at[kind] = started_at
+        pending = list(self._pending)
         listed = await self._store.list_stale(kind, timeout_s=PROBE_TIMEOUT_S)
         if isinstance(listed, Err):
             log.warning("store_silent", kind=kind, reason=listed.err_value.detail)
-            self._cancel(probed)
+            self._cancel(pending)
             return
         newest = max((found.revision for found in listed.ok_value.objects), default=0)
-        missed = [watch for watch in probed if watch.after < newest]
-        if missed:
-            await anyio.sleep(DELIVERY_GRACE_S)
-            if any(watch in self._pending for watch in missed):
-                log.warning("watch_missed_change", kind=kind, revision=newest)
-            self._cancel(missed)
-        elif any(watch in self._pending for watch in probed):
-            self._confirm(kind, started_at)
+        for watch in pending:
+            if watch not in self._pending or watch in self._missed_since:
+                continue
+            if watch.kind == kind and watch.after < newest:
+                self._missed_since[watch] = anyio.current_time()
+            else:
+                self._confirm(watch.kind, started_at)
+
+    def _cancel_dead_watches(self) -> None:
+        """Cancel the watches that have still not reported a change that a probe showed."""
+        now = anyio.current_time()
+        for watch, since in list(self._missed_since.items()):
+            if now - since >= DELIVERY_GRACE_S:
+                log.warning("watch_missed_change", kind=watch.kind, revision=watch.after)
+                self._cancel([watch])
 
     def _confirm(self, kind: str, at: float) -> None:
         self._confirmed_at[kind] = max(self.confirmed_at(kind), at)
