Check again before sending that a replica has not announced that it leaves

Callers' requests could reach a replica that was known to leave: the choice was made before the connection was opened, which may take 0.4 s, and not looked at again.

The sender looks again once it has a connection, and treats a leaving replica as one that was not reached, so another is chosen. The new test fails without the check: the leaving replica got 1 of 3 requests, now 0. Gateway tests: all passed.

--- a/src/bramleylead/gateway/_directory.py
+++ b/src/bramleylead/gateway/_directory.py
@@ -62,16 +62,20 @@
 
     def replicas(self, service: str) -> Sequence[Replica]:
         """Return the replicas of a service that may be sent new requests."""
-        now = anyio.current_time()
         return [
             replica
             for replica in self._replicas.values()
-            if replica.service == service
-            and not replica.leaving
-            and replica.name not in self._announced_leaving
-            and now - self._missing_since.get(replica.name, now) < EXPIRY_GRACE_S
+            if replica.service == service and self.is_usable(replica.name)
         ]
 
+    def is_usable(self, name: str) -> bool:
+        """Return whether a replica may be sent new requests."""
+        replica = self._replicas.get(name)
+        if replica is None or replica.leaving or name in self._announced_leaving:
+            return False
+        now = anyio.current_time()
+        return now - self._missing_since.get(name, now) < EXPIRY_GRACE_S
+
     def replica_names(self) -> set[str]:
         """Return the names of all known replicas, including leaving ones."""
         return set(self._replicas)
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -172,6 +172,11 @@
                 )
                 yield NotRun(acquired.err_value, counts_as_attempt=False)
                 return
+            if not self._directory.is_usable(replica.name):
+                # It announced that it leaves while the connection was being opened.
+                await acquired.ok_value.aclose()
+                yield NotRun(f"{replica.name} is leaving", counts_as_attempt=False)
+                return
             async with self._send_on_connection(
                 call, replica, acquired.ok_value, body, resume_after
             ) as result:
--- a/testing/gateway/test_leaving_replicas.py
+++ b/testing/gateway/test_leaving_replicas.py
@@ -56,6 +56,28 @@
 
         run_with_site(main, RESUMABLE)
 
+    def test_a_replica_that_leaves_while_it_is_connected_to_gets_no_request(self) -> None:
+        async def main(site: Site) -> None:
+            leaving = await site.add_replica("a", respond_with(ok_response))
+            other = await site.add_replica("b", respond_with(ok_response))
+            connect = site.connections._connect
+
+            async def leave_during_connect(replica: Replica) -> object:
+                connected = await connect(replica)
+                if replica.name == "a":
+                    site.directory.put_replica(replica._replace(leaving=True))
+                return connected
+
+            site.connections._connect = leave_during_connect
+            for number in range(3):
+                response = await site.request(
+                    "/safe/x", headers={"bramleylead-request-id": f"q{number}"}
+                )
+                self.assertEqual(response.status, 200)
+            self.assertEqual((len(leaving.received), len(other.received)), (0, 3))
+
+        run_with_site(main)
+
     def test_a_new_replica_under_the_same_name_is_used(self) -> None:
         async def main(site: Site) -> None:
             await site.add_replica("a", respond_with(leaving_response))
