Keep the request rates that replicas name as their limits

Cause: the gateway did not read Server-Limit.

Change: placement/_rate_limits.py keeps the limits from the replicas' answers and this gateway's permits. A limit holds for all gateways together, so each takes the part of the rate that its share of the fleet's traffic amounts to. The share comes with the answers by which gateways read the platform's objects anyway; ledger members tell each other the sum of what was reported to them. A part below one request a second lapses after 1 s if unused, so that many idle gateways can't use theirs at the same moment. Every request passes the permit in Sender.send, with retries, trials of failed replicas and resumed streams; there is no other way to a replica. If the limits of all replicas allow none, a program under way waits up to 1 s, any other request 0.2 s, and then is refused with the time of the next permit. Admission of new programs counts the slots that the limits allow.

--- a/src/bramleylead/gateway/_plain_calls.py
+++ b/src/bramleylead/gateway/_plain_calls.py
@@ -17,15 +17,15 @@
 from bramleylead.gateway._call import CompleteResponse
 from bramleylead.gateway._call import NotRun
 from bramleylead.gateway._call import Outcome
+from bramleylead.gateway._permit_waits import RETRY_AFTER_S
+from bramleylead.gateway._response_body import StartedResponse
+from bramleylead.gateway._response_body import read_complete
 from bramleylead.gateway._sender import Sender
-from bramleylead.gateway._sender import StartedResponse
-from bramleylead.gateway._sender import read_complete
 from bramleylead.platform._types import Replica
 from bramleylead.platform._types import Route
 
 MAX_UNREACHED_REPLICAS = 4
 """Replicas that are unreachable or replaced don't count as attempts; this limits their number."""
-RETRY_AFTER_S = 0.25
 
 log = structlog.get_logger()
 
@@ -47,6 +47,7 @@
 
     async def answer(self, call: Call) -> Result[CompleteResponse, Failure]:
         """Return a replica's complete response, or a failure, by the caller's deadline."""
+        self._sender.record_demand()
         attempts = _Attempts(call)
         with anyio.move_on_after(max(0.0, call.remaining_s)):
             return await self._try_replicas(call, attempts)
@@ -57,8 +58,9 @@
     ) -> Result[CompleteResponse, Failure]:
         service = pick_service(call.route)
         while attempts.can_retry:
-            replica = self._sender.choose(call, service, attempts.tried_replicas)
+            replica = await self._sender.choose(call, service, attempts.tried_replicas)
             if replica is None:
+                attempts.retry_after_s = self._sender.retry_after_s(service)
                 break
             outcome = await self._attempt(call, replica, attempts)
             self._sender.record_outcome(replica, outcome)
@@ -87,6 +89,7 @@
         self._detail = "no replica is available"
         self._error_response: CompleteResponse | None = None
         self.tried_replicas: set[str] = set()
+        self.retry_after_s = RETRY_AFTER_S
 
     @property
     def can_retry(self) -> bool:
@@ -130,7 +133,7 @@
             return Ok(self._error_response)
         if self._may_have_run:
             return Err(Failure(ErrorKind.ENDPOINT_LOST, self._detail))
-        return Err(Failure(ErrorKind.OVERLOADED, self._detail, RETRY_AFTER_S))
+        return Err(Failure(ErrorKind.OVERLOADED, self._detail, self.retry_after_s))
 
     def timeout_result(self) -> Result[CompleteResponse, Failure]:
         """Return the result after the deadline has passed."""
--- /dev/null
+++ b/src/bramleylead/gateway/_response_body.py
@@ -0,0 +1,55 @@
+"""A replica's response whose head has been read, and how its body is read or discarded."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import structlog
+
+from bramleylead.gateway._call import CompleteResponse
+from bramleylead.gateway._call import Outcome
+from bramleylead.gateway._call import UnknownOutcome
+from bramleylead.gateway._upstream import ResponseHead
+from bramleylead.gateway._upstream import UpstreamConnection
+from bramleylead.gateway._upstream import UpstreamError
+from bramleylead.platform._types import Replica
+from bramleylead.platform._types import ResponseMetadata
+
+MAX_RESPONSE_BYTES = 64_000_000
+
+log = structlog.get_logger()
+
+
+class StartedResponse(NamedTuple):
+    """A response whose head has been read; its body is still to be read from the connection."""
+
+    replica: Replica
+    connection: UpstreamConnection
+    head: ResponseHead
+    metadata: ResponseMetadata
+
+
+async def read_complete(response: StartedResponse) -> Outcome:
+    """Read the complete body of a response."""
+    chunks = []
+    size = 0
+    try:
+        while (part := await response.connection.read_chunk()) is not None:
+            chunks.append(part)
+            size += len(part)
+            if size > MAX_RESPONSE_BYTES:
+                return UnknownOutcome(
+                    f"{response.replica.name}: response exceeds {MAX_RESPONSE_BYTES} bytes"
+                )
+    except UpstreamError as error:
+        return UnknownOutcome(f"{response.replica.name}: {error}")
+    return CompleteResponse(response.replica, response.head, b"".join(chunks))
+
+
+async def discard_body(connection: UpstreamConnection) -> None:
+    """Discard the body of a refusal, so that the connection can be reused."""
+    try:
+        while await connection.read_chunk() is not None:
+            pass
+    except UpstreamError as error:
+        log.info("refusal_cut_off", reason=str(error))
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -32,6 +32,7 @@
 from bramleylead.ledger._member_list import StoredMemberList
 from bramleylead.ledger._members import view_to_plain
 from bramleylead.ledger._mirrored_store import MirroredStore
+from bramleylead.placement._rate_limits import RateLimits
 from bramleylead.placement._replica_selector import ReplicaSelector
 from bramleylead.platform import _names as names
 from bramleylead.platform._follow import follow
@@ -74,12 +75,15 @@
         self._connections = ConnectionPool(network, id_header=names.REQUEST_ID)
         self._selector = ReplicaSelector(first_turn=random.randrange(MAX_FIRST_TURN))
         self.directory = Directory()
+        self._limits = RateLimits()
         self._store = MonitoredStore(store)
         self._objects = MirroredStore(
             self._store,
             peers,
             ledger,
             on_store_failure=self.directory.record_store_failure,
+            gateway=settings.node,
+            traffic=self._limits,
             patience_s=START_PATIENCE_S if settings.ledger_seeds else 0.0,
         )
         self.directory.set_source(self._objects)
@@ -90,6 +94,7 @@
             self._connections,
             self._selector,
             reporter,
+            self._limits,
             data_centre=settings.data_centre,
             regions=settings.data_centres,
         )
@@ -170,6 +175,7 @@
             self.directory.drop_expired()
             replica_names = self.directory.replica_names()
             self._selector.forget(self._selector.known_replicas() - replica_names)
+            self._limits.forget(self._limits.limited_replicas() - replica_names)
             await self._connections.keep_only(replica_names)
             await self._connections.close_expired()
 
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -5,7 +5,6 @@
 from collections.abc import AsyncIterator
 from collections.abc import Iterable
 from contextlib import asynccontextmanager
-from typing import NamedTuple
 from typing import final
 
 import anyio
@@ -20,6 +19,9 @@
 from bramleylead.gateway._connection_pool import ConnectionPool
 from bramleylead.gateway._directory import Directory
 from bramleylead.gateway._load_reporter import LoadReporter
+from bramleylead.gateway._permit_waits import PermitWaits
+from bramleylead.gateway._response_body import StartedResponse
+from bramleylead.gateway._response_body import discard_body
 from bramleylead.gateway._upstream import RequestHead
 from bramleylead.gateway._upstream import ResponseHead
 from bramleylead.gateway._upstream import UpstreamConnection
@@ -29,6 +31,7 @@
 from bramleylead.placement._admission import ServiceLoad
 from bramleylead.placement._admission import check_admission
 from bramleylead.placement._fleet_table import FleetLoad
+from bramleylead.placement._rate_limits import RateLimits
 from bramleylead.placement._replica_selector import Candidate
 from bramleylead.placement._replica_selector import Prompt
 from bramleylead.placement._replica_selector import ReplicaSelector
@@ -39,7 +42,6 @@
 from bramleylead.platform._types import ResponseMetadata
 
 MISDIRECTED_STATUS = 421
-MAX_RESPONSE_BYTES = 64_000_000
 SMALL_REQUEST_BYTES = 16_384
 NO_RESPONSE_FAILURE_S = 1.0
 """A request abandoned after this long without a response head counts as a replica failure."""
@@ -50,15 +52,6 @@
 log = structlog.get_logger()
 
 
-class StartedResponse(NamedTuple):
-    """A response whose head has been read; its body is still to be read from the connection."""
-
-    replica: Replica
-    connection: UpstreamConnection
-    head: ResponseHead
-    metadata: ResponseMetadata
-
-
 @final
 class Sender:
     """Chooses replicas and sends requests to them.
@@ -74,6 +67,7 @@
         connections: ConnectionPool,
         selector: ReplicaSelector,
         reporter: LoadReporter,
+        limits: RateLimits,
         *,
         data_centre: str,
         regions: dict[str, str],
@@ -82,16 +76,35 @@
         self._connections = connections
         self._selector = selector
         self._reporter = reporter
+        self._limits = limits
+        self._permit_waits = PermitWaits(directory, limits)
         self._mean_turn_s = INITIAL_TURN_S
         self._data_centre = data_centre
         self._regions = regions
 
-    def choose(self, call: Call, service: str, tried_replicas: set[str]) -> Replica | None:
-        """Return the next replica to send a request to, or ``None`` if none is left."""
+    async def choose(self, call: Call, service: str, tried_replicas: set[str]) -> Replica | None:
+        """Return the next replica to send a request to, or ``None`` if none is left.
+
+        May wait for a while if the limits of all replicas allow no request now.
+        """
+        while True:
+            replica = self._choose_permitted(call, service, tried_replicas)
+            if replica is not None:
+                return replica
+            if not await self._permit_waits.wait(call, service, tried_replicas):
+                return None
+
+    def retry_after_s(self, service: str) -> float:
+        """Return when a caller whose request could be sent to no replica should return."""
+        return self._permit_waits.retry_after_s(service)
+
+    def _choose_permitted(
+        self, call: Call, service: str, tried_replicas: set[str]
+    ) -> Replica | None:
         by_name = {
             replica.name: replica
             for replica in self._directory.replicas(service)
-            if replica.name not in tried_replicas
+            if replica.name not in tried_replicas and self._limits.has_permit(replica.name)
         }
         candidates = self._candidates(call, service, by_name.values())
         chosen = self._selector.choose(candidates, prompt_of(call))
@@ -111,6 +124,10 @@
         )
         return by_name[chosen.name]
 
+    def record_demand(self) -> None:
+        """Count a caller's request in this gateway's share of the traffic."""
+        self._limits.record_demand()
+
     def record_fleet_load(self, call: Call, load: FleetLoad) -> None:
         """Record the load of all other gateways, as learned with a turn's reservation."""
         if load.running or load.holders:
@@ -141,7 +158,10 @@
         usable = [candidate for candidate in candidates if candidate.name not in ejected]
         return ServiceLoad(
             running=sum(self._selector.running(candidate.name) for candidate in usable),
-            slots=sum(candidate.slots for candidate in usable),
+            slots=sum(
+                self._limits.slots(candidate.name, candidate.slots, request_s=self._mean_turn_s)
+                for candidate in usable
+            ),
         )
 
     @asynccontextmanager
@@ -153,6 +173,9 @@
         On exit, a connection whose response was read completely returns to the pool. Any other is
         closed, which makes the replica stop work on the request.
         """
+        if not self._limits.take(replica.name):
+            yield NotRun(f"{replica.name}: its limit allows no request", counts_as_attempt=False)
+            return
         spec = call.configuration.services.get(replica.service)
         candidate = self._candidate(replica, None if spec is None else spec.engine)
         self._selector.start_request(candidate, prompt_of(call))
@@ -254,10 +277,11 @@
         metadata = wire.read_answer(response.header_map())
         if metadata.leaving:
             self._directory.record_leaving(replica)
+        self._record_limit(replica, response, metadata)
         if metadata.load is not None:
             self._selector.record_load(replica.name, metadata.load.running + metadata.load.waiting)
         if metadata.not_run or response.status == MISDIRECTED_STATUS:
-            await _drain_body(connection)
+            await discard_body(connection)
             misdirected = response.status == MISDIRECTED_STATUS
             log.info(
                 "replica_refused",
@@ -275,6 +299,15 @@
             )
         return StartedResponse(replica, connection, response, metadata)
 
+    def _record_limit(
+        self, replica: Replica, response: ResponseHead, metadata: ResponseMetadata
+    ) -> None:
+        is_replica = metadata.signed or metadata.not_run
+        if not is_replica or response.status == MISDIRECTED_STATUS:
+            return
+        if self._limits.record_limit(replica.name, metadata.limit_per_s):
+            log.info("replica_limit", replica=replica.name, limit_per_s=metadata.limit_per_s)
+
     def record_outcome(self, replica: Replica, outcome: Outcome) -> None:
         """Update a replica's health by the outcome of a request."""
         health = self._selector.health
@@ -306,29 +339,3 @@
     """Return what a replica may have cached of a request, as its headers describe it."""
     affinity = call.metadata.affinity if call.route.sticky else ""
     return Prompt(tuple((part.name, part.tokens) for part in call.metadata.prompt), affinity)
-
-
-async def read_complete(response: StartedResponse) -> Outcome:
-    """Read the complete body of a response."""
-    chunks = []
-    size = 0
-    try:
-        while (part := await response.connection.read_chunk()) is not None:
-            chunks.append(part)
-            size += len(part)
-            if size > MAX_RESPONSE_BYTES:
-                return UnknownOutcome(
-                    f"{response.replica.name}: response exceeds {MAX_RESPONSE_BYTES} bytes"
-                )
-    except UpstreamError as error:
-        return UnknownOutcome(f"{response.replica.name}: {error}")
-    return CompleteResponse(response.replica, response.head, b"".join(chunks))
-
-
-async def _drain_body(connection: UpstreamConnection) -> None:
-    """Discard the body of a refusal, so that the connection can be reused."""
-    try:
-        while await connection.read_chunk() is not None:
-            pass
-    except UpstreamError as error:
-        log.info("refusal_cut_off", reason=str(error))
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -22,12 +22,12 @@
 from bramleylead.gateway._call import CompleteResponse
 from bramleylead.gateway._call import NotRun
 from bramleylead.gateway._call import UnknownOutcome
+from bramleylead.gateway._permit_waits import RETRY_AFTER_S
 from bramleylead.gateway._plain_calls import MAX_UNREACHED_REPLICAS
-from bramleylead.gateway._plain_calls import RETRY_AFTER_S
 from bramleylead.gateway._plain_calls import pick_service
+from bramleylead.gateway._response_body import StartedResponse
+from bramleylead.gateway._response_body import read_complete
 from bramleylead.gateway._sender import Sender
-from bramleylead.gateway._sender import StartedResponse
-from bramleylead.gateway._sender import read_complete
 from bramleylead.gateway._turn_history import TurnHistory
 from bramleylead.gateway._upstream import ResponseHead
 from bramleylead.gateway._upstream import UpstreamError
@@ -98,6 +98,7 @@
         self.reservation_id = prepared.reservation_id
         self.service = prepared.service
         self.started_at = anyio.current_time()
+        self.retry_after_s = RETRY_AFTER_S
         self.started = False
         self.finished = False
         self.may_have_run = False
@@ -142,6 +143,7 @@
 
     async def answer(self, call: Call, writer: ResponseWriter) -> None:
         """Send a complete response, an error or an aborted stream by the caller's deadline."""
+        self._sender.record_demand()
         prepared = await self._prepare(call)
         if isinstance(prepared, Err):
             await writer.send_failure(prepared.err_value)
@@ -197,8 +199,9 @@
     async def _try_replicas(self, stream: _Stream) -> bool:
         """Relay the stream; return whether it is complete. The end is not sent yet."""
         while stream.can_retry:
-            replica = self._sender.choose(stream.call, stream.service, stream.tried_replicas)
+            replica = await self._sender.choose(stream.call, stream.service, stream.tried_replicas)
             if replica is None:
+                stream.retry_after_s = self._sender.retry_after_s(stream.service)
                 break
             end = await self._attempt(stream, replica)
             if end is not _StreamEnd.BROKEN:
@@ -326,7 +329,7 @@
             await stream.writer.send_failure(Failure(kind, stream.detail))
         else:
             await stream.writer.send_failure(
-                Failure(ErrorKind.OVERLOADED, stream.detail, RETRY_AFTER_S)
+                Failure(ErrorKind.OVERLOADED, stream.detail, stream.retry_after_s)
             )
 
 
--- a/src/bramleylead/ledger/_load_sharing.py
+++ b/src/bramleylead/ledger/_load_sharing.py
@@ -1,4 +1,7 @@
-"""Receives the gateways' load reports that come in messages of their own, and passes reports on."""
+"""Receives the gateways' load reports that come in messages of their own, and passes reports on.
+
+Members also tell each other how much traffic was reported to them.
+"""
 
 from __future__ import annotations
 
@@ -14,8 +17,11 @@
 from bramleylead.ledger._messages import ReportLoad
 from bramleylead.ledger._messages import ShareLoads
 from bramleylead.ledger._node import LedgerNode
+from bramleylead.ledger._traffic_shares import TrafficShares
 
 SHARE_INTERVAL_S = 0.25
+MAX_SHARE_INTERVAL_S = 1.0
+"""Without load reports, only the traffic is passed on, at this interval."""
 SHARE_TIMEOUT_S = 0.5
 
 
@@ -23,9 +29,11 @@
 class LoadSharing:
     """Keeps the members' tables of load reports alike; each gateway reports to some of them."""
 
-    def __init__(self, node: LedgerNode, peers: PeerClient) -> None:
+    def __init__(self, node: LedgerNode, peers: PeerClient, shares: TrafficShares) -> None:
         self._node = node
         self._peers = peers
+        self._shares = shares
+        self._shared_at = float("-inf")
 
     def register_handlers(self, server: PeerServer) -> None:
         """Register the handlers of load reports."""
@@ -36,13 +44,18 @@
         """Pass on the gateways' reports to the other members until cancelled."""
         while True:
             await anyio.sleep(SHARE_INTERVAL_S)
-            loads = self._node.fleet.take_unshared(now=anyio.current_time())
-            if not loads or not self._node.is_member:
+            now = anyio.current_time()
+            loads = self._node.fleet.take_unshared(now=now)
+            is_due = bool(loads) or now - self._shared_at >= MAX_SHARE_INTERVAL_S
+            demand_per_s = self._shares.own_demand_per_s()
+            if not is_due or not self._node.is_member or not (loads or demand_per_s):
                 continue
+            self._shared_at = now
+            message = ShareLoads(loads, self._node.own_entry.node, demand_per_s)
             async with anyio.create_task_group() as tasks:
                 for member in self._node.view.members:
                     if member != self._node.own_entry:
-                        tasks.start_soon(self._share, member, ShareLoads(loads))
+                        tasks.start_soon(self._share, member, message)
 
     async def _share(self, member: LedgerMember, message: ShareLoads) -> None:
         await self._peers.request(
@@ -55,4 +68,6 @@
 
     async def _record_shared(self, request: ShareLoads, reply: Reply) -> None:
         self._node.fleet.record_shared(request.loads, now=anyio.current_time())
+        if request.member:
+            self._shares.record_member(request.member, request.demand_per_s)
         await reply.send(Done())
--- a/src/bramleylead/ledger/_messages.py
+++ b/src/bramleylead/ledger/_messages.py
@@ -166,9 +166,15 @@
 
 @message(182)
 class ShareLoads(NamedTuple):
-    """Passes on what gateways have reported to the sending node; answered by ``Done``."""
+    """Passes on what gateways have reported to the sending node; answered by ``Done``.
+
+    :param member: the sending node.
+    :param demand_per_s: the requests a second of all gateways that report to it.
+    """
 
     loads: tuple[GatewayLoad, ...]
+    member: str = ""
+    demand_per_s: float = 0.0
 
 
 @message(183)
--- a/src/bramleylead/ledger/_mirror.py
+++ b/src/bramleylead/ledger/_mirror.py
@@ -21,6 +21,7 @@
 from bramleylead.connection import message
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.ledger._traffic_shares import TrafficShares
 from bramleylead.platform._follow import ConfirmingSource
 from bramleylead.platform._objects import ObjectChange
 from bramleylead.platform._objects import PlatformObject
@@ -42,12 +43,16 @@
         ``NO_REVISION``. It may be later than the last change that the node has seen.
     :param full_list: requests all objects instead of the changes.
     :param wait_s: how long the answer may wait for a change.
+    :param gateway: the gateway that reports its traffic; empty if another process asks.
+    :param demand_per_s: the requests a second that this gateway gets.
     """
 
     kind: str
     known_revision: int
     full_list: bool
     wait_s: float
+    gateway: str = ""
+    demand_per_s: float = 0.0
 
 
 @message(180)
@@ -72,6 +77,7 @@
     :param ledger_epoch: the epoch of the node's view of the ledger's members.
     :param age_s: seconds since the time up to which the node knows every change.
     :param waited_s: seconds for which the node held the request.
+    :param traffic_share: the part of the fleet's traffic that the gateway has; 0 if unknown.
     """
 
     full_list: bool
@@ -81,6 +87,7 @@
     ledger_epoch: int = 0
     age_s: float = 0.0
     waited_s: float = 0.0
+    traffic_share: float = 0.0
 
 
 class _Change(NamedTuple):
@@ -207,6 +214,7 @@
     """Serves several kinds of objects to gateways.
 
     :param source: where the node reads the objects.
+    :param shares: the gateways' shares of the traffic.
     :param ledger_epoch: returns the epoch to report with each answer.
     """
 
@@ -214,9 +222,11 @@
         self,
         kinds: Iterable[str],
         source: ConfirmingSource,
+        shares: TrafficShares,
         *,
         ledger_epoch: Callable[[], int] = lambda: 0,
     ) -> None:
+        self._shares = shares
         self._ledger_epoch = ledger_epoch
         self.kinds = {kind: MirroredKind(kind, source) for kind in kinds}
 
@@ -230,11 +240,18 @@
             detail = f"kind {request.kind!r} is not mirrored here, only {sorted(self.kinds)}"
             await reply.fail(Failure(ErrorKind.MALFORMED, detail))
             return
+        if request.gateway:
+            self._shares.record_gateway(request.gateway, request.demand_per_s)
         answer = await mirrored.answer(request)
         if isinstance(answer, Failure):
             await reply.fail(answer)
         else:
-            await reply.send(answer._replace(ledger_epoch=self._ledger_epoch()))
+            await reply.send(
+                answer._replace(
+                    ledger_epoch=self._ledger_epoch(),
+                    traffic_share=self._shares.share_of(request.gateway),
+                )
+            )
 
 
 def _to_mirrored(found: PlatformObject, *, removed: bool) -> MirroredObject:
--- a/src/bramleylead/ledger/_mirrored_store.py
+++ b/src/bramleylead/ledger/_mirrored_store.py
@@ -68,11 +68,26 @@
         ...
 
 
+class TrafficReporter(Protocol):
+    """What a gateway reports of its traffic, and the share of it that it gets to know."""
+
+    @property
+    def demand_per_s(self) -> float:
+        """The requests a second that callers have lately sent."""
+        ...
+
+    def record_share(self, share: float) -> None:
+        """Record this gateway's share of the fleet's traffic, from 0 to 1."""
+        ...
+
+
 @final
 class MirroredStore:
     """The platform's objects as one gateway or spare node reads them.
 
     :param store: queried if no node answers.
+    :param gateway: the name under which traffic is reported; empty for a node of the ledger.
+    :param traffic: this gateway's traffic.
     :param patience_s: after the start, the store is not queried for this time, since the nodes
         usually start at the same moment.
     :param on_store_failure: called with the seconds since a node's last store failure.
@@ -85,12 +100,16 @@
         ledger: MemberSource,
         *,
         on_store_failure: Callable[[float], None],
+        gateway: str = "",
+        traffic: TrafficReporter | None = None,
         patience_s: float = 0.0,
     ) -> None:
         self._store = store
         self._peers = peers
         self._ledger = ledger
         self._on_store_failure = on_store_failure
+        self._gateway = gateway
+        self._traffic = traffic
         self._seen_revisions: dict[str, int] = {}
         self._failed_at: dict[str, float] = {}
         self._store_retry_at = anyio.current_time() + patience_s
@@ -148,6 +167,10 @@
         wait_s = self._node_wait_s(kind)
         known_revision = self._seen_revisions.get(kind, NO_REVISION)
         request = AskMirror(kind, known_revision, full_list, wait_s)
+        if self._traffic is not None:
+            request = request._replace(
+                gateway=self._gateway, demand_per_s=self._traffic.demand_per_s
+            )
         mirrored = await self._query_first([members[0]], request)
         if mirrored is None:
             mirrored = await self._query_first(members[1:], request._replace(wait_s=0.0))
@@ -192,6 +215,8 @@
         self._record_read(request.kind, member.node, mirrored.as_of)
         self._confirm(request.kind, started_at + mirrored.waited_s - mirrored.age_s)
         self._members_answer = True
+        if self._traffic is not None and mirrored.traffic_share > 0:
+            self._traffic.record_share(mirrored.traffic_share)
         if mirrored.since_failure_s >= 0:
             self._on_store_failure(mirrored.since_failure_s)
         return mirrored
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -23,6 +23,7 @@
 from bramleylead.ledger._mirror import Mirror
 from bramleylead.ledger._node import LedgerNode
 from bramleylead.ledger._node_objects import NodeObjects
+from bramleylead.ledger._traffic_shares import TrafficShares
 from bramleylead.platform import _names as names
 from bramleylead.platform._follow import Follower
 from bramleylead.platform._follow import SharedFollower
@@ -99,11 +100,12 @@
         )
         await node.load()
         node.register_handlers(server)
-        load_sharing = LoadSharing(node, peers)
+        shares = TrafficShares()
+        load_sharing = LoadSharing(node, peers, shares)
         load_sharing.register_handlers(server)
         monitored_store = MonitoredStore(store)
         objects = NodeObjects(node, monitored_store, peers)
-        mirror = Mirror(MIRRORED_KINDS, objects, ledger_epoch=lambda: node.view.epoch)
+        mirror = Mirror(MIRRORED_KINDS, objects, shares, ledger_epoch=lambda: node.view.epoch)
         mirror.register_handlers(server)
         metrics.describe(
             lambda: {**node.gauges(), **object_ages(objects, MIRRORED_KINDS)}, node.dump
--- a/src/bramleylead/placement/_admission.py
+++ b/src/bramleylead/placement/_admission.py
@@ -39,7 +39,7 @@
     """The load of a service's replicas: running requests of all gateways, and slots."""
 
     running: float
-    slots: int
+    slots: float
 
     @property
     def per_slot(self) -> float:
@@ -72,8 +72,8 @@
     if load.per_slot < max_load:
         return None
     detail = (
-        f"the replicas run {load.running:.0f} requests on {load.slots} slots; a program that was "
-        f"refused {progress.refusals} times starts below {max_load:.2f} for each slot"
+        f"the replicas run {load.running:.0f} requests on {load.slots:.0f} slots; a program that "
+        f"was refused {progress.refusals} times starts below {max_load:.2f} for each slot"
     )
     return Refusal(_retry_after_s(load.per_slot - max_load, turn_s), detail)
 
--- a/src/bramleylead/platform/_types.py
+++ b/src/bramleylead/platform/_types.py
@@ -173,6 +173,8 @@
     :param encoded: whether the body has a content encoding that was not requested.
     :param keep_alive_s: how long the replica keeps idle connections; ``None`` if not specified.
     :param leaving: whether the replica announces that it takes no further requests.
+    :param limit_per_s: the requests a second that the replica takes from all gateways together;
+        ``None`` if it names no limit.
     """
 
     request_id: str
@@ -182,3 +184,4 @@
     load: Load | None
     keep_alive_s: float | None
     leaving: bool = False
+    limit_per_s: float | None = None
--- a/src/bramleylead/platform/_wire.py
+++ b/src/bramleylead/platform/_wire.py
@@ -78,6 +78,7 @@
         load=_parse_load(headers.get(names.SERVER_LOAD, "")),
         keep_alive_s=_parse_keep_alive_s(headers.get("keep-alive", "")),
         leaving=headers.get(names.SERVER_LEAVING, "").strip() == names.LEAVING,
+        limit_per_s=_parse_rate(headers),
     )
 
 
@@ -150,6 +151,12 @@
     return Load(running, waiting, slots)
 
 
+def _parse_rate(headers: Mapping[str, str]) -> float | None:
+    """Parse a replica's limit; ``None`` if it names none or no rate."""
+    rate = _parse_number(headers, names.SERVER_LIMIT)
+    return rate if rate is not None and 0.0 <= rate < float("inf") else None
+
+
 def _parse_keep_alive_s(text: str) -> float | None:
     for option in text.split(","):
         name, _, value = option.strip().partition("=")
--- a/testing/gateway/_site.py
+++ b/testing/gateway/_site.py
@@ -31,6 +31,7 @@
 from bramleylead.ledger._records import merge_spendings
 from bramleylead.placement._fleet_table import NO_FLEET_LOAD
 from bramleylead.placement._fleet_table import FleetLoad
+from bramleylead.placement._rate_limits import RateLimits
 from bramleylead.placement._replica_selector import ReplicaSelector
 from bramleylead.platform._types import CallKind
 from bramleylead.platform._types import Configuration
@@ -233,6 +234,8 @@
         self.ledger = FakeLedger()
         self.replicas: dict[str, FakeReplica] = {}
         self.selector = ReplicaSelector()
+        self.limits = RateLimits()
+        self.limits.record_share(1.0)
         self._tasks = tasks
         view = self.network.view(GATEWAY_IP)
         self.connections = ConnectionPool(view, id_header=REQUEST_ID_HEADER)
@@ -241,6 +244,7 @@
             self.connections,
             self.selector,
             LoadReporter("g0", self.selector),
+            self.limits,
             data_centre="d",
             regions={"d": "r"},
         )
--- a/testing/ledger/_fleet.py
+++ b/testing/ledger/_fleet.py
@@ -23,6 +23,7 @@
 from bramleylead.ledger._records import Key
 from bramleylead.ledger._records import Record
 from bramleylead.ledger._records import key_of
+from bramleylead.ledger._traffic_shares import TrafficShares
 from bramleylead.standins import FakeNetwork
 
 KEY = "a shared key of the cluster"
@@ -161,7 +162,7 @@
                 node.register_handlers(server)
                 self.nodes[i] = node
                 tasks.start_soon(node.run_writer)
-                load_sharing = LoadSharing(node, peers)
+                load_sharing = LoadSharing(node, peers, TrafficShares())
                 load_sharing.register_handlers(server)
                 tasks.start_soon(load_sharing.run)
                 await tasks.start(
--- a/testing/ledger/test_mirrored_store.py
+++ b/testing/ledger/test_mirrored_store.py
@@ -24,6 +24,7 @@
 from bramleylead.ledger._mirror import AskMirror
 from bramleylead.ledger._mirror import Mirror
 from bramleylead.ledger._mirrored_store import MirroredStore
+from bramleylead.ledger._traffic_shares import TrafficShares
 from bramleylead.platform import _names as names
 from bramleylead.platform._follow import follow
 from bramleylead.platform._monitored_store import MonitoredStore
@@ -82,7 +83,7 @@
         server = PeerServer(node=f"s{i}", cluster_key=KEY)
         server.handle(AskState, self._send_state)
         objects = MonitoredStore(self.store.source_for(f"s{i}"))
-        mirror = Mirror(KINDS, objects, ledger_epoch=lambda: self.members.epoch)
+        mirror = Mirror(KINDS, objects, TrafficShares(), ledger_epoch=lambda: self.members.epoch)
         self.mirrors[i] = mirror
         mirror.register_handlers(server)
         async with anyio.create_task_group() as tasks:
