Read events in linear time

Cause: the event reader copied the rest of its buffer after each event and searched an incomplete event from its start with each block.

Change: it searches each byte once and drops the events of a block together.

--- a/src/bramleylead/connection/_events.py
+++ b/src/bramleylead/connection/_events.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 from typing import final
 
 MAX_EVENT_BYTES = 4_000_000
+EVENT_SEPARATOR = re.compile(rb"\n\n|\r\n\r\n")
+LONGEST_SEPARATOR_BYTES = 4
 
 
 class StreamEvent(NamedTuple):
@@ -25,12 +28,13 @@
     """Splits a stream into events and buffers an incomplete event at its end."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._searched = 0
 
     @property
     def remainder(self) -> bytes:
         """The bytes received so far of an incomplete event."""
-        return self._buffer
+        return bytes(self._buffer)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add received bytes and return the events that they complete.
@@ -39,9 +43,12 @@
         """
         self._buffer += data
         events = []
-        while (end := _first_event_length(self._buffer)) > 0:
-            events.append(_parse_event(self._buffer[:end]))
-            self._buffer = self._buffer[end:]
+        start = 0
+        while separator := EVENT_SEPARATOR.search(self._buffer, max(start, self._searched)):
+            events.append(_parse_event(bytes(self._buffer[start : separator.end()])))
+            start = separator.end()
+        del self._buffer[:start]
+        self._searched = max(0, len(self._buffer) - LONGEST_SEPARATOR_BYTES + 1)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise EventTooLargeError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
         return events
@@ -54,16 +61,6 @@
         return [event.data for event in self.feed(data) if event.data]
 
 
-def _first_event_length(buffer: bytes) -> int:
-    """Return the length of the first event including its blank line; 0 if it is incomplete."""
-    ends = [
-        position + len(separator)
-        for separator in (b"\n\n", b"\r\n\r\n")
-        if (position := buffer.find(separator)) >= 0
-    ]
-    return min(ends, default=0)
-
-
 def _parse_event(raw: bytes) -> StreamEvent:
     event_id = ""
     data = []
