Bound what a response without end costs a gateway

Cause: a body was read up to 64 MB, half of a gateway's memory; the body of a refusal and of a late response to another request, and informational responses, were read until the caller's deadline, so that the caller got 504 although other replicas were free.

Change: the connection counts a body's bytes and gives up after 8 MB, or 256 kB if they are discarded; 8 informational responses may come before a response; a refusal's body is discarded for 0.3 s at most. Heads, chunk sizes and single events were bounded before.

--- a/src/bramleylead/gateway/_response_body.py
+++ b/src/bramleylead/gateway/_response_body.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+import anyio
 import structlog
 
 from bramleylead.gateway._call import CompleteResponse
@@ -15,7 +16,7 @@
 from bramleylead.platform._types import Replica
 from bramleylead.platform._types import ResponseMetadata
 
-MAX_RESPONSE_BYTES = 64_000_000
+DISCARD_TIMEOUT_S = 0.3
 
 log = structlog.get_logger()
 
@@ -32,24 +33,18 @@
 async def read_complete(response: StartedResponse) -> Outcome:
     """Read the complete body of a response."""
     chunks = []
-    size = 0
     try:
         while (part := await response.connection.read_chunk()) is not None:
             chunks.append(part)
-            size += len(part)
-            if size > MAX_RESPONSE_BYTES:
-                return UnknownOutcome(
-                    f"{response.replica.name}: response exceeds {MAX_RESPONSE_BYTES} bytes"
-                )
     except UpstreamError as error:
         return UnknownOutcome(f"{response.replica.name}: {error}")
     return CompleteResponse(response.replica, response.head, b"".join(chunks))
 
 
 async def discard_body(connection: UpstreamConnection) -> None:
-    """Discard the body of a refusal, so that the connection can be reused."""
+    """Discard the body of a refusal, so that the connection can be reused, if it ends soon."""
     try:
-        while await connection.read_chunk() is not None:
-            pass
+        with anyio.move_on_after(DISCARD_TIMEOUT_S):
+            await connection.discard_body()
     except UpstreamError as error:
         log.info("refusal_cut_off", reason=str(error))
--- a/src/bramleylead/gateway/_upstream.py
+++ b/src/bramleylead/gateway/_upstream.py
@@ -21,7 +21,12 @@
 
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
+MAX_BODY_BYTES = 8_000_000
+"""A gateway has 128 MB, and several replicas may send bodies without end at the same time."""
+MAX_DISCARDED_BYTES = 262_144
+"""Discarding more costs more than a new connection."""
 MAX_STALE_RESPONSES = 8
+MAX_INFORMATIONAL_RESPONSES = 8
 
 Headers = list[tuple[str, str]]
 TRANSPORT_ERRORS = (
@@ -78,6 +83,7 @@
         self._request_sent = True
         self._response_complete = False
         self._must_close = False
+        self._body_bytes = 0
         self.last_used_at = anyio.current_time()
         self.reuse_until = float("inf")
         self.request_count = 0
@@ -148,6 +154,7 @@
         assert self._request is not None
         for _ in range(MAX_STALE_RESPONSES):
             head = await self._read_response_head()
+            self._body_bytes = 0
             response_request_id = head.header_map().get(self._id_header, "")
             if not response_request_id or response_request_id == self._request.request_id:
                 return head
@@ -157,11 +164,27 @@
     async def read_chunk(self) -> bytes | None:
         """Return the next chunk of the body, or ``None`` at its end.
 
-        :raises UpstreamError: if the connection ends before the body does.
+        :raises UpstreamError: if the connection ends before the body does, or the body is too long.
         """
+        return await self._read_chunk(MAX_BODY_BYTES)
+
+    async def discard_body(self) -> None:
+        """Read to the end of the body, so that the connection can be reused.
+
+        :raises UpstreamError: if the connection ends before the body does, or the body is too long.
+        """
+        while await self._read_chunk(MAX_DISCARDED_BYTES) is not None:
+            pass
+
+    async def _read_chunk(self, max_body_bytes: int) -> bytes | None:
         while True:
             event = await self._next_event(head_received=True)
             if isinstance(event, h11.Data):
+                self._body_bytes += len(event.data)
+                if self._body_bytes > max_body_bytes:
+                    self._must_close = True
+                    detail = f"the body exceeds {max_body_bytes} bytes"
+                    raise UpstreamError(detail, head_received=True)
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
                 self._response_complete = True
@@ -178,7 +201,7 @@
         return b"".join(part for part in parts if part)
 
     async def _read_response_head(self) -> ResponseHead:
-        while True:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event(head_received=False)
             if isinstance(event, h11.Response):
                 headers = [
@@ -186,11 +209,11 @@
                     for name, value in event.headers
                 ]
                 return ResponseHead(event.status_code, headers)
+        raise UpstreamError("received only informational responses")
 
     async def _discard_response(self) -> None:
         """Discard a response to another request and reset the parser for the next one."""
-        while await self.read_chunk() is not None:
-            pass
+        await self.discard_body()
         trailing, _ = self._parser.trailing_data
         if self._must_close:
             raise UpstreamError("the connection closed after a response to another request")
