--- a/src/bramleylead/platform/_monitored_store.py
+++ b/src/bramleylead/platform/_monitored_store.py
@@ -52,10 +52,16 @@
 
     kind: str
     after: int
-    started_at: float
     scope: anyio.CancelScope
 
 
+class _MissedChange(NamedTuple):
+    """A revision that a probe showed at a time, and that a watch has not reported."""
+
+    revision: int
+    seen_at: float
+
+
 @final
 class MonitoredStore:
     """A source of objects that cancels dead watches."""
@@ -67,7 +73,7 @@
         self._is_unconfirmed = True
         self._confirmed_at: dict[str, float] = {}
         self._probed_at: dict[str, float] = {}
-        self._missed_since: dict[_Watch, float] = {}
+        self._missed: dict[_Watch, _MissedChange] = {}
 
     def confirmed_at(self, kind: str) -> float:
         """Return the time up to which all changes of a kind were reported; ``-inf`` if none.
@@ -104,14 +110,14 @@
             wait_s = min(wait_s, UNCONFIRMED_WATCH_TIMEOUT_S)
         answer: Result[ChangePage, StoreError] | None = None
         with anyio.CancelScope() as scope:
-            pending = _Watch(kind, after, anyio.current_time(), scope)
+            pending = _Watch(kind, after, scope)
             self._pending.append(pending)
             self._watch_started.set()
             try:
                 answer = await self._store.watch(kind, after=after, wait_s=wait_s)
             finally:
                 self._pending.remove(pending)
-                self._missed_since.pop(pending, None)
+                self._missed.pop(pending, None)
                 if not self._pending:
                     self._watch_started = anyio.Event()
         if answer is None:
@@ -138,19 +144,19 @@
             return
         newest = max((found.revision for found in listed.ok_value.objects), default=0)
         for watch in pending:
-            if watch not in self._pending or watch in self._missed_since:
+            if watch not in self._pending or watch in self._missed:
                 continue
             if watch.kind == kind and watch.after < newest:
-                self._missed_since[watch] = anyio.current_time()
+                self._missed[watch] = _MissedChange(newest, anyio.current_time())
             else:
                 self._confirm(watch.kind, started_at)
 
     def _cancel_dead_watches(self) -> None:
         """Cancel the watches that have still not reported a change that a probe showed."""
         now = anyio.current_time()
-        for watch, since in list(self._missed_since.items()):
-            if now - since >= DELIVERY_GRACE_S:
-                log.warning("watch_missed_change", kind=watch.kind, revision=watch.after)
+        for watch, missed in list(self._missed.items()):
+            if now - missed.seen_at >= DELIVERY_GRACE_S:
+                log.warning("watch_missed_change", kind=watch.kind, revision=missed.revision)
                 self._cancel([watch])
 
     def _confirm(self, kind: str, at: float) -> None:
