--- a/src/bramleylead/gateway/_app.py
+++ b/src/bramleylead/gateway/_app.py
@@ -14,6 +14,7 @@
 from bramleylead.gateway._call import Call
 from bramleylead.gateway._call import CompleteResponse
 from bramleylead.gateway._directory import Directory
+from bramleylead.gateway._fingerprint import fingerprint_of
 from bramleylead.gateway._plain_calls import PlainCalls
 from bramleylead.gateway._streams import StreamCalls
 from bramleylead.gateway._upstream import ResponseHead
@@ -88,16 +89,19 @@
         if isinstance(body, Err):
             await writer.send_failure(body.err_value)
             return
+        target = _request_target(scope)
+        headers = _request_headers(scope)
         call = Call(
             method=exchange.method,
-            target=_request_target(scope),
-            headers=_request_headers(scope),
+            target=target,
+            headers=headers,
             body=body.ok_value,
             metadata=writer.metadata,
             route=route,
             configuration=configuration,
             arrived_at=arrived_at,
             deadline=deadline,
+            fingerprint=fingerprint_of(exchange.method, target, headers, body.ok_value),
         )
         await self._run_call(call, exchange, writer)
 
@@ -111,6 +115,7 @@
             route=call.route.name,
             configuration=call.configuration.version,
             left_s=round(call.remaining_s, 3),
+            fingerprint=call.fingerprint.hex(),
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_on_disconnect, exchange, writer, tasks.cancel_scope)
--- a/src/bramleylead/gateway/_call.py
+++ b/src/bramleylead/gateway/_call.py
@@ -20,6 +20,7 @@
     """A complete request, with the route and the configuration that apply to it.
 
     :param deadline: the event loop's time by which the caller must have its final response.
+    :param fingerprint: the same for each attempt of the same caller with the same body.
     """
 
     method: str
@@ -31,6 +32,7 @@
     configuration: Configuration
     arrived_at: float
     deadline: float
+    fingerprint: bytes
 
     @property
     def remaining_s(self) -> float:
