--- /dev/null
+++ b/testing/gateway/_fleet.py
@@ -0,0 +1,132 @@
+"""Several gateways with one ledger before replicas that can crash, in virtual time."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from contextlib import asynccontextmanager
+
+import anyio
+
+from bramleylead.platform._types import Replica
+from bramleylead.platform._types import Route
+from bramleylead.standins import run_virtual
+from testing.gateway._site import FakeReplica
+from testing.gateway._site import Script
+from testing.gateway._site import Site
+from testing.gateway._site import configuration
+from testing.ledger._fleet import Ledger
+from testing.ledger._fleet import gateway_host
+from testing.ledger._fleet import running_ledger
+
+RESTART_S = 3.0
+SLOTS = 12
+
+
+class CrashableReplica:
+    """A replica whose process can crash; it starts again at the same address under a new name.
+
+    :param script: answers the requests.
+    """
+
+    def __init__(self, fleet: Fleet, number: int, script: Script) -> None:
+        self._fleet = fleet
+        self._number = number
+        self._script = script
+        self._scope = anyio.CancelScope()
+        self.crashes = 0
+        self.process = FakeReplica(self.name, script)
+
+    @property
+    def name(self) -> str:
+        return f"i{self._number}.{self.crashes}"
+
+    @property
+    def address(self) -> str:
+        return f"10.0.2.{self._number}:80"
+
+    def crash(self) -> None:
+        """End the process: its connections are closed and new ones refused."""
+        self._scope.cancel()
+
+    async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        """Serve, and start again after each crash, until cancelled."""
+        host = self.address.partition(":")[0]
+        self._fleet.network.place(host, "r0", "d0")
+        view = self._fleet.network.view(host)
+        while True:
+            self.process = FakeReplica(self.name, self._script)
+            self._fleet.list_replica(self)
+            with anyio.CancelScope() as self._scope:
+                async with anyio.create_task_group() as tasks:
+                    await tasks.start(self._serve, view)
+                    if not self.crashes:
+                        task_status.started()
+            former = self.name
+            self.crashes += 1
+            await anyio.sleep(RESTART_S)
+            self._fleet.unlist(former)
+
+    async def _serve(self, view, *, task_status) -> None:
+        await view.serve(self.address, self.process.serve, task_status=task_status)
+
+
+class Fleet:
+    """Gateways, the nodes of their ledger, and replicas of the service ``svc``."""
+
+    def __init__(self, ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+        self._tasks = tasks
+        self.ledger = ledger
+        self.network = ledger.network
+        self.gateways: list[Site] = []
+        self.replicas: list[CrashableReplica] = []
+
+    @property
+    def crashes(self) -> int:
+        return sum(replica.crashes for replica in self.replicas)
+
+    async def add_replica(self, make_script: Callable[[CrashableReplica], Script]) -> None:
+        """Start a replica.
+
+        :param make_script: returns the script, given the replica that it may crash.
+        """
+
+        async def script(received, stream) -> None:
+            await make_script(replica)(received, stream)
+
+        replica = CrashableReplica(self, len(self.replicas) + 1, script)
+        self.replicas.append(replica)
+        await self._tasks.start(replica.run)
+
+    def list_replica(self, replica: CrashableReplica) -> None:
+        entry = Replica(replica.name, "svc", replica.address, "d0", False, SLOTS)
+        for gateway in self.gateways:
+            gateway.directory.put_replica(entry)
+
+    def unlist(self, name: str) -> None:
+        for gateway in self.gateways:
+            gateway.directory.remove_replica(name)
+
+
+@asynccontextmanager
+async def running_fleet(*routes: Route, gateways: int = 3) -> AsyncIterator[Fleet]:
+    """Run gateways with a configuration of these routes, and a ledger of three nodes."""
+    async with running_ledger(3) as (ledger, tasks), AsyncExitStack() as clients:
+        fleet = Fleet(ledger, tasks)
+        for number in range(gateways):
+            client = await clients.enter_async_context(ledger.gateway(number))
+            host = gateway_host(number)
+            site = Site(tasks, network=ledger.network, host=host, ledger=client)
+            site.directory.apply_configuration(configuration(*routes), source="test")
+            fleet.gateways.append(site)
+        yield fleet
+
+
+def run_with_fleet(main: Callable[[Fleet], Awaitable[None]], *routes: Route) -> None:
+    async def run() -> None:
+        async with running_fleet(*routes) as fleet:
+            await main(fleet)
+
+    run_virtual(run, seed=1)
--- a/testing/gateway/_site.py
+++ b/testing/gateway/_site.py
@@ -25,6 +25,7 @@
 from bramleylead.gateway._sender import Sender
 from bramleylead.gateway._streams import StreamCalls
 from bramleylead.gateway._turn_history import TurnHistory
+from bramleylead.ledger._client import LedgerClient
 from bramleylead.ledger._client import Reservation
 from bramleylead.ledger._records import KeptTurn
 from bramleylead.ledger._records import Spending
@@ -226,24 +227,35 @@
 
 
 class Site:
-    """A gateway with its replicas."""
+    """A gateway with its replicas.
 
-    def __init__(self, tasks: anyio.abc.TaskGroup) -> None:
-        self.network = FakeNetwork({GATEWAY_IP: ("r", "d")})
+    :param host: the gateway's host.
+    :param ledger: the client of a ledger to use instead of one in memory.
+    """
+
+    def __init__(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        *,
+        network: FakeNetwork | None = None,
+        host: str = GATEWAY_IP,
+        ledger: LedgerClient | None = None,
+    ) -> None:
+        self.network = network or FakeNetwork({GATEWAY_IP: ("r", "d")})
         self.directory = Directory()
-        self.ledger = FakeLedger()
+        self.ledger = ledger or FakeLedger()
         self.replicas: dict[str, FakeReplica] = {}
         self.selector = ReplicaSelector()
         self.limits = RateLimits()
         self.limits.record_share(1.0)
         self._tasks = tasks
-        view = self.network.view(GATEWAY_IP)
+        view = self.network.view(host)
         self.connections = ConnectionPool(view, id_header=REQUEST_ID_HEADER)
         sender = Sender(
             self.directory,
             self.connections,
             self.selector,
-            LoadReporter("g0", self.selector),
+            LoadReporter(host, self.selector),
             self.limits,
             data_centre="d",
             regions={"d": "r"},
