--- /dev/null
+++ b/src/bramleylead/gateway/_stream_state.py
@@ -0,0 +1,117 @@
+"""The state of one stream that a gateway relays, and how its response is written."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from typing import Protocol
+from typing import final
+
+import anyio
+
+from bramleylead.errors import Failure
+from bramleylead.gateway._call import Call
+from bramleylead.gateway._call import CompleteResponse
+from bramleylead.gateway._permit_waits import RETRY_AFTER_S
+from bramleylead.gateway._plain_calls import MAX_UNREACHED_REPLICAS
+from bramleylead.gateway._upstream import ResponseHead
+from bramleylead.ledger._records import KeptTurn
+
+
+class ResponseWriter(Protocol):
+    """Writes the response to one request."""
+
+    async def start_stream(self, head: ResponseHead) -> None:
+        """Send the status and headers of a stream."""
+        ...
+
+    async def write(self, data: bytes) -> None:
+        """Send a chunk of a stream."""
+        ...
+
+    async def finish_stream(self) -> None:
+        """End a stream normally."""
+        ...
+
+    async def abort(self) -> None:
+        """Abort a stream; the connection is closed so that the caller sees it as incomplete."""
+        ...
+
+    async def send_response(self, response: CompleteResponse) -> None:
+        """Send a replica's complete response."""
+        ...
+
+    async def send_failure(self, failure: Failure) -> None:
+        """Send an error response that the gateway itself generates."""
+        ...
+
+
+class PreparedRequest(NamedTuple):
+    """The body and the budget reservation of a streaming request.
+
+    :param body: the turn history, followed by the caller's input.
+    :param reservation_id: the reservation to settle; empty without a budget.
+    :param service: the service that is to run it.
+    """
+
+    body: bytes
+    reservation_id: str
+    service: str
+
+
+@final
+class Stream:
+    """One stream relayed to the caller, from one replica or from several in sequence."""
+
+    def __init__(self, call: Call, writer: ResponseWriter, prepared: PreparedRequest) -> None:
+        self.call = call
+        self.writer = writer
+        self.body = prepared.body
+        self.reservation_id = prepared.reservation_id
+        self.service = prepared.service
+        self.started_at = anyio.current_time()
+        self.retry_after_s = RETRY_AFTER_S
+        self.started = False
+        self.finished = False
+        self.may_have_run = False
+        self.attempts = 0
+        self.unreached = 0
+        self.events = 0
+        self.last_event_id = call.metadata.resume_after
+        self.output = bytearray()
+        self.tried_replicas: set[str] = set()
+        self.detail = "no replica is available"
+        self.error_response: CompleteResponse | None = None
+
+    @property
+    def can_retry(self) -> bool:
+        """Whether the request may be sent to another replica."""
+        if self.may_have_run and not self.call.route.resumable:
+            return False
+        return (
+            self.attempts < self.call.route.max_attempts and self.unreached < MAX_UNREACHED_REPLICAS
+        )
+
+    @property
+    def tokens(self) -> int:
+        """The tokens sent to the caller, as budgets count them."""
+        services = self.call.configuration.services
+        engines = [
+            spec.engine
+            for share in self.call.route.shares
+            if (spec := services.get(share.service)) is not None and spec.engine is not None
+        ]
+        return self.events * max((engine.tokens_per_event for engine in engines), default=1)
+
+    def kept_turn(self) -> KeptTurn:
+        """Return the record of this turn, once it is complete."""
+        call = self.call
+        return KeptTurn(
+            turn=call.metadata.request_id,
+            previous=call.metadata.previous_turn,
+            program=call.metadata.program,
+            entry=self.reservation_id,
+            tokens=self.tokens,
+            keep_s=call.route.turn_retention_s,
+            new_input=call.body,
+            event_data=bytes(self.output),
+        )
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 from enum import StrEnum
-from typing import NamedTuple
-from typing import Protocol
 from typing import final
 
 import anyio
@@ -23,15 +21,15 @@
 from bramleylead.gateway._call import NotRun
 from bramleylead.gateway._call import UnknownOutcome
 from bramleylead.gateway._permit_waits import RETRY_AFTER_S
-from bramleylead.gateway._plain_calls import MAX_UNREACHED_REPLICAS
 from bramleylead.gateway._plain_calls import pick_service
 from bramleylead.gateway._response_body import StartedResponse
 from bramleylead.gateway._response_body import read_complete
 from bramleylead.gateway._sender import Sender
+from bramleylead.gateway._stream_state import PreparedRequest
+from bramleylead.gateway._stream_state import ResponseWriter
+from bramleylead.gateway._stream_state import Stream
 from bramleylead.gateway._turn_history import TurnHistory
-from bramleylead.gateway._upstream import ResponseHead
 from bramleylead.gateway._upstream import UpstreamError
-from bramleylead.ledger._records import KeptTurn
 from bramleylead.platform._types import Replica
 
 OK_STATUS = 200
@@ -39,34 +37,6 @@
 log = structlog.get_logger()
 
 
-class ResponseWriter(Protocol):
-    """Writes the response to one request."""
-
-    async def start_stream(self, head: ResponseHead) -> None:
-        """Send the status and headers of a stream."""
-        ...
-
-    async def write(self, data: bytes) -> None:
-        """Send a chunk of a stream."""
-        ...
-
-    async def finish_stream(self) -> None:
-        """End a stream normally."""
-        ...
-
-    async def abort(self) -> None:
-        """Abort a stream; the connection is closed so that the caller sees it as incomplete."""
-        ...
-
-    async def send_response(self, response: CompleteResponse) -> None:
-        """Send a replica's complete response."""
-        ...
-
-    async def send_failure(self, failure: Failure) -> None:
-        """Send an error response that the gateway itself generates."""
-        ...
-
-
 class _StreamEnd(StrEnum):
     """How reading one replica's stream ended."""
 
@@ -75,63 +45,6 @@
     ANSWERED = "answered"
 
 
-class _PreparedRequest(NamedTuple):
-    """The body and the budget reservation of a streaming request.
-
-    :param body: the turn history, followed by the caller's input.
-    :param reservation_id: the reservation to settle; empty without a budget.
-    :param service: the service that is to run it.
-    """
-
-    body: bytes
-    reservation_id: str
-    service: str
-
-
-class _Stream:
-    """One stream relayed to the caller, from one replica or from several in sequence."""
-
-    def __init__(self, call: Call, writer: ResponseWriter, prepared: _PreparedRequest) -> None:
-        self.call = call
-        self.writer = writer
-        self.body = prepared.body
-        self.reservation_id = prepared.reservation_id
-        self.service = prepared.service
-        self.started_at = anyio.current_time()
-        self.retry_after_s = RETRY_AFTER_S
-        self.started = False
-        self.finished = False
-        self.may_have_run = False
-        self.attempts = 0
-        self.unreached = 0
-        self.events = 0
-        self.last_event_id = call.metadata.resume_after
-        self.output = bytearray()
-        self.tried_replicas: set[str] = set()
-        self.detail = "no replica is available"
-        self.error_response: CompleteResponse | None = None
-
-    @property
-    def can_retry(self) -> bool:
-        """Whether the request may be sent to another replica."""
-        if self.may_have_run and not self.call.route.resumable:
-            return False
-        return (
-            self.attempts < self.call.route.max_attempts and self.unreached < MAX_UNREACHED_REPLICAS
-        )
-
-    @property
-    def tokens(self) -> int:
-        """The tokens sent to the caller, as budgets count them."""
-        services = self.call.configuration.services
-        engines = [
-            spec.engine
-            for share in self.call.route.shares
-            if (spec := services.get(share.service)) is not None and spec.engine is not None
-        ]
-        return self.events * max((engine.tokens_per_event for engine in engines), default=1)
-
-
 @final
 class StreamCalls:
     """Answers requests on streaming routes."""
@@ -148,9 +61,9 @@
         if isinstance(prepared, Err):
             await writer.send_failure(prepared.err_value)
         else:
-            await self._stream(_Stream(call, writer, prepared.ok_value))
+            await self._stream(Stream(call, writer, prepared.ok_value))
 
-    async def _prepare(self, call: Call) -> Result[_PreparedRequest, Failure]:
+    async def _prepare(self, call: Call) -> Result[PreparedRequest, Failure]:
         """Load the history that a turn continues, and reserve its budget."""
         with anyio.move_on_after(max(0.0, call.remaining_s)):
             body = call.body
@@ -165,7 +78,7 @@
         detail = "history and budget were not ready within the request's deadline"
         return Err(Failure(ErrorKind.OVERLOADED, detail, RETRY_AFTER_S))
 
-    async def _reserve(self, call: Call, body: bytes) -> Result[_PreparedRequest, Failure]:
+    async def _reserve(self, call: Call, body: bytes) -> Result[PreparedRequest, Failure]:
         """Reserve a turn's budget, unless the replicas are too full for the turn to start."""
         service = pick_service(call.route)
         reserved = await self._budgets.reserve(call.metadata)
@@ -180,9 +93,9 @@
                 self._budgets.settle(call.metadata, reservation.reservation_id, 0)
                 failure = Failure(ErrorKind.OVERLOADED, refusal.detail, refusal.retry_after_s)
                 return Err(failure)
-        return Ok(_PreparedRequest(body, reservation.reservation_id, service))
+        return Ok(PreparedRequest(body, reservation.reservation_id, service))
 
-    async def _stream(self, stream: _Stream) -> None:
+    async def _stream(self, stream: Stream) -> None:
         """Run a stream; its spending is settled in every case."""
         turn_saved = False
         try:
@@ -196,7 +109,7 @@
             if not turn_saved:
                 self._budgets.settle(stream.call.metadata, stream.reservation_id, stream.tokens)
 
-    async def _try_replicas(self, stream: _Stream) -> bool:
+    async def _try_replicas(self, stream: Stream) -> bool:
         """Relay the stream; return whether it is complete. The end is not sent yet."""
         while stream.can_retry:
             replica = await self._sender.choose(stream.call, stream.service, stream.tried_replicas)
@@ -208,7 +121,7 @@
                 return end is _StreamEnd.WHOLE
         return False
 
-    async def _attempt(self, stream: _Stream, replica: Replica) -> _StreamEnd:
+    async def _attempt(self, stream: Stream, replica: Replica) -> _StreamEnd:
         stream.tried_replicas.add(replica.name)
         may_have_run_before, stream.may_have_run = stream.may_have_run, True
         call = stream.call
@@ -228,7 +141,7 @@
             return await self._relay(stream, result)
 
     def _record_broken(
-        self, stream: _Stream, replica: Replica, outcome: NotRun | UnknownOutcome
+        self, stream: Stream, replica: Replica, outcome: NotRun | UnknownOutcome
     ) -> _StreamEnd:
         self._sender.record_outcome(replica, outcome)
         stream.detail = outcome.detail
@@ -243,7 +156,7 @@
         )
         return _StreamEnd.BROKEN
 
-    async def _relay_error(self, stream: _Stream, response: StartedResponse) -> _StreamEnd:
+    async def _relay_error(self, stream: Stream, response: StartedResponse) -> _StreamEnd:
         """Relay a replica's error response, unless the stream has already started."""
         outcome = await read_complete(response)
         if not isinstance(outcome, CompleteResponse):
@@ -257,7 +170,7 @@
         await stream.writer.send_response(outcome)
         return _StreamEnd.ANSWERED
 
-    async def _relay(self, stream: _Stream, response: StartedResponse) -> _StreamEnd:
+    async def _relay(self, stream: Stream, response: StartedResponse) -> _StreamEnd:
         reader = EventReader()
         try:
             while (chunk := await response.connection.read_chunk()) is not None:
@@ -280,7 +193,7 @@
         return _StreamEnd.WHOLE
 
     async def _relay_chunk(
-        self, stream: _Stream, response: StartedResponse, reader: EventReader, chunk: bytes
+        self, stream: Stream, response: StartedResponse, reader: EventReader, chunk: bytes
     ) -> None:
         events = reader.feed(chunk)
         if not events:
@@ -295,11 +208,11 @@
                 stream.output += event.data + b"\n"
         await stream.writer.write(b"".join(event.raw for event in events))
 
-    async def _finish(self, stream: _Stream) -> bool:
+    async def _finish(self, stream: Stream) -> bool:
         """Store the turn if the route requires it, then end the stream; return if it was stored."""
         turn_saved = False
         if stream.call.route.retains_turns:
-            result = await self._history.save(_kept_turn(stream))
+            result = await self._history.save(stream.kept_turn())
             if isinstance(result, Err):
                 stream.detail = result.err_value.detail
                 return False
@@ -308,7 +221,7 @@
         await stream.writer.finish_stream()
         return turn_saved
 
-    async def _give_up(self, stream: _Stream) -> None:
+    async def _give_up(self, stream: Stream) -> None:
         stream.finished = True
         deadline_passed = stream.call.remaining_s <= 0
         log.info(
@@ -331,17 +244,3 @@
             await stream.writer.send_failure(
                 Failure(ErrorKind.OVERLOADED, stream.detail, stream.retry_after_s)
             )
-
-
-def _kept_turn(stream: _Stream) -> KeptTurn:
-    call = stream.call
-    return KeptTurn(
-        turn=call.metadata.request_id,
-        previous=call.metadata.previous_turn,
-        program=call.metadata.program,
-        entry=stream.reservation_id,
-        tokens=stream.tokens,
-        keep_s=call.route.turn_retention_s,
-        new_input=call.body,
-        event_data=bytes(stream.output),
-    )
