--- a/src/bramleylead/errors.py
+++ b/src/bramleylead/errors.py
@@ -30,6 +30,7 @@
     DUPLICATE_MISMATCH = "duplicate_mismatch"
     HISTORY_ROLLED_BACK = "history_rolled_back"
     LIMIT_REACHED = "limit_reached"
+    CRASHES_ENDPOINTS = "crashes_endpoints"
     BUDGET_EXHAUSTED = "budget_exhausted"
     OVERLOADED = "overloaded"
     DEADLINE_EXCEEDED = "deadline_exceeded"
@@ -82,6 +83,9 @@
     ),
     ErrorKind.LIMIT_REACHED: Answer(422, Ran.NOT_RUN, None, "end the program"),
     ErrorKind.BUDGET_EXHAUSTED: Answer(402, Ran.NOT_RUN, None, "ask the operator for a budget"),
+    ErrorKind.CRASHES_ENDPOINTS: Answer(
+        503, Ran.NOT_RUN, 10.0, "don't repeat the request: endpoints crashed that ran it"
+    ),
     ErrorKind.OVERLOADED: Answer(503, Ran.NOT_RUN, 2.0, "retry later"),
     ErrorKind.DEADLINE_EXCEEDED: Answer(504, Ran.NOT_RUN, 1.0, "retry with a longer deadline"),
     ErrorKind.OWNER_UNAVAILABLE: Answer(503, Ran.NOT_RUN, 1.0, "retry later"),
--- a/src/bramleylead/gateway/_app.py
+++ b/src/bramleylead/gateway/_app.py
@@ -115,7 +115,8 @@
             route=call.route.name,
             configuration=call.configuration.version,
             left_s=round(call.remaining_s, 3),
-            fingerprint=call.fingerprint.hex(),
+            fingerprint=call.fingerprint.whole.hex(),
+            beginning=call.fingerprint.beginning.hex(),
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_on_disconnect, exchange, writer, tasks.cancel_scope)
--- a/src/bramleylead/gateway/_budgets.py
+++ b/src/bramleylead/gateway/_budgets.py
@@ -18,6 +18,7 @@
 from bramleylead.ledger._client import LedgerClient
 from bramleylead.ledger._records import Spending
 from bramleylead.placement._admission import Progress
+from bramleylead.placement._crash_table import CrashEvidence
 from bramleylead.placement._fleet_table import NO_FLEET_LOAD
 from bramleylead.placement._fleet_table import FleetLoad
 from bramleylead.platform._types import CallMetadata
@@ -34,11 +35,13 @@
 
     :param reservation_id: the reservation to settle; empty without a budget.
     :param progress: ``None`` if the program has no budget, so that nothing is known of it.
+    :param crashes: the crashes at which this turn was running.
     """
 
     reservation_id: str
     progress: Progress | None
     fleet: FleetLoad
+    crashes: tuple[CrashEvidence, ...] = ()
 
 
 NO_RESERVATION = BudgetReservation("", None, NO_FLEET_LOAD)
@@ -55,9 +58,13 @@
         self._ledger = ledger
         self._tasks = tasks
 
-    async def reserve(self, metadata: CallMetadata) -> Result[BudgetReservation, Failure]:
+    async def reserve(
+        self, metadata: CallMetadata, crashes: tuple[CrashEvidence, ...] = ()
+    ) -> Result[BudgetReservation, Failure]:
         """Reserve a turn's maximum.
 
+        :param crashes: the crashes at which this turn was running, as far as they are known here.
+
         Fails with ``BUDGET_EXHAUSTED`` if the turn's maximum exceeds the rest of the budget.
         """
         if metadata.budget_tokens is None:
@@ -68,10 +75,11 @@
             reserved = await self._ledger.reserve(
                 Spending(metadata.program, reservation_id, metadata.max_output_tokens, False),
                 prompt_parts=tuple(part.name for part in metadata.prompt),
+                crashes=crashes,
             )
             if isinstance(reserved, Err):
                 return reserved
-            spendings, fleet = reserved.ok_value
+            spendings = reserved.ok_value.spendings
             fits = self._fits_budget(metadata, reservation_id, spendings)
         finally:
             if not fits:
@@ -79,7 +87,8 @@
                 self.settle(metadata, reservation_id, 0)
         if fits:
             progress = _progress_of(spendings, reservation_id)
-            return Ok(BudgetReservation(reservation_id, progress, fleet))
+            found = reserved.ok_value
+            return Ok(BudgetReservation(reservation_id, progress, found.fleet, found.crashes))
         detail = (
             f"program {metadata.program}: {metadata.budget_tokens} tokens do not cover the tokens "
             f"already spent and {metadata.max_output_tokens} more"
--- a/src/bramleylead/gateway/_call.py
+++ b/src/bramleylead/gateway/_call.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from bramleylead.gateway._fingerprint import Fingerprint
 from bramleylead.gateway._upstream import ResponseHead
 from bramleylead.platform._types import CallMetadata
 from bramleylead.platform._types import Configuration
@@ -32,7 +33,7 @@
     configuration: Configuration
     arrived_at: float
     deadline: float
-    fingerprint: bytes
+    fingerprint: Fingerprint
 
     @property
     def remaining_s(self) -> float:
@@ -65,9 +66,13 @@
 
 
 class UnknownOutcome(NamedTuple):
-    """The request may have run, but no complete response was received."""
+    """The request may have run, but no complete response was received.
+
+    :param connection_lost: whether the connection to the replica ended before the response did.
+    """
 
     detail: str
+    connection_lost: bool = False
 
 
 Outcome = CompleteResponse | NotRun | UnknownOutcome
--- a/src/bramleylead/gateway/_connection_pool.py
+++ b/src/bramleylead/gateway/_connection_pool.py
@@ -16,6 +16,9 @@
 
 CONNECT_TIMEOUT_S = 0.4
 """Shorter than the second after which TCP resends a lost SYN: trying another replica is faster."""
+CHECK_TIMEOUT_S = 0.1
+"""A host without a listener refuses a connection at once; a request waits for the check."""
+REFUSAL_VALID_S = 0.5
 DEFAULT_KEEP_ALIVE_S = 4.0
 KEEP_ALIVE_MARGIN_S = 1.0
 """A connection is no longer reused this long before the replica's announced keep-alive timeout: a
@@ -32,6 +35,7 @@
         self._network = network
         self._id_header = id_header
         self._idle: dict[str, list[UpstreamConnection]] = {}
+        self._refused_at: dict[str, float] = {}
         self.opened = 0
 
     async def acquire(self, replica: Replica) -> Result[UpstreamConnection, str]:
@@ -44,6 +48,21 @@
             await connection.aclose()
         return await self._connect(replica)
 
+    async def is_refused(self, replica: Replica) -> bool:
+        """Return whether a replica's host refuses connections, as after the end of its process.
+
+        A connection that is opened is kept for the next request.
+        """
+        refused_at = self._refused_at.get(replica.name, float("-inf"))
+        if anyio.current_time() - refused_at < REFUSAL_VALID_S:
+            return True
+        opened = await self._connect(replica, timeout_s=CHECK_TIMEOUT_S)
+        if isinstance(opened, Err):
+            return replica.name in self._refused_at
+        opened.ok_value.reuse_until = anyio.current_time() + DEFAULT_KEEP_ALIVE_S
+        self._idle[replica.name].append(opened.ok_value)
+        return False
+
     async def release(
         self, replica: Replica, connection: UpstreamConnection, keep_alive_s: float | None
     ) -> None:
@@ -59,6 +78,8 @@
 
     async def keep_only(self, names: set[str]) -> None:
         """Close the idle connections to all replicas but the named ones."""
+        for name in self._refused_at.keys() - names:
+            del self._refused_at[name]
         for name in [name for name in self._idle if name not in names]:
             for connection in self._idle.pop(name):
                 await connection.aclose()
@@ -72,13 +93,23 @@
             for connection in expired:
                 await connection.aclose()
 
-    async def _connect(self, replica: Replica) -> Result[UpstreamConnection, str]:
+    async def _connect(
+        self, replica: Replica, *, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> Result[UpstreamConnection, str]:
         self._idle.setdefault(replica.name, [])
+        self._refused_at.pop(replica.name, None)
         try:
-            with anyio.fail_after(CONNECT_TIMEOUT_S):
+            with anyio.fail_after(timeout_s):
                 stream = await self._network.connect(replica.address)
         except (OSError, TimeoutError) as error:
+            if _is_refusal(error):
+                self._refused_at[replica.name] = anyio.current_time()
             detail = f"{replica.address}: can't connect: {type(error).__name__}: {error}"
             return Err(detail)
         self.opened += 1
         return Ok(UpstreamConnection(stream, id_header=self._id_header))
+
+
+def _is_refusal(error: OSError) -> bool:
+    """Return whether a connection was refused; anyio gives the cause of a single failed attempt."""
+    return any(isinstance(found, ConnectionRefusedError) for found in (error, error.__cause__))
--- a/src/bramleylead/gateway/_plain_calls.py
+++ b/src/bramleylead/gateway/_plain_calls.py
@@ -17,6 +17,8 @@
 from bramleylead.gateway._call import CompleteResponse
 from bramleylead.gateway._call import NotRun
 from bramleylead.gateway._call import Outcome
+from bramleylead.gateway._call import UnknownOutcome
+from bramleylead.gateway._crash_guard import CrashGuard
 from bramleylead.gateway._permit_waits import RETRY_AFTER_S
 from bramleylead.gateway._response_body import StartedResponse
 from bramleylead.gateway._response_body import read_complete
@@ -42,12 +44,16 @@
 class PlainCalls:
     """Answers requests to plain services."""
 
-    def __init__(self, sender: Sender) -> None:
+    def __init__(self, sender: Sender, guard: CrashGuard) -> None:
         self._sender = sender
+        self._guard = guard
 
     async def answer(self, call: Call) -> Result[CompleteResponse, Failure]:
         """Return a replica's complete response, or a failure, by the caller's deadline."""
         self._sender.record_demand()
+        refusal = self._guard.refusal(call)
+        if refusal is not None:
+            return Err(refusal)
         attempts = _Attempts(call)
         with anyio.move_on_after(max(0.0, call.remaining_s)):
             return await self._try_replicas(call, attempts)
@@ -57,18 +63,23 @@
         self, call: Call, attempts: _Attempts
     ) -> Result[CompleteResponse, Failure]:
         service = pick_service(call.route)
-        while attempts.can_retry:
-            replica = await self._sender.choose(call, service, attempts.tried_replicas)
+        while attempts.can_retry and self._guard.refusal(call) is None:
+            replica = await self._sender.choice.choose(call, service, attempts.tried_replicas)
             if replica is None:
-                attempts.retry_after_s = self._sender.retry_after_s(service)
+                attempts.retry_after_s = self._sender.choice.retry_after_s(service)
                 break
             outcome = await self._attempt(call, replica, attempts)
             self._sender.record_outcome(replica, outcome)
+            if isinstance(outcome, CompleteResponse) and not outcome.is_server_error:
+                await self._guard.record_success(call)
             if isinstance(outcome, CompleteResponse) and not (
                 outcome.is_server_error and call.route.repeatable
             ):
                 return Ok(outcome)
             attempts.record_failure(replica, outcome)
+            if isinstance(outcome, UnknownOutcome) and outcome.connection_lost:
+                crashed = await self._guard.record_lost_connection(call, replica, events=0)
+                attempts.discount(crashed)
         return attempts.final_result()
 
     async def _attempt(self, call: Call, replica: Replica, attempts: _Attempts) -> Outcome:
@@ -127,6 +138,10 @@
             reason=self._detail,
         )
 
+    def discount(self, crashed: bool) -> None:
+        """Don't count the last attempt if its replica has crashed and works on it no longer."""
+        self._attempt_count -= crashed
+
     def final_result(self) -> Result[CompleteResponse, Failure]:
         """Return the result after the last attempt, if possible a replica's own error response."""
         if self._error_response is not None:
--- /dev/null
+++ b/src/bramleylead/gateway/_replica_choice.py
@@ -0,0 +1,133 @@
+"""Chooses the replica for each request of a gateway from what the gateway knows of them all."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import final
+
+import structlog
+
+from bramleylead.gateway._call import Call
+from bramleylead.gateway._crash_guard import CrashGuard
+from bramleylead.gateway._directory import Directory
+from bramleylead.gateway._permit_waits import PermitWaits
+from bramleylead.placement._admission import ServiceLoad
+from bramleylead.placement._rate_limits import RateLimits
+from bramleylead.placement._replica_selector import Candidate
+from bramleylead.placement._replica_selector import Prompt
+from bramleylead.placement._replica_selector import ReplicaSelector
+from bramleylead.platform._types import Replica
+
+log = structlog.get_logger()
+
+
+@final
+class ReplicaChoice:
+    """Chooses among the replicas of a service.
+
+    :param data_centre: the gateway's data centre.
+    :param regions: the region of each data centre.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        selector: ReplicaSelector,
+        limits: RateLimits,
+        guard: CrashGuard,
+        *,
+        data_centre: str,
+        regions: dict[str, str],
+    ) -> None:
+        self._directory = directory
+        self._selector = selector
+        self._limits = limits
+        self._guard = guard
+        self._permit_waits = PermitWaits(directory, limits)
+        self._data_centre = data_centre
+        self._regions = regions
+
+    async def choose(self, call: Call, service: str, tried_replicas: set[str]) -> Replica | None:
+        """Return the next replica to send a request to, or ``None`` if none is left.
+
+        May wait for a while if the limits of all replicas allow no request now.
+        """
+        while True:
+            replica = self._choose_permitted(call, service, tried_replicas)
+            if replica is not None:
+                return replica
+            if not await self._permit_waits.wait(call, service, tried_replicas):
+                return None
+
+    def retry_after_s(self, service: str) -> float:
+        """Return when a caller whose request could be sent to no replica should return."""
+        return self._permit_waits.retry_after_s(service)
+
+    def candidate(self, call: Call, replica: Replica) -> Candidate:
+        """Return what the choice knows of a replica itself."""
+        spec = call.configuration.services.get(replica.service)
+        engine = None if spec is None else spec.engine
+        data_centre = replica.data_centre
+        return Candidate(
+            name=replica.name,
+            slots=replica.slots or (engine.slots if engine else 0),
+            cache_tokens=engine.cache_tokens if engine else 0,
+            same_data_centre=data_centre == self._data_centre,
+            same_region=self._regions.get(data_centre) == self._regions.get(self._data_centre),
+        )
+
+    def service_load(self, call: Call, service: str, *, turn_s: float) -> ServiceLoad:
+        """Return the load of a service's replicas that are not ejected.
+
+        :param turn_s: how long a turn takes on average.
+        """
+        candidates = self._candidates(call, self._directory.replicas(service))
+        ejected = self._selector.health.ejected([candidate.name for candidate in candidates])
+        usable = [candidate for candidate in candidates if candidate.name not in ejected]
+        return ServiceLoad(
+            running=sum(self._selector.running(candidate.name) for candidate in usable),
+            slots=sum(
+                self._limits.slots(candidate.name, candidate.slots, request_s=turn_s)
+                for candidate in usable
+            ),
+        )
+
+    def _choose_permitted(
+        self, call: Call, service: str, tried_replicas: set[str]
+    ) -> Replica | None:
+        by_name = {
+            replica.name: replica
+            for replica in self._directory.replicas(service)
+            if replica.name not in tried_replicas and self._limits.has_permit(replica.name)
+        }
+        candidates = self._candidates(call, by_name.values())
+        is_suspect = self._guard.is_suspect(call)
+        if is_suspect:
+            chosen = self._selector.choose_apart(candidates, call.fingerprint.whole)
+        else:
+            chosen = self._selector.choose(candidates, prompt_of(call))
+        if chosen is None:
+            return None
+        log.info(
+            "replica_chosen",
+            request=call.metadata.request_id,
+            program=call.metadata.program,
+            replica=chosen.name,
+            running=round(self._selector.running(chosen.name), 1),
+            own=self._selector.own_requests(chosen.name),
+            cost=round(self._selector.cost(chosen, prompt_of(call))),
+            among=len(candidates),
+            suspect=is_suspect,
+            configuration=call.configuration.version,
+            list_age_s=round(self._directory.replica_list_age_s, 3),
+        )
+        return by_name[chosen.name]
+
+    def _candidates(self, call: Call, replicas: Iterable[Replica]) -> list[Candidate]:
+        return [self.candidate(call, replica) for replica in replicas]
+
+
+def prompt_of(call: Call) -> Prompt:
+    """Return what a replica may have cached of a request, as its headers describe it."""
+    affinity = call.metadata.affinity if call.route.sticky else ""
+    return Prompt(tuple((part.name, part.tokens) for part in call.metadata.prompt), affinity)
--- a/src/bramleylead/gateway/_response_body.py
+++ b/src/bramleylead/gateway/_response_body.py
@@ -37,7 +37,7 @@
         while (part := await response.connection.read_chunk()) is not None:
             chunks.append(part)
     except UpstreamError as error:
-        return UnknownOutcome(f"{response.replica.name}: {error}")
+        return UnknownOutcome(f"{response.replica.name}: {error}", error.connection_lost)
     return CompleteResponse(response.replica, response.head, b"".join(chunks))
 
 
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -19,11 +19,13 @@
 from bramleylead.gateway._app import readiness_app
 from bramleylead.gateway._budgets import Budgets
 from bramleylead.gateway._connection_pool import ConnectionPool
+from bramleylead.gateway._crash_guard import CrashGuard
 from bramleylead.gateway._directory import Directory
 from bramleylead.gateway._followers import ConfigurationFollower
 from bramleylead.gateway._followers import ReplicaFollower
 from bramleylead.gateway._load_reporter import LoadReporter
 from bramleylead.gateway._plain_calls import PlainCalls
+from bramleylead.gateway._replica_choice import ReplicaChoice
 from bramleylead.gateway._sender import Sender
 from bramleylead.gateway._streams import StreamCalls
 from bramleylead.gateway._turn_history import TurnHistory
@@ -32,6 +34,7 @@
 from bramleylead.ledger._member_list import StoredMemberList
 from bramleylead.ledger._members import view_to_plain
 from bramleylead.ledger._mirrored_store import MirroredStore
+from bramleylead.placement._crash_table import CrashTable
 from bramleylead.placement._rate_limits import RateLimits
 from bramleylead.placement._replica_selector import ReplicaSelector
 from bramleylead.platform import _names as names
@@ -76,6 +79,7 @@
         self._selector = ReplicaSelector(first_turn=random.randrange(MAX_FIRST_TURN))
         self.directory = Directory()
         self._limits = RateLimits()
+        self._crashes = CrashTable()
         self._store = MonitoredStore(store)
         self._objects = MirroredStore(
             self._store,
@@ -84,22 +88,28 @@
             on_store_failure=self.directory.record_store_failure,
             gateway=settings.node,
             traffic=self._limits,
+            crashes=self._crashes,
             patience_s=START_PATIENCE_S if settings.ledger_seeds else 0.0,
         )
         self.directory.set_source(self._objects)
         reporter = LoadReporter(settings.node, self._selector, send_now=ledger.report_placement)
         ledger.report_load = reporter.report
-        sender = Sender(
+        guard = CrashGuard(
+            self.directory, self._connections, self._crashes, report=ledger.report_crash
+        )
+        choice = ReplicaChoice(
             self.directory,
-            self._connections,
             self._selector,
-            reporter,
             self._limits,
+            guard,
             data_centre=settings.data_centre,
             regions=settings.data_centres,
         )
-        streams = StreamCalls(sender, Budgets(ledger, tasks), TurnHistory(ledger))
-        self.app = GatewayApp(self.directory, PlainCalls(sender), streams)
+        sender = Sender(
+            self.directory, self._connections, self._selector, reporter, self._limits, choice
+        )
+        streams = StreamCalls(sender, Budgets(ledger, tasks), TurnHistory(ledger), guard)
+        self.app = GatewayApp(self.directory, PlainCalls(sender, guard), streams)
         self._http = HttpServer(self.app)
         self._ready = HttpServer(readiness_app(self.is_ready))
         self._metrics = HttpServer(metrics.app)
@@ -154,6 +164,7 @@
             "ledger_epoch": self._ledger.view.epoch,
             "connections_opened": self._connections.opened,
             "requests_running": self.app.in_flight,
+            "suspect_requests": len(self._crashes),
             "ready": self.is_ready(),
             **object_ages(self._objects, (names.CONFIGURATION_KIND, names.REPLICA_KIND)),
         }
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
-from collections.abc import Iterable
 from contextlib import asynccontextmanager
 from typing import final
 
@@ -19,7 +18,8 @@
 from bramleylead.gateway._connection_pool import ConnectionPool
 from bramleylead.gateway._directory import Directory
 from bramleylead.gateway._load_reporter import LoadReporter
-from bramleylead.gateway._permit_waits import PermitWaits
+from bramleylead.gateway._replica_choice import ReplicaChoice
+from bramleylead.gateway._replica_choice import prompt_of
 from bramleylead.gateway._response_body import StartedResponse
 from bramleylead.gateway._response_body import discard_body
 from bramleylead.gateway._upstream import RequestHead
@@ -28,16 +28,12 @@
 from bramleylead.gateway._upstream import UpstreamError
 from bramleylead.placement._admission import Progress
 from bramleylead.placement._admission import Refusal
-from bramleylead.placement._admission import ServiceLoad
 from bramleylead.placement._admission import check_admission
 from bramleylead.placement._fleet_table import FleetLoad
 from bramleylead.placement._rate_limits import RateLimits
-from bramleylead.placement._replica_selector import Candidate
-from bramleylead.placement._replica_selector import Prompt
 from bramleylead.placement._replica_selector import ReplicaSelector
 from bramleylead.platform import _wire as wire
 from bramleylead.platform._types import CallKind
-from bramleylead.platform._types import EngineSpec
 from bramleylead.platform._types import Replica
 from bramleylead.platform._types import ResponseMetadata
 
@@ -54,11 +50,9 @@
 
 @final
 class Sender:
-    """Chooses replicas and sends requests to them.
+    """Sends requests to the replicas that its choice returns.
 
     :param reporter: is told where turns have run.
-    :param data_centre: the gateway's data centre.
-    :param regions: the region of each data centre.
     """
 
     def __init__(
@@ -68,61 +62,15 @@
         selector: ReplicaSelector,
         reporter: LoadReporter,
         limits: RateLimits,
-        *,
-        data_centre: str,
-        regions: dict[str, str],
+        choice: ReplicaChoice,
     ) -> None:
+        self.choice = choice
         self._directory = directory
         self._connections = connections
         self._selector = selector
         self._reporter = reporter
         self._limits = limits
-        self._permit_waits = PermitWaits(directory, limits)
         self._mean_turn_s = INITIAL_TURN_S
-        self._data_centre = data_centre
-        self._regions = regions
-
-    async def choose(self, call: Call, service: str, tried_replicas: set[str]) -> Replica | None:
-        """Return the next replica to send a request to, or ``None`` if none is left.
-
-        May wait for a while if the limits of all replicas allow no request now.
-        """
-        while True:
-            replica = self._choose_permitted(call, service, tried_replicas)
-            if replica is not None:
-                return replica
-            if not await self._permit_waits.wait(call, service, tried_replicas):
-                return None
-
-    def retry_after_s(self, service: str) -> float:
-        """Return when a caller whose request could be sent to no replica should return."""
-        return self._permit_waits.retry_after_s(service)
-
-    def _choose_permitted(
-        self, call: Call, service: str, tried_replicas: set[str]
-    ) -> Replica | None:
-        by_name = {
-            replica.name: replica
-            for replica in self._directory.replicas(service)
-            if replica.name not in tried_replicas and self._limits.has_permit(replica.name)
-        }
-        candidates = self._candidates(call, service, by_name.values())
-        chosen = self._selector.choose(candidates, prompt_of(call))
-        if chosen is None:
-            return None
-        log.info(
-            "replica_chosen",
-            request=call.metadata.request_id,
-            program=call.metadata.program,
-            replica=chosen.name,
-            running=round(self._selector.running(chosen.name), 1),
-            own=self._selector.own_requests(chosen.name),
-            cost=round(self._selector.cost(chosen, prompt_of(call))),
-            among=len(candidates),
-            configuration=call.configuration.version,
-            list_age_s=round(self._directory.replica_list_age_s, 3),
-        )
-        return by_name[chosen.name]
 
     def record_demand(self) -> None:
         """Count a caller's request in this gateway's share of the traffic."""
@@ -141,7 +89,7 @@
             if route.kind is CallKind.STREAM and any(s.service == service for s in route.shares)
         }
         return check_admission(
-            self._service_load(call, service),
+            self.choice.service_load(call, service, turn_s=self._mean_turn_s),
             progress,
             less_urgent_priorities=sum(other > call.route.priority for other in priorities),
             turn_s=self._mean_turn_s,
@@ -152,18 +100,6 @@
         self._mean_turn_s += TURN_WEIGHT * (took_s - self._mean_turn_s)
         self._reporter.record_turn(replica.name, prompt_of(call))
 
-    def _service_load(self, call: Call, service: str) -> ServiceLoad:
-        candidates = self._candidates(call, service, self._directory.replicas(service))
-        ejected = self._selector.health.ejected([candidate.name for candidate in candidates])
-        usable = [candidate for candidate in candidates if candidate.name not in ejected]
-        return ServiceLoad(
-            running=sum(self._selector.running(candidate.name) for candidate in usable),
-            slots=sum(
-                self._limits.slots(candidate.name, candidate.slots, request_s=self._mean_turn_s)
-                for candidate in usable
-            ),
-        )
-
     @asynccontextmanager
     async def send(
         self, call: Call, replica: Replica, *, body: bytes, resume_after: str = ""
@@ -176,9 +112,7 @@
         if not self._limits.take(replica.name):
             yield NotRun(f"{replica.name}: its limit allows no request", counts_as_attempt=False)
             return
-        spec = call.configuration.services.get(replica.service)
-        candidate = self._candidate(replica, None if spec is None else spec.engine)
-        self._selector.start_request(candidate, prompt_of(call))
+        self._selector.start_request(self.choice.candidate(call, replica), prompt_of(call))
         if call.metadata.budget_tokens is not None:
             self._reporter.report_placement()
         try:
@@ -268,7 +202,7 @@
         try:
             response = await connection.read_head()
         except UpstreamError as error:
-            return UnknownOutcome(f"{replica.name}: {error}")
+            return UnknownOutcome(f"{replica.name}: {error}", error.connection_lost)
         return await self._classify(call, replica, connection, response)
 
     async def _classify(
@@ -318,24 +252,3 @@
                 health.record_failure(replica.name, reason=f"answered {outcome.head.status}")
             else:
                 health.record_success(replica.name)
-
-    def _candidates(self, call: Call, service: str, replicas: Iterable[Replica]) -> list[Candidate]:
-        spec = call.configuration.services.get(service)
-        engine = None if spec is None else spec.engine
-        return [self._candidate(replica, engine) for replica in replicas]
-
-    def _candidate(self, replica: Replica, engine: EngineSpec | None) -> Candidate:
-        data_centre = replica.data_centre
-        return Candidate(
-            name=replica.name,
-            slots=replica.slots or (engine.slots if engine else 0),
-            cache_tokens=engine.cache_tokens if engine else 0,
-            same_data_centre=data_centre == self._data_centre,
-            same_region=self._regions.get(data_centre) == self._regions.get(self._data_centre),
-        )
-
-
-def prompt_of(call: Call) -> Prompt:
-    """Return what a replica may have cached of a request, as its headers describe it."""
-    affinity = call.metadata.affinity if call.route.sticky else ""
-    return Prompt(tuple((part.name, part.tokens) for part in call.metadata.prompt), affinity)
--- a/src/bramleylead/gateway/_stream_state.py
+++ b/src/bramleylead/gateway/_stream_state.py
@@ -73,6 +73,7 @@
         self.started = False
         self.finished = False
         self.may_have_run = False
+        self.connection_lost = False
         self.attempts = 0
         self.unreached = 0
         self.events = 0
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -20,6 +20,7 @@
 from bramleylead.gateway._call import CompleteResponse
 from bramleylead.gateway._call import NotRun
 from bramleylead.gateway._call import UnknownOutcome
+from bramleylead.gateway._crash_guard import CrashGuard
 from bramleylead.gateway._permit_waits import RETRY_AFTER_S
 from bramleylead.gateway._plain_calls import pick_service
 from bramleylead.gateway._response_body import StartedResponse
@@ -49,15 +50,19 @@
 class StreamCalls:
     """Answers requests on streaming routes."""
 
-    def __init__(self, sender: Sender, budgets: Budgets, history: TurnHistory) -> None:
+    def __init__(
+        self, sender: Sender, budgets: Budgets, history: TurnHistory, guard: CrashGuard
+    ) -> None:
         self._sender = sender
+        self._guard = guard
         self._budgets = budgets
         self._history = history
 
     async def answer(self, call: Call, writer: ResponseWriter) -> None:
         """Send a complete response, an error or an aborted stream by the caller's deadline."""
         self._sender.record_demand()
-        prepared = await self._prepare(call)
+        refusal = self._guard.refusal(call)
+        prepared = await self._prepare(call) if refusal is None else Err(refusal)
         if isinstance(prepared, Err):
             await writer.send_failure(prepared.err_value)
         else:
@@ -81,11 +86,16 @@
     async def _reserve(self, call: Call, body: bytes) -> Result[PreparedRequest, Failure]:
         """Reserve a turn's budget, unless the replicas are too full for the turn to start."""
         service = pick_service(call.route)
-        reserved = await self._budgets.reserve(call.metadata)
+        reserved = await self._budgets.reserve(call.metadata, self._guard.evidence(call))
         if isinstance(reserved, Err):
             return reserved
         reservation = reserved.ok_value
         self._sender.record_fleet_load(call, reservation.fleet)
+        self._guard.merge(reservation.crashes)
+        held_back = self._guard.refusal(call)
+        if held_back is not None:
+            self._budgets.settle(call.metadata, reservation.reservation_id, 0)
+            return Err(held_back)
         continues_turn = bool(call.metadata.previous_turn)
         if reservation.progress is not None and not continues_turn:
             refusal = self._sender.check_admission(call, service, reservation.progress)
@@ -111,14 +121,23 @@
 
     async def _try_replicas(self, stream: Stream) -> bool:
         """Relay the stream; return whether it is complete. The end is not sent yet."""
-        while stream.can_retry:
-            replica = await self._sender.choose(stream.call, stream.service, stream.tried_replicas)
+        while stream.can_retry and self._guard.refusal(stream.call) is None:
+            replica = await self._sender.choice.choose(
+                stream.call, stream.service, stream.tried_replicas
+            )
             if replica is None:
-                stream.retry_after_s = self._sender.retry_after_s(stream.service)
+                stream.retry_after_s = self._sender.choice.retry_after_s(stream.service)
                 break
+            events_before = stream.events
             end = await self._attempt(stream, replica)
             if end is not _StreamEnd.BROKEN:
                 return end is _StreamEnd.WHOLE
+            if stream.connection_lost:
+                crashed = await self._guard.record_lost_connection(
+                    stream.call, replica, events=stream.events - events_before
+                )
+                # A replica that has crashed no longer works on the request.
+                stream.attempts -= crashed
         return False
 
     async def _attempt(self, stream: Stream, replica: Replica) -> _StreamEnd:
@@ -144,6 +163,7 @@
         self, stream: Stream, replica: Replica, outcome: NotRun | UnknownOutcome
     ) -> _StreamEnd:
         self._sender.record_outcome(replica, outcome)
+        stream.connection_lost = isinstance(outcome, UnknownOutcome) and outcome.connection_lost
         stream.detail = outcome.detail
         log.info(
             "try_failed",
@@ -176,9 +196,9 @@
             while (chunk := await response.connection.read_chunk()) is not None:
                 await self._relay_chunk(stream, response, reader, chunk)
         except (UpstreamError, EventTooLargeError) as error:
-            return self._record_broken(
-                stream, response.replica, UnknownOutcome(f"{response.replica.name}: {error}")
-            )
+            connection_lost = isinstance(error, UpstreamError) and error.connection_lost
+            outcome = UnknownOutcome(f"{response.replica.name}: {error}", connection_lost)
+            return self._record_broken(stream, response.replica, outcome)
         if reader.remainder:
             detail = f"{response.replica.name}: the stream ended within an event"
             return self._record_broken(stream, response.replica, UnknownOutcome(detail))
@@ -188,6 +208,7 @@
         self._sender.record_outcome(
             response.replica, CompleteResponse(response.replica, response.head, b"")
         )
+        await self._guard.record_success(stream.call)
         took_s = anyio.current_time() - stream.started_at
         self._sender.record_turn(stream.call, response.replica, took_s=took_s)
         return _StreamEnd.WHOLE
--- a/src/bramleylead/gateway/_upstream.py
+++ b/src/bramleylead/gateway/_upstream.py
@@ -40,12 +40,12 @@
 class UpstreamError(Exception):
     """No complete response was received.
 
-    :param head_received: whether the head of the response was received.
+    :param connection_lost: whether the connection ended before the response did.
     """
 
-    def __init__(self, detail: str, *, head_received: bool = False) -> None:
+    def __init__(self, detail: str, *, connection_lost: bool = False) -> None:
         super().__init__(detail)
-        self.head_received = head_received
+        self.connection_lost = connection_lost
 
 
 class ResponseHead(NamedTuple):
@@ -178,13 +178,13 @@
 
     async def _read_chunk(self, max_body_bytes: int) -> bytes | None:
         while True:
-            event = await self._next_event(head_received=True)
+            event = await self._next_event()
             if isinstance(event, h11.Data):
                 self._body_bytes += len(event.data)
                 if self._body_bytes > max_body_bytes:
                     self._must_close = True
                     detail = f"the body exceeds {max_body_bytes} bytes"
-                    raise UpstreamError(detail, head_received=True)
+                    raise UpstreamError(detail)
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
                 self._response_complete = True
@@ -202,7 +202,7 @@
 
     async def _read_response_head(self) -> ResponseHead:
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
-            event = await self._next_event(head_received=False)
+            event = await self._next_event()
             if isinstance(event, h11.Response):
                 headers = [
                     (name.decode("latin-1"), value.decode("latin-1"))
@@ -228,22 +228,22 @@
         if trailing:
             self._parser.receive_data(trailing)
 
-    async def _next_event(self, *, head_received: bool) -> h11.Event:
+    async def _next_event(self) -> h11.Event:
         try:
             event = self._parser.next_event()
             while event is h11.NEED_DATA:
-                self._parser.receive_data(await self._receive(head_received=head_received))
+                self._parser.receive_data(await self._receive())
                 event = self._parser.next_event()
         except h11.RemoteProtocolError as error:
             if self._must_close:
                 detail = "the connection closed before the response was complete"
-                raise UpstreamError(detail, head_received=head_received) from error
-            raise UpstreamError(f"not valid HTTP: {error}", head_received=head_received) from error
+                raise UpstreamError(detail, connection_lost=True) from error
+            raise UpstreamError(f"not valid HTTP: {error}") from error
         if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-            raise UpstreamError("the replica closed the connection", head_received=head_received)
+            raise UpstreamError("the replica closed the connection", connection_lost=True)
         return event
 
-    async def _receive(self, *, head_received: bool) -> bytes:
+    async def _receive(self) -> bytes:
         try:
             return await self._stream.receive(READ_BYTES)
         except anyio.EndOfStream:
@@ -251,4 +251,4 @@
             return b""
         except TRANSPORT_ERRORS as error:
             detail = f"connection error: {type(error).__name__}"
-            raise UpstreamError(detail, head_received=head_received) from error
+            raise UpstreamError(detail, connection_lost=True) from error
--- a/src/bramleylead/ledger/_answers.py
+++ b/src/bramleylead/ledger/_answers.py
@@ -127,6 +127,18 @@
             self.absent_count += 1
 
 
+async def wait_for_any(*events: anyio.Event) -> None:
+    """Wait until one of several events is set."""
+    async with anyio.create_task_group() as tasks:
+
+        async def wait(event: anyio.Event) -> None:
+            await event.wait()
+            tasks.cancel_scope.cancel()
+
+        for event in events:
+            tasks.start_soon(wait, event)
+
+
 async def request_member(
     peers: PeerClient, view: LedgerView, member: LedgerMember, request: Any
 ) -> Result[Any, Failure]:
--- a/src/bramleylead/ledger/_client.py
+++ b/src/bramleylead/ledger/_client.py
@@ -23,19 +23,21 @@
 from bramleylead.ledger._answers import ChainSearch
 from bramleylead.ledger._answers import EntryRound
 from bramleylead.ledger._answers import request_member
+from bramleylead.ledger._answers import wait_for_any
 from bramleylead.ledger._known_members import STATE_TIMEOUT_S
 from bramleylead.ledger._known_members import KnownMembers
 from bramleylead.ledger._known_members import ReadMembers
+from bramleylead.ledger._member_reports import MemberReports
 from bramleylead.ledger._members import LedgerMember
 from bramleylead.ledger._members import LedgerView
 from bramleylead.ledger._messages import AskState
 from bramleylead.ledger._messages import Keep
-from bramleylead.ledger._messages import ReportLoad
 from bramleylead.ledger._messages import Reserve
 from bramleylead.ledger._messages import Settle
 from bramleylead.ledger._records import KeptTurn
 from bramleylead.ledger._records import Spending
 from bramleylead.ledger._records import merge_spendings
+from bramleylead.placement._crash_table import CrashEvidence
 from bramleylead.placement._fleet_table import NO_REPORT
 from bramleylead.placement._fleet_table import FleetLoad
 from bramleylead.placement._fleet_table import LoadReport
@@ -51,10 +53,6 @@
 """An entry is sent to the required number of near members, and after this delay to all others."""
 MAX_ATTEMPTS = 3
 RETRY_AFTER_S = 0.3
-PLACEMENT_REPORTS = 2
-"""Members told of each placement. They tell the others some time later, and with one only, more
-turns meet at a replica in the meantime."""
-PLACEMENT_REPORT_TIMEOUT_S = 0.5
 
 log = structlog.get_logger()
 
@@ -64,10 +62,12 @@
 
     :param spendings: all known spendings of the program, by entry.
     :param fleet: the load of the other gateways, and where the turn's prompt is cached.
+    :param crashes: the crashes at which this turn was running, at any gateway.
     """
 
     spendings: dict[str, Spending]
     fleet: FleetLoad
+    crashes: tuple[CrashEvidence, ...] = ()
 
 
 @final
@@ -109,11 +109,13 @@
         self._unavailable_since: float | None = None
         self._became_unavailable = anyio.Event()
         self._tasks: TaskGroup | None = None
+        self._reports: MemberReports | None = None
         self.report_load: Callable[[], LoadReport] = lambda: NO_REPORT
 
     async def __aenter__(self) -> Self:
         self._tasks = anyio.create_task_group()
         await self._tasks.__aenter__()
+        self._reports = MemberReports(self._peers, self._members, self._tasks)
         return self
 
     async def __aexit__(
@@ -180,36 +182,46 @@
             log.warning("ledger_lost_contact", epoch=self.view.epoch, reason=detail)
 
     async def reserve(
-        self, spending: Spending, *, prompt_parts: tuple[str, ...] = ()
+        self,
+        spending: Spending,
+        *,
+        prompt_parts: tuple[str, ...] = (),
+        crashes: tuple[CrashEvidence, ...] = (),
     ) -> Result[Reservation, Failure]:
         """Reserve the most that a turn may spend.
 
         :param prompt_parts: the parts of the turn's prompt, to learn where they are cached.
+        :param crashes: the crashes at which this turn was running, as far as they are known here.
         """
         if self.is_unavailable:
             return Err(_unavailable("too few ledger members respond"))
         acks = await self._write_entry(
-            lambda epoch: Reserve(epoch, spending, self.report_load(), prompt_parts),
+            lambda epoch: Reserve(epoch, spending, self.report_load(), prompt_parts, crashes),
             timeout_s=RESERVE_TIMEOUT_S,
         )
         if isinstance(acks, Err):
             return acks
-        spendings = merge_spendings(ack.spendings for ack in acks.ok_value)
-        return Ok(Reservation(spendings, merge_fleet_loads(ack.fleet for ack in acks.ok_value)))
+        return Ok(
+            Reservation(
+                merge_spendings(ack.spendings for ack in acks.ok_value),
+                merge_fleet_loads(ack.fleet for ack in acks.ok_value),
+                tuple(evidence for ack in acks.ok_value for evidence in ack.crashes),
+            )
+        )
 
     def report_placement(self) -> None:
         """Tell the nearest members in the background that a turn was placed."""
-        assert self._tasks is not None, "LedgerClient is used outside its context"
-        if self.is_unavailable:
-            return
-        report = ReportLoad(self.report_load())
-        for member in self.members_by_distance()[:PLACEMENT_REPORTS]:
-            self._tasks.start_soon(self._send_report, member, report)
-
-    async def _send_report(self, member: LedgerMember, report: ReportLoad) -> None:
-        await self._peers.request(
-            member.address, report, timeout_s=PLACEMENT_REPORT_TIMEOUT_S, idempotent=False
-        )
+        assert self._reports is not None, "LedgerClient is used outside its context"
+        if not self.is_unavailable:
+            self._reports.report_placement(self.report_load())
+
+    async def report_crash(self, evidence: tuple[CrashEvidence, ...]) -> list[CrashEvidence]:
+        """Tell the nearest members that a request was running at a crash, or was answered.
+
+        :returns: what they know of it, as far as they answer soon.
+        """
+        assert self._reports is not None, "LedgerClient is used outside its context"
+        return await self._reports.report_crash(evidence)
 
     async def settle(self, spending: Spending) -> Result[None, Failure]:
         """Record what a turn has spent."""
@@ -327,18 +339,6 @@
         )
 
 
-async def wait_for_any(*events: anyio.Event) -> None:
-    """Wait until one of several events is set."""
-    async with anyio.create_task_group() as tasks:
-
-        async def wait(event: anyio.Event) -> None:
-            await event.wait()
-            tasks.cancel_scope.cancel()
-
-        for event in events:
-            tasks.start_soon(wait, event)
-
-
 def _discard_value(result: Result[Any, Failure]) -> Result[None, Failure]:
     return result if isinstance(result, Err) else Ok(None)
 
--- a/src/bramleylead/ledger/_load_sharing.py
+++ b/src/bramleylead/ledger/_load_sharing.py
@@ -1,4 +1,4 @@
-"""Receives the gateways' load reports that come in messages of their own, and passes reports on.
+"""Receives the reports that gateways send in messages of their own, and passes them on.
 
 Members also tell each other how much traffic was reported to them.
 """
@@ -14,6 +14,8 @@
 from bramleylead.connection import PeerServer
 from bramleylead.connection import Reply
 from bramleylead.ledger._members import LedgerMember
+from bramleylead.ledger._messages import KnownCrashes
+from bramleylead.ledger._messages import ReportCrash
 from bramleylead.ledger._messages import ReportLoad
 from bramleylead.ledger._messages import ShareLoads
 from bramleylead.ledger._node import LedgerNode
@@ -38,6 +40,7 @@
     def register_handlers(self, server: PeerServer) -> None:
         """Register the handlers of load reports."""
         server.handle(ReportLoad, self._record_report)
+        server.handle(ReportCrash, self._record_crash)
         server.handle(ShareLoads, self._record_shared)
 
     async def run(self) -> None:
@@ -46,12 +49,13 @@
             await anyio.sleep(SHARE_INTERVAL_S)
             now = anyio.current_time()
             loads = self._node.fleet.take_unshared(now=now)
-            is_due = bool(loads) or now - self._shared_at >= MAX_SHARE_INTERVAL_S
+            crashes = self._node.crashes.take_unshared(now=now)
+            is_due = bool(loads or crashes) or now - self._shared_at >= MAX_SHARE_INTERVAL_S
             demand_per_s = self._shares.own_demand_per_s()
-            if not is_due or not self._node.is_member or not (loads or demand_per_s):
+            if not is_due or not self._node.is_member or not (loads or crashes or demand_per_s):
                 continue
             self._shared_at = now
-            message = ShareLoads(loads, self._node.own_entry.node, demand_per_s)
+            message = ShareLoads(loads, self._node.own_entry.node, demand_per_s, crashes)
             async with anyio.create_task_group() as tasks:
                 for member in self._node.view.members:
                     if member != self._node.own_entry:
@@ -66,8 +70,15 @@
         self._node.fleet.record(request.report, now=anyio.current_time())
         await reply.send(Done())
 
+    async def _record_crash(self, request: ReportCrash, reply: Reply) -> None:
+        now = anyio.current_time()
+        self._node.crashes.merge_reports(request.crashes, now=now)
+        known = (self._node.crashes.evidence(own.fingerprint, now=now) for own in request.crashes)
+        await reply.send(KnownCrashes(tuple(known)))
+
     async def _record_shared(self, request: ShareLoads, reply: Reply) -> None:
         self._node.fleet.record_shared(request.loads, now=anyio.current_time())
+        self._node.crashes.merge_all(request.crashes, now=anyio.current_time())
         if request.member:
             self._shares.record_member(request.member, request.demand_per_s)
         await reply.send(Done())
--- a/src/bramleylead/ledger/_messages.py
+++ b/src/bramleylead/ledger/_messages.py
@@ -8,6 +8,7 @@
 from bramleylead.ledger._members import LedgerView
 from bramleylead.ledger._records import KeptTurn
 from bramleylead.ledger._records import Spending
+from bramleylead.placement._crash_table import CrashEvidence
 from bramleylead.placement._fleet_table import NO_FLEET_LOAD
 from bramleylead.placement._fleet_table import NO_REPORT
 from bramleylead.placement._fleet_table import FleetLoad
@@ -21,12 +22,15 @@
 
     :param report: the gateway's own load.
     :param prompt_parts: the parts of the turn's prompt, to learn where they are cached.
+    :param crashes: what the gateway knows of crashes at which this turn was running, for each
+        digest that it is recognised by.
     """
 
     epoch: int
     spending: Spending
     report: LoadReport = NO_REPORT
     prompt_parts: tuple[str, ...] = ()
+    crashes: tuple[CrashEvidence, ...] = ()
 
 
 @message(165)
@@ -34,6 +38,7 @@
     """The reservation is on disk; ``spendings`` are all that the node holds for the program.
 
     :param fleet: what the node knows of the load of the other gateways.
+    :param crashes: what the node knows of crashes at which this turn was running.
     """
 
     node: str
@@ -41,6 +46,7 @@
     epoch: int
     spendings: tuple[Spending, ...]
     fleet: FleetLoad = NO_FLEET_LOAD
+    crashes: tuple[CrashEvidence, ...] = ()
 
 
 @message(166)
@@ -170,11 +176,13 @@
 
     :param member: the sending node.
     :param demand_per_s: the requests a second of all gateways that report to it.
+    :param crashes: the crashes that were reported, and the requests that were cleared of them.
     """
 
     loads: tuple[GatewayLoad, ...]
     member: str = ""
     demand_per_s: float = 0.0
+    crashes: tuple[CrashEvidence, ...] = ()
 
 
 @message(183)
@@ -182,3 +190,20 @@
     """Reports a gateway's load right after it has placed a turn; answered by ``Done``."""
 
     report: LoadReport
+
+
+@message(184)
+class ReportCrash(NamedTuple):
+    """Reports that a request was running when a replica crashed, or that it has been answered.
+
+    Answered by :class:`KnownCrashes`.
+    """
+
+    crashes: tuple[CrashEvidence, ...]
+
+
+@message(185)
+class KnownCrashes(NamedTuple):
+    """What the node knows of the reported request, from this report and others."""
+
+    crashes: tuple[CrashEvidence, ...]
--- a/src/bramleylead/ledger/_mirror.py
+++ b/src/bramleylead/ledger/_mirror.py
@@ -22,6 +22,8 @@
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.ledger._traffic_shares import TrafficShares
+from bramleylead.placement._crash_table import CrashEvidence
+from bramleylead.placement._crash_table import CrashTable
 from bramleylead.platform._follow import ConfirmingSource
 from bramleylead.platform._objects import ObjectChange
 from bramleylead.platform._objects import PlatformObject
@@ -78,6 +80,7 @@
     :param age_s: seconds since the time up to which the node knows every change.
     :param waited_s: seconds for which the node held the request.
     :param traffic_share: the part of the fleet's traffic that the gateway has; 0 if unknown.
+    :param crashes: the requests that crash replicas, as far as this has lately become known.
     """
 
     full_list: bool
@@ -88,6 +91,7 @@
     age_s: float = 0.0
     waited_s: float = 0.0
     traffic_share: float = 0.0
+    crashes: tuple[CrashEvidence, ...] = ()
 
 
 class _Change(NamedTuple):
@@ -215,6 +219,7 @@
 
     :param source: where the node reads the objects.
     :param shares: the gateways' shares of the traffic.
+    :param crashes: the requests that crash replicas, of which gateways are told.
     :param ledger_epoch: returns the epoch to report with each answer.
     """
 
@@ -223,10 +228,12 @@
         kinds: Iterable[str],
         source: ConfirmingSource,
         shares: TrafficShares,
+        crashes: CrashTable,
         *,
         ledger_epoch: Callable[[], int] = lambda: 0,
     ) -> None:
         self._shares = shares
+        self._crashes = crashes
         self._ledger_epoch = ledger_epoch
         self.kinds = {kind: MirroredKind(kind, source) for kind in kinds}
 
@@ -250,9 +257,18 @@
                 answer._replace(
                     ledger_epoch=self._ledger_epoch(),
                     traffic_share=self._shares.share_of(request.gateway),
+                    crashes=self._crashes_for(request),
                 )
             )
 
+    def _crashes_for(self, request: AskMirror) -> tuple[CrashEvidence, ...]:
+        now = anyio.current_time()
+        if not request.gateway:
+            return ()
+        if request.full_list:
+            return self._crashes.all_blocked(now=now)
+        return self._crashes.news(now=now)
+
 
 def _to_mirrored(found: PlatformObject, *, removed: bool) -> MirroredObject:
     return MirroredObject(*found, removed)
--- a/src/bramleylead/ledger/_mirrored_store.py
+++ b/src/bramleylead/ledger/_mirrored_store.py
@@ -29,6 +29,7 @@
 from bramleylead.ledger._mirror import Mirrored
 from bramleylead.ledger._mirror import to_object_change
 from bramleylead.ledger._store_outages import StoreOutages
+from bramleylead.placement._crash_table import CrashTable
 from bramleylead.platform._follow import ConfirmingSource
 from bramleylead.platform._objects import ChangePage
 from bramleylead.platform._objects import ObjectPage
@@ -89,6 +90,7 @@
     :param store: queried if no node answers.
     :param gateway: the name under which traffic is reported; empty for a node of the ledger.
     :param traffic: this gateway's traffic.
+    :param crashes: learns of the requests that crash replicas.
     :param patience_s: after the start, the store is not queried for this time, since the nodes
         usually start at the same moment.
     :param on_store_failure: called with the seconds since the store last failed.
@@ -103,6 +105,7 @@
         on_store_failure: Callable[[float], None],
         gateway: str = "",
         traffic: TrafficReporter | None = None,
+        crashes: CrashTable | None = None,
         patience_s: float = 0.0,
     ) -> None:
         self._store = store
@@ -112,6 +115,7 @@
         self._outages = StoreOutages()
         self._gateway = gateway
         self._traffic = traffic
+        self._crashes = crashes
         self._seen_revisions: dict[str, int] = {}
         self._failed_at: dict[str, float] = {}
         self._store_retry_at = anyio.current_time() + patience_s
@@ -168,11 +172,9 @@
             return None
         wait_s = self._node_wait_s(kind)
         known_revision = self._seen_revisions.get(kind, NO_REVISION)
-        request = AskMirror(kind, known_revision, full_list, wait_s)
+        request = AskMirror(kind, known_revision, full_list, wait_s, self._gateway)
         if self._traffic is not None:
-            request = request._replace(
-                gateway=self._gateway, demand_per_s=self._traffic.demand_per_s
-            )
+            request = request._replace(demand_per_s=self._traffic.demand_per_s)
         mirrored = await self._query_first([members[0]], request)
         if mirrored is None:
             mirrored = await self._query_first(members[1:], request._replace(wait_s=0.0))
@@ -219,6 +221,8 @@
         self._members_answer = True
         if self._traffic is not None and mirrored.traffic_share > 0:
             self._traffic.record_share(mirrored.traffic_share)
+        if self._crashes is not None:
+            self._crashes.merge_all(mirrored.crashes, now=anyio.current_time())
         since_failure_s = self._outages.record(member.node, mirrored.since_failure_s)
         if since_failure_s is not None:
             self._on_store_failure(since_failure_s)
--- a/src/bramleylead/ledger/_node.py
+++ b/src/bramleylead/ledger/_node.py
@@ -43,6 +43,7 @@
 from bramleylead.ledger._records import LedgerState
 from bramleylead.ledger._records import Record
 from bramleylead.ledger._writer import RecordWriter
+from bramleylead.placement._crash_table import CrashTable
 from bramleylead.placement._fleet_table import FleetTable
 
 MAX_KEYS_PER_PAGE = 2_000
@@ -82,6 +83,7 @@
         self._cursors: dict[str, _Cursor] = {}
         self._view = NO_VIEW
         self.fleet = FleetTable()
+        self.crashes = CrashTable()
         self.leaving = False
         self.vacancies = 0
         self.view_changed = anyio.Event()
@@ -257,13 +259,21 @@
 
     async def _reserve(self, request: Reserve, reply: Reply) -> None:
         self.fleet.record(request.report, now=anyio.current_time())
-        if await self._write_record(request.epoch, request.spending, reply):
-            known = tuple(self._state.spendings(request.spending.program))
-            load = self.fleet.load_for(
-                request.report.gateway, request.prompt_parts, now=anyio.current_time()
-            )
-            answer = Reserved(self._node, self._disk.name, self._view.epoch, known, load)
-            await reply.send(answer)
+        self.crashes.merge_all(request.crashes, now=anyio.current_time())
+        if not await self._write_record(request.epoch, request.spending, reply):
+            return
+        now = anyio.current_time()
+        answer = Reserved(
+            self._node,
+            self._disk.name,
+            self._view.epoch,
+            spendings=tuple(self._state.spendings(request.spending.program)),
+            fleet=self.fleet.load_for(request.report.gateway, request.prompt_parts, now=now),
+            crashes=tuple(
+                self.crashes.evidence(asked.fingerprint, now=now) for asked in request.crashes
+            ),
+        )
+        await reply.send(answer)
 
     async def _settle(self, request: Settle, reply: Reply) -> None:
         self.fleet.record(request.report, now=anyio.current_time())
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -105,7 +105,9 @@
         load_sharing.register_handlers(server)
         monitored_store = MonitoredStore(store)
         objects = NodeObjects(node, monitored_store, peers)
-        mirror = Mirror(MIRRORED_KINDS, objects, shares, ledger_epoch=lambda: node.view.epoch)
+        mirror = Mirror(
+            MIRRORED_KINDS, objects, shares, node.crashes, ledger_epoch=lambda: node.view.epoch
+        )
         mirror.register_handlers(server)
         metrics.describe(
             lambda: {**node.gauges(), **object_ages(objects, MIRRORED_KINDS)}, node.dump
--- a/src/bramleylead/placement/_replica_selector.py
+++ b/src/bramleylead/placement/_replica_selector.py
@@ -99,6 +99,22 @@
         self._turn += 1
         return similar[(self._turn - 1) % len(similar)]
 
+    def choose_apart(self, candidates: Sequence[Candidate], key: bytes) -> Candidate | None:
+        """Return one of the emptier half of the healthy candidates, another one for each key.
+
+        For a request that may crash its replica: little else ends with it, and if several such
+        requests are sent at once, each is at a replica of its own.
+        """
+        ejected = self.health.ejected([candidate.name for candidate in candidates])
+        healthy = [candidate for candidate in candidates if candidate.name not in ejected]
+        healthy.sort(key=lambda candidate: self.running(candidate.name))
+        emptier = healthy[: (len(healthy) + 1) // 2]
+        return max(
+            emptier,
+            key=lambda candidate: blake2b(key + candidate.name.encode()).digest(),
+            default=None,
+        )
+
     def _cheapest(self, candidates: Sequence[Candidate], prompt: Prompt) -> list[Candidate]:
         """Return the candidates of the lowest cost and those that are nearly as good."""
         if not candidates:
--- a/testing/gateway/_fleet.py
+++ b/testing/gateway/_fleet.py
@@ -28,16 +28,18 @@
 class CrashableReplica:
     """A replica whose process can crash; it starts again at the same address under a new name.
 
-    :param script: answers the requests.
+    :param make_script: returns the script that answers requests, given this replica.
     """
 
-    def __init__(self, fleet: Fleet, number: int, script: Script) -> None:
+    def __init__(
+        self, fleet: Fleet, number: int, make_script: Callable[[CrashableReplica], Script]
+    ) -> None:
         self._fleet = fleet
         self._number = number
-        self._script = script
+        self._script = make_script(self)
         self._scope = anyio.CancelScope()
         self.crashes = 0
-        self.process = FakeReplica(self.name, script)
+        self.process = FakeReplica(self.name, self._script)
 
     @property
     def name(self) -> str:
@@ -92,11 +94,7 @@
 
         :param make_script: returns the script, given the replica that it may crash.
         """
-
-        async def script(received, stream) -> None:
-            await make_script(replica)(received, stream)
-
-        replica = CrashableReplica(self, len(self.replicas) + 1, script)
+        replica = CrashableReplica(self, len(self.replicas) + 1, make_script)
         self.replicas.append(replica)
         await self._tasks.start(replica.run)
 
@@ -105,6 +103,11 @@
         for gateway in self.gateways:
             gateway.directory.put_replica(entry)
 
+    def announce_leaving(self, replica: CrashableReplica) -> None:
+        entry = Replica(replica.name, "svc", replica.address, "d0", True, SLOTS)
+        for gateway in self.gateways:
+            gateway.directory.put_replica(entry)
+
     def unlist(self, name: str) -> None:
         for gateway in self.gateways:
             gateway.directory.remove_replica(name)
--- a/testing/gateway/_site.py
+++ b/testing/gateway/_site.py
@@ -19,9 +19,11 @@
 from bramleylead.gateway._app import GatewayApp
 from bramleylead.gateway._budgets import Budgets
 from bramleylead.gateway._connection_pool import ConnectionPool
+from bramleylead.gateway._crash_guard import CrashGuard
 from bramleylead.gateway._directory import Directory
 from bramleylead.gateway._load_reporter import LoadReporter
 from bramleylead.gateway._plain_calls import PlainCalls
+from bramleylead.gateway._replica_choice import ReplicaChoice
 from bramleylead.gateway._sender import Sender
 from bramleylead.gateway._streams import StreamCalls
 from bramleylead.gateway._turn_history import TurnHistory
@@ -30,6 +32,8 @@
 from bramleylead.ledger._records import KeptTurn
 from bramleylead.ledger._records import Spending
 from bramleylead.ledger._records import merge_spendings
+from bramleylead.placement._crash_table import CrashEvidence
+from bramleylead.placement._crash_table import CrashTable
 from bramleylead.placement._fleet_table import NO_FLEET_LOAD
 from bramleylead.placement._fleet_table import FleetLoad
 from bramleylead.placement._rate_limits import RateLimits
@@ -176,7 +180,11 @@
         self.fleet_load: FleetLoad = NO_FLEET_LOAD
 
     async def reserve(
-        self, spending: Spending, *, prompt_parts: tuple[str, ...] = ()
+        self,
+        spending: Spending,
+        *,
+        prompt_parts: tuple[str, ...] = (),
+        crashes: tuple[CrashEvidence, ...] = (),
     ) -> Result[Reservation, Failure]:
         if self.unavailable:
             return self._failure()
@@ -184,6 +192,10 @@
         spendings = [item for item in self.spendings if item.program == spending.program]
         return Ok(Reservation(merge_spendings([spendings]), self.fleet_load))
 
+    async def report_crash(self, evidence: tuple[CrashEvidence, ...]) -> list[CrashEvidence]:
+        """Return nothing: there is no other gateway."""
+        return []
+
     async def settle(self, spending: Spending) -> Result[None, Failure]:
         if self.unavailable:
             return self._failure()
@@ -251,19 +263,26 @@
         self._tasks = tasks
         view = self.network.view(host)
         self.connections = ConnectionPool(view, id_header=REQUEST_ID_HEADER)
-        sender = Sender(
+        self.crashes = CrashTable()
+        guard = CrashGuard(
+            self.directory, self.connections, self.crashes, report=self.ledger.report_crash
+        )
+        choice = ReplicaChoice(
             self.directory,
-            self.connections,
             self.selector,
-            LoadReporter(host, self.selector),
             self.limits,
+            guard,
             data_centre="d",
             regions={"d": "r"},
         )
+        reporter = LoadReporter(host, self.selector)
+        sender = Sender(
+            self.directory, self.connections, self.selector, reporter, self.limits, choice
+        )
         budgets = Budgets(self.ledger, tasks)  # type: ignore[arg-type]
         history = TurnHistory(self.ledger)  # type: ignore[arg-type]
-        streams = StreamCalls(sender, budgets, history)
-        self.app = GatewayApp(self.directory, PlainCalls(sender), streams)
+        streams = StreamCalls(sender, budgets, history, guard)
+        self.app = GatewayApp(self.directory, PlainCalls(sender, guard), streams)
 
     async def add_replica(self, name: str, script: Script, *, service: str = "svc") -> FakeReplica:
         """Start a replica and add it to the list of replicas."""
--- a/testing/gateway/test_crashing_requests.py
+++ b/testing/gateway/test_crashing_requests.py
@@ -7,11 +7,14 @@
 import anyio
 from anyio.abc import ByteStream
 
+from bramleylead.gateway._fingerprint import fingerprint_of
 from bramleylead.platform._types import CallKind
 from testing.gateway._fleet import CrashableReplica
 from testing.gateway._fleet import Fleet
 from testing.gateway._fleet import run_with_fleet
+from testing.gateway._site import HOST
 from testing.gateway._site import ReceivedRequest
+from testing.gateway._site import Site
 from testing.gateway._site import event_stream
 from testing.gateway._site import route
 
@@ -21,6 +24,7 @@
 MAX_RETRIES = 3
 """Times that the request may reach replicas later than that."""
 CRASH_DELAY_S = 0.08
+SETTLED_S = 0.5
 STREAM = route(CallKind.STREAM, resumable=True)
 DEADLY = b"deadly"
 
@@ -48,6 +52,21 @@
     }
 
 
+def close_connections(times: int):
+    """Return a script that loses some connections, while the replica goes on."""
+    lost = 0
+
+    async def script(received: ReceivedRequest, stream: ByteStream) -> None:
+        nonlocal lost
+        lost += 1
+        if lost <= times:
+            await stream.aclose()
+        else:
+            await stream.send(event_stream(received, 1, 2))
+
+    return script
+
+
 class CrashingRequestTest(unittest.TestCase):
     def test_a_request_that_crashes_replicas_is_not_sent_on_and_on(self) -> None:
         async def main(fleet: Fleet) -> None:
@@ -72,3 +91,146 @@
             self.assertLessEqual(late_crashes, MAX_RETRIES)
 
         run_with_fleet(main, STREAM)
+
+    def test_a_request_held_back_is_refused_at_once_at_every_gateway(self) -> None:
+        async def main(fleet: Fleet) -> None:
+            for _ in range(REPLICAS):
+                await fleet.add_replica(crash_on_deadly)
+            first = await fleet.gateways[0].request(
+                "/stream/x", body=DEADLY, headers=program_headers("p0", 0)
+            )
+            self.assertEqual((first.status, fleet.crashes), (502, 2))
+            for number, gateway in enumerate(fleet.gateways):
+                headers = program_headers("p1", number)
+                response = await gateway.request("/stream/x", body=DEADLY, headers=headers)
+                self.assertEqual(response.status, 503)
+                self.assertIn(b'"not run"', response.body)
+                self.assertGreater(float(response.headers["retry-after"]), 5.0)
+            self.assertEqual(fleet.crashes, 2)
+
+        run_with_fleet(main, STREAM)
+
+    def test_a_refused_request_leaves_the_program_its_budget(self) -> None:
+        async def main(fleet: Fleet) -> None:
+            for _ in range(REPLICAS):
+                await fleet.add_replica(crash_on_deadly)
+            for attempt in range(12):
+                gateway = fleet.gateways[attempt % 3]
+                headers = program_headers("p0", attempt)
+                await gateway.request("/stream/x", body=DEADLY, headers=headers)
+            await anyio.sleep(SETTLED_S)
+            response = await fleet.gateways[0].request(
+                "/stream/x",
+                body=b"harmless",
+                headers={**program_headers("p0", 20), "bramleylead-token-usage": "50,950"},
+            )
+            self.assertEqual(response.status, 200)
+
+        run_with_fleet(main, STREAM)
+
+    def test_requests_that_only_ran_beside_it_are_answered(self) -> None:
+        async def main(fleet: Fleet) -> None:
+            for _ in range(REPLICAS):
+                await fleet.add_replica(crash_on_deadly)
+            statuses: list[int] = []
+
+            async def send(number: int) -> None:
+                gateway = fleet.gateways[number % 3]
+                headers = program_headers(f"p{number}", 0)
+                body = DEADLY if number == 5 else f"harmless {number}".encode()
+                response = await gateway.request("/stream/x", body=body, headers=headers)
+                statuses.append(response.status)
+
+            async with anyio.create_task_group() as tasks:
+                for number in range(30):
+                    tasks.start_soon(send, number)
+            self.assertEqual(sorted(statuses), [200] * 29 + [502])
+            deadly = fingerprint_of("POST", "/stream/x", [("host", HOST)], DEADLY)
+            for gateway in fleet.gateways:
+                blocked = gateway.crashes.all_blocked(now=anyio.current_time())
+                self.assertLessEqual({found.fingerprint for found in blocked}, set(deadly))
+
+        run_with_fleet(main, STREAM)
+
+    def test_longer_requests_that_begin_alike_are_held_back_too(self) -> None:
+        # Each turn of a conversation that is sent whole contains the earlier ones.
+        async def main(fleet: Fleet) -> None:
+            for _ in range(REPLICAS):
+                await fleet.add_replica(crash_on_deadly)
+            for attempt in range(9):
+                gateway = fleet.gateways[attempt % 3]
+                headers = program_headers(f"p{attempt}", attempt)
+                body = DEADLY + b"." * (300 + attempt)
+                await gateway.request("/stream/x", body=body, headers=headers)
+            self.assertEqual(fleet.crashes, 2)
+
+        run_with_fleet(main, STREAM)
+
+    def test_a_beginning_that_answered_requests_share_holds_none_of_them_back(self) -> None:
+        async def main(fleet: Fleet) -> None:
+            for _ in range(REPLICAS):
+                await fleet.add_replica(crash_on_deadly)
+            prefix = b"the same instructions " * 30
+            for attempt in range(6):
+                gateway = fleet.gateways[attempt % 3]
+                headers = program_headers(f"p{attempt}", attempt)
+                body = prefix + (DEADLY if attempt == 3 else str(attempt).encode())
+                response = await gateway.request("/stream/x", body=body, headers=headers)
+                self.assertEqual(response.status, 502 if attempt == 3 else 200)
+            self.assertEqual(fleet.crashes, 2)
+
+        run_with_fleet(main, STREAM)
+
+    def test_plain_calls_are_held_back_too(self) -> None:
+        async def main(fleet: Fleet) -> None:
+            for _ in range(REPLICAS):
+                await fleet.add_replica(crash_on_deadly)
+            for attempt in range(8):
+                headers = {"bramleylead-request-id": f"q{attempt}"}
+                await fleet.gateways[0].request("/unsafe/x", body=DEADLY, headers=headers)
+            self.assertEqual(fleet.crashes, 2)
+
+        run_with_fleet(main, route(CallKind.UNSAFE))
+
+    def test_two_gateways_that_meet_the_request_at_once_learn_of_each_other(self) -> None:
+        async def main(fleet: Fleet) -> None:
+            for _ in range(4):
+                await fleet.add_replica(crash_on_deadly)
+
+            async def send(gateway: Site) -> None:
+                await gateway.request("/safe/x", body=DEADLY)
+
+            async with anyio.create_task_group() as tasks:
+                for gateway in fleet.gateways[:2]:
+                    tasks.start_soon(send, gateway)
+            self.assertEqual(fleet.crashes, 2)
+
+        run_with_fleet(main, route(CallKind.SAFE))
+
+    def test_a_lost_connection_to_a_replica_that_goes_on_is_no_crash(self) -> None:
+        async def main(fleet: Fleet) -> None:
+            for _ in range(2):
+                await fleet.add_replica(lambda replica: close_connections(2))
+            gateway = fleet.gateways[0]
+            for attempt in range(4):
+                headers = program_headers("p", attempt)
+                response = await gateway.request("/stream/x", body=b"harmless", headers=headers)
+            self.assertEqual(response.status, 200)
+            self.assertEqual(len(gateway.crashes), 0)
+
+        run_with_fleet(main, STREAM)
+
+    def test_the_end_of_a_replica_that_leaves_is_no_crash(self) -> None:
+        async def main(fleet: Fleet) -> None:
+            for _ in range(2):
+                await fleet.add_replica(crash_on_deadly)
+            gateway = fleet.gateways[0]
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(gateway.request, "/stream/x")
+                await anyio.sleep(0.1)
+                for replica in fleet.replicas:
+                    fleet.announce_leaving(replica)
+                    replica.crash()
+            self.assertEqual(len(gateway.crashes), 0)
+
+        run_with_fleet(main, STREAM)
--- a/testing/gateway/test_fingerprint.py
+++ b/testing/gateway/test_fingerprint.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from bramleylead.gateway._fingerprint import BEGINNING_BYTES
 from bramleylead.gateway._fingerprint import fingerprint_of
 
 HEADERS = [("host", "site.example"), ("bramleylead-request-id", "q1"), ("authorization", "k1")]
@@ -26,4 +27,12 @@
             fingerprint_of("POST", "/x", other_caller, b"body"),
             fingerprint_of("POST", "/x", HEADERS, b"other body"),
         }
-        self.assertEqual(len(fingerprints), 5)
+        self.assertEqual(len({found.whole for found in fingerprints}), 5)
+        self.assertEqual(len({found.beginning for found in fingerprints}), 5)
+
+    def test_a_longer_body_has_the_same_beginning(self) -> None:
+        body = b"x" * BEGINNING_BYTES
+        first = fingerprint_of("POST", "/x", HEADERS, body)
+        longer = fingerprint_of("POST", "/x", HEADERS, body + b"next turn")
+        self.assertNotEqual(first.whole, longer.whole)
+        self.assertEqual(first.beginning, longer.beginning)
--- a/testing/ledger/test_fleet_load.py
+++ b/testing/ledger/test_fleet_load.py
@@ -8,6 +8,7 @@
 
 from bramleylead.ledger._load_sharing import SHARE_INTERVAL_S
 from bramleylead.ledger._records import Spending
+from bramleylead.placement._crash_table import CrashEvidence
 from bramleylead.placement._fleet_table import FleetLoad
 from bramleylead.placement._fleet_table import LoadReport
 from testing.ledger._fleet import Ledger
@@ -58,6 +59,17 @@
 
         run_with_ledger(main)
 
+    def test_members_pass_on_which_requests_were_running_at_crashes(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            async with ledger.gateway(0) as gateway:
+                await gateway.refresh()
+                await gateway.report_crash((CrashEvidence(b"q", {"i0": 1.0}, 0.0),))
+                await anyio.sleep(SHARE_INTERVAL_S + MESSAGE_S)
+                for node in ledger.nodes.values():
+                    self.assertTrue(node.crashes.is_suspect(b"q", now=anyio.current_time()))
+
+        run_with_ledger(main, 5)
+
     def test_a_gateway_without_contact_to_the_ledger_reports_nothing(self) -> None:
         async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
             async with ledger.gateway(0) as gateway:
--- a/testing/ledger/test_mirrored_store.py
+++ b/testing/ledger/test_mirrored_store.py
@@ -25,6 +25,8 @@
 from bramleylead.ledger._mirror import Mirror
 from bramleylead.ledger._mirrored_store import MirroredStore
 from bramleylead.ledger._traffic_shares import TrafficShares
+from bramleylead.placement._crash_table import CrashEvidence
+from bramleylead.placement._crash_table import CrashTable
 from bramleylead.platform import _names as names
 from bramleylead.platform._follow import follow
 from bramleylead.platform._monitored_store import MonitoredStore
@@ -68,6 +70,8 @@
         self.directory = Directory()
         self.mirrors: dict[int, Mirror] = {}
         self.members = MEMBERS
+        self.node_crashes = {i: CrashTable() for i in range(NODES)}
+        self.gateway_crashes = CrashTable()
         self.ledger: LedgerClient | None = None
 
     @property
@@ -83,7 +87,13 @@
         server = PeerServer(node=f"s{i}", cluster_key=KEY)
         server.handle(AskState, self._send_state)
         objects = MonitoredStore(self.store.source_for(f"s{i}"))
-        mirror = Mirror(KINDS, objects, TrafficShares(), ledger_epoch=lambda: self.members.epoch)
+        mirror = Mirror(
+            KINDS,
+            objects,
+            TrafficShares(),
+            self.node_crashes[i],
+            ledger_epoch=lambda: self.members.epoch,
+        )
         self.mirrors[i] = mirror
         mirror.register_handlers(server)
         async with anyio.create_task_group() as tasks:
@@ -117,6 +127,8 @@
                 peers,
                 ledger,
                 on_store_failure=self.directory.record_store_failure,
+                gateway="g",
+                crashes=self.gateway_crashes,
             )
             for follower in (
                 ConfigurationFollower(self.directory),
@@ -169,6 +181,17 @@
 
         self.run_site(main)
 
+    def test_a_gateway_without_turns_learns_in_time_which_requests_crash_replicas(self) -> None:
+        async def main(site: Site) -> None:
+            for crashes in site.node_crashes.values():
+                evidence = CrashEvidence(b"q", {"i-1": 1.0, "i-2": 1.0}, 0.1)
+                crashes.merge(evidence, now=anyio.current_time())
+            with anyio.fail_after(1.5):
+                await wait_until(lambda: len(site.gateway_crashes) == 1)
+            self.assertGreater(site.gateway_crashes.hold_s(b"q", now=anyio.current_time()), 5.0)
+
+        self.run_site(main)
+
     def test_another_node_replaces_an_unreachable_one(self) -> None:
         async def main(site: Site) -> None:
             site.network.cut(GATEWAY_IP, node_host(0))
