--- a/testing/gateway/_fleet.py
+++ b/testing/gateway/_fleet.py
@@ -120,8 +120,9 @@
         fleet = Fleet(ledger, tasks)
         for number in range(gateways):
             client = await clients.enter_async_context(ledger.gateway(number))
+            await client.refresh()
             host = gateway_host(number)
-            site = Site(tasks, network=ledger.network, host=host, ledger=client)
+            site = Site(tasks, network=ledger.network, host=host, ledger=client, first_turn=number)
             site.directory.apply_configuration(configuration(*routes), source="test")
             fleet.gateways.append(site)
         yield fleet
--- a/testing/gateway/_site.py
+++ b/testing/gateway/_site.py
@@ -243,6 +243,7 @@
 
     :param host: the gateway's host.
     :param ledger: the client of a ledger to use instead of one in memory.
+    :param first_turn: which of several equal replicas is chosen first.
     """
 
     def __init__(
@@ -252,12 +253,13 @@
         network: FakeNetwork | None = None,
         host: str = GATEWAY_IP,
         ledger: LedgerClient | None = None,
+        first_turn: int = 0,
     ) -> None:
         self.network = network or FakeNetwork({GATEWAY_IP: ("r", "d")})
         self.directory = Directory()
         self.ledger = ledger or FakeLedger()
         self.replicas: dict[str, FakeReplica] = {}
-        self.selector = ReplicaSelector()
+        self.selector = ReplicaSelector(first_turn=first_turn)
         self.limits = RateLimits()
         self.limits.record_share(1.0)
         self._tasks = tasks
