Log the software versions of replicas, and whose stream a request takes up

The record of ORDER can't tell a stream that the gateway went on with elsewhere from one that its client took up at another gateway: the version of an entry was dropped when it was decoded, and Resumes was not read. Both are now decoded and logged; nothing is decided by them yet.

--- a/src/bramleylead/gateway/_app.py
+++ b/src/bramleylead/gateway/_app.py
@@ -117,6 +117,7 @@
             left_s=round(call.remaining_s, 3),
             fingerprint=call.fingerprint.whole.hex(),
             beginning=call.fingerprint.beginning.hex(),
+            resumes=metadata.resumed_request,
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_on_disconnect, exchange, writer, tasks.cancel_scope)
--- a/src/bramleylead/gateway/_directory.py
+++ b/src/bramleylead/gateway/_directory.py
@@ -136,6 +136,7 @@
             replica=replica.name,
             service=replica.service,
             address=replica.address,
+            software=replica.software_version,
             leaving=replica.leaving,
         )
         self._notify_changed()
--- a/src/bramleylead/gateway/_replica_choice.py
+++ b/src/bramleylead/gateway/_replica_choice.py
@@ -113,6 +113,7 @@
             request=call.metadata.request_id,
             program=call.metadata.program,
             replica=chosen.name,
+            software=by_name[chosen.name].software_version,
             running=round(self._selector.running(chosen.name), 1),
             own=self._selector.own_requests(chosen.name),
             cost=round(self._selector.cost(chosen, prompt_of(call))),
--- a/src/bramleylead/platform/_encode.py
+++ b/src/bramleylead/platform/_encode.py
@@ -38,6 +38,7 @@
         "address": replica.address,
         "zone": replica.data_centre,
         "slots": replica.slots,
+        "version": replica.software_version,
         "state": "draining" if replica.leaving else "ready",
     }
 
--- a/src/bramleylead/platform/_types.py
+++ b/src/bramleylead/platform/_types.py
@@ -106,12 +106,23 @@
         return max(matching, key=lambda route: len(route.path_prefix), default=None)
 
 
+class Software(NamedTuple):
+    """What software writes a stream: a service, and the version of its replicas' software.
+
+    Neither the version of a model's weights nor that of the configuration.
+    """
+
+    service: str
+    version: str
+
+
 class Replica(NamedTuple):
     """One entry of the list of replicas.
 
     :param name: its identity; a restarted replica usually has a new one.
     :param leaving: whether it accepts no new requests.
     :param slots: requests that it runs at once; 0 if unknown.
+    :param software_version: version of the software that it runs.
     """
 
     name: str
@@ -120,6 +131,12 @@
     data_centre: str
     leaving: bool
     slots: int
+    software_version: str = ""
+
+    @property
+    def software(self) -> Software:
+        """The software that writes its streams."""
+        return Software(self.service, self.software_version)
 
 
 class PromptPart(NamedTuple):
@@ -139,6 +156,7 @@
     :param max_output_tokens: the most tokens that this turn generates.
     :param previous_turn: the turn that this one continues; empty at the start of a chain.
     :param resume_after: id of the last event received from a broken stream; empty if none.
+    :param resumed_request: the request that brought the first event of that stream.
     :param affinity: identifies the object that the request concerns; empty if not specified.
     """
 
@@ -154,6 +172,7 @@
     resume_after: str
     prompt: tuple[PromptPart, ...]
     affinity: str = ""
+    resumed_request: str = ""
 
 
 class Load(NamedTuple):
--- a/src/bramleylead/platform/_wire.py
+++ b/src/bramleylead/platform/_wire.py
@@ -36,6 +36,7 @@
         resume_after=headers.get(names.LAST_EVENT_ID, ""),
         prompt=_parse_prompt(headers.get(names.PROMPT_PREFIX, "")),
         affinity=headers.get(names.AFFINITY_KEY, ""),
+        resumed_request=headers.get(names.RESUMES, ""),
     )
 
 
--- a/testing/platform/test_decode.py
+++ b/testing/platform/test_decode.py
@@ -13,6 +13,7 @@
 from bramleylead.platform._types import Load
 from bramleylead.platform._types import PromptPart
 from bramleylead.platform._types import Share
+from bramleylead.platform._types import Software
 
 ROUTE: dict[str, Any] = {
     "name": "r",
@@ -40,6 +41,7 @@
     "service": "s",
     "address": "10.0.0.9:8080",
     "zone": "z",
+    "version": "v1",
     "slots": 12,
     "state": "ready",
     "sequence": 4,
@@ -91,6 +93,7 @@
         replica = read_replica("i", ENTRY)
         self.assertEqual((replica.name, replica.address, replica.slots), ("i", "10.0.0.9:8080", 12))
         self.assertFalse(replica.leaving)
+        self.assertEqual(replica.software, Software("s", "v1"))
         self.assertTrue(read_replica("i", {**ENTRY, "state": "draining"}).leaving)
 
     def test_an_invalid_entry_is_rejected(self) -> None:
@@ -124,8 +127,10 @@
                 "bramleylead-token-usage": "1840,575",
                 "bramleylead-prompt-prefix": "a:800,b:410",
                 "bramleylead-previous-turn": "t",
+                "resumes": "q0",
             }
         )
+        self.assertEqual(facts.resumed_request, "q0")
         self.assertEqual((facts.deadline_s, facts.budget_tokens), (1.5, 4600))
         self.assertEqual((facts.prompt_tokens, facts.max_output_tokens), (1840, 575))
         self.assertEqual(facts.prompt, (PromptPart("a", 800), PromptPart("b", 410)))
--- a/testing/platform/test_encode.py
+++ b/testing/platform/test_encode.py
@@ -20,5 +20,5 @@
 
     def test_a_replica_is_unchanged_by_a_round_trip(self) -> None:
         for leaving in (False, True):
-            replica = Replica("i-1", "s", "10.0.0.1:80", "d", leaving, 4)
+            replica = Replica("i-1", "s", "10.0.0.1:80", "d", leaving, 4, "v1")
             self.assertEqual(read_replica("i-1", write_replica(replica)), replica)
