--- a/testing/gateway/_site.py
+++ b/testing/gateway/_site.py
@@ -259,6 +259,7 @@
         self.directory = Directory()
         self.ledger = ledger or FakeLedger()
         self.replicas: dict[str, FakeReplica] = {}
+        self.entries: dict[str, Replica] = {}
         self.selector = ReplicaSelector(first_turn=first_turn)
         self.limits = RateLimits()
         self.limits.record_share(1.0)
@@ -286,8 +287,13 @@
         streams = StreamCalls(sender, budgets, history, guard)
         self.app = GatewayApp(self.directory, PlainCalls(sender, guard), streams)
 
-    async def add_replica(self, name: str, script: Script, *, service: str = "svc") -> FakeReplica:
-        """Start a replica and add it to the list of replicas."""
+    async def add_replica(
+        self, name: str, script: Script, *, service: str = "svc", version: str = "v1"
+    ) -> FakeReplica:
+        """Start a replica and add it to the list of replicas.
+
+        :param version: of its software.
+        """
         replica = FakeReplica(name, script)
         ip = f"10.0.1.{len(self.replicas) + 1}"
         self.network.place(ip, "r", "d")
@@ -297,7 +303,8 @@
             lambda task_status: view.serve(address, replica.serve, task_status=task_status)
         )
         self.replicas[name] = replica
-        self.directory.put_replica(Replica(name, service, address, "d", False, 4))
+        self.entries[name] = Replica(name, service, address, "d", False, 4, version)
+        self.directory.put_replica(self.entries[name])
         return replica
 
     async def request(
