Let a stream go on only at the software version that began it

Cause: the version of a replica's entry was dropped when it was decoded, so a gateway went on with a broken stream anywhere in the service; and Resumes was not read, so a client that took a stream up was served like a new one (class: an input that says what fits together is lost at the boundary). The second way crosses gateways: the version has to be known where the attempt was not.

A stream's software (service and version) is part of the reservation that a turn writes to the ledger before it is sent, and so before its first event can reach the client. The reservation of the client's next attempt returns all of the program's, with no message more. If no replica of that software takes the stream before it has begun, the next one is recorded first and the former reservation settled as empty. After the first event only that software goes on, in the gateway and for clients; a stream whose software is unknown or gone is refused at once, not run. Streams without a budget are recorded, too.

Why this works: what the ledger acknowledged survives kills, cuts and lost disks within the deployment's tolerance, and a quorum that reserves meets the one that recorded.

--- a/src/bramleylead/errors.py
+++ b/src/bramleylead/errors.py
@@ -31,6 +31,7 @@
     HISTORY_ROLLED_BACK = "history_rolled_back"
     LIMIT_REACHED = "limit_reached"
     CRASHES_ENDPOINTS = "crashes_endpoints"
+    STREAM_NOT_RESUMABLE = "stream_not_resumable"
     BUDGET_EXHAUSTED = "budget_exhausted"
     OVERLOADED = "overloaded"
     DEADLINE_EXCEEDED = "deadline_exceeded"
@@ -83,6 +84,7 @@
     ),
     ErrorKind.LIMIT_REACHED: Answer(422, Ran.NOT_RUN, None, "end the program"),
     ErrorKind.BUDGET_EXHAUSTED: Answer(402, Ran.NOT_RUN, None, "ask the operator for a budget"),
+    ErrorKind.STREAM_NOT_RESUMABLE: Answer(503, Ran.NOT_RUN, 1.0, "begin the stream again"),
     ErrorKind.CRASHES_ENDPOINTS: Answer(
         503, Ran.NOT_RUN, 10.0, "don't repeat the request: endpoints crashed that ran it"
     ),
--- a/src/bramleylead/gateway/_budgets.py
+++ b/src/bramleylead/gateway/_budgets.py
@@ -16,12 +16,15 @@
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.ledger._client import LedgerClient
+from bramleylead.ledger._client import Reservation
 from bramleylead.ledger._records import Spending
 from bramleylead.placement._admission import Progress
 from bramleylead.placement._crash_table import CrashEvidence
 from bramleylead.placement._fleet_table import NO_FLEET_LOAD
 from bramleylead.placement._fleet_table import FleetLoad
+from bramleylead.platform._types import NO_SOFTWARE
 from bramleylead.platform._types import CallMetadata
+from bramleylead.platform._types import Software
 
 RESERVATION_ID_BYTES = 4
 SETTLE_RETRY_DELAYS_S = (0.3, 0.6, 1.2, 2.4, 4.8)
@@ -33,18 +36,25 @@
 class BudgetReservation(NamedTuple):
     """A turn's reservation, and what the ledger knows of its program and of the fleet.
 
-    :param reservation_id: the reservation to settle; empty without a budget.
+    :param spending: the record to settle; ``None`` if nothing was reserved.
     :param progress: ``None`` if the program has no budget, so that nothing is known of it.
     :param crashes: the crashes at which this turn was running.
+    :param begun_by: the software that began the stream that is to be taken up, if it is known.
     """
 
-    reservation_id: str
+    spending: Spending | None
     progress: Progress | None
     fleet: FleetLoad
     crashes: tuple[CrashEvidence, ...] = ()
+    begun_by: Software | None = None
 
+    @property
+    def entry(self) -> str:
+        """The ID of the record; empty if nothing was reserved."""
+        return "" if self.spending is None else self.spending.entry
 
-NO_RESERVATION = BudgetReservation("", None, NO_FLEET_LOAD)
+
+NO_RESERVATION = BudgetReservation(None, None, NO_FLEET_LOAD)
 
 
 @final
@@ -59,49 +69,78 @@
         self._tasks = tasks
 
     async def reserve(
-        self, metadata: CallMetadata, crashes: tuple[CrashEvidence, ...] = ()
+        self,
+        metadata: CallMetadata,
+        *,
+        crashes: tuple[CrashEvidence, ...] = (),
+        resumable: bool = False,
+        software: Software = NO_SOFTWARE,
+        replaces: str = "",
     ) -> Result[BudgetReservation, Failure]:
         """Reserve a turn's maximum.
 
         :param crashes: the crashes at which this turn was running, as far as they are known here.
+        :param resumable: whether callers may take up the stream, so that it is recorded even
+            without a budget.
+        :param software: the software that the turn is going to be offered to.
+        :param replaces: the entry of a reservation of the same turn, which doesn't count.
 
         Fails with ``BUDGET_EXHAUSTED`` if the turn's maximum exceeds the rest of the budget.
         """
         if metadata.budget_tokens is None:
-            return Ok(NO_RESERVATION)
-        reservation_id = f"{metadata.request_id}.{secrets.token_hex(RESERVATION_ID_BYTES)}"
+            if not resumable:
+                return Ok(NO_RESERVATION)
+            return Ok(await self._record_stream(metadata, crashes, software))
+        spending = _new_spending(metadata, metadata.program, metadata.max_output_tokens, software)
         fits = False
         try:
-            reserved = await self._ledger.reserve(
-                Spending(metadata.program, reservation_id, metadata.max_output_tokens, False),
-                prompt_parts=tuple(part.name for part in metadata.prompt),
-                crashes=crashes,
-            )
+            reserved = await self._write(metadata, spending, crashes)
             if isinstance(reserved, Err):
                 return reserved
             spendings = reserved.ok_value.spendings
-            fits = self._fits_budget(metadata, reservation_id, spendings)
+            fits = self._fits_budget(metadata, {spending.entry, replaces}, spendings)
         finally:
             if not fits:
                 # Ledger members may hold the reservation; a turn that is not sent must not count.
-                self.settle(metadata, reservation_id, 0)
+                self._settle_soon(metadata, spending, 0)
         if fits:
-            progress = _progress_of(spendings, reservation_id)
             found = reserved.ok_value
-            return Ok(BudgetReservation(reservation_id, progress, found.fleet, found.crashes))
+            progress = _progress_of(spendings, spending.entry)
+            begun_by = _software_of(spendings, metadata.resumed_request)
+            return Ok(BudgetReservation(spending, progress, found.fleet, found.crashes, begun_by))
         detail = (
             f"program {metadata.program}: {metadata.budget_tokens} tokens do not cover the tokens "
             f"already spent and {metadata.max_output_tokens} more"
         )
         return Err(Failure(ErrorKind.BUDGET_EXHAUSTED, detail))
 
+    async def _record_stream(
+        self, metadata: CallMetadata, crashes: tuple[CrashEvidence, ...], software: Software
+    ) -> BudgetReservation:
+        """Record a stream without a budget; it is served even if that fails."""
+        key = f"stream/{metadata.program or metadata.resumed_request or metadata.request_id}"
+        spending = _new_spending(metadata, key, 0, software)
+        written = await self._write(metadata, spending, crashes)
+        if isinstance(written, Err):
+            return NO_RESERVATION
+        found = written.ok_value
+        begun_by = _software_of(found.spendings, metadata.resumed_request)
+        return BudgetReservation(spending, None, found.fleet, found.crashes, begun_by)
+
+    async def _write(
+        self, metadata: CallMetadata, spending: Spending, crashes: tuple[CrashEvidence, ...]
+    ) -> Result[Reservation, Failure]:
+        return await self._ledger.reserve(
+            spending,
+            prompt_parts=tuple(part.name for part in metadata.prompt),
+            crashes=crashes,
+        )
+
     def _fits_budget(
-        self, metadata: CallMetadata, reservation_id: str, spendings: dict[str, Spending]
+        self, metadata: CallMetadata, own_entries: set[str], spendings: dict[str, Spending]
     ) -> bool:
         spent_by_others = sum(
-            spending.tokens
-            for spending_id, spending in spendings.items()
-            if spending_id != reservation_id
+            spending.tokens for entry, spending in spendings.items() if entry not in own_entries
         )
         assert metadata.budget_tokens is not None
         fits = spent_by_others + metadata.max_output_tokens <= metadata.budget_tokens
@@ -117,13 +156,16 @@
         )
         return fits
 
-    def settle(self, metadata: CallMetadata, reservation_id: str, tokens: int) -> None:
+    def settle(self, metadata: CallMetadata, reservation: BudgetReservation, tokens: int) -> None:
         """Settle in the background what a turn has spent; until then its maximum counts."""
-        if reservation_id:
-            self._tasks.start_soon(self._settle, metadata, reservation_id, tokens)
+        if reservation.spending is not None:
+            self._settle_soon(metadata, reservation.spending, tokens)
 
-    async def _settle(self, metadata: CallMetadata, reservation_id: str, tokens: int) -> None:
-        spending = Spending(metadata.program, reservation_id, tokens, True)
+    def _settle_soon(self, metadata: CallMetadata, spending: Spending, tokens: int) -> None:
+        settled = spending._replace(tokens=tokens, settled=True)
+        self._tasks.start_soon(self._settle, metadata, settled)
+
+    async def _settle(self, metadata: CallMetadata, spending: Spending) -> None:
         for delay_s in SETTLE_RETRY_DELAYS_S:
             settled = await self._ledger.settle(spending)
             if isinstance(settled, Ok):
@@ -133,7 +175,7 @@
             "budget_unsettled",
             request=metadata.request_id,
             program=metadata.program,
-            tokens=tokens,
+            tokens=spending.tokens,
             reason=settled.err_value.detail,
         )
 
@@ -143,3 +185,25 @@
     others = [spending for entry, spending in spendings.items() if entry != reservation_id]
     refusals = sum(spending.settled and not spending.tokens for spending in others)
     return Progress(turns=len(others) - refusals, refusals=refusals)
+
+
+def _new_spending(
+    metadata: CallMetadata, program: str, tokens: int, software: Software
+) -> Spending:
+    entry = f"{metadata.request_id}.{secrets.token_hex(RESERVATION_ID_BYTES)}"
+    return Spending(program, entry, tokens, settled=False, software=software)
+
+
+def _software_of(spendings: dict[str, Spending], request_id: str) -> Software | None:
+    """Return the software that began a request's stream; ``None`` if that is not certain.
+
+    An attempt that was settled without a token has brought no event.
+    """
+    offered = {
+        spending.software
+        for entry, spending in spendings.items()
+        if entry.rpartition(".")[0] == request_id and (spending.tokens or not spending.settled)
+    }
+    if len(offered) != 1 or NO_SOFTWARE in offered:
+        return None
+    return offered.pop()
--- a/src/bramleylead/gateway/_directory.py
+++ b/src/bramleylead/gateway/_directory.py
@@ -68,6 +68,10 @@
             if replica.service == service and self.is_usable(replica.name)
         ]
 
+    def find(self, name: str) -> Replica | None:
+        """Return a replica's entry as it is now."""
+        return self._replicas.get(name)
+
     def is_usable(self, name: str) -> bool:
         """Return whether a replica may be sent new requests."""
         replica = self._replicas.get(name)
--- a/src/bramleylead/gateway/_replica_choice.py
+++ b/src/bramleylead/gateway/_replica_choice.py
@@ -16,7 +16,9 @@
 from bramleylead.placement._replica_selector import Candidate
 from bramleylead.placement._replica_selector import Prompt
 from bramleylead.placement._replica_selector import ReplicaSelector
+from bramleylead.platform._types import NO_SOFTWARE
 from bramleylead.platform._types import Replica
+from bramleylead.platform._types import Software
 
 log = structlog.get_logger()
 
@@ -59,6 +61,25 @@
             if not await self._permit_waits.wait(call, service, tried_replicas):
                 return None
 
+    def preferred_software(self, call: Call, service: str) -> Software:
+        """Return the software of the replica that a new stream would be sent to."""
+        permitted = self._permitted(service, set())
+        found = {replica.software for replica in permitted.values()}
+        if len(found) <= 1:
+            return next(iter(found), NO_SOFTWARE)
+        chosen = self._selector.choose(self._candidates(call, permitted.values()), prompt_of(call))
+        return NO_SOFTWARE if chosen is None else permitted[chosen.name].software
+
+    def replicas_of_others(self, software: Software) -> set[str]:
+        """Return the replicas of the same service that run other software."""
+        replicas = self._directory.replicas(software.service)
+        return {replica.name for replica in replicas if replica.software != software}
+
+    def is_served(self, software: Software) -> bool:
+        """Return whether a replica that runs the software may be sent requests."""
+        replicas = self._directory.replicas(software.service)
+        return any(replica.software == software for replica in replicas)
+
     def retry_after_s(self, service: str) -> float:
         """Return when a caller whose request could be sent to no replica should return."""
         return self._permit_waits.retry_after_s(service)
@@ -95,11 +116,7 @@
     def _choose_permitted(
         self, call: Call, service: str, tried_replicas: set[str]
     ) -> Replica | None:
-        by_name = {
-            replica.name: replica
-            for replica in self._directory.replicas(service)
-            if replica.name not in tried_replicas and self._limits.has_permit(replica.name)
-        }
+        by_name = self._permitted(service, tried_replicas)
         candidates = self._candidates(call, by_name.values())
         is_suspect = self._guard.is_suspect(call)
         if is_suspect:
@@ -124,6 +141,13 @@
         )
         return by_name[chosen.name]
 
+    def _permitted(self, service: str, excluded: set[str]) -> dict[str, Replica]:
+        return {
+            replica.name: replica
+            for replica in self._directory.replicas(service)
+            if replica.name not in excluded and self._limits.has_permit(replica.name)
+        }
+
     def _candidates(self, call: Call, replicas: Iterable[Replica]) -> list[Candidate]:
         return [self.candidate(call, replica) for replica in replicas]
 
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -209,6 +209,9 @@
         self, call: Call, replica: Replica, connection: UpstreamConnection, response: ResponseHead
     ) -> StartedResponse | NotRun | UnknownOutcome:
         metadata = wire.read_answer(response.header_map())
+        listed = self._directory.find(replica.name)
+        if listed is not None and listed.software != replica.software:
+            return UnknownOutcome(f"{replica.name} runs other software now: {listed.software}")
         if metadata.leaving:
             self._directory.record_leaving(replica)
         self._record_limit(replica, response, metadata)
--- a/src/bramleylead/gateway/_stream_state.py
+++ b/src/bramleylead/gateway/_stream_state.py
@@ -9,12 +9,15 @@
 import anyio
 
 from bramleylead.errors import Failure
+from bramleylead.gateway._budgets import BudgetReservation
 from bramleylead.gateway._call import Call
 from bramleylead.gateway._call import CompleteResponse
 from bramleylead.gateway._permit_waits import RETRY_AFTER_S
 from bramleylead.gateway._plain_calls import MAX_UNREACHED_REPLICAS
 from bramleylead.gateway._upstream import ResponseHead
 from bramleylead.ledger._records import KeptTurn
+from bramleylead.platform._types import NO_SOFTWARE
+from bramleylead.platform._types import Software
 
 
 class ResponseWriter(Protocol):
@@ -49,13 +52,15 @@
     """The body and the budget reservation of a streaming request.
 
     :param body: the turn history, followed by the caller's input.
-    :param reservation_id: the reservation to settle; empty without a budget.
+    :param reservation: the reservation to settle.
     :param service: the service that is to run it.
+    :param begun_by: the software that began it, if a caller takes it up.
     """
 
     body: bytes
-    reservation_id: str
+    reservation: BudgetReservation
     service: str
+    begun_by: Software | None = None
 
 
 @final
@@ -66,8 +71,9 @@
         self.call = call
         self.writer = writer
         self.body = prepared.body
-        self.reservation_id = prepared.reservation_id
+        self.reservation = prepared.reservation
         self.service = prepared.service
+        self.begun_by = prepared.begun_by
         self.started_at = anyio.current_time()
         self.retry_after_s = RETRY_AFTER_S
         self.started = False
@@ -92,6 +98,14 @@
             self.attempts < self.call.route.max_attempts and self.unreached < MAX_UNREACHED_REPLICAS
         )
 
+    @property
+    def software(self) -> Software | None:
+        """The software that must run the stream, or that is recorded as the one to begin it."""
+        if self.begun_by is not None or self.reservation.spending is None:
+            return self.begun_by
+        recorded = self.reservation.spending.software
+        return None if recorded == NO_SOFTWARE else recorded
+
     @property
     def tokens(self) -> int:
         """The tokens sent to the caller, as budgets count them."""
@@ -110,7 +124,7 @@
             turn=call.metadata.request_id,
             previous=call.metadata.previous_turn,
             program=call.metadata.program,
-            entry=self.reservation_id,
+            entry=self.reservation.entry,
             tokens=self.tokens,
             keep_s=call.route.turn_retention_s,
             new_input=call.body,
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -31,7 +31,9 @@
 from bramleylead.gateway._stream_state import Stream
 from bramleylead.gateway._turn_history import TurnHistory
 from bramleylead.gateway._upstream import UpstreamError
+from bramleylead.platform._types import NO_SOFTWARE
 from bramleylead.platform._types import Replica
+from bramleylead.platform._types import Software
 
 OK_STATUS = 200
 
@@ -86,24 +88,50 @@
     async def _reserve(self, call: Call, body: bytes) -> Result[PreparedRequest, Failure]:
         """Reserve a turn's budget, unless the replicas are too full for the turn to start."""
         service = pick_service(call.route)
-        reserved = await self._budgets.reserve(call.metadata, self._guard.evidence(call))
+        takes_up = call.route.resumable and bool(call.metadata.resume_after)
+        software = NO_SOFTWARE
+        if call.route.resumable and not takes_up:
+            software = self._sender.choice.preferred_software(call, service)
+        reserved = await self._budgets.reserve(
+            call.metadata,
+            crashes=self._guard.evidence(call),
+            resumable=call.route.resumable,
+            software=software,
+        )
         if isinstance(reserved, Err):
             return reserved
         reservation = reserved.ok_value
         self._sender.record_fleet_load(call, reservation.fleet)
         self._guard.merge(reservation.crashes)
         held_back = self._guard.refusal(call)
+        if held_back is None and takes_up:
+            held_back = self._check_software(call, reservation.begun_by)
         if held_back is not None:
-            self._budgets.settle(call.metadata, reservation.reservation_id, 0)
+            self._budgets.settle(call.metadata, reservation, 0)
             return Err(held_back)
+        if takes_up:
+            assert reservation.begun_by is not None
+            service = reservation.begun_by.service
+            return Ok(PreparedRequest(body, reservation, service, reservation.begun_by))
         continues_turn = bool(call.metadata.previous_turn)
         if reservation.progress is not None and not continues_turn:
             refusal = self._sender.check_admission(call, service, reservation.progress)
             if refusal is not None:
-                self._budgets.settle(call.metadata, reservation.reservation_id, 0)
+                self._budgets.settle(call.metadata, reservation, 0)
                 failure = Failure(ErrorKind.OVERLOADED, refusal.detail, refusal.retry_after_s)
                 return Err(failure)
-        return Ok(PreparedRequest(body, reservation.reservation_id, service))
+        return Ok(PreparedRequest(body, reservation, service))
+
+    def _check_software(self, call: Call, begun_by: Software | None) -> Failure | None:
+        """Return a failure if no replica can go on with a stream that a caller takes up."""
+        if begun_by is None:
+            detail = f"request {call.metadata.resumed_request!r} began no stream that is known"
+            return Failure(ErrorKind.STREAM_NOT_RESUMABLE, detail)
+        is_allowed = any(share.service == begun_by.service for share in call.route.shares)
+        if is_allowed and self._sender.choice.is_served(begun_by):
+            return None
+        detail = f"no replica runs the software that began the stream: {begun_by}"
+        return Failure(ErrorKind.STREAM_NOT_RESUMABLE, detail)
 
     async def _stream(self, stream: Stream) -> None:
         """Run a stream; its spending is settled in every case."""
@@ -117,17 +145,17 @@
                     await self._give_up(stream)
         finally:
             if not turn_saved:
-                self._budgets.settle(stream.call.metadata, stream.reservation_id, stream.tokens)
+                self._budgets.settle(stream.call.metadata, stream.reservation, stream.tokens)
 
     async def _try_replicas(self, stream: Stream) -> bool:
         """Relay the stream; return whether it is complete. The end is not sent yet."""
         while stream.can_retry and self._guard.refusal(stream.call) is None:
-            replica = await self._sender.choice.choose(
-                stream.call, stream.service, stream.tried_replicas
-            )
+            replica = await self._choose(stream)
             if replica is None:
                 stream.retry_after_s = self._sender.choice.retry_after_s(stream.service)
                 break
+            if not await self._record_software(stream, replica):
+                break
             events_before = stream.events
             end = await self._attempt(stream, replica)
             if end is not _StreamEnd.BROKEN:
@@ -140,6 +168,34 @@
                 stream.attempts -= crashed
         return False
 
+    async def _choose(self, stream: Stream) -> Replica | None:
+        """Return the next replica; one that runs the stream's software, once it has begun."""
+        choice = self._sender.choice
+        call, software = stream.call, stream.software
+        if software is not None:
+            excluded = stream.tried_replicas | choice.replicas_of_others(software)
+            replica = await choice.choose(call, stream.service, excluded)
+            if replica is not None or stream.begun_by is not None:
+                return replica
+        return await choice.choose(call, stream.service, stream.tried_replicas)
+
+    async def _record_software(self, stream: Stream, replica: Replica) -> bool:
+        """Record the software that may begin a stream before it does; return if that succeeded."""
+        if stream.software in (None, replica.software):
+            return True
+        reserved = await self._budgets.reserve(
+            stream.call.metadata,
+            resumable=True,
+            software=replica.software,
+            replaces=stream.reservation.entry,
+        )
+        if isinstance(reserved, Err):
+            stream.detail = reserved.err_value.detail
+            return False
+        self._budgets.settle(stream.call.metadata, stream.reservation, 0)
+        stream.reservation = reserved.ok_value
+        return True
+
     async def _attempt(self, stream: Stream, replica: Replica) -> _StreamEnd:
         stream.tried_replicas.add(replica.name)
         may_have_run_before, stream.may_have_run = stream.may_have_run, True
@@ -222,6 +278,8 @@
         if not stream.started:
             stream.started = True
             await stream.writer.start_stream(response.head)
+        if stream.begun_by is None:
+            stream.begun_by = response.replica.software
         for event in events:
             stream.events += 1
             stream.last_event_id = event.event_id or stream.last_event_id
--- a/src/bramleylead/ledger/_records.py
+++ b/src/bramleylead/ledger/_records.py
@@ -12,6 +12,8 @@
 from typing import final
 
 from bramleylead.connection import message
+from bramleylead.platform._types import NO_SOFTWARE
+from bramleylead.platform._types import Software
 
 RETENTION_MARGIN_S = 30.0
 """Added to the retention promised to callers, since clocks and restart times differ."""
@@ -45,12 +47,14 @@
     """The most tokens that one turn of a program may spend, or, once settled, those it has spent.
 
     :param entry: generated for each attempt, so that no caller can spend twice under one ID.
+    :param software: the software that the attempt was offered to, if its stream may be taken up.
     """
 
     program: str
     entry: str
     tokens: int
     settled: bool
+    software: Software = NO_SOFTWARE
 
 
 Record = KeptTurn | Spending
@@ -166,9 +170,7 @@
 
     def _add_spending(self, spending: Spending) -> None:
         turns = self._spendings.setdefault(spending.program, {})
-        known = turns.get(spending.entry)
-        if known is None or (spending.settled and not known.settled):
-            turns[spending.entry] = spending
+        turns[spending.entry] = _merge(turns.get(spending.entry), spending)
 
     def _drop(self, key: Key) -> None:
         self._records.pop(key, None)
@@ -180,7 +182,14 @@
     merged: dict[str, Spending] = {}
     for copy in copies:
         for spending in copy:
-            known = merged.get(spending.entry)
-            if known is None or (spending.settled and not known.settled):
-                merged[spending.entry] = spending
+            merged[spending.entry] = _merge(merged.get(spending.entry), spending)
     return merged
+
+
+def _merge(known: Spending | None, other: Spending) -> Spending:
+    """Merge two records of one entry; that of a stored turn names no software."""
+    if known is None:
+        return other
+    latest = other if other.settled and not known.settled else known
+    named = known if known.software != NO_SOFTWARE else other
+    return latest._replace(software=named.software)
--- a/src/bramleylead/platform/_decode.py
+++ b/src/bramleylead/platform/_decode.py
@@ -58,7 +58,9 @@
             raise UnreadableError(f"replica {name}: state {state!r}, address {address!r}")
         if not isinstance(service, str) or not isinstance(data_centre, str):
             raise UnreadableError(f"replica {name}: service {service!r}, zone {data_centre!r}")
-        slots, version = plain.get("slots", 0), plain.get("version")
+        slots, version = plain.get("slots", 0), plain["version"]
+        if not isinstance(version, str):
+            raise UnreadableError(f"replica {name}: version {version!r}")
         return Replica(
             name=name,
             service=service,
@@ -66,7 +68,7 @@
             data_centre=data_centre,
             leaving=state == "draining",
             slots=slots if type(slots) is int else 0,
-            software_version=version if isinstance(version, str) else "",
+            software_version=version,
         )
     except (KeyError, TypeError, AttributeError) as error:
         raise UnreadableError(f"replica {name}: {type(error).__name__}: {error}") from error
--- a/src/bramleylead/platform/_types.py
+++ b/src/bramleylead/platform/_types.py
@@ -116,6 +116,9 @@
     version: str
 
 
+NO_SOFTWARE = Software("", "")
+
+
 class Replica(NamedTuple):
     """One entry of the list of replicas.
 
--- a/testing/gateway/_fleet.py
+++ b/testing/gateway/_fleet.py
@@ -29,11 +29,17 @@
     """A replica whose process can crash; it starts again at the same address under a new name.
 
     :param make_script: returns the script that answers requests, given this replica.
+    :param version: of its software.
     """
 
     def __init__(
-        self, fleet: Fleet, number: int, make_script: Callable[[CrashableReplica], Script]
+        self,
+        fleet: Fleet,
+        number: int,
+        make_script: Callable[[CrashableReplica], Script],
+        version: str,
     ) -> None:
+        self.version = version
         self._fleet = fleet
         self._number = number
         self._script = make_script(self)
@@ -89,22 +95,25 @@
     def crashes(self) -> int:
         return sum(replica.crashes for replica in self.replicas)
 
-    async def add_replica(self, make_script: Callable[[CrashableReplica], Script]) -> None:
+    async def add_replica(
+        self, make_script: Callable[[CrashableReplica], Script], *, version: str = "v1"
+    ) -> CrashableReplica:
         """Start a replica.
 
         :param make_script: returns the script, given the replica that it may crash.
         """
-        replica = CrashableReplica(self, len(self.replicas) + 1, make_script)
+        replica = CrashableReplica(self, len(self.replicas) + 1, make_script, version)
         self.replicas.append(replica)
         await self._tasks.start(replica.run)
+        return replica
 
     def list_replica(self, replica: CrashableReplica) -> None:
-        entry = Replica(replica.name, "svc", replica.address, "d0", False, SLOTS)
+        entry = _entry_of(replica, leaving=False)
         for gateway in self.gateways:
             gateway.directory.put_replica(entry)
 
     def announce_leaving(self, replica: CrashableReplica) -> None:
-        entry = Replica(replica.name, "svc", replica.address, "d0", True, SLOTS)
+        entry = _entry_of(replica, leaving=True)
         for gateway in self.gateways:
             gateway.directory.put_replica(entry)
 
@@ -113,6 +122,10 @@
             gateway.directory.remove_replica(name)
 
 
+def _entry_of(replica: CrashableReplica, *, leaving: bool) -> Replica:
+    return Replica(replica.name, "svc", replica.address, "d0", leaving, SLOTS, replica.version)
+
+
 @asynccontextmanager
 async def running_fleet(*routes: Route, gateways: int = 3) -> AsyncIterator[Fleet]:
     """Run gateways with a configuration of these routes, and a ledger of three nodes."""
--- a/testing/gateway/test_software_versions.py
+++ b/testing/gateway/test_software_versions.py
@@ -8,6 +8,8 @@
 from anyio.abc import ByteStream
 
 from bramleylead.platform._types import CallKind
+from testing.gateway._fleet import Fleet
+from testing.gateway._fleet import run_with_fleet
 from testing.gateway._site import FakeReplica
 from testing.gateway._site import ReceivedRequest
 from testing.gateway._site import ReceivedResponse
@@ -52,12 +54,16 @@
 class SoftwareVersionTest(unittest.TestCase):
     def test_a_broken_stream_goes_on_at_the_version_that_began_it(self) -> None:
         async def main(site: Site) -> None:
-            await site.add_replica("first", break_stream_after(1, 2), version="v1")
-            await add_replicas(site, "v2", 4)
-            (last,) = await add_replicas(site, "v1", 1)
+            async def begin(received: ReceivedRequest, stream: ByteStream) -> None:
+                await add_replicas(site, "v2", 4)
+                await add_replicas(site, "v1", 1)
+                await break_stream_after(1, 2)(received, stream)
+
+            await site.add_replica("first", begin, version="v1")
             response = await site.request("/stream/x", body=b"q", headers=program_headers("q1"))
             self.assertEqual((response.body, response.complete), (events(*NUMBERS), True))
-            self.assertEqual(last.received[-1].headers["last-event-id"], "2")
+            (taken_up,) = site.replicas["v1-0"].received
+            self.assertEqual(taken_up.headers["last-event-id"], "2")
 
         run_with_site(main, RESUMABLE)
 
@@ -146,3 +152,22 @@
             self.assertEqual((response.body, response.complete), (events(1, 2), False))
 
         run_with_site(main, RESUMABLE)
+
+    def test_another_gateway_takes_a_stream_up_after_a_ledger_node_lost_its_disk(self) -> None:
+        async def main(fleet: Fleet) -> None:
+            await fleet.add_replica(lambda replica: break_stream_after(1, 2), version="v1")
+            headers = program_headers("q1")
+            broken = await fleet.gateways[0].request("/stream/x", body=b"q", headers=headers)
+            self.assertEqual((broken.body, broken.complete), (events(1, 2), False))
+            fleet.replicas[0].crash()
+            for version in ("v2", "v2", "v1", "v2"):
+                await fleet.add_replica(lambda replica: resume_stream(*NUMBERS), version=version)
+            fleet.ledger.kill(0)
+            fleet.ledger.wipe(0)
+            headers = program_headers("q2", **{"last-event-id": "2", "resumes": "q1"})
+            response = await fleet.gateways[1].request("/stream/x", body=b"q", headers=headers)
+            self.assertEqual((response.body, response.complete), (events(3, 4), True))
+            served = [replica.version for replica in fleet.replicas if replica.process.received]
+            self.assertEqual(served, ["v1", "v1"])
+
+        run_with_fleet(main, RESUMABLE)
--- a/testing/ledger/test_records.py
+++ b/testing/ledger/test_records.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import unittest
+from itertools import permutations
 
 from bramleylead.ledger._records import RETENTION_MARGIN_S
 from bramleylead.ledger._records import LedgerState
 from bramleylead.ledger._records import Spending
 from bramleylead.ledger._records import merge_spendings
+from bramleylead.platform._types import Software
 from testing.ledger._fleet import turn
 
 KEEP_S = 60.0
@@ -28,6 +30,20 @@
         state.add(turn("a"), now=0.0)
         self.assertEqual(state.spendings("p"), [Spending("p", "a", 10, True)])
 
+    def test_a_spending_keeps_its_software_in_any_order_of_records(self) -> None:
+        software = Software("s", "v1")
+        records = [
+            Spending("p", "a", 99, False, software),
+            turn("a"),
+            Spending("p", "a", 9, True, software),
+        ]
+        for order in permutations(records):
+            state = LedgerState()
+            for record in order:
+                state.add(record, now=0.0)
+            (spending,) = state.spendings("p")
+            self.assertEqual((spending.settled, spending.software), (True, software))
+
     def test_a_turn_is_retained_as_long_as_a_turn_that_continues_it(self) -> None:
         state = LedgerState()
         state.add(turn("a"), now=0.0)
--- a/testing/platform/test_decode.py
+++ b/testing/platform/test_decode.py
@@ -105,11 +105,12 @@
             {"address": "10.0.0.9:port"},
             {"service": None},
             {"zone": 1},
+            {"version": 1},
         ]
         values = [{**ENTRY, **change} for change in changes]
         values += [
             {key: value for key, value in ENTRY.items() if key != name}
-            for name in ("service", "address", "zone", "state")
+            for name in ("service", "address", "zone", "version", "state")
         ]
         for value in [*values, None, "text", 5, []]:
             with self.subTest(value), self.assertRaises(UnreadableError):
