--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -79,7 +79,7 @@
         self._selector = ReplicaSelector(first_turn=random.randrange(MAX_FIRST_TURN))
         self.directory = Directory()
         self._limits = RateLimits()
-        self._crashes = CrashTable()
+        self._crashes = CrashTable(settings.node)
         self._store = MonitoredStore(store)
         self._objects = MirroredStore(
             self._store,
--- a/src/bramleylead/placement/_crash_table.py
+++ b/src/bramleylead/placement/_crash_table.py
@@ -15,6 +15,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
+from hashlib import blake2b
 from typing import NamedTuple
 from typing import final
 
@@ -27,7 +28,11 @@
 BLOCKING_SHARE = 1 / 3
 """A request is held back once it may have crashed this share of its service's replicas."""
 HOLDS_S = (10.0, 120.0, 1_440.0, 17_280.0)
-"""How long a request is held back after two crashes, three, and so on."""
+"""How long a request is held back after two crashes, three, and so on, at the least."""
+HOLD_SPREAD = 1.0
+"""Gateways hold a request back for up to this share longer, each for another time: the first one
+that sends it again tells the others what came of it."""
+SPREAD_BYTES = 4
 LIFETIME_S = 3_600.0
 """A crash counts for this time, or as long as the request is held back."""
 CLEARED_LIFETIME_S = 30.0
@@ -69,12 +74,15 @@
         """The sum of the crashes' weights."""
         return sum(self.replicas.values())
 
-    def blocked_until(self, blocking_weight: float) -> float:
-        """Return the time until which the request is held back; ``-inf`` if it is not."""
+    def blocked_until(self, blocking_weight: float, *, spread: float = 0.0) -> float:
+        """Return the time until which the request is held back; ``-inf`` if it is not.
+
+        :param spread: the share by which it is held back longer than at the least.
+        """
         if self.weight < blocking_weight:
             return float("-inf")
         hold = min(len(self.replicas) - 2, len(HOLDS_S) - 1)
-        return self.crashed_at + HOLDS_S[max(0, hold)]
+        return self.crashed_at + HOLDS_S[max(0, hold)] * (1.0 + spread)
 
     @property
     def expires_at(self) -> float:
@@ -86,9 +94,13 @@
 
 @final
 class CrashTable:
-    """The requests that one process suspects, by fingerprint; those that crashed last come last."""
+    """The requests that one process suspects, by fingerprint; those that crashed last come last.
 
-    def __init__(self) -> None:
+    :param node: the process, which holds requests back for another time than other ones.
+    """
+
+    def __init__(self, node: str = "") -> None:
+        self._node = node
         self._suspects: OrderedDict[bytes, _Suspect] = OrderedDict()
         self._unshared: set[bytes] = set()
 
@@ -172,7 +184,14 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return 0.0
-        return max(0.0, suspect.blocked_until(_blocking_weight(replicas)) - now)
+        spread = self._spread(fingerprint)
+        blocked_until = suspect.blocked_until(_blocking_weight(replicas), spread=spread)
+        return max(0.0, blocked_until - now)
+
+    def _spread(self, fingerprint: bytes) -> float:
+        """Return how much longer than at the least this process holds a request back."""
+        digest = blake2b(self._node.encode() + fingerprint, digest_size=SPREAD_BYTES).digest()
+        return HOLD_SPREAD * int.from_bytes(digest) / 256**SPREAD_BYTES
 
     def _drop_oldest(self, now: float) -> None:
         while self._suspects:
--- a/testing/gateway/_site.py
+++ b/testing/gateway/_site.py
@@ -266,7 +266,7 @@
         self._tasks = tasks
         view = self.network.view(host)
         self.connections = ConnectionPool(view, id_header=REQUEST_ID_HEADER)
-        self.crashes = CrashTable()
+        self.crashes = CrashTable(host)
         guard = CrashGuard(
             self.directory, self.connections, self.crashes, report=self.ledger.report_crash
         )
