Record the software of a stream that no replica could be chosen for at first

Found by reading: if the limits of all replicas allow no request while a turn is reserved, its reservation names no software, and none was recorded when a replica came free; the stream, once broken, could not be taken up. The reservation's steps are split.

--- a/src/bramleylead/gateway/_call.py
+++ b/src/bramleylead/gateway/_call.py
@@ -35,6 +35,11 @@
     deadline: float
     fingerprint: Fingerprint
 
+    @property
+    def takes_up_stream(self) -> bool:
+        """Whether the caller takes up a stream that broke off after some events."""
+        return self.route.resumable and bool(self.metadata.resume_after)
+
     @property
     def remaining_s(self) -> float:
         """Seconds until the deadline."""
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -15,6 +15,7 @@
 from bramleylead.connection._events import EventTooLargeError
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.gateway._budgets import BudgetReservation
 from bramleylead.gateway._budgets import Budgets
 from bramleylead.gateway._call import Call
 from bramleylead.gateway._call import CompleteResponse
@@ -86,41 +87,49 @@
         return Err(Failure(ErrorKind.OVERLOADED, detail, RETRY_AFTER_S))
 
     async def _reserve(self, call: Call, body: bytes) -> Result[PreparedRequest, Failure]:
-        """Reserve a turn's budget, unless the replicas are too full for the turn to start."""
+        """Reserve a turn's budget, unless the turn may not be sent now."""
         service = pick_service(call.route)
-        takes_up = call.route.resumable and bool(call.metadata.resume_after)
-        software = NO_SOFTWARE
-        if call.route.resumable and not takes_up:
-            software = self._sender.choice.preferred_software(call, service)
         reserved = await self._budgets.reserve(
             call.metadata,
             crashes=self._guard.evidence(call),
             resumable=call.route.resumable,
-            software=software,
+            software=self._software_to_record(call, service),
         )
         if isinstance(reserved, Err):
             return reserved
         reservation = reserved.ok_value
         self._sender.record_fleet_load(call, reservation.fleet)
         self._guard.merge(reservation.crashes)
+        failure = self._check_reserved(call, service, reservation)
+        if failure is not None:
+            self._budgets.settle(call.metadata, reservation, 0)
+            return Err(failure)
+        begun_by = reservation.begun_by if call.takes_up_stream else None
+        if begun_by is not None:
+            service = begun_by.service
+        return Ok(PreparedRequest(body, reservation, service, begun_by))
+
+    def _software_to_record(self, call: Call, service: str) -> Software:
+        """Return the software that a stream is going to be offered to, if it may be taken up."""
+        if not call.route.resumable or call.takes_up_stream:
+            return NO_SOFTWARE
+        return self._sender.choice.preferred_software(call, service)
+
+    def _check_reserved(
+        self, call: Call, service: str, reservation: BudgetReservation
+    ) -> Failure | None:
+        """Return a failure if a turn may not be sent now, by what its reservation tells."""
         held_back = self._guard.refusal(call)
-        if held_back is None and takes_up:
-            held_back = self._check_software(call, reservation.begun_by)
         if held_back is not None:
-            self._budgets.settle(call.metadata, reservation, 0)
-            return Err(held_back)
-        if takes_up:
-            assert reservation.begun_by is not None
-            service = reservation.begun_by.service
-            return Ok(PreparedRequest(body, reservation, service, reservation.begun_by))
-        continues_turn = bool(call.metadata.previous_turn)
-        if reservation.progress is not None and not continues_turn:
-            refusal = self._sender.check_admission(call, service, reservation.progress)
-            if refusal is not None:
-                self._budgets.settle(call.metadata, reservation, 0)
-                failure = Failure(ErrorKind.OVERLOADED, refusal.detail, refusal.retry_after_s)
-                return Err(failure)
-        return Ok(PreparedRequest(body, reservation, service))
+            return held_back
+        if call.takes_up_stream:
+            return self._check_software(call, reservation.begun_by)
+        if reservation.progress is None or call.metadata.previous_turn:
+            return None
+        refusal = self._sender.check_admission(call, service, reservation.progress)
+        if refusal is None:
+            return None
+        return Failure(ErrorKind.OVERLOADED, refusal.detail, refusal.retry_after_s)
 
     def _check_software(self, call: Call, begun_by: Software | None) -> Failure | None:
         """Return a failure if no replica can go on with a stream that a caller takes up."""
@@ -181,7 +190,10 @@
 
     async def _record_software(self, stream: Stream, replica: Replica) -> bool:
         """Record the software that may begin a stream before it does; return if that succeeded."""
-        if stream.software in (None, replica.software):
+        recorded = stream.reservation.spending
+        if recorded is None or not stream.call.route.resumable or stream.begun_by is not None:
+            return True
+        if recorded.software == replica.software:
             return True
         reserved = await self._budgets.reserve(
             stream.call.metadata,
--- a/testing/gateway/test_software_versions.py
+++ b/testing/gateway/test_software_versions.py
@@ -109,6 +109,25 @@
 
         run_with_site(main, RESUMABLE)
 
+    def test_the_version_is_recorded_even_if_no_replica_could_be_chosen_at_first(self) -> None:
+        # The limits of all replicas allow no request while the turn is being reserved.
+        async def main(site: Site) -> None:
+            await site.add_replica("first", break_stream_after(1, 2), version="v1")
+            site.limits.record_limit("first", 5.0)
+            while site.limits.take("first"):
+                pass
+            headers = program_headers("q1")
+            begun = await site.request("/stream/x", body=b"q", headers=headers)
+            self.assertEqual(begun.body, events(1, 2))
+            site.directory.remove_replica("first")
+            others = await add_replicas(site, "v2", 4)
+            await add_replicas(site, "v1", 1)
+            response = await take_up(site, "q2", "q1")
+            self.assertEqual((response.body, response.complete), (events(3, 4), True))
+            self.assertFalse(any(replica.received for replica in others))
+
+        run_with_site(main, RESUMABLE)
+
     def test_a_stream_whose_version_is_gone_or_unknown_is_refused_at_once(self) -> None:
         async def main(site: Site) -> None:
             await site.add_replica("first", break_stream_after(1, 2), version="v1")
