Give a test of lost replies time to send its calls

Traced: its calls had 0.2 s, and a stall of 0.25 s while the connection opened ended the call before it was sent, which is rightly 'no effect'. The same stall put into the fourth connection fails in the same way with 0.2 s, and passes with 2 s. The assertion is unchanged.

--- a/testing/platform/test_stores.py
+++ b/testing/platform/test_stores.py
@@ -30,6 +30,9 @@
 
 VM = VmEntry("n1", "10.0.0.1:7000", "r1", "d1", leaving=True)
 
+ANSWER_TIMEOUT_S = 2.0
+"""Long enough for a call to be sent on a machine that stalls; one not sent has no effect."""
+
 
 class MemoryStoreTest(Conformance, unittest.TestCase):
     @asynccontextmanager
@@ -159,8 +162,8 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(listener.serve, handler)
                 async with HttpStore(f"http://127.0.0.1:{port}") as store:
-                    read = await store.get("a", timeout_s=0.2)
-                    write = await store.put("a", b"", timeout_s=0.2)
+                    read = await store.get("a", timeout_s=ANSWER_TIMEOUT_S)
+                    write = await store.put("a", b"", timeout_s=ANSWER_TIMEOUT_S)
                 tasks.cancel_scope.cancel()
             await listener.aclose()
             return read.err_value.kind, write.err_value.kind
