--- a/src/bramleylead/cli/commands/demo.py
+++ b/src/bramleylead/cli/commands/demo.py
@@ -37,7 +37,7 @@
 
 @command(
     "demo",
-    summary="Runs both users' fleets in one process, with 200 programs and faults on the way.",
+    summary="Runs both users' fleets in one process, with 120 programs and faults on the way.",
     define_flags=_define_flags,
 )
 def run(values: flags.FlagValues, words: list[str]) -> int:
