Check a replica that is removed meanwhile without an error

Found by reading: the check whether a host refuses connections put its connection into the pool of a replica that might have been removed while the connection was being opened (KeyError, which ended the caller's request). The test failed so before.

--- a/src/bramleylead/gateway/_connection_pool.py
+++ b/src/bramleylead/gateway/_connection_pool.py
@@ -60,7 +60,8 @@
         if isinstance(opened, Err):
             return replica.name in self._refused_at
         opened.ok_value.reuse_until = anyio.current_time() + DEFAULT_KEEP_ALIVE_S
-        self._idle[replica.name].append(opened.ok_value)
+        # The replica may have been removed while the connection was being opened.
+        self._idle.setdefault(replica.name, []).append(opened.ok_value)
         return False
 
     async def release(
