--- a/src/bramleylead/gateway/_budgets.py
+++ b/src/bramleylead/gateway/_budgets.py
@@ -39,7 +39,7 @@
     :param spending: the record to settle; ``None`` if nothing was reserved.
     :param progress: ``None`` if the program has no budget, so that nothing is known of it.
     :param crashes: the crashes at which this turn was running.
-    :param begun_by: the software that began the stream that is to be taken up, if it is known.
+    :param begun_by: the software that began the stream to be resumed, if it is known.
     """
 
     spending: Spending | None
@@ -80,7 +80,7 @@
         """Reserve a turn's maximum.
 
         :param crashes: the crashes at which this turn was running, as far as they are known here.
-        :param resumable: whether callers may take up the stream, so that it is recorded even
+        :param resumable: whether callers may resume the stream, so that it is recorded even
             without a budget.
         :param software: the software that the turn is going to be offered to.
         :param replaces: the entry of a reservation of the same turn, which doesn't count.
--- a/src/bramleylead/gateway/_call.py
+++ b/src/bramleylead/gateway/_call.py
@@ -36,8 +36,8 @@
     fingerprint: Fingerprint
 
     @property
-    def takes_up_stream(self) -> bool:
-        """Whether the caller takes up a stream that broke off after some events."""
+    def resumes_stream(self) -> bool:
+        """Whether the caller resumes a stream that broke off after some events."""
         return self.route.resumable and bool(self.metadata.resume_after)
 
     @property
--- a/src/bramleylead/gateway/_stream_state.py
+++ b/src/bramleylead/gateway/_stream_state.py
@@ -54,7 +54,7 @@
     :param body: the turn history, followed by the caller's input.
     :param reservation: the reservation to settle.
     :param service: the service that is to run it.
-    :param begun_by: the software that began it, if a caller takes it up.
+    :param begun_by: the software that began it, if a caller resumes it.
     """
 
     body: bytes
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -104,14 +104,14 @@
         if failure is not None:
             self._budgets.settle(call.metadata, reservation, 0)
             return Err(failure)
-        begun_by = reservation.begun_by if call.takes_up_stream else None
+        begun_by = reservation.begun_by if call.resumes_stream else None
         if begun_by is not None:
             service = begun_by.service
         return Ok(PreparedRequest(body, reservation, service, begun_by))
 
     def _software_to_record(self, call: Call, service: str) -> Software:
-        """Return the software that a stream is going to be offered to, if it may be taken up."""
-        if not call.route.resumable or call.takes_up_stream:
+        """Return the software that a stream is going to be offered to, if it may be resumed."""
+        if not call.route.resumable or call.resumes_stream:
             return NO_SOFTWARE
         return self._sender.choice.preferred_software(call, service)
 
@@ -122,7 +122,7 @@
         held_back = self._guard.refusal(call)
         if held_back is not None:
             return held_back
-        if call.takes_up_stream:
+        if call.resumes_stream:
             return self._check_software(call, reservation.begun_by)
         if reservation.progress is None or call.metadata.previous_turn:
             return None
@@ -132,7 +132,7 @@
         return Failure(ErrorKind.OVERLOADED, refusal.detail, refusal.retry_after_s)
 
     def _check_software(self, call: Call, begun_by: Software | None) -> Failure | None:
-        """Return a failure if no replica can go on with a stream that a caller takes up."""
+        """Return a failure if no replica can go on with a stream that a caller resumes."""
         if begun_by is None:
             detail = f"request {call.metadata.resumed_request!r} began no stream that is known"
             return Failure(ErrorKind.STREAM_NOT_RESUMABLE, detail)
--- a/src/bramleylead/ledger/_records.py
+++ b/src/bramleylead/ledger/_records.py
@@ -47,7 +47,7 @@
     """The most tokens that one turn of a program may spend, or, once settled, those it has spent.
 
     :param entry: generated for each attempt, so that no caller can spend twice under one ID.
-    :param software: the software that the attempt was offered to, if its stream may be taken up.
+    :param software: the software that the attempt was offered to, if its stream may be resumed.
     """
 
     program: str
--- a/testing/gateway/test_software_versions.py
+++ b/testing/gateway/test_software_versions.py
@@ -38,15 +38,15 @@
 
 
 async def add_replicas(site: Site, version: str, count: int) -> list[FakeReplica]:
-    """Add replicas that answer, and take up streams."""
+    """Add replicas that answer, and resume streams."""
     return [
         await site.add_replica(f"{version}-{number}", resume_stream(*NUMBERS), version=version)
         for number in range(count)
     ]
 
 
-async def take_up(site: Site, request_id: str, begun_by: str) -> ReceivedResponse:
-    """Take up a stream of which two events have arrived."""
+async def resume(site: Site, request_id: str, begun_by: str) -> ReceivedResponse:
+    """Resume a stream of which two events have arrived."""
     headers = program_headers(request_id, **{"last-event-id": "2", "resumes": begun_by})
     return await site.request("/stream/x", body=b"q", headers=headers)
 
@@ -62,8 +62,8 @@
             await site.add_replica("first", begin, version="v1")
             response = await site.request("/stream/x", body=b"q", headers=program_headers("q1"))
             self.assertEqual((response.body, response.complete), (events(*NUMBERS), True))
-            (taken_up,) = site.replicas["v1-0"].received
-            self.assertEqual(taken_up.headers["last-event-id"], "2")
+            (resumed,) = site.replicas["v1-0"].received
+            self.assertEqual(resumed.headers["last-event-id"], "2")
 
         run_with_site(main, RESUMABLE)
 
@@ -77,7 +77,7 @@
 
         run_with_site(main, RESUMABLE)
 
-    def test_a_client_takes_a_stream_up_at_the_version_that_began_it(self) -> None:
+    def test_a_client_resumes_a_stream_at_the_version_that_began_it(self) -> None:
         async def main(site: Site) -> None:
             await site.add_replica("first", break_stream_after(1, 2), version="v1")
             await site.request("/stream/x", body=b"q", headers=program_headers("q1"))
@@ -85,7 +85,7 @@
             others = await add_replicas(site, "v2", 4)
             (last,) = await add_replicas(site, "v1", 1)
             for number in range(6):
-                response = await take_up(site, f"q1.{number}", "q1")
+                response = await resume(site, f"q1.{number}", "q1")
                 self.assertEqual((response.body, response.complete), (events(3, 4), True))
             self.assertEqual(len(last.received), 6)
             self.assertFalse(any(replica.received for replica in others))
@@ -103,7 +103,7 @@
             site.directory.remove_replica("first")
             others = await add_replicas(site, "v1", 4)
             await add_replicas(site, "v2", 1)
-            response = await take_up(site, "q2", "q1")
+            response = await resume(site, "q2", "q1")
             self.assertEqual((response.body, response.complete), (events(3, 4), True))
             self.assertFalse(any(replica.received for replica in others))
 
@@ -122,7 +122,7 @@
             site.directory.remove_replica("first")
             others = await add_replicas(site, "v2", 4)
             await add_replicas(site, "v1", 1)
-            response = await take_up(site, "q2", "q1")
+            response = await resume(site, "q2", "q1")
             self.assertEqual((response.body, response.complete), (events(3, 4), True))
             self.assertFalse(any(replica.received for replica in others))
 
@@ -136,7 +136,7 @@
             others = await add_replicas(site, "v2", 2)
             for number, begun_by in enumerate(("q1", "never seen", "")):
                 started_at = anyio.current_time()
-                response = await take_up(site, f"q2.{number}", begun_by)
+                response = await resume(site, f"q2.{number}", begun_by)
                 self.assertEqual(response.status, 503)
                 self.assertIn(b'"not run"', response.body)
                 self.assertLess(anyio.current_time() - started_at, 0.1)
@@ -172,7 +172,7 @@
 
         run_with_site(main, RESUMABLE)
 
-    def test_another_gateway_takes_a_stream_up_after_a_ledger_node_lost_its_disk(self) -> None:
+    def test_another_gateway_resumes_a_stream_after_a_ledger_node_lost_its_disk(self) -> None:
         async def main(fleet: Fleet) -> None:
             await fleet.add_replica(lambda replica: break_stream_after(1, 2), version="v1")
             headers = program_headers("q1")
