--- a/testing/gateway/test_processes.py
+++ b/testing/gateway/test_processes.py
@@ -126,6 +126,11 @@
                     return response
                 await anyio.sleep(0.1)
 
+    def print_logs(self) -> None:
+        """Print what the processes have logged, to trace a failure that shows once."""
+        for file in sorted(self._folder.glob("*.log")):
+            print(f"{file.name}:\n{file.read_text()}", file=sys.stderr)
+
     def log(self, name: str) -> list[dict[str, Any]]:
         text = (self._folder / f"{name}.log").read_text()
         return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
@@ -160,7 +165,11 @@
             await site.start_ledger(name)
         await site.start_gateway()
         await site.wait_for_status(site.ready, names.READY_PATH, 200)
-        yield site
+        try:
+            yield site
+        except Exception:
+            site.print_logs()
+            raise
 
 
 async def send_two_events(received: ReceivedRequest, stream: anyio.abc.ByteStream) -> None:
