Close expired connections while requests add replicas

The requests under way at that gateway were lost. No other loop over a process's own state awaits while it holds the state itself, by a search of the syntax trees.

--- a/src/bramleylead/gateway/_connection_pool.py
+++ b/src/bramleylead/gateway/_connection_pool.py
@@ -88,7 +88,8 @@
     async def close_expired(self) -> None:
         """Close the idle connections that have expired."""
         now = anyio.current_time()
-        for idle in self._idle.values():
+        # Other requests add replicas while a connection is being closed.
+        for idle in list(self._idle.values()):
             expired = [connection for connection in idle if connection.reuse_until <= now]
             idle[:] = [connection for connection in idle if connection.reuse_until > now]
             for connection in expired:
--- a/testing/gateway/test_connection_pool.py
+++ b/testing/gateway/test_connection_pool.py
@@ -1,13 +1,15 @@
-"""The check whether a replica's host refuses connections."""
+"""The pool of connections: whether a host refuses them, and how expired ones are closed."""
 
 from __future__ import annotations
 
 import unittest
 
 import anyio
+import anyio.lowlevel
 from anyio.abc import ByteStream
 
 from bramleylead.gateway._connection_pool import CHECK_TIMEOUT_S
+from bramleylead.gateway._connection_pool import DEFAULT_KEEP_ALIVE_S
 from bramleylead.gateway._connection_pool import ConnectionPool
 from bramleylead.platform._types import Replica
 from bramleylead.standins import FakeNetwork
@@ -19,6 +21,26 @@
 REPLICA = Replica("a", "svc", f"{REPLICA_IP}:80", "d", False, 4, "v1")
 
 
+class SlowToClose(ByteStream):
+    """A stream whose close lets other tasks run, as that of a socket does."""
+
+    def __init__(self, stream: ByteStream) -> None:
+        self._stream = stream
+
+    async def receive(self, max_bytes: int = 65_536) -> bytes:
+        return await self._stream.receive(max_bytes)
+
+    async def send(self, item: bytes) -> None:
+        await self._stream.send(item)
+
+    async def send_eof(self) -> None:
+        await self._stream.send_eof()
+
+    async def aclose(self) -> None:
+        await anyio.lowlevel.cancel_shielded_checkpoint()
+        await self._stream.aclose()
+
+
 class SlowNetwork:
     """A network on which a connection takes a while."""
 
@@ -28,10 +50,10 @@
 
     async def connect(self, address: str) -> ByteStream:
         await anyio.sleep(self.delay_s)
-        return await self._view.connect(address)
+        return SlowToClose(await self._view.connect(address))
 
 
-class RefusalTest(unittest.TestCase):
+class PoolTestCase(unittest.TestCase):
     def run_with_pool(self, main) -> None:
         async def run() -> None:
             network = FakeNetwork({GATEWAY_IP: ("r", "d"), REPLICA_IP: ("r", "d")})
@@ -49,6 +71,8 @@
 
         run_virtual(run, seed=1)
 
+
+class RefusalTest(PoolTestCase):
     def test_a_replica_that_accepts_is_not_refused_and_the_connection_is_used(self) -> None:
         async def main(pool: ConnectionPool, slow: SlowNetwork, network: FakeNetwork) -> None:
             self.assertFalse(await pool.is_refused(REPLICA))
@@ -82,5 +106,19 @@
         self.run_with_pool(main)
 
 
+class ExpiryTest(PoolTestCase):
+    def test_a_replica_may_be_added_while_expired_connections_are_closed(self) -> None:
+        async def main(pool: ConnectionPool, slow: SlowNetwork, network: FakeNetwork) -> None:
+            for number in range(10):
+                await pool.is_refused(REPLICA._replace(name=f"a{number}"))
+            await anyio.sleep(DEFAULT_KEEP_ALIVE_S)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(pool.close_expired)
+                await anyio.lowlevel.cancel_shielded_checkpoint()
+                await pool.acquire(REPLICA._replace(name="new"))
+
+        self.run_with_pool(main)
+
+
 async def _serve_forever(stream: ByteStream) -> None:
     await anyio.sleep_forever()
