--- a/src/bramleylead/gateway/_connection_pool.py
+++ b/src/bramleylead/gateway/_connection_pool.py
@@ -12,6 +12,7 @@
 
 from bramleylead.connection import Network
 from bramleylead.gateway._upstream import UpstreamConnection
+from bramleylead.placement._replica_paths import ReplicaPaths
 from bramleylead.platform._types import Replica
 
 CONNECT_TIMEOUT_S = 0.4
@@ -29,11 +30,15 @@
 
 @final
 class ConnectionPool:
-    """The idle connections of one gateway, by replica."""
+    """The idle connections of one gateway, by replica.
 
-    def __init__(self, network: Network, *, id_header: str) -> None:
+    :param paths: learns which replicas can be reached.
+    """
+
+    def __init__(self, network: Network, *, id_header: str, paths: ReplicaPaths) -> None:
         self._network = network
         self._id_header = id_header
+        self._paths = paths
         self._idle: dict[str, list[UpstreamConnection]] = {}
         self._refused_at: dict[str, float] = {}
         self.opened = 0
@@ -81,6 +86,7 @@
         """Close the idle connections to all replicas but the named ones."""
         for name in self._refused_at.keys() - names:
             del self._refused_at[name]
+        self._paths.forget(self._paths.known_replicas() - names)
         for name in [name for name in self._idle if name not in names]:
             for connection in self._idle.pop(name):
                 await connection.aclose()
@@ -106,12 +112,24 @@
         except (OSError, TimeoutError) as error:
             if _is_refusal(error):
                 self._refused_at[replica.name] = anyio.current_time()
-            detail = f"{replica.address}: can't connect: {type(error).__name__}: {error}"
-            return Err(detail)
+            self._paths.record_unreached(replica.name, now=anyio.current_time())
+            return Err(f"{replica.address}: can't connect: {_describe(error)}")
         self.opened += 1
-        return Ok(UpstreamConnection(stream, id_header=self._id_header))
+        self._paths.record_reached(replica.name, now=anyio.current_time())
+        return Ok(
+            UpstreamConnection(stream, id_header=self._id_header, on_received=self._record_heard)
+        )
+
+    def _record_heard(self) -> None:
+        self._paths.record_heard(now=anyio.current_time())
 
 
 def _is_refusal(error: OSError) -> bool:
     """Return whether a connection was refused; anyio gives the cause of a single failed attempt."""
     return any(isinstance(found, ConnectionRefusedError) for found in (error, error.__cause__))
+
+
+def _describe(error: OSError) -> str:
+    """Name an error by its cause, which anyio hides behind "All connection attempts failed"."""
+    cause = error.__cause__ or error
+    return f"{type(cause).__name__}: {cause}"
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -36,6 +36,7 @@
 from bramleylead.ledger._mirrored_store import MirroredStore
 from bramleylead.placement._crash_table import CrashTable
 from bramleylead.placement._rate_limits import RateLimits
+from bramleylead.placement._replica_paths import ReplicaPaths
 from bramleylead.placement._replica_selector import ReplicaSelector
 from bramleylead.platform import _names as names
 from bramleylead.platform._follow import follow
@@ -75,7 +76,8 @@
         self._settings = settings
         self._tasks = tasks
         self._ledger = ledger
-        self._connections = ConnectionPool(network, id_header=names.REQUEST_ID)
+        self._paths = ReplicaPaths()
+        self._connections = ConnectionPool(network, id_header=names.REQUEST_ID, paths=self._paths)
         self._selector = ReplicaSelector(first_turn=random.randrange(MAX_FIRST_TURN))
         self.directory = Directory()
         self._limits = RateLimits()
@@ -106,7 +108,13 @@
             regions=settings.data_centres,
         )
         sender = Sender(
-            self.directory, self._connections, self._selector, reporter, self._limits, choice
+            self.directory,
+            self._connections,
+            self._selector,
+            reporter,
+            self._limits,
+            choice,
+            self._paths,
         )
         streams = StreamCalls(sender, Budgets(ledger, tasks), TurnHistory(ledger), guard)
         self.app = GatewayApp(self.directory, PlainCalls(sender, guard), streams)
@@ -165,6 +173,7 @@
             "connections_opened": self._connections.opened,
             "requests_running": self.app.in_flight,
             "suspect_requests": len(self._crashes),
+            "unreached_replicas": len(self._paths.unreached(now=anyio.current_time())),
             "ready": self.is_ready(),
             **object_ages(self._objects, (names.CONFIGURATION_KIND, names.REPLICA_KIND)),
         }
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -31,6 +31,7 @@
 from bramleylead.placement._admission import check_admission
 from bramleylead.placement._fleet_table import FleetLoad
 from bramleylead.placement._rate_limits import RateLimits
+from bramleylead.placement._replica_paths import ReplicaPaths
 from bramleylead.placement._replica_selector import ReplicaSelector
 from bramleylead.platform import _wire as wire
 from bramleylead.platform._types import CallKind
@@ -53,6 +54,7 @@
     """Sends requests to the replicas that its choice returns.
 
     :param reporter: is told where turns have run.
+    :param paths: tells which replicas this gateway can reach.
     """
 
     def __init__(
@@ -63,8 +65,10 @@
         reporter: LoadReporter,
         limits: RateLimits,
         choice: ReplicaChoice,
+        paths: ReplicaPaths,
     ) -> None:
         self.choice = choice
+        self._paths = paths
         self._directory = directory
         self._connections = connections
         self._selector = selector
@@ -121,12 +125,7 @@
                 self._selector.health.record_connect_failure(
                     replica.name, reason=acquired.err_value
                 )
-                log.info(
-                    "replica_unreached",
-                    request=call.metadata.request_id,
-                    replica=replica.name,
-                    reason=acquired.err_value,
-                )
+                self._log_unreached(call, replica, acquired.err_value)
                 yield NotRun(acquired.err_value, counts_as_attempt=False)
                 return
             if not self._directory.is_usable(replica.name):
@@ -141,6 +140,18 @@
         finally:
             self._selector.end_request(replica.name)
 
+    def _log_unreached(self, call: Call, replica: Replica, reason: str) -> None:
+        """Log a failed connection, and what tells a crash of the replica from a cut of the path."""
+        now = anyio.current_time()
+        log.info(
+            "replica_unreached",
+            request=call.metadata.request_id,
+            replica=replica.name,
+            reason=reason,
+            unreached=len(self._paths.unreached(now=now)),
+            unheard_s=round(now - self._paths.heard_at, 3),
+        )
+
     @asynccontextmanager
     async def _send_on_connection(
         self,
--- a/src/bramleylead/gateway/_upstream.py
+++ b/src/bramleylead/gateway/_upstream.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import select
+from collections.abc import Callable
 from types import TracebackType
 from typing import NamedTuple
 from typing import Self
@@ -73,11 +74,19 @@
     """One connection; carries one request at a time.
 
     :param id_header: the header in which a response carries the id of its request.
+    :param on_received: called whenever something arrives.
     """
 
-    def __init__(self, stream: ByteStream, *, id_header: str) -> None:
+    def __init__(
+        self,
+        stream: ByteStream,
+        *,
+        id_header: str,
+        on_received: Callable[[], None] = lambda: None,
+    ) -> None:
         self._stream = stream
         self._id_header = id_header
+        self._on_received = on_received
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._request: RequestHead | None = None
         self._request_sent = True
@@ -245,10 +254,12 @@
 
     async def _receive(self) -> bytes:
         try:
-            return await self._stream.receive(READ_BYTES)
+            data = await self._stream.receive(READ_BYTES)
         except anyio.EndOfStream:
             self._must_close = True
             return b""
         except TRANSPORT_ERRORS as error:
             detail = f"connection error: {type(error).__name__}"
             raise UpstreamError(detail, connection_lost=True) from error
+        self._on_received()
+        return data
--- a/testing/gateway/_site.py
+++ b/testing/gateway/_site.py
@@ -37,6 +37,7 @@
 from bramleylead.placement._fleet_table import NO_FLEET_LOAD
 from bramleylead.placement._fleet_table import FleetLoad
 from bramleylead.placement._rate_limits import RateLimits
+from bramleylead.placement._replica_paths import ReplicaPaths
 from bramleylead.placement._replica_selector import ReplicaSelector
 from bramleylead.platform._types import CallKind
 from bramleylead.platform._types import Configuration
@@ -265,7 +266,8 @@
         self.limits.record_share(1.0)
         self._tasks = tasks
         view = self.network.view(host)
-        self.connections = ConnectionPool(view, id_header=REQUEST_ID_HEADER)
+        self.paths = ReplicaPaths()
+        self.connections = ConnectionPool(view, id_header=REQUEST_ID_HEADER, paths=self.paths)
         self.crashes = CrashTable(host)
         guard = CrashGuard(
             self.directory, self.connections, self.crashes, report=self.ledger.report_crash
@@ -280,7 +282,13 @@
         )
         reporter = LoadReporter(host, self.selector)
         sender = Sender(
-            self.directory, self.connections, self.selector, reporter, self.limits, choice
+            self.directory,
+            self.connections,
+            self.selector,
+            reporter,
+            self.limits,
+            choice,
+            self.paths,
         )
         budgets = Budgets(self.ledger, tasks)  # type: ignore[arg-type]
         history = TurnHistory(self.ledger)  # type: ignore[arg-type]
--- a/testing/gateway/test_connection_pool.py
+++ b/testing/gateway/test_connection_pool.py
@@ -11,6 +11,7 @@
 from bramleylead.gateway._connection_pool import CHECK_TIMEOUT_S
 from bramleylead.gateway._connection_pool import DEFAULT_KEEP_ALIVE_S
 from bramleylead.gateway._connection_pool import ConnectionPool
+from bramleylead.placement._replica_paths import ReplicaPaths
 from bramleylead.platform._types import Replica
 from bramleylead.standins import FakeNetwork
 from bramleylead.standins import run_virtual
@@ -58,7 +59,7 @@
         async def run() -> None:
             network = FakeNetwork({GATEWAY_IP: ("r", "d"), REPLICA_IP: ("r", "d")})
             slow = SlowNetwork(network)
-            pool = ConnectionPool(slow, id_header=REQUEST_ID_HEADER)
+            pool = ConnectionPool(slow, id_header=REQUEST_ID_HEADER, paths=ReplicaPaths())
             async with anyio.create_task_group() as tasks:
                 view = network.view(REPLICA_IP)
                 await tasks.start(
