--- a/src/bramleylead/standins/_network.py
+++ b/src/bramleylead/standins/_network.py
@@ -38,6 +38,8 @@
         self._listeners: dict[str, _Listener] = {}
         self._pipes: set[_Pipe] = set()
         self._cuts: set[frozenset[str]] = set()
+        self._hanging: set[frozenset[str]] = set()
+        self._refusing: set[frozenset[str]] = set()
         self._frozen: dict[str, anyio.Event] = {}
         self._kills: dict[str, int] = {}
         self._next_port = 40_000
@@ -53,13 +55,23 @@
         """Add a host, or move it."""
         self._places[host] = (region, data_centre)
 
-    def cut(self, first: str, second: str) -> None:
-        """Let nothing pass between two hosts; open streams go silent and new ones can't connect."""
+    def cut(self, first: str, second: str, *, hang: bool = False) -> None:
+        """Let nothing pass between two hosts; open streams go silent and new ones can't connect.
+
+        :param hang: whether an attempt to connect gets no answer at all, instead of a refusal.
+        """
         self._cuts.add(frozenset((first, second)))
+        if hang:
+            self._hanging.add(frozenset((first, second)))
+
+    def refuse(self, first: str, second: str) -> None:
+        """Refuse new streams between two hosts; open ones live on."""
+        self._refusing.add(frozenset((first, second)))
 
     def heal(self, first: str, second: str) -> None:
-        """Undo :meth:`cut`; streams that went silent stay so."""
-        self._cuts.discard(frozenset((first, second)))
+        """Undo :meth:`cut` and :meth:`refuse`; streams that went silent stay so."""
+        for cuts in (self._cuts, self._hanging, self._refusing):
+            cuts.discard(frozenset((first, second)))
 
     def silence(self, first: str, second: str) -> int:
         """Make the open streams between two hosts go silent for good; new ones work."""
@@ -134,8 +146,11 @@
         await self.pass_gate(source)
         await anyio.sleep(2 * self.delay_s(source, target))
         await self.pass_gate(target)
+        if frozenset((source, target)) in self._hanging:
+            await anyio.sleep_forever()
         listener = self._listeners.get(address)
-        if listener is None or self.is_cut(source, target):
+        is_refused = frozenset((source, target)) in self._refusing
+        if listener is None or is_refused or self.is_cut(source, target):
             raise ConnectionRefusedError(f"{source} can't connect to {address}")
         there, back = _Pipe(self, source, target), _Pipe(self, target, source)
         self._pipes |= {there, back}
--- a/testing/gateway/_fleet.py
+++ b/testing/gateway/_fleet.py
@@ -55,15 +55,18 @@
     def address(self) -> str:
         return f"10.0.2.{self._number}:80"
 
+    @property
+    def host(self) -> str:
+        return self.address.partition(":")[0]
+
     def crash(self) -> None:
         """End the process: its connections are closed and new ones refused."""
         self._scope.cancel()
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         """Serve, and start again after each crash, until cancelled."""
-        host = self.address.partition(":")[0]
-        self._fleet.network.place(host, "r0", "d0")
-        view = self._fleet.network.view(host)
+        self._fleet.network.place(self.host, "r0", "d0")
+        view = self._fleet.network.view(self.host)
         while True:
             self.process = FakeReplica(self.name, self._script)
             self._fleet.list_replica(self)
@@ -107,6 +110,24 @@
         await self._tasks.start(replica.run)
         return replica
 
+    def strand(self, gateway: int, *, hang: bool = True, refuse: bool = False) -> None:
+        """Cut a gateway off from all replicas.
+
+        :param hang: whether attempts to connect get no answer, instead of a refusal.
+        :param refuse: refuse new connections only; open ones live on.
+        """
+        for replica in self.replicas:
+            ends = (gateway_host(gateway), replica.host)
+            if refuse:
+                self.network.refuse(*ends)
+            else:
+                self.network.cut(*ends, hang=hang)
+
+    def reconnect(self, gateway: int) -> None:
+        """Undo :meth:`strand`."""
+        for replica in self.replicas:
+            self.network.heal(gateway_host(gateway), replica.host)
+
     def list_replica(self, replica: CrashableReplica) -> None:
         entry = _entry_of(replica, leaving=False)
         for gateway in self.gateways:
