--- a/src/bramleylead/gateway/_call.py
+++ b/src/bramleylead/gateway/_call.py
@@ -74,10 +74,12 @@
     """The request may have run, but no complete response was received.
 
     :param connection_lost: whether the connection to the replica ended before the response did.
+    :param path_lost: whether the cause is the path to the replica rather than the replica.
     """
 
     detail: str
     connection_lost: bool = False
+    path_lost: bool = False
 
 
 Outcome = CompleteResponse | NotRun | UnknownOutcome
--- a/src/bramleylead/gateway/_connection_pool.py
+++ b/src/bramleylead/gateway/_connection_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
 from typing import final
 
 import anyio
@@ -11,6 +12,7 @@
 from result import Result
 
 from bramleylead.connection import Network
+from bramleylead.gateway._relay_messages import Reach
 from bramleylead.gateway._upstream import UpstreamConnection
 from bramleylead.placement._replica_paths import ReplicaPaths
 from bramleylead.platform._types import Replica
@@ -19,6 +21,7 @@
 """Shorter than the second after which TCP resends a lost SYN: trying another replica is faster."""
 CHECK_TIMEOUT_S = 0.1
 """A host without a listener refuses a connection at once; a request waits for the check."""
+PROBE_TIMEOUT_S = 0.25
 REFUSAL_VALID_S = 0.5
 DEFAULT_KEEP_ALIVE_S = 4.0
 KEEP_ALIVE_MARGIN_S = 1.0
@@ -28,6 +31,14 @@
 log = structlog.get_logger()
 
 
+class _Use(NamedTuple):
+    """A request that is running on a connection."""
+
+    replica: Replica
+    idempotent: bool
+    since: float
+
+
 @final
 class ConnectionPool:
     """The idle connections of one gateway, by replica.
@@ -40,39 +51,90 @@
         self._id_header = id_header
         self._paths = paths
         self._idle: dict[str, list[UpstreamConnection]] = {}
+        self._in_use: dict[UpstreamConnection, _Use] = {}
         self._refused_at: dict[str, float] = {}
         self.opened = 0
 
-    async def acquire(self, replica: Replica) -> Result[UpstreamConnection, str]:
-        """Return an idle connection or open one; an ``Err`` means that nothing was sent."""
+    @property
+    def has_any_idle(self) -> bool:
+        """Whether there is an idle connection to any replica."""
+        return any(self._idle.values())
+
+    async def acquire(
+        self, replica: Replica, *, idempotent: bool
+    ) -> Result[UpstreamConnection, str]:
+        """Return an idle connection or open one; an ``Err`` means that nothing was sent.
+
+        :param idempotent: whether the request may be sent again if nothing passes any more.
+        """
+        connection = await self.take_idle(replica, idempotent=idempotent)
+        if connection is not None:
+            return Ok(connection)
+        opened = await self._connect(replica)
+        if isinstance(opened, Ok):
+            self._record_use(opened.ok_value, replica, idempotent)
+        return opened
+
+    async def take_idle(self, replica: Replica, *, idempotent: bool) -> UpstreamConnection | None:
+        """Return a connection that the replica has not closed yet, if there is one."""
         idle = self._idle.get(replica.name, [])
         while idle:
             connection = idle.pop()
             if anyio.current_time() < connection.reuse_until and connection.is_idle():
-                return Ok(connection)
+                self._record_use(connection, replica, idempotent)
+                return connection
             await connection.aclose()
-        return await self._connect(replica)
+        return None
 
     async def is_refused(self, replica: Replica) -> bool:
-        """Return whether a replica's host refuses connections, as after the end of its process.
-
-        A connection that is opened is kept for the next request.
-        """
+        """Return whether a replica's host refuses connections, as after the end of its process."""
         refused_at = self._refused_at.get(replica.name, float("-inf"))
         if anyio.current_time() - refused_at < REFUSAL_VALID_S:
             return True
-        opened = await self._connect(replica, timeout_s=CHECK_TIMEOUT_S)
+        return await self.probe(replica, timeout_s=CHECK_TIMEOUT_S) is Reach.REFUSED
+
+    async def probe(self, replica: Replica, *, timeout_s: float = PROBE_TIMEOUT_S) -> Reach:
+        """Open a connection, which is kept for the next request, and return what that showed."""
+        opened = await self._connect(replica, timeout_s=timeout_s)
         if isinstance(opened, Err):
-            return replica.name in self._refused_at
+            return Reach.REFUSED if replica.name in self._refused_at else Reach.SILENT
         opened.ok_value.reuse_until = anyio.current_time() + DEFAULT_KEEP_ALIVE_S
         # The replica may have been removed while the connection was being opened.
         self._idle.setdefault(replica.name, []).append(opened.ok_value)
-        return False
+        return Reach.REACHED
+
+    def waiting_replicas(self, *, for_s: float) -> list[Replica]:
+        """Return the replicas whose connections have been in use for some time, longest first."""
+        now = anyio.current_time()
+        uses = sorted(self._in_use.values(), key=lambda use: use.since)
+        waiting = {use.replica.name: use.replica for use in uses if now - use.since >= for_s}
+        return list(waiting.values())
+
+    async def abandon_silent(self, *, for_s: float) -> int:
+        """Close the idle connections, and give up the idempotent requests that wait for long.
+
+        Other requests are not given up: a response may still arrive.
+
+        :returns: the number of requests given up.
+        """
+        now = anyio.current_time()
+        for idle in self._idle.values():
+            while idle:
+                await idle.pop().aclose()
+        given_up = [
+            connection
+            for connection, use in self._in_use.items()
+            if use.idempotent and now - use.since >= for_s
+        ]
+        for connection in given_up:
+            connection.abandon()
+        return len(given_up)
 
     async def release(
         self, replica: Replica, connection: UpstreamConnection, keep_alive_s: float | None
     ) -> None:
         """Return a connection to the pool if it can be reused, or close it."""
+        self._in_use.pop(connection, None)
         if not connection.reusable or replica.name not in self._idle:
             await connection.aclose()
             return
@@ -101,6 +163,11 @@
             for connection in expired:
                 await connection.aclose()
 
+    def _record_use(
+        self, connection: UpstreamConnection, replica: Replica, idempotent: bool
+    ) -> None:
+        self._in_use[connection] = _Use(replica, idempotent, anyio.current_time())
+
     async def _connect(
         self, replica: Replica, *, timeout_s: float = CONNECT_TIMEOUT_S
     ) -> Result[UpstreamConnection, str]:
--- a/src/bramleylead/gateway/_crash_guard.py
+++ b/src/bramleylead/gateway/_crash_guard.py
@@ -13,8 +13,8 @@
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.gateway._call import Call
-from bramleylead.gateway._connection_pool import ConnectionPool
 from bramleylead.gateway._directory import Directory
+from bramleylead.gateway._replica_connections import ReplicaConnections
 from bramleylead.placement._crash_table import WEIGHT_AFTER_EVENTS
 from bramleylead.placement._crash_table import WEIGHT_BEFORE_EVENTS
 from bramleylead.placement._crash_table import CrashEvidence
@@ -36,7 +36,7 @@
     def __init__(
         self,
         directory: Directory,
-        connections: ConnectionPool,
+        connections: ReplicaConnections,
         table: CrashTable,
         *,
         report: Callable[[tuple[CrashEvidence, ...]], Awaitable[Iterable[CrashEvidence]]],
--- a/src/bramleylead/gateway/_directory.py
+++ b/src/bramleylead/gateway/_directory.py
@@ -68,6 +68,10 @@
             if replica.service == service and self.is_usable(replica.name)
         ]
 
+    def usable(self) -> Sequence[Replica]:
+        """Return all replicas that may be sent new requests."""
+        return [replica for replica in self._replicas.values() if self.is_usable(replica.name)]
+
     def find(self, name: str) -> Replica | None:
         """Return a replica's entry as it is now."""
         return self._replicas.get(name)
--- /dev/null
+++ b/src/bramleylead/gateway/_relay_server.py
@@ -0,0 +1,155 @@
+"""Sends requests to replicas for gateways that can't reach them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import final
+
+import anyio
+import structlog
+from result import Err
+
+from bramleylead.connection import PeerServer
+from bramleylead.connection import Reply
+from bramleylead.gateway._connection_pool import ConnectionPool
+from bramleylead.gateway._directory import Directory
+from bramleylead.gateway._relay_messages import CheckReplica
+from bramleylead.gateway._relay_messages import Reach
+from bramleylead.gateway._relay_messages import RelayBroken
+from bramleylead.gateway._relay_messages import RelayedChunk
+from bramleylead.gateway._relay_messages import RelayedEnd
+from bramleylead.gateway._relay_messages import RelayedHead
+from bramleylead.gateway._relay_messages import RelayRefusal
+from bramleylead.gateway._relay_messages import RelayRefused
+from bramleylead.gateway._relay_messages import RelayRequest
+from bramleylead.gateway._relay_messages import ReplicaChecked
+from bramleylead.gateway._upstream import RequestHead
+from bramleylead.gateway._upstream import UpstreamConnection
+from bramleylead.gateway._upstream import UpstreamError
+from bramleylead.gateway._upstream import exchange_heads
+from bramleylead.ledger._relay_table import NO_RELAY
+from bramleylead.ledger._relay_table import RelayGateway
+from bramleylead.placement._replica_paths import ReplicaPaths
+from bramleylead.platform import _wire as wire
+from bramleylead.platform._types import Replica
+
+log = structlog.get_logger()
+
+
+@final
+class RelayServer:
+    """Takes the requests of other gateways; never passes them on to a third one.
+
+    :param offer: how this gateway reports itself while it takes requests.
+    :param is_stopping: returns whether it has been asked to stop.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        connections: ConnectionPool,
+        paths: ReplicaPaths,
+        *,
+        offer: RelayGateway,
+        is_stopping: Callable[[], bool],
+    ) -> None:
+        self._directory = directory
+        self._connections = connections
+        self._paths = paths
+        self._offer = offer
+        self._is_stopping = is_stopping
+        self.running = 0
+
+    def register_handlers(self, server: PeerServer) -> None:
+        """Register the handlers of the other gateways' messages."""
+        server.handle(RelayRequest, self._relay)
+        server.handle(CheckReplica, self._check)
+
+    def current_offer(self) -> RelayGateway:
+        """Return how this gateway reports itself now."""
+        if self._paths.is_lost or self._is_stopping():
+            return NO_RELAY._replace(node=self._offer.node)
+        return self._offer
+
+    async def _check(self, request: CheckReplica, reply: Reply) -> None:
+        replica = self._find(request.replica)
+        if isinstance(replica, RelayRefusal):
+            await reply.send(ReplicaChecked(Reach.SILENT, replica))
+            return
+        await reply.send(ReplicaChecked(await self._connections.probe(replica)))
+
+    async def _relay(self, request: RelayRequest, reply: Reply) -> None:
+        self.running += 1
+        try:
+            await self._send(request, reply)
+        finally:
+            self.running -= 1
+
+    async def _send(self, request: RelayRequest, reply: Reply) -> None:
+        replica = self._find(request.replica)
+        if isinstance(replica, RelayRefusal):
+            await self._refuse(request, reply, replica)
+            return
+        acquired = await self._connections.acquire(replica, idempotent=request.idempotent)
+        if isinstance(acquired, Err):
+            await self._refuse(request, reply, RelayRefusal.UNREACHED)
+            return
+        connection = acquired.ok_value
+        keep_alive_s: float | None = None
+        try:
+            if not self._directory.is_usable(replica.name):
+                await self._refuse(request, reply, RelayRefusal.NOT_LISTED)
+                return
+            keep_alive_s = await self._pass_response(request, reply, replica, connection)
+        except UpstreamError as error:
+            await reply.send(RelayBroken(str(error), error.connection_lost, error.path_lost))
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._connections.release(replica, connection, keep_alive_s)
+
+    async def _pass_response(
+        self, request: RelayRequest, reply: Reply, replica: Replica, connection: UpstreamConnection
+    ) -> float | None:
+        """Send the request and pass on the response; return the replica's keep-alive timeout."""
+        head = RequestHead(
+            request.method, request.target, list(request.headers), request.request_id
+        )
+        async with anyio.create_task_group() as tasks:
+            response = await exchange_heads(connection, head, request.body, tasks)
+            metadata = wire.read_answer(response.header_map())
+            if metadata.leaving:
+                self._directory.record_leaving(replica)
+            await reply.send(RelayedHead(response.status, tuple(response.headers)))
+            while (chunk := await connection.read_chunk()) is not None:
+                await reply.send(RelayedChunk(chunk))
+            await reply.send(RelayedEnd())
+            tasks.cancel_scope.cancel()
+        log.info(
+            "request_relayed",
+            request=request.request_id,
+            replica=replica.name,
+            gateway=reply.peer,
+            status=response.status,
+        )
+        return metadata.keep_alive_s
+
+    def _find(self, name: str) -> Replica | RelayRefusal:
+        """Return a replica, or why nothing may be sent to it from here."""
+        if self._is_stopping():
+            return RelayRefusal.STOPPING
+        if self._paths.is_lost:
+            return RelayRefusal.CUT_OFF
+        replica = self._directory.find(name)
+        if replica is None or not self._directory.is_usable(name):
+            return RelayRefusal.NOT_LISTED
+        return replica
+
+    async def _refuse(self, request: RelayRequest, reply: Reply, reason: RelayRefusal) -> None:
+        log.info(
+            "relay_refused",
+            request=request.request_id,
+            replica=request.replica,
+            gateway=reply.peer,
+            reason=reason,
+        )
+        await reply.send(RelayRefused(reason))
--- /dev/null
+++ b/src/bramleylead/gateway/_relays.py
@@ -0,0 +1,125 @@
+"""The other gateways that send requests to replicas for this one, and which of them to ask."""
+
+from __future__ import annotations
+
+import random
+from typing import NamedTuple
+from typing import final
+
+import anyio
+from result import Err
+
+from bramleylead.connection import PeerClient
+from bramleylead.gateway._relay_messages import CheckReplica
+from bramleylead.gateway._relay_messages import Reach
+from bramleylead.gateway._relay_messages import RelayRefusal
+from bramleylead.gateway._relay_messages import ReplicaChecked
+from bramleylead.ledger._members import LedgerMember
+from bramleylead.ledger._mirrored_store import MemberSource
+from bramleylead.ledger._relay_table import AskRelays
+from bramleylead.ledger._relay_table import KnownRelays
+from bramleylead.ledger._relay_table import RelayGateway
+from bramleylead.platform._types import Replica
+
+LIST_LIFETIME_S = 1.0
+LIST_TIMEOUT_S = 0.3
+CHECK_TIMEOUT_S = 0.4
+"""Covers the other gateway's own attempt to connect."""
+MAX_CHECKS = 3
+AVOID_FAILED_RELAY_S = 1.0
+
+
+class Confirmation(NamedTuple):
+    """What another gateway found when it tried to connect to a replica."""
+
+    relay: str
+    reach: Reach
+
+
+@final
+class Relays:
+    """The other gateways, as the ledger's members know them.
+
+    :param node: this gateway's name.
+    :param data_centre: this gateway's data centre.
+    :param regions: the region of each data centre.
+    """
+
+    def __init__(
+        self,
+        peers: PeerClient,
+        ledger: MemberSource,
+        *,
+        node: str,
+        data_centre: str,
+        regions: dict[str, str],
+    ) -> None:
+        self.peers = peers
+        self._ledger = ledger
+        self._node = node
+        self._data_centre = data_centre
+        self._regions = regions
+        self._known: dict[str, RelayGateway] = {}
+        self._known_at = float("-inf")
+        self._failed_at: dict[str, float] = {}
+
+    async def refresh(self) -> None:
+        """Ask all members which gateways reach replicas, unless this was done lately."""
+        now = anyio.current_time()
+        if now - self._known_at < LIST_LIFETIME_S:
+            return
+        self._known_at = now
+        known: dict[str, RelayGateway] = {}
+
+        async def ask(member: LedgerMember) -> None:
+            answer = await self.peers.request(
+                member.address, AskRelays(self._node), timeout_s=LIST_TIMEOUT_S, idempotent=True
+            )
+            if not isinstance(answer, Err) and isinstance(answer.ok_value, KnownRelays):
+                known.update({relay.node: relay for relay in answer.ok_value.relays})
+
+        async with anyio.create_task_group() as tasks:
+            for member in self._ledger.members_by_distance():
+                tasks.start_soon(ask, member)
+        if known:
+            self._known = known
+            self._failed_at = {name: at for name, at in self._failed_at.items() if name in known}
+
+    def by_preference(self, replica: Replica) -> list[RelayGateway]:
+        """Return the gateways to ask: those beside the replica first, then the near ones.
+
+        Gateways that are equally near are in random order, so that they share the load.
+        """
+        relays = random.sample(list(self._known.values()), len(self._known))
+        now = anyio.current_time()
+
+        def distance(relay: RelayGateway) -> tuple[bool, bool, bool]:
+            region = self._regions.get(relay.data_centre)
+            return (
+                now - self._failed_at.get(relay.node, float("-inf")) < AVOID_FAILED_RELAY_S,
+                relay.data_centre != replica.data_centre,
+                region != self._regions.get(self._data_centre),
+            )
+
+        return sorted(relays, key=distance)
+
+    def record_failure(self, relay: RelayGateway) -> None:
+        """Record that a gateway did not answer or can't send requests; others come first."""
+        self._failed_at[relay.node] = anyio.current_time()
+
+    async def check(self, replica: Replica) -> Confirmation | None:
+        """Return whether another gateway reaches a replica; ``None`` if none can tell."""
+        await self.refresh()
+        for relay in self.by_preference(replica)[:MAX_CHECKS]:
+            answer = await self.peers.request(
+                relay.address, CheckReplica(replica.name), timeout_s=CHECK_TIMEOUT_S
+            )
+            if isinstance(answer, Err) or not isinstance(answer.ok_value, ReplicaChecked):
+                self.record_failure(relay)
+                continue
+            checked = answer.ok_value
+            if checked.refusal is None:
+                return Confirmation(relay.node, checked.reach)
+            if checked.refusal is not RelayRefusal.NOT_LISTED:
+                self.record_failure(relay)
+        return None
--- /dev/null
+++ b/src/bramleylead/gateway/_replica_connections.py
@@ -0,0 +1,81 @@
+"""Connections to replicas: direct ones, or through another gateway while the direct paths fail."""
+
+from __future__ import annotations
+
+from typing import final
+
+import anyio
+import structlog
+from result import Err
+from result import Ok
+from result import Result
+
+from bramleylead.gateway._connection_pool import ConnectionPool
+from bramleylead.gateway._relay_messages import Reach
+from bramleylead.gateway._relayed_connection import RelayedConnection
+from bramleylead.gateway._relays import Relays
+from bramleylead.gateway._upstream import ReplicaConnection
+from bramleylead.gateway._upstream import UpstreamConnection
+from bramleylead.placement._replica_paths import ReplicaPaths
+from bramleylead.platform._types import Replica
+
+log = structlog.get_logger()
+
+
+@final
+class ReplicaConnections:
+    """Chooses the path of each request to its replica.
+
+    :param pool: the direct connections.
+    """
+
+    def __init__(self, pool: ConnectionPool, paths: ReplicaPaths, relays: Relays) -> None:
+        self._pool = pool
+        self._paths = paths
+        self._relays = relays
+
+    async def acquire(
+        self, replica: Replica, *, idempotent: bool
+    ) -> Result[ReplicaConnection, str]:
+        """Return a connection; an ``Err`` means that nothing was sent.
+
+        :param idempotent: whether the request may be sent to another replica if this one falls
+            silent.
+        """
+        if self._needs_relay(replica):
+            idle = await self._pool.take_idle(replica, idempotent=idempotent)
+            return Ok(idle or self._through_gateway(replica, idempotent))
+        direct = await self._pool.acquire(replica, idempotent=idempotent)
+        if isinstance(direct, Err) and self._needs_relay(replica):
+            return Ok(self._through_gateway(replica, idempotent))
+        return direct
+
+    async def release(
+        self, replica: Replica, connection: ReplicaConnection, keep_alive_s: float | None
+    ) -> None:
+        """Keep a connection for the next request if possible, or close it."""
+        if isinstance(connection, UpstreamConnection):
+            await self._pool.release(replica, connection, keep_alive_s)
+        else:
+            await connection.aclose()
+
+    async def is_refused(self, replica: Replica) -> bool:
+        """Return whether a replica's host refuses connections, as after the end of its process.
+
+        If others can't be reached either, the network may be refusing them: another gateway is
+        asked.
+        """
+        if not self._paths.is_lost and not await self._pool.is_refused(replica):
+            return False
+        if not self._paths.is_lost and not self._paths.is_suspect(now=anyio.current_time()):
+            return True
+        confirmation = await self._relays.check(replica)
+        if confirmation is None:
+            return not self._paths.is_lost
+        return confirmation.reach is Reach.REFUSED
+
+    def _needs_relay(self, replica: Replica) -> bool:
+        return self._paths.needs_relay(replica.name, now=anyio.current_time())
+
+    def _through_gateway(self, replica: Replica, idempotent: bool) -> RelayedConnection:
+        return RelayedConnection(self._relays, replica, idempotent=idempotent)
--- a/src/bramleylead/gateway/_response_body.py
+++ b/src/bramleylead/gateway/_response_body.py
@@ -10,8 +10,8 @@
 from bramleylead.gateway._call import CompleteResponse
 from bramleylead.gateway._call import Outcome
 from bramleylead.gateway._call import UnknownOutcome
+from bramleylead.gateway._upstream import ReplicaConnection
 from bramleylead.gateway._upstream import ResponseHead
-from bramleylead.gateway._upstream import UpstreamConnection
 from bramleylead.gateway._upstream import UpstreamError
 from bramleylead.platform._types import Replica
 from bramleylead.platform._types import ResponseMetadata
@@ -25,11 +25,16 @@
     """A response whose head has been read; its body is still to be read from the connection."""
 
     replica: Replica
-    connection: UpstreamConnection
+    connection: ReplicaConnection
     head: ResponseHead
     metadata: ResponseMetadata
 
 
+def unknown_outcome(replica: Replica, error: UpstreamError) -> UnknownOutcome:
+    """Return the outcome of a request whose response did not arrive completely."""
+    return UnknownOutcome(f"{replica.name}: {error}", error.connection_lost, error.path_lost)
+
+
 async def read_complete(response: StartedResponse) -> Outcome:
     """Read the complete body of a response."""
     chunks = []
@@ -37,11 +42,11 @@
         while (part := await response.connection.read_chunk()) is not None:
             chunks.append(part)
     except UpstreamError as error:
-        return UnknownOutcome(f"{response.replica.name}: {error}", error.connection_lost)
+        return unknown_outcome(response.replica, error)
     return CompleteResponse(response.replica, response.head, b"".join(chunks))
 
 
-async def discard_body(connection: UpstreamConnection) -> None:
+async def discard_body(connection: ReplicaConnection) -> None:
     """Discard the body of a refusal, so that the connection can be reused, if it ends soon."""
     try:
         with anyio.move_on_after(DISCARD_TIMEOUT_S):
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -14,6 +14,7 @@
 
 from bramleylead.connection import Network
 from bramleylead.connection import PeerClient
+from bramleylead.connection import PeerServer
 from bramleylead.connection import TcpNetwork
 from bramleylead.gateway._app import GatewayApp
 from bramleylead.gateway._app import readiness_app
@@ -24,8 +25,12 @@
 from bramleylead.gateway._followers import ConfigurationFollower
 from bramleylead.gateway._followers import ReplicaFollower
 from bramleylead.gateway._load_reporter import LoadReporter
+from bramleylead.gateway._path_monitor import PathMonitor
 from bramleylead.gateway._plain_calls import PlainCalls
+from bramleylead.gateway._relay_server import RelayServer
+from bramleylead.gateway._relays import Relays
 from bramleylead.gateway._replica_choice import ReplicaChoice
+from bramleylead.gateway._replica_connections import ReplicaConnections
 from bramleylead.gateway._sender import Sender
 from bramleylead.gateway._streams import StreamCalls
 from bramleylead.gateway._turn_history import TurnHistory
@@ -34,6 +39,7 @@
 from bramleylead.ledger._member_list import StoredMemberList
 from bramleylead.ledger._members import view_to_plain
 from bramleylead.ledger._mirrored_store import MirroredStore
+from bramleylead.ledger._relay_table import RelayGateway
 from bramleylead.placement._crash_table import CrashTable
 from bramleylead.placement._rate_limits import RateLimits
 from bramleylead.placement._replica_paths import ReplicaPaths
@@ -74,10 +80,19 @@
         metrics: SiteMetrics,
     ) -> None:
         self._settings = settings
+        self._network = network
         self._tasks = tasks
         self._ledger = ledger
         self._paths = ReplicaPaths()
-        self._connections = ConnectionPool(network, id_header=names.REQUEST_ID, paths=self._paths)
+        self._pool = ConnectionPool(network, id_header=names.REQUEST_ID, paths=self._paths)
+        relays = Relays(
+            peers,
+            ledger,
+            node=settings.node,
+            data_centre=settings.data_centre,
+            regions=settings.data_centres,
+        )
+        connections = ReplicaConnections(self._pool, self._paths, relays)
         self._selector = ReplicaSelector(first_turn=random.randrange(MAX_FIRST_TURN))
         self.directory = Directory()
         self._limits = RateLimits()
@@ -89,6 +104,7 @@
             ledger,
             on_store_failure=self.directory.record_store_failure,
             gateway=settings.node,
+            relay_offer=lambda: self._relay_server.current_offer(),
             traffic=self._limits,
             crashes=self._crashes,
             patience_s=START_PATIENCE_S if settings.ledger_seeds else 0.0,
@@ -96,9 +112,7 @@
         self.directory.set_source(self._objects)
         reporter = LoadReporter(settings.node, self._selector, send_now=ledger.report_placement)
         ledger.report_load = reporter.report
-        guard = CrashGuard(
-            self.directory, self._connections, self._crashes, report=ledger.report_crash
-        )
+        guard = CrashGuard(self.directory, connections, self._crashes, report=ledger.report_crash)
         choice = ReplicaChoice(
             self.directory,
             self._selector,
@@ -109,7 +123,7 @@
         )
         sender = Sender(
             self.directory,
-            self._connections,
+            connections,
             self._selector,
             reporter,
             self._limits,
@@ -118,6 +132,22 @@
         )
         streams = StreamCalls(sender, Budgets(ledger, tasks), TurnHistory(ledger), guard)
         self.app = GatewayApp(self.directory, PlainCalls(sender, guard), streams)
+        self._relay_server = RelayServer(
+            self.directory,
+            self._pool,
+            self._paths,
+            offer=RelayGateway(settings.node, settings.peer_address, settings.data_centre),
+            is_stopping=lambda: self.app.closing,
+        )
+        self._peer_server = PeerServer(node=settings.node, cluster_key=settings.cluster_key)
+        self._relay_server.register_handlers(self._peer_server)
+        self._path_monitor = PathMonitor(
+            self.directory,
+            self._pool,
+            self._paths,
+            relays,
+            on_lost=self._selector.health.forget_failures,
+        )
         self._http = HttpServer(self.app)
         self._ready = HttpServer(readiness_app(self.is_ready))
         self._metrics = HttpServer(metrics.app)
@@ -137,11 +167,15 @@
         await self._tasks.start(self._http.serve, self._settings.http_address)
         await self._tasks.start(self._ready.serve, self._settings.ready_address)
         await self._tasks.start(self._metrics.serve, self._settings.metrics_address)
+        await self._tasks.start(
+            self._network.serve, self._settings.peer_address, self._peer_server.serve_stream
+        )
         for follower in (ConfigurationFollower(self.directory), ReplicaFollower(self.directory)):
             self._tasks.start_soon(follow, self._objects, follower)
         self._tasks.start_soon(self._store.run)
         self._tasks.start_soon(self._run_maintenance)
         self._tasks.start_soon(self._ledger.run_probes)
+        self._tasks.start_soon(self._path_monitor.run)
         log.info(
             "gateway_serving",
             node=self._settings.node,
@@ -155,9 +189,10 @@
         log.info("gateway_stopping", node=self._settings.node)
         self.app.closing = True
         await anyio.sleep(UNREADY_BEFORE_STOP_S)
-        elapsed_s = anyio.current_time() - started_at
-        self._http.stop(grace_s=self._settings.stop_grace_s - elapsed_s - STOP_MARGIN_S)
+        stop_at = started_at + self._settings.stop_grace_s - STOP_MARGIN_S
+        self._http.stop(grace_s=stop_at - anyio.current_time())
         await self._http.closed.wait()
+        await self._peer_server.drain(timeout_s=max(0.0, stop_at - anyio.current_time()))
         log.info(
             "gateway_stopped",
             node=self._settings.node,
@@ -170,9 +205,11 @@
             "configuration_version": 0 if configuration is None else configuration.version,
             "replicas": len(self.directory.replica_names()),
             "ledger_epoch": self._ledger.view.epoch,
-            "connections_opened": self._connections.opened,
+            "connections_opened": self._pool.opened,
             "requests_running": self.app.in_flight,
             "suspect_requests": len(self._crashes),
+            "replica_paths_lost": self._paths.is_lost,
+            "requests_relayed": self._relay_server.running,
             "unreached_replicas": len(self._paths.unreached(now=anyio.current_time())),
             "ready": self.is_ready(),
             **object_ages(self._objects, (names.CONFIGURATION_KIND, names.REPLICA_KIND)),
@@ -196,8 +233,8 @@
             replica_names = self.directory.replica_names()
             self._selector.forget(self._selector.known_replicas() - replica_names)
             self._limits.forget(self._limits.limited_replicas() - replica_names)
-            await self._connections.keep_only(replica_names)
-            await self._connections.close_expired()
+            await self._pool.keep_only(replica_names)
+            await self._pool.close_expired()
 
 
 async def run_gateway(settings: GatewaySettings, path: Path, metrics: SiteMetrics) -> None:
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -15,17 +15,20 @@
 from bramleylead.gateway._call import NotRun
 from bramleylead.gateway._call import Outcome
 from bramleylead.gateway._call import UnknownOutcome
-from bramleylead.gateway._connection_pool import ConnectionPool
 from bramleylead.gateway._directory import Directory
 from bramleylead.gateway._load_reporter import LoadReporter
 from bramleylead.gateway._replica_choice import ReplicaChoice
 from bramleylead.gateway._replica_choice import prompt_of
+from bramleylead.gateway._replica_connections import ReplicaConnections
 from bramleylead.gateway._response_body import StartedResponse
 from bramleylead.gateway._response_body import discard_body
+from bramleylead.gateway._response_body import unknown_outcome
+from bramleylead.gateway._upstream import NotSentError
+from bramleylead.gateway._upstream import ReplicaConnection
 from bramleylead.gateway._upstream import RequestHead
 from bramleylead.gateway._upstream import ResponseHead
-from bramleylead.gateway._upstream import UpstreamConnection
 from bramleylead.gateway._upstream import UpstreamError
+from bramleylead.gateway._upstream import exchange_heads
 from bramleylead.placement._admission import Progress
 from bramleylead.placement._admission import Refusal
 from bramleylead.placement._admission import check_admission
@@ -39,7 +42,6 @@
 from bramleylead.platform._types import ResponseMetadata
 
 MISDIRECTED_STATUS = 421
-SMALL_REQUEST_BYTES = 16_384
 NO_RESPONSE_FAILURE_S = 1.0
 """A request abandoned after this long without a response head counts as a replica failure."""
 INITIAL_TURN_S = 0.35
@@ -60,7 +62,7 @@
     def __init__(
         self,
         directory: Directory,
-        connections: ConnectionPool,
+        connections: ReplicaConnections,
         selector: ReplicaSelector,
         reporter: LoadReporter,
         limits: RateLimits,
@@ -120,12 +122,9 @@
         if call.metadata.budget_tokens is not None:
             self._reporter.report_placement()
         try:
-            acquired = await self._connections.acquire(replica)
+            acquired = await self._connections.acquire(replica, idempotent=call.route.idempotent)
             if isinstance(acquired, Err):
-                self._selector.health.record_connect_failure(
-                    replica.name, reason=acquired.err_value
-                )
-                self._log_unreached(call, replica, acquired.err_value)
+                self._record_unreached(call, replica, acquired.err_value)
                 yield NotRun(acquired.err_value, counts_as_attempt=False)
                 return
             if not self._directory.is_usable(replica.name):
@@ -140,8 +139,9 @@
         finally:
             self._selector.end_request(replica.name)
 
-    def _log_unreached(self, call: Call, replica: Replica, reason: str) -> None:
-        """Log a failed connection, and what tells a crash of the replica from a cut of the path."""
+    def _record_unreached(self, call: Call, replica: Replica, reason: str) -> None:
+        """Record that a replica was not reached, and log what tells a crash from a lost path."""
+        self._selector.health.record_connect_failure(replica.name, reason=reason)
         now = anyio.current_time()
         log.info(
             "replica_unreached",
@@ -157,7 +157,7 @@
         self,
         call: Call,
         replica: Replica,
-        connection: UpstreamConnection,
+        connection: ReplicaConnection,
         body: bytes,
         resume_after: str,
     ) -> AsyncIterator[StartedResponse | NotRun | UnknownOutcome]:
@@ -175,7 +175,7 @@
                 tasks.cancel_scope.cancel()
         finally:
             waited_s = anyio.current_time() - started_at
-            if result is None and waited_s > NO_RESPONSE_FAILURE_S:
+            if result is None and waited_s > NO_RESPONSE_FAILURE_S and not self._paths.is_lost:
                 reason = f"no response within {waited_s:.1f} s"
                 self._selector.health.record_failure(replica.name, reason=reason)
             with anyio.CancelScope(shield=True):
@@ -185,7 +185,7 @@
         self,
         call: Call,
         replica: Replica,
-        connection: UpstreamConnection,
+        connection: ReplicaConnection,
         body: bytes,
         resume_after: str,
         tasks: anyio.abc.TaskGroup,
@@ -203,21 +203,17 @@
             call.metadata.request_id,
         )
         try:
-            data = connection.start_request(head, body)
-        except UpstreamError as error:
+            response = await exchange_heads(connection, head, body, tasks)
+        except NotSentError as error:
+            if error.unreached:
+                self._record_unreached(call, replica, str(error))
             return NotRun(str(error), counts_as_attempt=False)
-        if len(data) <= SMALL_REQUEST_BYTES:
-            await connection.send(data)
-        else:
-            tasks.start_soon(connection.send, data)
-        try:
-            response = await connection.read_head()
         except UpstreamError as error:
-            return UnknownOutcome(f"{replica.name}: {error}", error.connection_lost)
+            return unknown_outcome(replica, error)
         return await self._classify(call, replica, connection, response)
 
     async def _classify(
-        self, call: Call, replica: Replica, connection: UpstreamConnection, response: ResponseHead
+        self, call: Call, replica: Replica, connection: ReplicaConnection, response: ResponseHead
     ) -> StartedResponse | NotRun | UnknownOutcome:
         metadata = wire.read_answer(response.header_map())
         listed = self._directory.find(replica.name)
@@ -260,6 +256,8 @@
         """Update a replica's health by the outcome of a request."""
         health = self._selector.health
         if isinstance(outcome, UnknownOutcome):
+            if outcome.path_lost:
+                return
             health.record_failure(replica.name, reason=outcome.detail)
         elif isinstance(outcome, CompleteResponse):
             if outcome.is_server_error:
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -26,6 +26,7 @@
 from bramleylead.gateway._plain_calls import pick_service
 from bramleylead.gateway._response_body import StartedResponse
 from bramleylead.gateway._response_body import read_complete
+from bramleylead.gateway._response_body import unknown_outcome
 from bramleylead.gateway._sender import Sender
 from bramleylead.gateway._stream_state import PreparedRequest
 from bramleylead.gateway._stream_state import ResponseWriter
@@ -264,8 +265,9 @@
             while (chunk := await response.connection.read_chunk()) is not None:
                 await self._relay_chunk(stream, response, reader, chunk)
         except (UpstreamError, EventTooLargeError) as error:
-            connection_lost = isinstance(error, UpstreamError) and error.connection_lost
-            outcome = UnknownOutcome(f"{response.replica.name}: {error}", connection_lost)
+            if isinstance(error, EventTooLargeError):
+                error = UpstreamError(str(error))
+            outcome = unknown_outcome(response.replica, error)
             return self._record_broken(stream, response.replica, outcome)
         if reader.remainder:
             detail = f"{response.replica.name}: the stream ended within an event"
--- a/src/bramleylead/gateway/_upstream.py
+++ b/src/bramleylead/gateway/_upstream.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from types import TracebackType
 from typing import NamedTuple
+from typing import Protocol
 from typing import Self
 from typing import final
 
@@ -19,8 +20,10 @@
 import h11
 from anyio.abc import ByteStream
 from anyio.abc import SocketAttribute
+from anyio.abc import TaskGroup
 
 READ_BYTES = 65_536
+SMALL_REQUEST_BYTES = 16_384
 MAX_HEAD_BYTES = 65_536
 MAX_BODY_BYTES = 8_000_000
 """A gateway has 128 MB, and several replicas may send bodies without end at the same time."""
@@ -42,11 +45,26 @@
     """No complete response was received.
 
     :param connection_lost: whether the connection ended before the response did.
+    :param path_lost: whether this process gave up the connection because nothing passes on it.
     """
 
-    def __init__(self, detail: str, *, connection_lost: bool = False) -> None:
+    def __init__(
+        self, detail: str, *, connection_lost: bool = False, path_lost: bool = False
+    ) -> None:
         super().__init__(detail)
         self.connection_lost = connection_lost
+        self.path_lost = path_lost
+
+
+class NotSentError(UpstreamError):
+    """No byte of the request has been sent to the replica.
+
+    :param unreached: whether the replica could not be reached.
+    """
+
+    def __init__(self, detail: str, *, unreached: bool) -> None:
+        super().__init__(detail)
+        self.unreached = unreached
 
 
 class ResponseHead(NamedTuple):
@@ -69,6 +87,39 @@
     request_id: str
 
 
+class ReplicaConnection(Protocol):
+    """Carries a request to a replica, directly or through another gateway."""
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may be sent on it."""
+        ...
+
+    def start_request(self, head: RequestHead, body: bytes) -> bytes:
+        """Start a request and return the bytes to pass to :meth:`send`."""
+        ...
+
+    async def send(self, data: bytes) -> None:
+        """Send the bytes of a request."""
+        ...
+
+    async def read_head(self) -> ResponseHead:
+        """Wait for the head of the response."""
+        ...
+
+    async def read_chunk(self) -> bytes | None:
+        """Return the next chunk of the body, or ``None`` at its end."""
+        ...
+
+    async def discard_body(self) -> None:
+        """Read to the end of the body."""
+        ...
+
+    async def aclose(self) -> None:
+        """Close it at once; the replica then stops work on the request."""
+        ...
+
+
 @final
 class UpstreamConnection:
     """One connection; carries one request at a time.
@@ -93,6 +144,8 @@
         self._response_complete = False
         self._must_close = False
         self._body_bytes = 0
+        self._reading: anyio.CancelScope | None = None
+        self._abandoned = False
         self.last_used_at = anyio.current_time()
         self.reuse_until = float("inf")
         self.request_count = 0
@@ -113,11 +166,17 @@
         with anyio.CancelScope(shield=True):
             await anyio.aclose_forcefully(self._stream)
 
+    def abandon(self) -> None:
+        """Make reading from it fail at once, because nothing passes on it any more."""
+        self._abandoned = True
+        if self._reading is not None:
+            self._reading.cancel()
+
     @property
     def reusable(self) -> bool:
         """Whether the last request and response were transferred completely, with no data left."""
         complete = self._request_sent and self._response_complete and not self._must_close
-        return complete and not self._parser.trailing_data[0]
+        return complete and not self._abandoned and not self._parser.trailing_data[0]
 
     def is_idle(self) -> bool:
         """Whether neither data nor a close has arrived since the last response."""
@@ -254,7 +313,12 @@
 
     async def _receive(self) -> bytes:
         try:
-            data = await self._stream.receive(READ_BYTES)
+            with anyio.CancelScope() as self._reading:
+                if self._abandoned:
+                    self._reading.cancel()
+                data = await self._stream.receive(READ_BYTES)
+            if self._reading.cancelled_caught:
+                raise UpstreamError("nothing passes to the replica any more", path_lost=True)
         except anyio.EndOfStream:
             self._must_close = True
             return b""
@@ -263,3 +327,24 @@
             raise UpstreamError(detail, connection_lost=True) from error
         self._on_received()
         return data
+
+
+async def exchange_heads(
+    connection: ReplicaConnection, head: RequestHead, body: bytes, tasks: TaskGroup
+) -> ResponseHead:
+    """Send a request and return the head of its response.
+
+    A replica may respond before it has read a long body, so that is sent in the background.
+
+    :raises UpstreamError: if no response was received.
+    :raises NotSentError: if nothing was sent.
+    """
+    try:
+        data = connection.start_request(head, body)
+    except UpstreamError as error:
+        raise NotSentError(str(error), unreached=False) from error
+    if len(data) <= SMALL_REQUEST_BYTES:
+        await connection.send(data)
+    else:
+        tasks.start_soon(connection.send, data)
+    return await connection.read_head()
--- a/src/bramleylead/ledger/_mirror.py
+++ b/src/bramleylead/ledger/_mirror.py
@@ -21,6 +21,8 @@
 from bramleylead.connection import message
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.ledger._relay_table import RelayGateway
+from bramleylead.ledger._relay_table import RelayTable
 from bramleylead.ledger._traffic_shares import TrafficShares
 from bramleylead.placement._crash_table import CrashEvidence
 from bramleylead.placement._crash_table import CrashTable
@@ -47,6 +49,8 @@
     :param wait_s: how long the answer may wait for a change.
     :param gateway: the gateway that reports its traffic; empty if another process asks.
     :param demand_per_s: the requests a second that this gateway gets.
+    :param relay_address: where this gateway takes the requests of others; empty if it takes none.
+    :param data_centre: the gateway's.
     """
 
     kind: str
@@ -55,6 +59,8 @@
     wait_s: float
     gateway: str = ""
     demand_per_s: float = 0.0
+    relay_address: str = ""
+    data_centre: str = ""
 
 
 @message(180)
@@ -220,6 +226,7 @@
     :param source: where the node reads the objects.
     :param shares: the gateways' shares of the traffic.
     :param crashes: the requests that crash replicas, of which gateways are told.
+    :param relays: the gateways that take requests of others.
     :param ledger_epoch: returns the epoch to report with each answer.
     """
 
@@ -229,11 +236,13 @@
         source: ConfirmingSource,
         shares: TrafficShares,
         crashes: CrashTable,
+        relays: RelayTable,
         *,
         ledger_epoch: Callable[[], int] = lambda: 0,
     ) -> None:
         self._shares = shares
         self._crashes = crashes
+        self._relays = relays
         self._ledger_epoch = ledger_epoch
         self.kinds = {kind: MirroredKind(kind, source) for kind in kinds}
 
@@ -249,6 +258,8 @@
             return
         if request.gateway:
             self._shares.record_gateway(request.gateway, request.demand_per_s)
+            offer = RelayGateway(request.gateway, request.relay_address, request.data_centre)
+            self._relays.record(offer, now=anyio.current_time())
         answer = await mirrored.answer(request)
         if isinstance(answer, Failure):
             await reply.fail(answer)
--- a/src/bramleylead/ledger/_mirrored_store.py
+++ b/src/bramleylead/ledger/_mirrored_store.py
@@ -28,6 +28,8 @@
 from bramleylead.ledger._mirror import AskMirror
 from bramleylead.ledger._mirror import Mirrored
 from bramleylead.ledger._mirror import to_object_change
+from bramleylead.ledger._relay_table import NO_RELAY
+from bramleylead.ledger._relay_table import RelayGateway
 from bramleylead.ledger._store_outages import StoreOutages
 from bramleylead.placement._crash_table import CrashTable
 from bramleylead.platform._follow import ConfirmingSource
@@ -89,6 +91,7 @@
 
     :param store: queried if no node answers.
     :param gateway: the name under which traffic is reported; empty for a node of the ledger.
+    :param relay_offer: returns how this gateway offers to take the requests of others.
     :param traffic: this gateway's traffic.
     :param crashes: learns of the requests that crash replicas.
     :param patience_s: after the start, the store is not queried for this time, since the nodes
@@ -104,6 +107,7 @@
         *,
         on_store_failure: Callable[[float], None],
         gateway: str = "",
+        relay_offer: Callable[[], RelayGateway] = lambda: NO_RELAY,
         traffic: TrafficReporter | None = None,
         crashes: CrashTable | None = None,
         patience_s: float = 0.0,
@@ -114,6 +118,7 @@
         self._on_store_failure = on_store_failure
         self._outages = StoreOutages()
         self._gateway = gateway
+        self._relay_offer = relay_offer
         self._traffic = traffic
         self._crashes = crashes
         self._seen_revisions: dict[str, int] = {}
@@ -172,7 +177,16 @@
             return None
         wait_s = self._node_wait_s(kind)
         known_revision = self._seen_revisions.get(kind, NO_REVISION)
-        request = AskMirror(kind, known_revision, full_list, wait_s, self._gateway)
+        offer = self._relay_offer()
+        request = AskMirror(
+            kind,
+            known_revision,
+            full_list,
+            wait_s,
+            self._gateway,
+            relay_address=offer.address,
+            data_centre=offer.data_centre,
+        )
         if self._traffic is not None:
             request = request._replace(demand_per_s=self._traffic.demand_per_s)
         mirrored = await self._query_first([members[0]], request)
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -23,6 +23,7 @@
 from bramleylead.ledger._mirror import Mirror
 from bramleylead.ledger._node import LedgerNode
 from bramleylead.ledger._node_objects import NodeObjects
+from bramleylead.ledger._relay_table import RelayTable
 from bramleylead.ledger._traffic_shares import TrafficShares
 from bramleylead.platform import _names as names
 from bramleylead.platform._follow import Follower
@@ -83,7 +84,7 @@
     :raises OSError: if the address can't be bound or the disk can't be read.
     """
     network = TcpNetwork(keepalive_idle_s=SILENT_AFTER_S)
-    address = f"{settings.host}:{settings.peer_ports[0]}"
+    address = settings.peer_address
     server = PeerServer(node=settings.node, cluster_key=settings.cluster_key)
     async with (
         PlatformStore(settings.store.address) as store,
@@ -105,8 +106,15 @@
         load_sharing.register_handlers(server)
         monitored_store = MonitoredStore(store)
         objects = NodeObjects(node, monitored_store, peers)
+        relays = RelayTable()
+        relays.register_handlers(server)
         mirror = Mirror(
-            MIRRORED_KINDS, objects, shares, node.crashes, ledger_epoch=lambda: node.view.epoch
+            MIRRORED_KINDS,
+            objects,
+            shares,
+            node.crashes,
+            relays,
+            ledger_epoch=lambda: node.view.epoch,
         )
         mirror.register_handlers(server)
         metrics.describe(
--- a/src/bramleylead/placement/_replica_health.py
+++ b/src/bramleylead/placement/_replica_health.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterable
 from collections.abc import Sequence
 from typing import final
 
@@ -95,6 +96,11 @@
         """Drop the state of a removed replica."""
         self._records.pop(name, None)
 
+    def forget_failures(self, names: Iterable[str]) -> None:
+        """Drop the failures of replicas that were not their cause."""
+        for name in names:
+            self.forget(name)
+
     def known_replicas(self) -> set[str]:
         """Return the replicas that have failed."""
         return set(self._records)
--- a/src/bramleylead/platform/_types.py
+++ b/src/bramleylead/platform/_types.py
@@ -53,6 +53,11 @@
         """Whether a request may run more than once."""
         return self.kind is CallKind.SAFE
 
+    @property
+    def idempotent(self) -> bool:
+        """Whether a request may go on at another replica after its connection was lost."""
+        return self.repeatable or self.resumable
+
 
 class EngineSpec(NamedTuple):
     """Capacity and token accounting of the model replicas of a service.
--- a/src/bramleylead/site_settings.py
+++ b/src/bramleylead/site_settings.py
@@ -40,6 +40,11 @@
     losses: Annotated[int, Field(ge=0)]
     stop_grace_s: Annotated[float, Field(gt=0)] = 8.0
 
+    @property
+    def peer_address(self) -> str:
+        """Where this process takes calls of other nodes."""
+        return f"{self.host}:{self.peer_ports[0]}"
+
 
 class GatewaySettings(SiteSettings):
     """What a gateway is told at start.
--- a/testing/gateway/_fleet.py
+++ b/testing/gateway/_fleet.py
@@ -10,18 +10,22 @@
 
 import anyio
 
+from bramleylead.connection import PeerServer
 from bramleylead.platform._types import Replica
 from bramleylead.platform._types import Route
 from bramleylead.standins import run_virtual
+from testing.gateway._site import RELAY_PORT
 from testing.gateway._site import FakeReplica
 from testing.gateway._site import Script
 from testing.gateway._site import Site
 from testing.gateway._site import configuration
+from testing.ledger._fleet import KEY
 from testing.ledger._fleet import Ledger
 from testing.ledger._fleet import gateway_host
 from testing.ledger._fleet import running_ledger
 
 RESTART_S = 3.0
+REPORT_INTERVAL_S = 0.8
 SLOTS = 12
 
 
@@ -110,6 +114,23 @@
         await self._tasks.start(replica.run)
         return replica
 
+    async def run_relay(self, site: Site, *, task_status: anyio.abc.TaskStatus[str]) -> None:
+        """Take the requests of other gateways, and report so to the ledger as a gateway does."""
+        server = PeerServer(node=site.host, cluster_key=KEY)
+        site.relay_server.register_handlers(server)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._report_relay, site)
+            address = f"{site.host}:{RELAY_PORT}"
+            view = self.network.view(site.host)
+            await view.serve(address, server.serve_stream, task_status=task_status)
+
+    async def _report_relay(self, site: Site) -> None:
+        while True:
+            offer = site.relay_server.current_offer()
+            for table in self.ledger.relay_tables.values():
+                table.record(offer, now=anyio.current_time())
+            await anyio.sleep(REPORT_INTERVAL_S)
+
     def strand(self, gateway: int, *, hang: bool = True, refuse: bool = False) -> None:
         """Cut a gateway off from all replicas.
 
@@ -150,21 +171,32 @@
 @asynccontextmanager
 async def running_fleet(*routes: Route, gateways: int = 3) -> AsyncIterator[Fleet]:
     """Run gateways with a configuration of these routes, and a ledger of three nodes."""
-    async with running_ledger(3) as (ledger, tasks), AsyncExitStack() as clients:
+    async with running_ledger(3) as (ledger, tasks), AsyncExitStack() as stack:
         fleet = Fleet(ledger, tasks)
         for number in range(gateways):
-            client = await clients.enter_async_context(ledger.gateway(number))
+            peers = await stack.enter_async_context(ledger.peers(number))
+            client = await stack.enter_async_context(ledger.client(peers))
             await client.refresh()
-            host = gateway_host(number)
-            site = Site(tasks, network=ledger.network, host=host, ledger=client, first_turn=number)
+            site = Site(
+                tasks,
+                network=ledger.network,
+                host=gateway_host(number),
+                ledger=client,
+                peers=peers,
+                first_turn=number,
+            )
             site.directory.apply_configuration(configuration(*routes), source="test")
+            await tasks.start(fleet.run_relay, site)
+            tasks.start_soon(site.path_monitor.run)
             fleet.gateways.append(site)
         yield fleet
 
 
-def run_with_fleet(main: Callable[[Fleet], Awaitable[None]], *routes: Route, seed: int = 1) -> None:
+def run_with_fleet(
+    main: Callable[[Fleet], Awaitable[None]], *routes: Route, gateways: int = 3, seed: int = 1
+) -> None:
     async def run() -> None:
-        async with running_fleet(*routes) as fleet:
+        async with running_fleet(*routes, gateways=gateways) as fleet:
             await main(fleet)
 
     run_virtual(run, seed=seed)
--- a/testing/gateway/_site.py
+++ b/testing/gateway/_site.py
@@ -14,6 +14,7 @@
 from result import Ok
 from result import Result
 
+from bramleylead.connection import PeerClient
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.gateway._app import GatewayApp
@@ -22,16 +23,23 @@
 from bramleylead.gateway._crash_guard import CrashGuard
 from bramleylead.gateway._directory import Directory
 from bramleylead.gateway._load_reporter import LoadReporter
+from bramleylead.gateway._path_monitor import PathMonitor
 from bramleylead.gateway._plain_calls import PlainCalls
+from bramleylead.gateway._relay_server import RelayServer
+from bramleylead.gateway._relays import Relays
 from bramleylead.gateway._replica_choice import ReplicaChoice
+from bramleylead.gateway._replica_connections import ReplicaConnections
 from bramleylead.gateway._sender import Sender
 from bramleylead.gateway._streams import StreamCalls
 from bramleylead.gateway._turn_history import TurnHistory
 from bramleylead.ledger._client import LedgerClient
 from bramleylead.ledger._client import Reservation
+from bramleylead.ledger._members import NO_VIEW
+from bramleylead.ledger._members import LedgerMember
 from bramleylead.ledger._records import KeptTurn
 from bramleylead.ledger._records import Spending
 from bramleylead.ledger._records import merge_spendings
+from bramleylead.ledger._relay_table import RelayGateway
 from bramleylead.placement._crash_table import CrashEvidence
 from bramleylead.placement._crash_table import CrashTable
 from bramleylead.placement._fleet_table import NO_FLEET_LOAD
@@ -50,11 +58,13 @@
 from bramleylead.standins import FakeNetwork
 from testing.asgi_client import RawRequest
 from testing.asgi_client import send
+from testing.ledger._fleet import KEY
 
 REQUEST_ID_HEADER = "bramleylead-request-id"
 HOST = "site.example"
 GATEWAY_IP = "10.0.0.1"
 EVENT_TOKENS = 10
+RELAY_PORT = 81
 
 
 class ReceivedRequest(NamedTuple):
@@ -230,6 +240,18 @@
         return Err(Failure(ErrorKind.NOT_DURABLE, "the ledger is unavailable", 0.3))
 
 
+class NoMembers:
+    """A ledger without members, which knows no other gateway."""
+
+    view = NO_VIEW
+
+    def members_by_distance(self) -> list[LedgerMember]:
+        return []
+
+    async def refresh(self) -> None:
+        pass
+
+
 class ReceivedResponse(NamedTuple):
     """A response as received by a caller; ``complete`` is false if it was cut off."""
 
@@ -244,6 +266,7 @@
 
     :param host: the gateway's host.
     :param ledger: the client of a ledger to use instead of one in memory.
+    :param peers: calls other gateways; without it there are none.
     :param first_turn: which of several equal replicas is chosen first.
     """
 
@@ -254,8 +277,10 @@
         network: FakeNetwork | None = None,
         host: str = GATEWAY_IP,
         ledger: LedgerClient | None = None,
+        peers: PeerClient | None = None,
         first_turn: int = 0,
     ) -> None:
+        self.host = host
         self.network = network or FakeNetwork({GATEWAY_IP: ("r", "d")})
         self.directory = Directory()
         self.ledger = ledger or FakeLedger()
@@ -267,7 +292,29 @@
         self._tasks = tasks
         view = self.network.view(host)
         self.paths = ReplicaPaths()
-        self.connections = ConnectionPool(view, id_header=REQUEST_ID_HEADER, paths=self.paths)
+        self.pool = ConnectionPool(view, id_header=REQUEST_ID_HEADER, paths=self.paths)
+        relays = Relays(
+            peers or PeerClient(view, node=host, cluster_key=KEY),
+            ledger or NoMembers(),
+            node=host,
+            data_centre="d",
+            regions={"d": "r"},
+        )
+        self.connections = ReplicaConnections(self.pool, self.paths, relays)
+        self.relay_server = RelayServer(
+            self.directory,
+            self.pool,
+            self.paths,
+            offer=RelayGateway(host, f"{host}:{RELAY_PORT}", "d"),
+            is_stopping=lambda: self.app.closing,
+        )
+        self.path_monitor = PathMonitor(
+            self.directory,
+            self.pool,
+            self.paths,
+            relays,
+            on_lost=self.selector.health.forget_failures,
+        )
         self.crashes = CrashTable(host)
         guard = CrashGuard(
             self.directory, self.connections, self.crashes, report=self.ledger.report_crash
--- a/testing/gateway/test_connection_pool.py
+++ b/testing/gateway/test_connection_pool.py
@@ -77,7 +77,7 @@
     def test_a_replica_that_accepts_is_not_refused_and_the_connection_is_used(self) -> None:
         async def main(pool: ConnectionPool, slow: SlowNetwork, network: FakeNetwork) -> None:
             self.assertFalse(await pool.is_refused(REPLICA))
-            self.assertTrue((await pool.acquire(REPLICA)).is_ok())
+            self.assertTrue((await pool.acquire(REPLICA, idempotent=True)).is_ok())
             self.assertEqual(pool.opened, 1)
 
         self.run_with_pool(main)
@@ -116,7 +116,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(pool.close_expired)
                 await anyio.lowlevel.cancel_shielded_checkpoint()
-                await pool.acquire(REPLICA._replace(name="new"))
+                await pool.acquire(REPLICA._replace(name="new"), idempotent=True)
 
         self.run_with_pool(main)
 
--- a/testing/gateway/test_leaving_replicas.py
+++ b/testing/gateway/test_leaving_replicas.py
@@ -60,7 +60,7 @@
         async def main(site: Site) -> None:
             leaving = await site.add_replica("a", respond_with(ok_response))
             other = await site.add_replica("b", respond_with(ok_response))
-            connect = site.connections._connect
+            connect = site.pool._connect
 
             async def leave_during_connect(replica: Replica) -> object:
                 connected = await connect(replica)
@@ -68,7 +68,7 @@
                     site.directory.put_replica(replica._replace(leaving=True))
                 return connected
 
-            site.connections._connect = leave_during_connect
+            site.pool._connect = leave_during_connect
             for number in range(3):
                 response = await site.request(
                     "/safe/x", headers={"bramleylead-request-id": f"q{number}"}
--- a/testing/ledger/_fleet.py
+++ b/testing/ledger/_fleet.py
@@ -23,6 +23,7 @@
 from bramleylead.ledger._records import Key
 from bramleylead.ledger._records import Record
 from bramleylead.ledger._records import key_of
+from bramleylead.ledger._relay_table import RelayTable
 from bramleylead.ledger._traffic_shares import TrafficShares
 from bramleylead.standins import FakeNetwork
 
@@ -96,6 +97,7 @@
         self.disks: dict[int, MemoryDisk] = {}
         self.nodes: dict[int, LedgerNode] = {}
         self.memberships: dict[int, Membership] = {}
+        self.relay_tables: dict[int, RelayTable] = {}
         self.ports: dict[int, int] = {}
         self.target_size: int | None = None
         self._scopes: dict[int, anyio.CancelScope] = {}
@@ -162,6 +164,8 @@
                 node.register_handlers(server)
                 self.nodes[i] = node
                 tasks.start_soon(node.run_writer)
+                self.relay_tables[i] = RelayTable()
+                self.relay_tables[i].register_handlers(server)
                 load_sharing = LoadSharing(node, peers, TrafficShares())
                 load_sharing.register_handlers(server)
                 tasks.start_soon(load_sharing.run)
@@ -186,13 +190,17 @@
     @asynccontextmanager
     async def gateway(self, i: int) -> AsyncIterator[LedgerClient]:
         """Open a client of the ledger as gateway ``i``."""
-        network = self.network.view(gateway_host(i))
-        async with (
-            PeerClient(network, node=f"g{i}", cluster_key=KEY) as peers,
-            LedgerClient(peers, self.members.read, losses=LOSSES) as client,
-        ):
+        async with self.peers(i) as peers, self.client(peers) as client:
             yield client
 
+    def peers(self, i: int) -> PeerClient:
+        """Return a client with which gateway ``i`` calls other nodes."""
+        return PeerClient(self.network.view(gateway_host(i)), node=f"g{i}", cluster_key=KEY)
+
+    def client(self, peers: PeerClient) -> LedgerClient:
+        """Return a client of the ledger."""
+        return LedgerClient(peers, self.members.read, losses=LOSSES)
+
 
 @asynccontextmanager
 async def running_ledger(count: int) -> AsyncIterator[tuple[Ledger, anyio.abc.TaskGroup]]:
--- a/testing/ledger/test_mirrored_store.py
+++ b/testing/ledger/test_mirrored_store.py
@@ -24,6 +24,7 @@
 from bramleylead.ledger._mirror import AskMirror
 from bramleylead.ledger._mirror import Mirror
 from bramleylead.ledger._mirrored_store import MirroredStore
+from bramleylead.ledger._relay_table import RelayTable
 from bramleylead.ledger._traffic_shares import TrafficShares
 from bramleylead.placement._crash_table import CrashEvidence
 from bramleylead.placement._crash_table import CrashTable
@@ -92,6 +93,7 @@
             objects,
             TrafficShares(),
             self.node_crashes[i],
+            RelayTable(),
             ledger_epoch=lambda: self.members.epoch,
         )
         self.mirrors[i] = mirror
