Tell the first gateway why a relayed response broke off

A response that ended early at the second gateway raised in its task group, so that the handler failed as a whole: the caller still got 502, but the first gateway was told of an internal error instead of a lost connection, and a request that crashes its replica would not have been recognised behind a relay.

--- a/src/bramleylead/gateway/_relay_server.py
+++ b/src/bramleylead/gateway/_relay_server.py
@@ -24,6 +24,7 @@
 from bramleylead.gateway._relay_messages import RelayRequest
 from bramleylead.gateway._relay_messages import ReplicaChecked
 from bramleylead.gateway._upstream import RequestHead
+from bramleylead.gateway._upstream import ResponseHead
 from bramleylead.gateway._upstream import UpstreamConnection
 from bramleylead.gateway._upstream import UpstreamError
 from bramleylead.gateway._upstream import exchange_heads
@@ -101,8 +102,6 @@
                 await self._refuse(request, reply, RelayRefusal.NOT_LISTED)
                 return
             keep_alive_s = await self._pass_response(request, reply, replica, connection)
-        except UpstreamError as error:
-            await reply.send(RelayBroken(str(error), error.connection_lost, error.path_lost))
         finally:
             with anyio.CancelScope(shield=True):
                 await self._connections.release(replica, connection, keep_alive_s)
@@ -114,24 +113,29 @@
         head = RequestHead(
             request.method, request.target, list(request.headers), request.request_id
         )
+        keep_alive_s: float | None = None
         async with anyio.create_task_group() as tasks:
-            response = await exchange_heads(connection, head, request.body, tasks)
-            metadata = wire.read_answer(response.header_map())
-            if metadata.leaving:
-                self._directory.record_leaving(replica)
-            await reply.send(RelayedHead(response.status, tuple(response.headers)))
-            while (chunk := await connection.read_chunk()) is not None:
-                await reply.send(RelayedChunk(chunk))
-            await reply.send(RelayedEnd())
+            try:
+                response = await exchange_heads(connection, head, request.body, tasks)
+                metadata = wire.read_answer(response.header_map())
+                keep_alive_s = metadata.keep_alive_s
+                if metadata.leaving:
+                    self._directory.record_leaving(replica)
+                await _pass_on(response, connection, reply)
+                self._log_relayed(request, reply, response)
+            except UpstreamError as error:
+                await reply.send(RelayBroken(str(error), error.connection_lost, error.path_lost))
             tasks.cancel_scope.cancel()
+        return keep_alive_s
+
+    def _log_relayed(self, request: RelayRequest, reply: Reply, response: ResponseHead) -> None:
         log.info(
             "request_relayed",
             request=request.request_id,
-            replica=replica.name,
+            replica=request.replica,
             gateway=reply.peer,
             status=response.status,
         )
-        return metadata.keep_alive_s
 
     def _find(self, name: str) -> Replica | RelayRefusal:
         """Return a replica, or why nothing may be sent to it from here."""
@@ -153,3 +157,14 @@
             reason=reason,
         )
         await reply.send(RelayRefused(reason))
+
+
+async def _pass_on(response: ResponseHead, connection: UpstreamConnection, reply: Reply) -> None:
+    """Pass on a response as it arrives.
+
+    :raises UpstreamError: if it ends before it is complete.
+    """
+    await reply.send(RelayedHead(response.status, tuple(response.headers)))
+    while (chunk := await connection.read_chunk()) is not None:
+        await reply.send(RelayedChunk(chunk))
+    await reply.send(RelayedEnd())
