Don't blame requests for connections that a network resets

Connections to several replicas that end together now lead to a question to another gateway first. Two more causes showed in the same test: callers that asked for the list of gateways while it was being read went on without one, and a dead ledger member held the list back for 0.3 s.

--- a/src/bramleylead/gateway/_path_monitor.py
+++ b/src/bramleylead/gateway/_path_monitor.py
@@ -30,6 +30,7 @@
 PROBE_PAUSE_S = 1.0
 """Time without probes after a replica has been reached; it was only slow."""
 RECOVERY_PROBE_INTERVAL_S = 0.25
+RELAY_LIST_LIFETIME_S = 1.0
 
 log = structlog.get_logger()
 
@@ -72,6 +73,7 @@
             if now >= self._probe_at:
                 self._probe_at = now + RECOVERY_PROBE_INTERVAL_S
                 await self._probe_for_recovery()
+                await self._relays.refresh(max_age_s=RELAY_LIST_LIFETIME_S)
         elif self._paths.is_suspect(now=now):
             await self._ask_another_gateway()
         elif now >= self._probe_at and now - self._paths.heard_at >= SILENCE_S:
--- a/src/bramleylead/gateway/_relays.py
+++ b/src/bramleylead/gateway/_relays.py
@@ -21,8 +21,11 @@
 from bramleylead.ledger._relay_table import RelayGateway
 from bramleylead.platform._types import Replica
 
-LIST_LIFETIME_S = 1.0
+MAX_LIST_AGE_S = 5.0
+"""While the paths are lost, the list is read more often, but no request waits for that."""
 LIST_TIMEOUT_S = 0.3
+LIST_PATIENCE_S = 0.04
+"""After the first answer, members of other regions may still answer."""
 CHECK_TIMEOUT_S = 0.4
 """Covers the other gateway's own attempt to connect."""
 MAX_CHECKS = 3
@@ -62,14 +65,18 @@
         self._known: dict[str, RelayGateway] = {}
         self._known_at = float("-inf")
         self._failed_at: dict[str, float] = {}
+        self._refreshing = anyio.Lock()
 
-    async def refresh(self) -> None:
+    async def refresh(self, *, max_age_s: float = MAX_LIST_AGE_S) -> None:
         """Ask all members which gateways reach replicas, unless this was done lately."""
-        now = anyio.current_time()
-        if now - self._known_at < LIST_LIFETIME_S:
-            return
-        self._known_at = now
+        async with self._refreshing:
+            if anyio.current_time() - self._known_at >= max_age_s:
+                await self._ask_members()
+                self._known_at = anyio.current_time()
+
+    async def _ask_members(self) -> None:
         known: dict[str, RelayGateway] = {}
+        answered = anyio.Event()
 
         async def ask(member: LedgerMember) -> None:
             answer = await self.peers.request(
@@ -77,10 +84,15 @@
             )
             if not isinstance(answer, Err) and isinstance(answer.ok_value, KnownRelays):
                 known.update({relay.node: relay for relay in answer.ok_value.relays})
+                answered.set()
 
         async with anyio.create_task_group() as tasks:
             for member in self._ledger.members_by_distance():
                 tasks.start_soon(ask, member)
+            with anyio.move_on_after(LIST_TIMEOUT_S):
+                await answered.wait()
+                await anyio.sleep(LIST_PATIENCE_S)
+            tasks.cancel_scope.cancel()
         if known:
             self._known = known
             self._failed_at = {name: at for name, at in self._failed_at.items() if name in known}
--- a/src/bramleylead/gateway/_replica_connections.py
+++ b/src/bramleylead/gateway/_replica_connections.py
@@ -60,15 +60,18 @@
             await connection.aclose()
 
     async def is_refused(self, replica: Replica) -> bool:
-        """Return whether a replica's host refuses connections, as after the end of its process.
+        """Return whether a replica whose connection was lost also refuses the next one.
 
-        If others can't be reached either, the network may be refusing them: another gateway is
-        asked.
+        That is so after the end of its process. But if others are lost at the same time, the
+        network may be the cause, and another gateway is asked.
         """
-        if not self._paths.is_lost and not await self._pool.is_refused(replica):
-            return False
-        if not self._paths.is_lost and not self._paths.is_suspect(now=anyio.current_time()):
-            return True
+        self._paths.record_broken(replica.name, now=anyio.current_time())
+        if not self._paths.is_lost:
+            if not await self._pool.is_refused(replica):
+                return False
+            now = anyio.current_time()
+            if not self._paths.is_suspect(now=now) and not self._paths.broke_together(now=now):
+                return True
         confirmation = await self._relays.check(replica)
         if confirmation is None:
             return not self._paths.is_lost
--- a/src/bramleylead/placement/_replica_paths.py
+++ b/src/bramleylead/placement/_replica_paths.py
@@ -14,6 +14,8 @@
 
 SUSPECT_REPLICAS = 2
 """A single unreachable replica has more often crashed."""
+LOST_TOGETHER_S = 0.3
+"""Connections to several replicas that end within this time may have a common cause."""
 FAILURE_LIFETIME_S = 3.0
 """A failure tells nothing about replicas that fail this much later."""
 REACHED_TO_RECOVER = 2
@@ -29,6 +31,7 @@
     def __init__(self) -> None:
         self._unreached_at: dict[str, float] = {}
         self._reached: set[str] = set()
+        self._broken_at: dict[str, float] = {}
         self._heard_at = float("-inf")
         self._lost_since: float | None = None
 
@@ -63,6 +66,10 @@
             self._unreached_at.clear()
             self._reached.clear()
 
+    def record_broken(self, name: str, *, now: float) -> None:
+        """Record that an open connection to a replica ended in the middle of a request."""
+        self._broken_at[name] = now
+
     def record_unreached(self, name: str, *, now: float) -> None:
         """Record that no direct connection to a replica could be opened."""
         self._unreached_at[name] = now
@@ -76,6 +83,11 @@
         """Whether the paths rather than the replicas may be the cause of the failures."""
         return len(self.unreached(now=now)) >= SUSPECT_REPLICAS
 
+    def broke_together(self, *, now: float) -> bool:
+        """Whether connections to several replicas have ended at about the same time."""
+        recent = [at for at in self._broken_at.values() if now - at < LOST_TOGETHER_S]
+        return len(recent) >= SUSPECT_REPLICAS
+
     def needs_relay(self, name: str, *, now: float) -> bool:
         """Whether a new connection to a replica is best made through another gateway."""
         if self.is_lost:
@@ -104,8 +116,9 @@
         """Drop the state of removed replicas."""
         for name in names:
             self._unreached_at.pop(name, None)
+            self._broken_at.pop(name, None)
             self._reached.discard(name)
 
     def known_replicas(self) -> set[str]:
         """Return the replicas that have recorded state."""
-        return {*self._unreached_at, *self._reached}
+        return {*self._unreached_at, *self._broken_at, *self._reached}
--- a/src/bramleylead/standins/_network.py
+++ b/src/bramleylead/standins/_network.py
@@ -80,6 +80,12 @@
             pipe.silent = True
         return len(between)
 
+    def reset(self, first: str, second: str) -> None:
+        """Break the open streams between two hosts; both ends notice at once."""
+        for pipe in self._ordered_pipes():
+            if pipe.ends == {first, second}:
+                pipe.put.close()
+
     def kill(self, host: str) -> None:
         """Drop everything of a host without a word: its listeners vanish, its streams go silent."""
         self._kills[host] = self._kills.get(host, 0) + 1
--- a/testing/gateway/_fleet.py
+++ b/testing/gateway/_fleet.py
@@ -149,6 +149,12 @@
         for replica in self.replicas:
             self.network.heal(gateway_host(gateway), replica.host)
 
+    def reset(self, gateway: int) -> None:
+        """Cut a gateway off from all replicas; its connections to them are reset."""
+        for replica in self.replicas:
+            self.network.reset(gateway_host(gateway), replica.host)
+        self.strand(gateway, hang=False)
+
     def list_replica(self, replica: CrashableReplica) -> None:
         entry = _entry_of(replica, leaving=False)
         for gateway in self.gateways:
--- a/testing/gateway/test_relayed_requests.py
+++ b/testing/gateway/test_relayed_requests.py
@@ -287,3 +287,19 @@
             self.assertEqual(total_received(fleet, SLOW), 1)
 
         run_with_fleet(main, SAFE, UNSAFE)
+
+    def test_a_cut_that_resets_connections_is_no_crash_by_the_requests_it_hits(self) -> None:
+        async def main(fleet: Fleet) -> None:
+            for _ in range(4):
+                await fleet.add_replica(answer)
+            gateway = fleet.gateways[0]
+            async with anyio.create_task_group() as tasks:
+                for number in range(8):
+                    tasks.start_soon(
+                        lambda number=number: gateway.request("/safe/a", body=SLOW + b"%d" % number)
+                    )
+                await anyio.sleep(0.5)
+                fleet.reset(0)
+            self.assertEqual(len(gateway.crashes), 0)
+
+        run_with_fleet(main, SAFE)
