--- a/testing/gateway/test_stranded_gateways.py
+++ b/testing/gateway/test_stranded_gateways.py
@@ -127,5 +127,30 @@
     def test_callers_are_served_while_all_replicas_reset_connections(self) -> None:
         self.check_cut("/safe/a", hang=False)
 
+    def test_callers_are_served_beside_a_dead_ledger_member(self) -> None:
+        async def main(fleet: Fleet) -> None:
+            await start_replicas(fleet)
+            await send_everywhere(fleet, "/safe/a", for_s=1.0)
+            fleet.ledger.kill(0)
+            fleet.strand(0)
+            await send_everywhere(fleet, "/safe/a", for_s=STABLE_S)
+            stranded, *others = await send_everywhere(fleet, "/safe/a", for_s=CUT_S - STABLE_S)
+            self.assert_served_as_elsewhere(stranded, others)
+
+        run_with_fleet(main, SAFE)
+
+    def test_callers_are_served_while_most_gateways_are_cut_off(self) -> None:
+        async def main(fleet: Fleet) -> None:
+            await start_replicas(fleet)
+            await send_everywhere(fleet, "/safe/a", for_s=1.0)
+            for number in (0, 1):
+                fleet.strand(number)
+            await send_everywhere(fleet, "/safe/a", for_s=STABLE_S)
+            *stranded, other = await send_everywhere(fleet, "/safe/a", for_s=CUT_S - STABLE_S)
+            for caller in stranded:
+                self.assert_served_as_elsewhere(caller, [other])
+
+        run_with_fleet(main, SAFE)
+
     def test_callers_are_served_while_new_connections_are_refused(self) -> None:
         self.check_cut("/safe/a", hang=False, refuse=True)
