Let a gateway that knows no other one go on trying the replicas itself

While its paths were suspect, a gateway without others asked for a relay that did not exist and refused everything for up to 3 s after its replicas were back (a test got 503 from the first request after the cut). Suspicion alone now leads to another gateway only if one is known.

--- a/src/bramleylead/gateway/_relays.py
+++ b/src/bramleylead/gateway/_relays.py
@@ -67,6 +67,11 @@
         self._failed_at: dict[str, float] = {}
         self._refreshing = anyio.Lock()
 
+    @property
+    def any_known(self) -> bool:
+        """Whether any other gateway is known to reach replicas."""
+        return bool(self._known)
+
     async def refresh(self, *, max_age_s: float = MAX_LIST_AGE_S) -> None:
         """Ask all members which gateways reach replicas, unless this was done lately."""
         async with self._refreshing:
--- a/src/bramleylead/gateway/_replica_connections.py
+++ b/src/bramleylead/gateway/_replica_connections.py
@@ -78,7 +78,10 @@
         return confirmation.reach is Reach.REFUSED
 
     def _needs_relay(self, replica: Replica) -> bool:
-        return self._paths.needs_relay(replica.name, now=anyio.current_time())
+        """Return whether to use another gateway; on suspicion alone, only if one is known."""
+        if not self._paths.needs_relay(replica.name, now=anyio.current_time()):
+            return False
+        return self._paths.is_lost or self._relays.any_known
 
     def _through_gateway(self, replica: Replica, idempotent: bool) -> RelayedConnection:
         return RelayedConnection(self._relays, replica, idempotent=idempotent)
--- a/testing/gateway/test_relayed_requests.py
+++ b/testing/gateway/test_relayed_requests.py
@@ -303,3 +303,16 @@
             self.assertEqual(len(gateway.crashes), 0)
 
         run_with_fleet(main, SAFE)
+
+    def test_a_gateway_without_others_goes_on_trying_itself(self) -> None:
+        async def main(fleet: Fleet) -> None:
+            for _ in range(3):
+                await fleet.add_replica(answer)
+            (gateway,) = fleet.gateways
+            fleet.strand(0, hang=False)
+            for _ in range(5):
+                self.assertEqual((await gateway.request("/safe/a")).status, 503)
+            fleet.reconnect(0)
+            self.assertEqual((await gateway.request("/safe/a")).status, 200)
+
+        run_with_fleet(main, SAFE, gateways=1)
