--- a/src/bramleylead/gateway/_app.py
+++ b/src/bramleylead/gateway/_app.py
@@ -16,8 +16,8 @@
 from bramleylead.gateway._directory import Directory
 from bramleylead.gateway._fingerprint import fingerprint_of
 from bramleylead.gateway._plain_calls import PlainCalls
+from bramleylead.gateway._replica_connection import ResponseHead
 from bramleylead.gateway._streams import StreamCalls
-from bramleylead.gateway._upstream import ResponseHead
 from bramleylead.http._exchange import Exchange
 from bramleylead.http._exchange import Receive
 from bramleylead.http._exchange import Scope
--- a/src/bramleylead/gateway/_call.py
+++ b/src/bramleylead/gateway/_call.py
@@ -7,7 +7,7 @@
 import anyio
 
 from bramleylead.gateway._fingerprint import Fingerprint
-from bramleylead.gateway._upstream import ResponseHead
+from bramleylead.gateway._replica_connection import ResponseHead
 from bramleylead.platform._types import CallMetadata
 from bramleylead.platform._types import Configuration
 from bramleylead.platform._types import Replica
--- a/src/bramleylead/gateway/_fingerprint.py
+++ b/src/bramleylead/gateway/_fingerprint.py
@@ -5,7 +5,7 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
-from bramleylead.gateway._upstream import Headers
+from bramleylead.gateway._replica_connection import Headers
 
 DIGEST_BYTES = 16
 CALLER_HEADERS = ("host", "authorization")
--- a/src/bramleylead/gateway/_relay_server.py
+++ b/src/bramleylead/gateway/_relay_server.py
@@ -23,11 +23,11 @@
 from bramleylead.gateway._relay_messages import RelayRefused
 from bramleylead.gateway._relay_messages import RelayRequest
 from bramleylead.gateway._relay_messages import ReplicaChecked
-from bramleylead.gateway._upstream import RequestHead
-from bramleylead.gateway._upstream import ResponseHead
+from bramleylead.gateway._replica_connection import RequestHead
+from bramleylead.gateway._replica_connection import ResponseHead
+from bramleylead.gateway._replica_connection import UpstreamError
+from bramleylead.gateway._replica_connection import exchange_heads
 from bramleylead.gateway._upstream import UpstreamConnection
-from bramleylead.gateway._upstream import UpstreamError
-from bramleylead.gateway._upstream import exchange_heads
 from bramleylead.ledger._relay_table import NO_RELAY
 from bramleylead.ledger._relay_table import RelayGateway
 from bramleylead.placement._replica_paths import ReplicaPaths
--- a/src/bramleylead/gateway/_relayed_connection.py
+++ b/src/bramleylead/gateway/_relayed_connection.py
@@ -22,10 +22,10 @@
 from bramleylead.gateway._relay_messages import RelayRefused
 from bramleylead.gateway._relay_messages import RelayRequest
 from bramleylead.gateway._relays import Relays
-from bramleylead.gateway._upstream import NotSentError
-from bramleylead.gateway._upstream import RequestHead
-from bramleylead.gateway._upstream import ResponseHead
-from bramleylead.gateway._upstream import UpstreamError
+from bramleylead.gateway._replica_connection import NotSentError
+from bramleylead.gateway._replica_connection import RequestHead
+from bramleylead.gateway._replica_connection import ResponseHead
+from bramleylead.gateway._replica_connection import UpstreamError
 from bramleylead.ledger._relay_table import RelayGateway
 from bramleylead.platform._types import Replica
 
--- /dev/null
+++ b/src/bramleylead/gateway/_replica_connection.py
@@ -0,0 +1,112 @@
+"""What a connection to a replica offers, directly or through another gateway, and its errors."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from typing import Protocol
+
+from anyio.abc import TaskGroup
+
+SMALL_REQUEST_BYTES = 16_384
+
+Headers = list[tuple[str, str]]
+
+
+class UpstreamError(Exception):
+    """No complete response was received.
+
+    :param connection_lost: whether the connection ended before the response did.
+    :param path_lost: whether this process gave up the connection because nothing passes on it.
+    """
+
+    def __init__(
+        self, detail: str, *, connection_lost: bool = False, path_lost: bool = False
+    ) -> None:
+        super().__init__(detail)
+        self.connection_lost = connection_lost
+        self.path_lost = path_lost
+
+
+class NotSentError(UpstreamError):
+    """No byte of the request has been sent to the replica.
+
+    :param unreached: whether the replica could not be reached.
+    """
+
+    def __init__(self, detail: str, *, unreached: bool) -> None:
+        super().__init__(detail)
+        self.unreached = unreached
+
+
+class ResponseHead(NamedTuple):
+    """Status and headers of a response; names are in lower case."""
+
+    status: int
+    headers: Headers
+
+    def header_map(self) -> dict[str, str]:
+        """Return the headers by name."""
+        return dict(self.headers)
+
+
+class RequestHead(NamedTuple):
+    """Method, target and headers of a request, and its id, which identifies the response."""
+
+    method: str
+    target: str
+    headers: Headers
+    request_id: str
+
+
+class ReplicaConnection(Protocol):
+    """Carries a request to a replica, directly or through another gateway."""
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may be sent on it."""
+        ...
+
+    def start_request(self, head: RequestHead, body: bytes) -> bytes:
+        """Start a request and return the bytes to pass to :meth:`send`."""
+        ...
+
+    async def send(self, data: bytes) -> None:
+        """Send the bytes of a request."""
+        ...
+
+    async def read_head(self) -> ResponseHead:
+        """Wait for the head of the response."""
+        ...
+
+    async def read_chunk(self) -> bytes | None:
+        """Return the next chunk of the body, or ``None`` at its end."""
+        ...
+
+    async def discard_body(self) -> None:
+        """Read to the end of the body."""
+        ...
+
+    async def aclose(self) -> None:
+        """Close it at once; the replica then stops work on the request."""
+        ...
+
+
+async def exchange_heads(
+    connection: ReplicaConnection, head: RequestHead, body: bytes, tasks: TaskGroup
+) -> ResponseHead:
+    """Send a request and return the head of its response.
+
+    A replica may respond before it has read a long body, so that is sent in the background.
+
+    :raises UpstreamError: if no response was received.
+    :raises NotSentError: if nothing was sent.
+    """
+    try:
+        data = connection.start_request(head, body)
+    except UpstreamError as error:
+        raise NotSentError(str(error), unreached=False) from error
+    if len(data) <= SMALL_REQUEST_BYTES:
+        await connection.send(data)
+    else:
+        tasks.start_soon(connection.send, data)
+    return await connection.read_head()
--- a/src/bramleylead/gateway/_replica_connections.py
+++ b/src/bramleylead/gateway/_replica_connections.py
@@ -14,7 +14,7 @@
 from bramleylead.gateway._relay_messages import Reach
 from bramleylead.gateway._relayed_connection import RelayedConnection
 from bramleylead.gateway._relays import Relays
-from bramleylead.gateway._upstream import ReplicaConnection
+from bramleylead.gateway._replica_connection import ReplicaConnection
 from bramleylead.gateway._upstream import UpstreamConnection
 from bramleylead.placement._replica_paths import ReplicaPaths
 from bramleylead.platform._types import Replica
--- a/src/bramleylead/gateway/_response_body.py
+++ b/src/bramleylead/gateway/_response_body.py
@@ -10,9 +10,9 @@
 from bramleylead.gateway._call import CompleteResponse
 from bramleylead.gateway._call import Outcome
 from bramleylead.gateway._call import UnknownOutcome
-from bramleylead.gateway._upstream import ReplicaConnection
-from bramleylead.gateway._upstream import ResponseHead
-from bramleylead.gateway._upstream import UpstreamError
+from bramleylead.gateway._replica_connection import ReplicaConnection
+from bramleylead.gateway._replica_connection import ResponseHead
+from bramleylead.gateway._replica_connection import UpstreamError
 from bramleylead.platform._types import Replica
 from bramleylead.platform._types import ResponseMetadata
 
--- a/src/bramleylead/gateway/_stream_state.py
+++ b/src/bramleylead/gateway/_stream_state.py
@@ -14,7 +14,7 @@
 from bramleylead.gateway._call import CompleteResponse
 from bramleylead.gateway._permit_waits import RETRY_AFTER_S
 from bramleylead.gateway._plain_calls import MAX_UNREACHED_REPLICAS
-from bramleylead.gateway._upstream import ResponseHead
+from bramleylead.gateway._replica_connection import ResponseHead
 from bramleylead.ledger._records import KeptTurn
 from bramleylead.platform._types import NO_SOFTWARE
 from bramleylead.platform._types import Software
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -24,6 +24,7 @@
 from bramleylead.gateway._crash_guard import CrashGuard
 from bramleylead.gateway._permit_waits import RETRY_AFTER_S
 from bramleylead.gateway._plain_calls import pick_service
+from bramleylead.gateway._replica_connection import UpstreamError
 from bramleylead.gateway._response_body import StartedResponse
 from bramleylead.gateway._response_body import read_complete
 from bramleylead.gateway._response_body import unknown_outcome
@@ -32,7 +33,6 @@
 from bramleylead.gateway._stream_state import ResponseWriter
 from bramleylead.gateway._stream_state import Stream
 from bramleylead.gateway._turn_history import TurnHistory
-from bramleylead.gateway._upstream import UpstreamError
 from bramleylead.platform._types import NO_SOFTWARE
 from bramleylead.platform._types import Replica
 from bramleylead.platform._types import Software
--- a/src/bramleylead/gateway/_upstream.py
+++ b/src/bramleylead/gateway/_upstream.py
@@ -11,8 +11,6 @@
 import select
 from collections.abc import Callable
 from types import TracebackType
-from typing import NamedTuple
-from typing import Protocol
 from typing import Self
 from typing import final
 
@@ -20,10 +18,12 @@
 import h11
 from anyio.abc import ByteStream
 from anyio.abc import SocketAttribute
-from anyio.abc import TaskGroup
+
+from bramleylead.gateway._replica_connection import RequestHead
+from bramleylead.gateway._replica_connection import ResponseHead
+from bramleylead.gateway._replica_connection import UpstreamError
 
 READ_BYTES = 65_536
-SMALL_REQUEST_BYTES = 16_384
 MAX_HEAD_BYTES = 65_536
 MAX_BODY_BYTES = 8_000_000
 """A gateway has 128 MB, and several replicas may send bodies without end at the same time."""
@@ -32,7 +32,6 @@
 MAX_STALE_RESPONSES = 8
 MAX_INFORMATIONAL_RESPONSES = 8
 
-Headers = list[tuple[str, str]]
 TRANSPORT_ERRORS = (
     anyio.EndOfStream,
     anyio.BrokenResourceError,
@@ -41,85 +40,6 @@
 )
 
 
-class UpstreamError(Exception):
-    """No complete response was received.
-
-    :param connection_lost: whether the connection ended before the response did.
-    :param path_lost: whether this process gave up the connection because nothing passes on it.
-    """
-
-    def __init__(
-        self, detail: str, *, connection_lost: bool = False, path_lost: bool = False
-    ) -> None:
-        super().__init__(detail)
-        self.connection_lost = connection_lost
-        self.path_lost = path_lost
-
-
-class NotSentError(UpstreamError):
-    """No byte of the request has been sent to the replica.
-
-    :param unreached: whether the replica could not be reached.
-    """
-
-    def __init__(self, detail: str, *, unreached: bool) -> None:
-        super().__init__(detail)
-        self.unreached = unreached
-
-
-class ResponseHead(NamedTuple):
-    """Status and headers of a response; names are in lower case."""
-
-    status: int
-    headers: Headers
-
-    def header_map(self) -> dict[str, str]:
-        """Return the headers by name."""
-        return dict(self.headers)
-
-
-class RequestHead(NamedTuple):
-    """Method, target and headers of a request, and its id, which identifies the response."""
-
-    method: str
-    target: str
-    headers: Headers
-    request_id: str
-
-
-class ReplicaConnection(Protocol):
-    """Carries a request to a replica, directly or through another gateway."""
-
-    @property
-    def reusable(self) -> bool:
-        """Whether another request may be sent on it."""
-        ...
-
-    def start_request(self, head: RequestHead, body: bytes) -> bytes:
-        """Start a request and return the bytes to pass to :meth:`send`."""
-        ...
-
-    async def send(self, data: bytes) -> None:
-        """Send the bytes of a request."""
-        ...
-
-    async def read_head(self) -> ResponseHead:
-        """Wait for the head of the response."""
-        ...
-
-    async def read_chunk(self) -> bytes | None:
-        """Return the next chunk of the body, or ``None`` at its end."""
-        ...
-
-    async def discard_body(self) -> None:
-        """Read to the end of the body."""
-        ...
-
-    async def aclose(self) -> None:
-        """Close it at once; the replica then stops work on the request."""
-        ...
-
-
 @final
 class UpstreamConnection:
     """One connection; carries one request at a time.
@@ -327,24 +247,3 @@
             raise UpstreamError(detail, connection_lost=True) from error
         self._on_received()
         return data
-
-
-async def exchange_heads(
-    connection: ReplicaConnection, head: RequestHead, body: bytes, tasks: TaskGroup
-) -> ResponseHead:
-    """Send a request and return the head of its response.
-
-    A replica may respond before it has read a long body, so that is sent in the background.
-
-    :raises UpstreamError: if no response was received.
-    :raises NotSentError: if nothing was sent.
-    """
-    try:
-        data = connection.start_request(head, body)
-    except UpstreamError as error:
-        raise NotSentError(str(error), unreached=False) from error
-    if len(data) <= SMALL_REQUEST_BYTES:
-        await connection.send(data)
-    else:
-        tasks.start_soon(connection.send, data)
-    return await connection.read_head()
