Ask gateways of two data centres whether a replica can be reached

Two gateways, of different data centres where there are any, are asked at the same time, and two must have failed before a replica counts as down.

--- a/src/bramleylead/gateway/_relayed_connection.py
+++ b/src/bramleylead/gateway/_relayed_connection.py
@@ -30,6 +30,8 @@
 from bramleylead.platform._types import Replica
 
 MAX_RELAYS_TRIED = 3
+MIN_UNREACHED = 2
+"""So many other gateways must fail to reach a replica for it to count as down."""
 CONNECT_TIMEOUT_S = 0.3
 MAX_RELAYED_BYTES = 3_800_000
 """A request is passed on in one message."""
@@ -92,7 +94,7 @@
         assert self._request is not None
         await self._relays.refresh()
         detail = "no other gateway reaches replicas"
-        unreached = False
+        unreached = []
         for relay in self._relays.by_preference(self._replica)[:MAX_RELAYS_TRIED]:
             answer = await self._pass_on(relay, self._request)
             if isinstance(answer, ResponseHead):
@@ -100,12 +102,12 @@
                 self._log_relay(relay)
                 return answer
             detail = f"{relay.node}: {answer}"
-            unreached = unreached or answer is RelayRefusal.UNREACHED
-            if unreached:
-                break
+            unreached.append(answer is RelayRefusal.UNREACHED)
             if answer is not RelayRefusal.NOT_LISTED:
                 self._relays.record_failure(relay)
-        raise NotSentError(f"{self._replica.name}: {detail}", unreached=unreached)
+        # A single gateway that can't reach the replica may have lost its own paths.
+        is_down = len(unreached) >= MIN_UNREACHED and all(unreached)
+        raise NotSentError(f"{self._replica.name}: {detail}", unreached=is_down)
 
     async def read_chunk(self) -> bytes | None:
         """Return the next chunk of the body, or ``None`` at its end.
--- a/src/bramleylead/gateway/_relays.py
+++ b/src/bramleylead/gateway/_relays.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Sequence
 from typing import NamedTuple
 from typing import final
 
@@ -28,7 +29,8 @@
 """After the first answer, members of other regions may still answer."""
 CHECK_TIMEOUT_S = 0.4
 """Covers the other gateway's own attempt to connect."""
-MAX_CHECKS = 3
+CHECKS_AT_ONCE = 2
+MAX_CHECK_ROUNDS = 3
 AVOID_FAILED_RELAY_S = 1.0
 
 
@@ -125,18 +127,49 @@
         self._failed_at[relay.node] = anyio.current_time()
 
     async def check(self, replica: Replica) -> Confirmation | None:
-        """Return whether another gateway reaches a replica; ``None`` if none can tell."""
+        """Return whether another gateway reaches a replica; ``None`` if none can tell.
+
+        Gateways of several data centres are asked, since one may have lost its own paths.
+        """
         await self.refresh()
-        for relay in self.by_preference(replica)[:MAX_CHECKS]:
-            answer = await self.peers.request(
-                relay.address, CheckReplica(replica.name), timeout_s=CHECK_TIMEOUT_S
-            )
-            if isinstance(answer, Err) or not isinstance(answer.ok_value, ReplicaChecked):
-                self.record_failure(relay)
-                continue
-            checked = answer.ok_value
-            if checked.refusal is None:
-                return Confirmation(relay.node, checked.reach)
-            if checked.refusal is not RelayRefusal.NOT_LISTED:
-                self.record_failure(relay)
+        found: list[Confirmation] = []
+        remaining = self.by_preference(replica)
+        for _ in range(MAX_CHECK_ROUNDS):
+            if found:
+                break
+            asked = _of_other_data_centres(remaining)[:CHECKS_AT_ONCE]
+            remaining = [relay for relay in remaining if relay not in asked]
+            async with anyio.create_task_group() as tasks:
+
+                async def ask(relay: RelayGateway, scope: anyio.CancelScope) -> None:
+                    confirmation = await self._ask_relay(relay, replica)
+                    if confirmation is None:
+                        return
+                    found.append(confirmation)
+                    if confirmation.reach is Reach.REACHED:
+                        scope.cancel()
+
+                for relay in asked:
+                    tasks.start_soon(ask, relay, tasks.cancel_scope)
+        reached = (one for one in found if one.reach is Reach.REACHED)
+        return next(reached, found[0] if found else None)
+
+    async def _ask_relay(self, relay: RelayGateway, replica: Replica) -> Confirmation | None:
+        answer = await self.peers.request(
+            relay.address, CheckReplica(replica.name), timeout_s=CHECK_TIMEOUT_S
+        )
+        if isinstance(answer, Err) or not isinstance(answer.ok_value, ReplicaChecked):
+            self.record_failure(relay)
+            return None
+        checked = answer.ok_value
+        if checked.refusal is None:
+            return Confirmation(relay.node, checked.reach)
+        if checked.refusal is not RelayRefusal.NOT_LISTED:
+            self.record_failure(relay)
         return None
+
+
+def _of_other_data_centres(relays: Sequence[RelayGateway]) -> list[RelayGateway]:
+    """Return the relays with the first one of each data centre before all others."""
+    first = {relay.data_centre: relay for relay in reversed(relays)}
+    return sorted(relays, key=lambda relay: first[relay.data_centre] is not relay)
--- a/testing/gateway/test_relayed_requests.py
+++ b/testing/gateway/test_relayed_requests.py
@@ -215,6 +215,18 @@
 
         self.run_with_lost_paths(main, SAFE, STREAM, make_script=stream_slowly)
 
+    def test_a_second_gateway_that_has_lost_its_paths_unnoticed_does_not_blame_replicas(
+        self,
+    ) -> None:
+        async def main(fleet: Fleet, stranded: Site) -> None:
+            fleet.strand(1)
+            for _ in range(20):
+                response = await stranded.request("/unsafe/a", body=b"x")
+                self.assertEqual(response.status, 200)
+            self.assertEqual(stranded.selector.health.known_replicas(), set())
+
+        self.run_with_lost_paths(main, SAFE, UNSAFE)
+
     def test_gateways_that_are_all_cut_off_refuse_at_once_and_ask_each_other_once(self) -> None:
         async def main(fleet: Fleet, stranded: Site) -> None:
             for number in (1, 2):
@@ -316,3 +328,20 @@
             self.assertEqual((await gateway.request("/safe/a")).status, 200)
 
         run_with_fleet(main, SAFE, gateways=1)
+
+    def test_two_gateways_cut_off_together_find_out_although_they_ask_each_other(self) -> None:
+        async def main(fleet: Fleet) -> None:
+            for _ in range(3):
+                await fleet.add_replica(answer)
+            for number in (0, 1):
+                fleet.strand(number, hang=False)
+            async with anyio.create_task_group() as tasks:
+                for gateway in fleet.gateways[:2]:
+                    for _ in range(3):
+                        tasks.start_soon(gateway.request, "/safe/a")
+            await anyio.sleep(QUICK_S)
+            self.assertEqual([site.paths.is_lost for site in fleet.gateways], [True, True, False])
+
+        for seed in range(1, 11):
+            with self.subTest(seed=seed):
+                run_with_fleet(main, SAFE, seed=seed)
