Print the nodes' decisions on the programs that a broken promise of the demo names

A newcomer who meets one got a name and no way on. For each program that the violation names, each node tells its record of the last call and its decisions on it.

--- a/src/bramleylead/trials/_demo_table.py
+++ b/src/bramleylead/trials/_demo_table.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from bramleylead.promises import Violation
 from bramleylead.trials._caller import Observed
 from bramleylead.trials._caller import ProgramEnd
 from bramleylead.trials._demo import UserRun
 
+PROGRAM_NAME = r"[\w.-]+"
+MAX_EXPLAINED = 3
+"""Programs of one violation whose decisions are shown."""
+MAX_DECISIONS = 5
+
 
 class DemoFigures(NamedTuple):
     """The last line's figures; the times are what programs waited for answers."""
@@ -89,10 +96,30 @@
                 yield f"{item.plan.program}: {item.end.value}: {reason}"
         for violation in run.fleet.violations:
             yield f"broken promise {violation.promise.value}: {violation.detail}"
+            yield from explanations(run, violation)
         for violation in run.fleet.node_violations:
             yield f"noticed by a node: {violation.promise.value}: {violation.detail}"
 
 
+def explanations(run: UserRun, violation: Violation) -> Iterator[str]:
+    """Yield the nodes' decisions on the last call of each program that a violation names."""
+    named = set(re.findall(PROGRAM_NAME, violation.detail))
+    concerned = [item for item in run.seen if item.plan.program in named]
+    for item in concerned[:MAX_EXPLAINED]:
+        program, last_call = item.plan.program, len(item.call_s)
+        for name, host in sorted(run.fleet.hosts.items()):
+            if host.served is None:
+                continue
+            known = host.served.node.explain(program, last_call)
+            role = "owner" if known["owned_here"] else "not the owner"
+            yield f"  {name} ({role}) on {program}/{last_call}: record {known['record']}"
+            for decision in known["decisions"][-MAX_DECISIONS:]:
+                yield (
+                    f"    {decision['at_s']:.3f} s {decision['action']} "
+                    f"{decision['endpoint']}: {decision['reason']}"
+                )
+
+
 def quantile(values: list[float], share: float) -> float:
     """Return the value that this share of the values does not exceed; 0 without values."""
     ordered = sorted(values)
