End a relayed request at its deadline although the first gateway is silent

A soak of random cuts, resets, crashes and silent streams between gateways left requests at second gateways: with the stream to the first one silent, neither its cancel nor its deadline arrived, and a replica that does not answer kept the request for 20 s or more. The request now carries the time that is left.

--- a/src/bramleylead/gateway/_connection_pool.py
+++ b/src/bramleylead/gateway/_connection_pool.py
@@ -60,6 +60,11 @@
         """Whether there is an idle connection to any replica."""
         return any(self._idle.values())
 
+    @property
+    def in_use(self) -> int:
+        """The connections that carry a request now."""
+        return len(self._in_use)
+
     async def acquire(
         self, replica: Replica, *, idempotent: bool
     ) -> Result[UpstreamConnection, str]:
--- a/src/bramleylead/gateway/_relay_messages.py
+++ b/src/bramleylead/gateway/_relay_messages.py
@@ -35,10 +35,12 @@
 
     :param replica: its name; the gateway asked looks up the address itself.
     :param idempotent: whether the request may be sent to another replica if this one falls silent.
+    :param timeout_s: when to give the request up; the gateway that asks may be cut off meanwhile.
     """
 
     replica: str
     idempotent: bool
+    timeout_s: float
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
--- a/src/bramleylead/gateway/_relay_server.py
+++ b/src/bramleylead/gateway/_relay_server.py
@@ -82,7 +82,8 @@
     async def _relay(self, request: RelayRequest, reply: Reply) -> None:
         self.running += 1
         try:
-            await self._send(request, reply)
+            with anyio.move_on_after(request.timeout_s):
+                await self._send(request, reply)
         finally:
             self.running -= 1
 
--- a/src/bramleylead/gateway/_relayed_connection.py
+++ b/src/bramleylead/gateway/_relayed_connection.py
@@ -44,14 +44,18 @@
     """Carries one request.
 
     :param idempotent: whether the request may be sent to another replica if this one falls silent.
+    :param deadline: the event loop's time by which the request is given up.
     """
 
     reusable = False
 
-    def __init__(self, relays: Relays, replica: Replica, *, idempotent: bool) -> None:
+    def __init__(
+        self, relays: Relays, replica: Replica, *, idempotent: bool, deadline: float
+    ) -> None:
         self._relays = relays
         self._replica = replica
         self._idempotent = idempotent
+        self._deadline = deadline
         self._request: RelayRequest | None = None
         self._relay = ""
         self._call: PeerCall | None = None
@@ -74,6 +78,7 @@
         self._request = RelayRequest(
             replica=self._replica.name,
             idempotent=self._idempotent,
+            timeout_s=0.0,
             method=head.method,
             target=head.target,
             headers=tuple(head.headers),
@@ -143,7 +148,9 @@
         self._stack = AsyncExitStack()
         opened = None
         with anyio.move_on_after(CONNECT_TIMEOUT_S):
-            stream = self._relays.peers.stream(relay.address, request)
+            remaining_s = self._deadline - anyio.current_time()
+            timed = request._replace(timeout_s=max(0.0, remaining_s))
+            stream = self._relays.peers.stream(relay.address, timed)
             opened = await self._stack.enter_async_context(stream)
         if opened is None:
             return f"can't connect within {CONNECT_TIMEOUT_S} s"
--- a/src/bramleylead/gateway/_replica_connections.py
+++ b/src/bramleylead/gateway/_replica_connections.py
@@ -35,19 +35,20 @@
         self._relays = relays
 
     async def acquire(
-        self, replica: Replica, *, idempotent: bool
+        self, replica: Replica, *, idempotent: bool, deadline: float
     ) -> Result[ReplicaConnection, str]:
         """Return a connection; an ``Err`` means that nothing was sent.
 
         :param idempotent: whether the request may be sent to another replica if this one falls
             silent.
+        :param deadline: the event loop's time by which the request is given up.
         """
         if self._needs_relay(replica):
             idle = await self._pool.take_idle(replica, idempotent=idempotent)
-            return Ok(idle or self._through_gateway(replica, idempotent))
+            return Ok(idle or self._through_gateway(replica, idempotent, deadline))
         direct = await self._pool.acquire(replica, idempotent=idempotent)
         if isinstance(direct, Err) and self._needs_relay(replica):
-            return Ok(self._through_gateway(replica, idempotent))
+            return Ok(self._through_gateway(replica, idempotent, deadline))
         return direct
 
     async def release(
@@ -83,5 +84,7 @@
             return False
         return self._paths.is_lost or self._relays.any_known
 
-    def _through_gateway(self, replica: Replica, idempotent: bool) -> RelayedConnection:
-        return RelayedConnection(self._relays, replica, idempotent=idempotent)
+    def _through_gateway(
+        self, replica: Replica, idempotent: bool, deadline: float
+    ) -> RelayedConnection:
+        return RelayedConnection(self._relays, replica, idempotent=idempotent, deadline=deadline)
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -122,7 +122,9 @@
         if call.metadata.budget_tokens is not None:
             self._reporter.report_placement()
         try:
-            acquired = await self._connections.acquire(replica, idempotent=call.route.idempotent)
+            acquired = await self._connections.acquire(
+                replica, idempotent=call.route.idempotent, deadline=call.deadline
+            )
             if isinstance(acquired, Err):
                 self._record_unreached(call, replica, acquired.err_value)
                 yield NotRun(acquired.err_value, counts_as_attempt=False)
--- a/testing/gateway/test_relayed_requests.py
+++ b/testing/gateway/test_relayed_requests.py
@@ -28,6 +28,7 @@
 CLOSE_S = 0.5
 """A replica must stop work this soon after the caller has left."""
 QUICK_S = 0.5
+DEADLINE_S = 3.0
 SAFE = route(CallKind.SAFE, timeout_s=5.0)
 UNSAFE = route(CallKind.UNSAFE, timeout_s=5.0)
 STREAM = route(CallKind.STREAM, timeout_s=5.0)
@@ -68,6 +69,17 @@
     return script
 
 
+def never_answer_unsafe(replica: CrashableReplica):
+    """Return a script that answers safe requests only."""
+
+    async def script(received: ReceivedRequest, stream: ByteStream) -> None:
+        if received.target.startswith("/unsafe/"):
+            await work_until_closed(stream, float("inf"))
+        await stream.send(full_response(received, received.body))
+
+    return script
+
+
 def break_off(replica: CrashableReplica):
     """Return a script that sends a part of its response and closes the connection."""
 
@@ -162,6 +174,21 @@
 
         self.run_with_lost_paths(main, SAFE)
 
+    def test_a_relayed_request_ends_with_its_deadline_although_the_first_gateway_is_silent(
+        self,
+    ) -> None:
+        async def main(fleet: Fleet, stranded: Site) -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(stranded.request, "/unsafe/a")
+                await anyio.sleep(0.5)
+                relaying = next(site for site in fleet.gateways if site.relay_server.running)
+                fleet.network.silence(stranded.host, relaying.host)
+            await anyio.sleep(DEADLINE_S)
+            self.assertEqual(relaying.relay_server.running, 0)
+            self.assertEqual(relaying.pool.in_use, 0)
+
+        self.run_with_lost_paths(main, SAFE, UNSAFE, make_script=never_answer_unsafe)
+
     def test_a_gateway_that_stops_completes_what_it_passes_on_and_takes_nothing_new(self) -> None:
         async def main(fleet: Fleet, stranded: Site) -> None:
             responses: list[ReceivedResponse] = []
