--- a/src/bramleylead/process/calls/_run.py
+++ b/src/bramleylead/process/calls/_run.py
@@ -19,6 +19,7 @@
 
 import anyio
 from result import Err
+from result import Ok
 
 from bramleylead.backends import BackendError
 from bramleylead.backends import BackendErrorKind
@@ -26,6 +27,7 @@
 from bramleylead.errors import Failure
 from bramleylead.errors import Ran
 from bramleylead.process._owner_dependencies import OwnerDependencies
+from bramleylead.process.journal._entries import CacheHeld
 from bramleylead.process.journal._entries import CallFinished
 from bramleylead.process.journal._entries import CallIntended
 from bramleylead.process.journal._entries import CallWithdrawn
@@ -35,6 +37,7 @@
 from bramleylead.promises import Promise
 from bramleylead.request import AnswerBuffer
 from bramleylead.request import AnswerEnd
+from bramleylead.request import CallKind
 from bramleylead.request import CallRequest
 from bramleylead.scheduling import Slot
 from bramleylead.scheduling import SlotFinished
@@ -42,6 +45,9 @@
 from bramleylead.version import Branch
 from bramleylead.version import ProgramKind
 
+POSSIBLE_CACHE_TOKENS = 1
+"""Journaled for a cache of unknown size; 0 would mean that it was released."""
+
 
 class AttemptOutcome(Enum):
     """How an attempt ended."""
@@ -173,6 +179,8 @@
                     failure = await self._journal_intent(budget, units, slot.granted.endpoint)
                     if failure is not None:
                         return failure
+                elif not await self._journal_possible_cache(slot.granted.endpoint):
+                    break
                 last_result = await self._send(slot, attempt_number)
             if last_result.outcome is AttemptOutcome.DONE or not self._may_retry(
                 last_result, attempt_number
@@ -205,6 +213,17 @@
         call.buffer.start(call.number, call.program.incarnation)
         return None
 
+    async def _journal_possible_cache(self, endpoint: str) -> bool:
+        """Journal that a retry may leave a cache at another engine; return if that succeeded.
+
+        If this node ends during the retry, the next owner releases it.
+        """
+        call = self._call
+        if call.request.call_kind is not CallKind.MODEL or endpoint in call.program.caches:
+            return True
+        entry = CacheHeld(call.program.program, endpoint, POSSIBLE_CACHE_TOKENS)
+        return isinstance(await call.log.append(entry), Ok)
+
     async def _send(self, slot: Slot, attempt_number: int) -> AttemptResult:
         call = self._call
         call.endpoint = slot.granted.endpoint
--- a/testing/process/calls/test_owner.py
+++ b/testing/process/calls/test_owner.py
@@ -312,6 +312,11 @@
         caches = self._caches([[EngineChunk("Hel", 1, 0, 7), LOST]], end=False)
         self.assertEqual(sorted(caches), ["e1", "e2"])
 
+    def test_cache_of_interrupted_second_attempt_is_recorded(self) -> None:
+        """Regression: only the first attempt's engine was journaled before its request was sent."""
+        attempts = [[EngineChunk("Hel", 1, 0, 7), LOST], [EngineChunk("Hel", 1, 0, 7), 1000.0]]
+        self.assertEqual(sorted(self._caches(attempts, end=False)), ["e1", "e2"])
+
 
 class LostPairTest(unittest.TestCase):
     def test_retry_with_old_incarnation_joins_running_call(self) -> None:
