--- a/src/bramleylead/process/calls/_model_run.py
+++ b/src/bramleylead/process/calls/_model_run.py
@@ -11,10 +11,10 @@
 from bramleylead.backends import GenerateCall
 from bramleylead.backends import Message
 from bramleylead.process.calls._admission import estimate_tokens
-from bramleylead.process.calls._run import AttemptOutcome
-from bramleylead.process.calls._run import AttemptResult
+from bramleylead.process.calls._attempt_result import AttemptOutcome
+from bramleylead.process.calls._attempt_result import AttemptResult
+from bramleylead.process.calls._attempt_result import attempt_result_from_error
 from bramleylead.process.calls._run import CallRun
-from bramleylead.process.calls._run import attempt_result_from_error
 from bramleylead.process.calls._run import token_cost
 from bramleylead.request import AnswerBuffer
 from bramleylead.scheduling import Slot
--- a/src/bramleylead/process/calls/_owner.py
+++ b/src/bramleylead/process/calls/_owner.py
@@ -22,7 +22,7 @@
 from bramleylead.process.calls._outcome_entries import cancelled_entry
 from bramleylead.process.calls._outcome_entries import unknown_outcome_entry
 from bramleylead.process.calls._run import CallRun
-from bramleylead.process.calls._run import RunningCall
+from bramleylead.process.calls._running_call import RunningCall
 from bramleylead.process.calls._tool_run import ToolRun
 from bramleylead.process.calls._views import call_summary
 from bramleylead.process.calls._views import program_view
--- a/src/bramleylead/process/calls/_run.py
+++ b/src/bramleylead/process/calls/_run.py
@@ -11,111 +11,34 @@
 import math
 from abc import ABC
 from abc import abstractmethod
-from dataclasses import dataclass
-from dataclasses import field
-from enum import Enum
-from typing import Any
-from typing import NamedTuple
 
 import anyio
 from result import Err
 from result import Ok
 
-from bramleylead.backends import BackendError
-from bramleylead.backends import BackendErrorKind
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.errors import Ran
 from bramleylead.process._owner_dependencies import OwnerDependencies
+from bramleylead.process.calls._attempt_result import AttemptOutcome
+from bramleylead.process.calls._attempt_result import AttemptResult
+from bramleylead.process.calls._running_call import RunningCall
 from bramleylead.process.journal._entries import CacheHeld
 from bramleylead.process.journal._entries import CallFinished
 from bramleylead.process.journal._entries import CallIntended
 from bramleylead.process.journal._entries import CallWithdrawn
-from bramleylead.process.journal._partition_log import PartitionLog
 from bramleylead.process.journal._state import CallStatus
-from bramleylead.process.journal._state import ProgramState
 from bramleylead.promises import Promise
-from bramleylead.request import AnswerBuffer
 from bramleylead.request import AnswerEnd
 from bramleylead.request import CallKind
-from bramleylead.request import CallRequest
 from bramleylead.scheduling import Slot
 from bramleylead.scheduling import SlotFinished
 from bramleylead.scheduling import SlotRequest
-from bramleylead.version import Branch
-from bramleylead.version import ProgramKind
 
 POSSIBLE_CACHE_TOKENS = 1
 """Journaled for a cache of unknown size; 0 would mean that it was released."""
 
 
-class AttemptOutcome(Enum):
-    """How an attempt ended."""
-
-    DONE = "done"
-    NOT_RUN = "not run"
-    FAILED = "failed"
-    UNKNOWN = "unknown"
-
-
-class AttemptResult(NamedTuple):
-    """Result of one attempt at an endpoint.
-
-    :param reached: whether the call reached the endpoint and thus put load on it.
-    """
-
-    outcome: AttemptOutcome
-    detail: str = ""
-    value: Any = None
-    finish: str = ""
-    prompt_tokens: int = 0
-    cached_tokens: int = 0
-    output_tokens: int = 0
-    first_token_s: float = 0.0
-    retry_after_s: float = 0.0
-    reached: bool = True
-
-
-@dataclass(slots=True)
-class RunningCall:
-    """State of one call while it runs.
-
-    :param history_length: number of the program's messages when the call started.
-    :param sent: whether any byte of the call may have reached an endpoint.
-    :param rerun: whether the journal holds an earlier run of the call, which may have been sent.
-    """
-
-    log: PartitionLog
-    program: ProgramState
-    branch: Branch
-    kind: ProgramKind
-    request: CallRequest
-    number: int
-    digest: str
-    repeatable: bool
-    messages: tuple[tuple[str, str], ...]
-    deadline_at: float
-    history_length: int
-    buffer: AnswerBuffer = field(default_factory=AnswerBuffer)
-    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
-    sent: bool = False
-    intent_journaled: bool = False
-    rerun: bool = False
-    avoided_endpoints: list[str] = field(default_factory=list)
-    started_at: float = 0.0
-    endpoint: str = ""
-
-    @property
-    def name(self) -> str:
-        """``program/number``, which identifies the call to endpoints."""
-        return f"{self.program.program}/{self.number}"
-
-    @property
-    def seconds_left(self) -> float:
-        """Time until the caller's deadline."""
-        return self.deadline_at - anyio.current_time()
-
-
 class CallRun(ABC):
     """Runs one call. Subclasses define the cost, the slot request and how the call is sent."""
 
@@ -407,22 +330,6 @@
     return CallStatus.FAILED
 
 
-def attempt_result_from_error(error: BackendError) -> AttemptResult:
-    """Map an endpoint's error to the result of the attempt."""
-    if error.kind is BackendErrorKind.NOT_SENT:
-        return AttemptResult(AttemptOutcome.NOT_RUN, error.detail, reached=False)
-    if error.kind is BackendErrorKind.REFUSED:
-        finish = "" if error.retry_after_s > 0 else "rejected"
-        return AttemptResult(
-            AttemptOutcome.NOT_RUN, error.detail, finish=finish, retry_after_s=error.retry_after_s
-        )
-    if error.kind is BackendErrorKind.STALE_FENCE:
-        return AttemptResult(AttemptOutcome.NOT_RUN, error.detail)
-    if error.kind is BackendErrorKind.LOST:
-        return AttemptResult(AttemptOutcome.UNKNOWN, error.detail)
-    return AttemptResult(AttemptOutcome.FAILED, error.detail)
-
-
 def token_cost(tokens: int, price_per_thousand: int) -> int:
     """Return the price of tokens in budget units, rounded up."""
     return math.ceil(tokens * price_per_thousand / 1000)
--- a/src/bramleylead/process/calls/_tool_run.py
+++ b/src/bramleylead/process/calls/_tool_run.py
@@ -8,10 +8,10 @@
 from result import Err
 
 from bramleylead.backends import ServiceCall
-from bramleylead.process.calls._run import AttemptOutcome
-from bramleylead.process.calls._run import AttemptResult
+from bramleylead.process.calls._attempt_result import AttemptOutcome
+from bramleylead.process.calls._attempt_result import AttemptResult
+from bramleylead.process.calls._attempt_result import attempt_result_from_error
 from bramleylead.process.calls._run import CallRun
-from bramleylead.process.calls._run import attempt_result_from_error
 from bramleylead.scheduling import Slot
 from bramleylead.scheduling import SlotRequest
 from bramleylead.version import Tool
