--- a/src/bramleylead/gateway/_crash_guard.py
+++ b/src/bramleylead/gateway/_crash_guard.py
@@ -88,7 +88,7 @@
         """
         if not self._directory.is_usable(replica.name):
             return False
-        if not await self._connections.is_refused(replica):
+        if not await self._connections.has_crashed(replica):
             return False
         weight = WEIGHT_AFTER_EVENTS if events else WEIGHT_BEFORE_EVENTS
         await self._record(
--- a/src/bramleylead/gateway/_relayed_connection.py
+++ b/src/bramleylead/gateway/_relayed_connection.py
@@ -56,7 +56,8 @@
         self._replica = replica
         self._idempotent = idempotent
         self._deadline = deadline
-        self._request: RelayRequest | None = None
+        self._head: RequestHead | None = None
+        self._body = b""
         self._relay = ""
         self._call: PeerCall | None = None
         self._stack = AsyncExitStack()
@@ -75,16 +76,7 @@
         if len(body) > MAX_RELAYED_BYTES:
             detail = f"request {head.request_id}: {len(body)} bytes are too many to be passed on"
             raise UpstreamError(detail)
-        self._request = RelayRequest(
-            replica=self._replica.name,
-            idempotent=self._idempotent,
-            timeout_s=0.0,
-            method=head.method,
-            target=head.target,
-            headers=tuple(head.headers),
-            request_id=head.request_id,
-            body=body,
-        )
+        self._head, self._body = head, body
         return b""
 
     async def send(self, data: bytes) -> None:
@@ -96,12 +88,11 @@
         :raises NotSentError: if no gateway has sent any byte of it to the replica.
         :raises UpstreamError: if no response was received.
         """
-        assert self._request is not None
         await self._relays.refresh()
         detail = "no other gateway reaches replicas"
         unreached = []
         for relay in self._relays.by_preference(self._replica)[:MAX_RELAYS_TRIED]:
-            answer = await self._pass_on(relay, self._request)
+            answer = await self._pass_on(relay)
             if isinstance(answer, ResponseHead):
                 self._relay = relay.node
                 self._log_relay(relay)
@@ -137,9 +128,7 @@
         while await self.read_chunk() is not None:
             pass
 
-    async def _pass_on(
-        self, relay: RelayGateway, request: RelayRequest
-    ) -> ResponseHead | RelayRefusal | str:
+    async def _pass_on(self, relay: RelayGateway) -> ResponseHead | RelayRefusal | str:
         """Return the head of the response, or why the request was not sent.
 
         :raises UpstreamError: if it may have been sent.
@@ -148,9 +137,7 @@
         self._stack = AsyncExitStack()
         opened = None
         with anyio.move_on_after(CONNECT_TIMEOUT_S):
-            remaining_s = self._deadline - anyio.current_time()
-            timed = request._replace(timeout_s=max(0.0, remaining_s))
-            stream = self._relays.peers.stream(relay.address, timed)
+            stream = self._relays.peers.stream(relay.address, self._new_request())
             opened = await self._stack.enter_async_context(stream)
         if opened is None:
             return f"can't connect within {CONNECT_TIMEOUT_S} s"
@@ -166,6 +153,19 @@
             return ResponseHead(item.status, list(item.headers))
         raise _error_of(item)
 
+    def _new_request(self) -> RelayRequest:
+        assert self._head is not None, "read_head is called after start_request"
+        return RelayRequest(
+            replica=self._replica.name,
+            idempotent=self._idempotent,
+            timeout_s=max(0.0, self._deadline - anyio.current_time()),
+            method=self._head.method,
+            target=self._head.target,
+            headers=tuple(self._head.headers),
+            request_id=self._head.request_id,
+            body=self._body,
+        )
+
     async def _receive(self) -> Any:
         assert self._call is not None
         try:
@@ -174,10 +174,10 @@
             raise UpstreamError(f"gateway {self._relay}: the connection broke") from None
 
     def _log_relay(self, relay: RelayGateway) -> None:
-        assert self._request is not None
+        assert self._head is not None
         log.info(
             "sent_through_gateway",
-            request=self._request.request_id,
+            request=self._head.request_id,
             replica=self._replica.name,
             gateway=relay.node,
         )
--- a/src/bramleylead/gateway/_replica_connections.py
+++ b/src/bramleylead/gateway/_replica_connections.py
@@ -60,11 +60,11 @@
         else:
             await connection.aclose()
 
-    async def is_refused(self, replica: Replica) -> bool:
-        """Return whether a replica whose connection was lost also refuses the next one.
+    async def has_crashed(self, replica: Replica) -> bool:
+        """Return whether a replica whose connection was lost has crashed: it refuses the next one.
 
-        That is so after the end of its process. But if others are lost at the same time, the
-        network may be the cause, and another gateway is asked.
+        If others are lost at the same time, the network may be the cause, and another gateway is
+        asked.
         """
         self._paths.record_broken(replica.name, now=anyio.current_time())
         if not self._paths.is_lost:
