Close silent connections while requests add replicas

The monitor also read the list of unreached replicas at a later instant than the one it had found it non-empty at.

--- a/src/bramleylead/gateway/_connection_pool.py
+++ b/src/bramleylead/gateway/_connection_pool.py
@@ -123,7 +123,8 @@
         :returns: the number of requests given up.
         """
         now = anyio.current_time()
-        for idle in self._idle.values():
+        # Other requests add replicas while a connection is being closed.
+        for idle in list(self._idle.values()):
             while idle:
                 await idle.pop().aclose()
         given_up = [
--- a/src/bramleylead/gateway/_path_monitor.py
+++ b/src/bramleylead/gateway/_path_monitor.py
@@ -75,7 +75,7 @@
                 await self._probe_for_recovery()
                 await self._relays.refresh(max_age_s=RELAY_LIST_LIFETIME_S)
         elif self._paths.is_suspect(now=now):
-            await self._ask_another_gateway()
+            await self._ask_another_gateway(self._paths.unreached(now=now))
         elif now >= self._probe_at and now - self._paths.heard_at >= SILENCE_S:
             await self._probe_silent()
 
@@ -94,10 +94,8 @@
             for replica in [*others, *listed][:PROBES]:
                 tasks.start_soon(self._pool.probe, replica)
 
-    async def _ask_another_gateway(self) -> None:
+    async def _ask_another_gateway(self, unreached: Sequence[str]) -> None:
         """Find out whether the replicas that can't be reached from here are reached elsewhere."""
-        now = anyio.current_time()
-        unreached = self._paths.unreached(now=now)
         replica = self._directory.find(unreached[-1])
         if replica is None:
             self._paths.forget([unreached[-1]])
--- a/testing/gateway/test_connection_pool.py
+++ b/testing/gateway/test_connection_pool.py
@@ -121,5 +121,19 @@
         self.run_with_pool(main)
 
 
+class AbandonTest(PoolTestCase):
+    def test_a_replica_may_be_added_while_silent_connections_are_closed(self) -> None:
+        async def main(pool: ConnectionPool, slow: SlowNetwork, network: FakeNetwork) -> None:
+            for number in range(10):
+                await pool.is_refused(REPLICA._replace(name=f"a{number}"))
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(lambda: pool.abandon_silent(for_s=1.0))
+                for _ in range(3):
+                    await anyio.lowlevel.cancel_shielded_checkpoint()
+                await pool.acquire(REPLICA._replace(name="new"), idempotent=True)
+
+        self.run_with_pool(main)
+
+
 async def _serve_forever(stream: ByteStream) -> None:
     await anyio.sleep_forever()
