--- a/src/bramleylead/gateway/_relay_messages.py
+++ b/src/bramleylead/gateway/_relay_messages.py
@@ -23,6 +23,7 @@
     UNREACHED = "the replica can't be reached from here either"
     CUT_OFF = "no replica can be reached from here"
     STOPPING = "the gateway is stopping"
+    BUSY = "the gateway carries as many requests of others as it may"
 
 
 @message(189)
--- a/src/bramleylead/gateway/_relay_server.py
+++ b/src/bramleylead/gateway/_relay_server.py
@@ -34,6 +34,9 @@
 from bramleylead.platform import _wire as wire
 from bramleylead.platform._types import Replica
 
+MAX_RELAYED_REQUESTS = 256
+"""Requests of other gateways that are carried at once; their bodies are held in memory."""
+
 log = structlog.get_logger()
 
 
@@ -89,6 +92,8 @@
 
     async def _send(self, request: RelayRequest, reply: Reply) -> None:
         replica = self._find(request.replica)
+        if self.running > MAX_RELAYED_REQUESTS:
+            replica = RelayRefusal.BUSY
         if isinstance(replica, RelayRefusal):
             await self._refuse(request, reply, replica)
             return
--- a/testing/gateway/test_relayed_requests.py
+++ b/testing/gateway/test_relayed_requests.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import unittest
+import unittest.mock
 
 import anyio
 from anyio.abc import ByteStream
 
+from bramleylead.gateway import _relay_server
 from bramleylead.gateway._path_monitor import SILENCE_S
 from bramleylead.platform._types import CallKind
 from testing.gateway._fleet import CrashableReplica
@@ -242,6 +244,23 @@
 
         self.run_with_lost_paths(main, SAFE, STREAM, make_script=stream_slowly)
 
+    def test_a_gateway_that_carries_too_many_requests_leaves_more_to_others(self) -> None:
+        async def main(fleet: Fleet, stranded: Site) -> None:
+            statuses: list[int] = []
+
+            async def send() -> None:
+                statuses.append((await stranded.request("/unsafe/a", body=SLOW)).status)
+
+            with unittest.mock.patch.object(_relay_server, "MAX_RELAYED_REQUESTS", 4):
+                async with anyio.create_task_group() as tasks:
+                    for _ in range(8):
+                        tasks.start_soon(send)
+                    await anyio.sleep(1.0)
+                    self.assertEqual([s.relay_server.running for s in fleet.gateways], [0, 4, 4])
+            self.assertEqual(statuses, [200] * 8)
+
+        self.run_with_lost_paths(main, SAFE, UNSAFE)
+
     def test_a_second_gateway_that_has_lost_its_paths_unnoticed_does_not_blame_replicas(
         self,
     ) -> None:
