Replace a second copy that leaves although it goes on confirming

Traced: the node had handed over all that it owned within 4 s, and then waited to be released as second copy (9 to 26 partitions). Each owner broke the pair since the node was leaving, every 0.5 s; but before a new pair was formed, the node's next confirmation resumed the old one, because a broken pair looks the same whether its second copy is in doubt or is to be replaced. On an idle machine the store answers sooner than the next confirmation.

A pair that is broken to be replaced is not resumed now, unless no other node can take the copy.

--- a/src/bramleylead/process/partitions/_partition.py
+++ b/src/bramleylead/process/partitions/_partition.py
@@ -40,8 +40,9 @@
     """A partition that this node owns. Implements ``PartitionLog``.
 
     ``committing`` is set while a write of the partition object may take effect. ``copy_replaced``
-    is set once a snapshot for the next epoch was sent to the current second copy. In both cases
-    the old pair must not be resumed. ``unresolved`` holds the tokens of partition object writes
+    is set once a snapshot for the next epoch was sent to the current second copy.
+    ``replacing_second`` is set while another node is to become the second copy. In these cases the
+    old pair must not be resumed. ``unresolved`` holds the tokens of partition object writes
     whose outcome is unknown. ``unverified`` is set while the last ownership check is too old.
 
     :param on_pair_broken: called each time the pair breaks and needs repair.
@@ -65,6 +66,7 @@
         self.committing = False
         self.unverified = False
         self.copy_replaced = False
+        self.replacing_second = False
         self.unresolved: set[str] = set()
         self.in_doubt = False
         self.solo_entries = 0
@@ -162,7 +164,7 @@
         The copy must end at an entry that this node has applied or that is still pending. A copy
         that holds an append which has timed out here can't be used again at this epoch.
         """
-        if self.unverified or self.committing or self.copy_replaced:
+        if self.unverified or self.committing or self.copy_replaced or self.replacing_second:
             return None
         if epoch != self.epoch or self.mode is ReplicationMode.LOST:
             return False
@@ -186,6 +188,7 @@
         self.unverified = False
         self.committing = False
         self.copy_replaced = False
+        self.replacing_second = False
         self.unresolved.clear()
         self.in_doubt = False
         self.solo_entries = 0
@@ -198,10 +201,14 @@
         self.stored = stored
         self._set_paired()
 
-    def break_pair(self, reason: str) -> None:
-        """Stop acknowledging appends until the pair is repaired."""
+    def break_pair(self, reason: str, *, replace_second: bool = False) -> None:
+        """Stop acknowledging appends until the pair is repaired.
+
+        :param replace_second: whether the pair must not be resumed with the same second copy.
+        """
         if self.mode is not ReplicationMode.PAIRED:
             return
+        self.replacing_second = replace_second
         self.mode = ReplicationMode.REPAIRING
         self.break_reason = reason
         self._on_pair_broken(self)
--- a/src/bramleylead/process/partitions/_partition_rebalancer.py
+++ b/src/bramleylead/process/partitions/_partition_rebalancer.py
@@ -97,7 +97,9 @@
         if not others:
             await self._close(partition)
         elif second is not None and second.node not in others:
-            partition.break_pair(f"{second.node} is leaving or no longer alive")
+            partition.break_pair(
+                f"{second.node} is leaving or no longer alive", replace_second=True
+            )
         else:
             await self._takeover.hand_over(partition, leaving=True)
 
@@ -116,7 +118,9 @@
                 or second.node in self._alive_nodes
             ):
                 continue
-            partition.break_pair(f"{second.node} is leaving or no longer alive")
+            partition.break_pair(
+                f"{second.node} is leaving or no longer alive", replace_second=True
+            )
 
     async def _rebalance(self) -> None:
         now = anyio.current_time()
@@ -157,7 +161,7 @@
         if not isinstance(read, Ok):
             return False
         partition.preferred_second = node
-        partition.break_pair(f"moving the second copy to {node}")
+        partition.break_pair(f"moving the second copy to {node}", replace_second=True)
         return True
 
     async def _close(self, partition: OwnedPartition) -> None:
--- a/src/bramleylead/process/partitions/_partition_repair.py
+++ b/src/bramleylead/process/partitions/_partition_repair.py
@@ -104,6 +104,8 @@
             outcome = await self.attempt_pair(partition, excluded_nodes)
             if outcome in (RepairOutcome.PAIRED, RepairOutcome.RESUMED):
                 continue
+            # No other node can take the copy now; the present one is better than none.
+            partition.replacing_second = False
             if outcome is RepairOutcome.STORE_OUT and await self._is_superseded(partition):
                 outcome = RepairOutcome.LOST
             if outcome is RepairOutcome.LOST:
--- a/src/bramleylead/process/partitions/_partition_takeover.py
+++ b/src/bramleylead/process/partitions/_partition_takeover.py
@@ -235,7 +235,7 @@
         self._table.connect(partition)
         self._table.serve(partition)
         if request.leaving:
-            partition.break_pair("the second copy is leaving")
+            partition.break_pair("the second copy is leaving", replace_second=True)
 
 
 def forfeited_grants(partition: OwnedPartition) -> list[GrantForfeited]:
--- a/testing/process/partitions/test_partition_moves.py
+++ b/testing/process/partitions/test_partition_moves.py
@@ -14,6 +14,8 @@
 from testing.process._partition_fleet import run_fleet
 
 CALLERS = 4
+SLOW_STORE_S = 0.2
+SLOW_LEAVE_S = 8.0
 
 
 async def _append_steadily(fleet: PartitionFleet, number: int, results: dict[str, Any]) -> None:
@@ -61,6 +63,23 @@
         self.assertGreater(len(results["acked"]), 1000)
         self.assertLessEqual(results["stall"], 0.1)
 
+    def test_a_node_that_stops_is_replaced_as_second_copy_although_the_store_is_slow(self) -> None:
+        """Regression: its next confirmation resumed the pair before a new one was formed."""
+
+        async def body(fleet: PartitionFleet) -> None:
+            fleet.store_delay_s = SLOW_STORE_S
+            results: dict[str, Any] = {"acked": [], "stall": 0.0}
+            async with anyio.create_task_group() as tasks:
+                for number in range(12):
+                    tasks.start_soon(_append_steadily, fleet, number, results)
+                await anyio.sleep(1)
+                fleet.set_state("n1", MemberState.LEAVING)
+                with anyio.fail_after(SLOW_LEAVE_S):
+                    await fleet.nodes["n1"].partitions.leave()
+                tasks.cancel_scope.cancel()
+
+        run_fleet(body, nodes=6, partitions=12)
+
     def test_a_planned_stop_of_all_nodes_loses_nothing_and_keeps_the_incarnation(self) -> None:
         async def body(fleet: PartitionFleet) -> None:
             for number in range(4):
