--- a/src/bramleylead/trials/_demo.py
+++ b/src/bramleylead/trials/_demo.py
@@ -45,8 +45,6 @@
 RELEASE_LIMIT_S = 6.0
 """Time within which the last programs' caches must be released."""
 RELEASE_CHECK_S = 0.1
-REPLICATION_LIMIT_S = 30.0
-REPLICATION_CHECK_S = 0.5
 TICK_S = 2.0
 
 Say = Callable[[str], None]
@@ -181,11 +179,7 @@
 
 
 async def _disturb(fleet: LiveFleet, started: _Started, say: Say) -> None:
-    """Stop the first node gracefully and start it again, then kill the last one for good.
-
-    A node is killed only while each partition has two copies: a program whose both copies are lost
-    may be set back, and its caller is told.
-    """
+    """Stop the first node gracefully and start it again, then kill the last one for good."""
     names = sorted(fleet.hosts)
     await started.wait_for(STOP_AT)
     say(f"{fleet.deployment.name}: stopping {names[0]} gracefully")
@@ -193,9 +187,6 @@
     say(f"{fleet.deployment.name}: {names[0]} has stopped; starting it again")
     await fleet.start_node(names[0])
     await started.wait_for(KILL_AT)
-    with anyio.move_on_after(REPLICATION_LIMIT_S):
-        while not fleet.is_replicated():  # noqa: ASYNC110 - no event
-            await anyio.sleep(REPLICATION_CHECK_S)
     say(f"{fleet.deployment.name}: killing {names[-1]} without a word")
     await fleet.kill(names[-1])
 
--- a/src/bramleylead/trials/_live.py
+++ b/src/bramleylead/trials/_live.py
@@ -200,16 +200,6 @@
         host.scope.cancel()
         await host.ended.wait()
 
-    def is_replicated(self) -> bool:
-        """Whether each partition has an owner and a second copy at running nodes."""
-        running = [host.served.node for host in self.hosts.values() if host.served is not None]
-        held = [node.dump()["partitions"] for node in running]
-        count = max((node.settings.partitions.count for node in running), default=0)
-        return bool(count) and all(
-            sum(partitions[role] for partitions in held) >= count
-            for role in ("owned", "second_copies")
-        )
-
     async def balance(self, host: LiveHost) -> None:
         """Probe a host as a balancer does, until cancelled."""
         while True:
--- a/testing/trials/test_demo.py
+++ b/testing/trials/test_demo.py
@@ -17,7 +17,6 @@
 from bramleylead.trials._demo import UserRun
 from bramleylead.trials._demo_table import explanations
 from bramleylead.trials._demo_table import is_finished
-from bramleylead.trials._live import LiveFleet
 
 TIME_LIMIT_S = 5.0
 
@@ -65,32 +64,3 @@
                 "    1.000 s granted engine: free",
             ],
         )
-
-
-class CopiesNode:
-    """A node that holds some of four partitions."""
-
-    settings = SimpleNamespace(partitions=SimpleNamespace(count=4))
-
-    def __init__(self, owned: int, second_copies: int) -> None:
-        self._held = {"owned": owned, "second_copies": second_copies}
-
-    def dump(self) -> dict[str, object]:
-        return {"partitions": self._held}
-
-
-class ReplicationTest(unittest.TestCase):
-    def is_replicated(self, *nodes: CopiesNode | None) -> bool:
-        hosts = {
-            str(number): SimpleNamespace(served=node and SimpleNamespace(node=node))
-            for number, node in enumerate(nodes)
-        }
-        return LiveFleet.is_replicated(SimpleNamespace(hosts=hosts))
-
-    def test_two_copies_of_each_partition_at_running_nodes_are_needed(self) -> None:
-        self.assertTrue(self.is_replicated(CopiesNode(2, 2), CopiesNode(2, 2)))
-        self.assertFalse(self.is_replicated(CopiesNode(2, 2), None))
-        self.assertFalse(self.is_replicated(CopiesNode(4, 1), CopiesNode(0, 2)))
-
-    def test_without_nodes_nothing_is_replicated(self) -> None:
-        self.assertFalse(self.is_replicated(None))
