--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -340,7 +340,7 @@
 
     def __init__(self, folder: Path, stack: AsyncExitStack) -> None:
         self._folder = folder
-        self._stack = stack
+        self.stack = stack
         self.store = PlatformStoreStandIn()
         self.store_address = ""
         self.runs: list[Run] = []
@@ -352,7 +352,7 @@
         """Start replicas of a service and list them in the store."""
         added = [Replica(f"i-{service}-{n:02d}", service, self.runs, **how) for n in range(count)]
         for replica in added:
-            await replica.start(self._stack)
+            await replica.start(self.stack)
             self.store.put("servers", replica.name, replica.entry())
         self.replicas += added
         return added
@@ -360,7 +360,7 @@
     def add_node(self, name: str, role: str, store_address: str = "") -> Node:
         """Start a process of the project; it ends with the case."""
         node = Node(name, role, self._folder, store_address or self.store_address)
-        self._stack.push_async_callback(node.kill)
+        self.stack.push_async_callback(node.kill)
         (self.gateways if role == "gateway" else self.ledgers).append(node)
         node.start()
         return node
@@ -368,7 +368,7 @@
     async def start(self, routes: list[dict[str, Any]], *, gateways: int = 2) -> None:
         """Start the store, three ledger nodes and the gateways; wait until all are ready."""
         serving = serve_app(self.store.app, f"{HOST}:0")
-        self.store_address = await self._stack.enter_async_context(serving)
+        self.store_address = await self.stack.enter_async_context(serving)
         self.store.put("config", "main", configuration(1, routes))
         for number in range(3):
             self.add_node(f"storage-{number}", "ledger")
