--- a/review/1/case.py
+++ b/review/1/case.py
@@ -63,7 +63,11 @@
             served_first_turns += other.status == 200 and other.whole
             request = f"next{number}"
             got = await ask(
-                gateway.http, "/turns/a", request, body=b"go on", headers=turn_headers("p1", previous)
+                gateway.http,
+                "/turns/a",
+                request,
+                body=b"go on",
+                headers=turn_headers("p1", previous),
             )
             ran = [run for run in site.runs if run.request == request]
             record.write(
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -99,8 +99,8 @@
         late += len(too_late)
         last = max(after, default=0.0)
         record.write(
-            f"{replica.name}: {len(after)} requests after it was gone, the last {last:.3f} s later; "
-            f"later than {DRAIN_S} s: {too_late}"
+            f"{replica.name}: {len(after)} requests after it was gone, the last {last:.3f} s later;"
+            f" later than {DRAIN_S} s: {too_late}"
         )
     if served < 0.9 * len(answers):
         return NOT_RUN
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -54,7 +54,7 @@
 
 
 async def case(record: Record) -> int:
-    """Keep some turns, then let two nodes of the ledger lose their disks, one long after the other."""
+    """Keep some turns, then let two nodes of the ledger lose their disks one after the other."""
     async with opened_deployment() as site:
         routes = [route("turns", "streaming", "lm-pool", retained=True, **{"retention-s": 60.0})]
         await site.start(routes)
@@ -97,7 +97,7 @@
             ran = [run for run in site.runs if run.request == request]
             found += bool(ran) and ran[0].body == chain + b"go on"
             record.write(
-                f"sent {request} after {previous}: {got.status}, runs {len(ran)}, {got.body[:110]!r}"
+                f"sent {request} after {previous}: {got.status}, runs {len(ran)}, {got.body[:99]!r}"
             )
         record.write(f"first turns served: {before} of {TRIES} before, {after} after")
         record.write(f"kept turns found: {found} of {len(kept)}")
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -13,6 +13,7 @@
 from deployment import Record
 from deployment import ask
 from deployment import opened_deployment
+from deployment import poll
 from deployment import route
 from deployment import run_case
 from proxy import DarkProxy
@@ -77,8 +78,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(send, CLIENTS, "alone")
             with anyio.fail_after(2.0):
-                while not ran_at("alone"):
-                    await anyio.sleep(0.005)
+                await poll(lambda: bool(ran_at("alone")))
             (dark,) = ran_at("alone")
             if TROUBLE:
                 record.write(f"{dark} works on a request and goes dark")
@@ -93,7 +93,9 @@
             record.write(f"{request}: ran at {at}, answered {answer.status} {answer.body[:90]!r}")
             closed += bool(at) and at != [dark] and answer.status == 0
         record.write(f"exit code of {gateway.name}: {gateway.exit_code} (None: it runs)")
-        for line in [text for text in gateway.log.read_text().splitlines() if "Error:" in text][-1:]:
+        for line in [text for text in gateway.log.read_text().splitlines() if "Error:" in text][
+            -1:
+        ]:
             record.write(f"error in its log: {line.strip()[:200]}")
         record.write(f"{closed} requests at sound replicas ended with a closed connection")
         return BROKEN if closed > MAX_CLOSED else HELD
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -8,6 +8,7 @@
 
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -26,11 +27,11 @@
 from typing import NamedTuple
 
 import anyio
+from platform_store import PlatformStoreStandIn
+from serving import serve_app
 
 from bramleylead.connection._http_client import HttpClient
 from bramleylead.http._exchange import Exchange
-from platform_store import PlatformStoreStandIn
-from serving import serve_app
 
 HOST = "127.0.0.1"
 ROOT = Path.cwd()
@@ -40,6 +41,8 @@
 START_LIMIT_S = 30.0
 CASE_LIMIT_S = 110.0
 STABLE_WINDOW_S = 3.0
+FIRST_PORT = 10_240
+LAST_PORT = 30_000
 DRAIN_S = 2.5
 
 HELD = 10
@@ -48,6 +51,8 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
+_given_ports: set[int] = set()
+
 
 class Record:
     """The file in which a case writes what was sent, answered and run."""
@@ -102,8 +107,7 @@
         """End the process at once."""
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
-        while self._process is not None and self._process.poll() is None:
-            await anyio.sleep(0.01)
+        await poll(lambda: self._process is None or self._process.poll() is not None)
 
     def wipe(self) -> None:
         """Lose the disk; the process must have ended."""
@@ -379,10 +383,8 @@
         """Wait until each gateway answers the balancer's question and the ledger is complete."""
         with anyio.fail_after(START_LIMIT_S):
             for node in self.gateways:
-                while not await is_ready(node):
-                    await anyio.sleep(0.2)
-            while len(self.members()) < 3:
-                await anyio.sleep(0.2)
+                await poll(lambda node=node: is_ready(node), every_s=0.2)
+            await poll(lambda: len(self.members()) >= 3, every_s=0.2)
         await anyio.sleep(1.0)
 
     def members(self) -> list[str]:
@@ -391,6 +393,15 @@
         return [member["node"] for member in found["specification"]["members"]] if found else []
 
 
+async def poll(condition: Callable[[], bool | Awaitable[bool]], *, every_s: float = 0.01) -> None:
+    """Wait until a condition holds."""
+    while True:
+        found = condition()
+        if found if isinstance(found, bool) else await found:
+            return
+        await anyio.sleep(every_s)
+
+
 async def is_ready(node: Node) -> bool:
     """Ask a gateway as the platform's balancer does."""
     async with HttpClient(node.ready) as client:
@@ -399,15 +410,19 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free ports of the loopback address."""
-    probes = [socket.socket() for _ in range(count)]
-    try:
-        for probe in probes:
-            probe.bind((HOST, 0))
-        return [probe.getsockname()[1] for probe in probes]
-    finally:
-        for probe in probes:
-            probe.close()
+    """Return free ports of the loopback address, below those that the kernel gives out itself."""
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in _given_ports:
+            _given_ports.add(port)
+            found.append(port)
+    return found
 
 
 @asynccontextmanager
