--- a/review/4/case.py
+++ b/review/4/case.py
@@ -25,9 +25,9 @@
 REPLICAS = 16
 LEAVING = 2
 """An eighth of the replicas; the site file has scale_in with a share of 0.13."""
-LEAVE_GAP_S = 0.03
+LEAVE_GAP_S = 0.02
 OUTAGE_S = 2.0
-CLIENTS_PER_GATEWAY = 6
+CLIENTS_PER_GATEWAY = 8
 PACE_S = 0.004
 AFTER_S = 4.0
 
