--- a/review/4/case.py
+++ b/review/4/case.py
@@ -32,21 +32,22 @@
 AFTER_S = 4.0
 
 
-async def send_lookups(node: Node, name: str, answers: list[int]) -> None:
+async def send_lookups(node: Node, name: str, answers: dict[str, int]) -> None:
     """Send one lookup after the other on a kept connection."""
     number = 0
     async with HttpClient(node.http) as client:
         while True:
             number += 1
+            request = f"{name}.{number}"
             got = await ask(
                 node.http,
                 "/lookup/a",
-                f"{name}.{number}",
+                request,
                 method="GET",
                 deadline_s=1.2,
                 client=client,
             )
-            answers.append(got.status)
+            answers[request] = got.status
             await anyio.sleep(PACE_S)
 
 
@@ -56,7 +57,7 @@
         await site.start([route("lookup", "safe", "cert-app", **{"timeout-ms": 1200})])
         replicas = await site.add_replicas("cert-app", REPLICAS, work_s=0.004, slots=6)
         await site.wait_ready()
-        answers: list[int] = []
+        answers: dict[str, int] = {}
         record.write(f"lookups for {HOST_NAME} begin at both gateways")
         async with anyio.create_task_group() as tasks:
             for node in site.gateways:
@@ -86,14 +87,24 @@
     runs: list,
     replicas: list[Replica],
     acknowledged: dict[str, float],
-    answers: list[int],
+    answers: dict[str, int],
 ) -> int:
     """Count the requests that reached a replica later than ``drain-ms`` after it was gone."""
-    served = sum(status == 200 for status in answers)
-    record.write(f"{served} of {len(answers)} lookups answered with 200; {len(runs)} runs")
+    served = sum(status == 200 for status in answers.values())
+    record.write(
+        f"{served} of {len(answers)} lookups answered with 200; {len(runs)} runs; those late:"
+    )
     late = 0
     for replica in replicas[:LEAVING]:
-        ages = [run.at - acknowledged[replica.name] for run in runs if run.replica == replica.name]
+        ages = []
+        for run in runs:
+            if run.replica != replica.name:
+                continue
+            age = run.at - acknowledged[replica.name]
+            ages.append(age)
+            if age > 0:
+                status = answers.get(run.request, "nothing yet")
+                record.write(f"{run.request} ran at {replica.name} {age:.3f} s after: {status}")
         after = [age for age in ages if age > 0]
         too_late = [round(age, 3) for age in after if age > DRAIN_S]
         late += len(too_late)
