Refuse entries whose port is impossible, and restart tasks that all requests need

Callers saw: six requests at sound replicas ended with a closed connection, though they ran (LOST), since the gateway's process ended with exit code 1.

Cause: read_replica asked only whether a port consists of digits, so an entry of another writer at 127.0.0.1: became a replica. While a replica is silent PathMonitor probes others of any service; the kernel's wrapper raises OverflowError for such a port, which the pool does not expect, and the error of one probe ended the task, the task group and the process.

Change: an entry's address is an IP address and a port from 1 to 65535, or the entry names no replica; a connection to an address that can't be used fails with OSError, whoever gave it; tasks that a process needs are started again after an unexpected error, which is logged with its trace and counted by task.

--- a/src/bramleylead/connection/_tcp.py
+++ b/src/bramleylead/connection/_tcp.py
@@ -15,6 +15,7 @@
 
 KEEPALIVE_PROBES = 2
 KEEPALIVE_INTERVAL_S = 1
+MAX_PORT = 65_535
 
 
 @final
@@ -30,9 +31,15 @@
         self._options = keepalive_options(keepalive_idle_s)
 
     async def connect(self, address: str) -> ByteStream:
-        """Open a TCP stream to ``host:port`` with TCP_NODELAY."""
-        host, port = split_address(address)
-        stream = await anyio.connect_tcp(host, port)
+        """Open a TCP stream to ``host:port`` with TCP_NODELAY.
+
+        :raises OSError: if nothing answers there, or no connection to this address is possible.
+        """
+        host, port = _target(address)
+        try:
+            stream = await anyio.connect_tcp(host, port)
+        except ValueError as error:
+            raise OSError(f"invalid host in {address!r}: {error}") from error
         _set_nodelay(stream)
         raw_socket = stream.extra(SocketAttribute.raw_socket)
         for level, option, value in self._options:
@@ -67,6 +74,20 @@
     return host.strip("[]"), int(port)
 
 
+def _target(address: str) -> tuple[str, int]:
+    """Split an address to connect to.
+
+    :raises OSError: if it has no port to which a connection is possible.
+    """
+    try:
+        host, port = split_address(address)
+    except ValueError as error:
+        raise OSError(f"invalid address {address!r}: {error}") from error
+    if not 0 < port <= MAX_PORT:
+        raise OSError(f"invalid address {address!r}: the port must be from 1 to {MAX_PORT}")
+    return host, port
+
+
 def keepalive_options(keepalive_idle_s: int) -> list[tuple[int, int, int]]:
     """Return the socket options with which the kernel closes an unresponsive connection.
 
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -4,6 +4,7 @@
 
 import random
 import signal
+from functools import partial
 from pathlib import Path
 from typing import Any
 from typing import final
@@ -51,6 +52,7 @@
 from bramleylead.platform._objects import PlatformStore
 from bramleylead.site_metrics import SiteMetrics
 from bramleylead.site_settings import GatewaySettings
+from bramleylead.supervision import supervise
 
 MAINTENANCE_INTERVAL_S = 1.0
 UNREADY_BEFORE_STOP_S = 3.2
@@ -171,11 +173,12 @@
             self._network.serve, self._settings.peer_address, self._peer_server.serve_stream
         )
         for follower in (ConfigurationFollower(self.directory), ReplicaFollower(self.directory)):
-            self._tasks.start_soon(follow, self._objects, follower)
-        self._tasks.start_soon(self._store.run)
-        self._tasks.start_soon(self._run_maintenance)
-        self._tasks.start_soon(self._ledger.run_probes)
-        self._tasks.start_soon(self._path_monitor.run)
+            run = partial(follow, self._objects, follower)
+            self._tasks.start_soon(supervise, f"follow_{follower.kind}", run)
+        self._tasks.start_soon(supervise, "store_probes", self._store.run)
+        self._tasks.start_soon(supervise, "maintenance", self._run_maintenance)
+        self._tasks.start_soon(supervise, "ledger_probes", self._ledger.run_probes)
+        self._tasks.start_soon(supervise, "path_monitor", self._path_monitor.run)
         log.info(
             "gateway_serving",
             node=self._settings.node,
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
+from functools import partial
 from pathlib import Path
 from typing import final
 
@@ -36,6 +37,7 @@
 from bramleylead.platform._objects import PlatformStore
 from bramleylead.site_metrics import SiteMetrics
 from bramleylead.site_settings import LedgerSettings
+from bramleylead.supervision import supervise
 
 EXPIRE_INTERVAL_S = 10.0
 RETIRE_RETRY_S = 0.3
@@ -130,16 +132,19 @@
         retirement = RetirementFollower(settings.node)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             tasks.start_soon(node.run_writer)
-            tasks.start_soon(load_sharing.run)
+            tasks.start_soon(supervise, "load_sharing", load_sharing.run)
             await tasks.start(network.serve, address, server.serve_stream)
             await tasks.start(HttpServer(metrics.app).serve, settings.metrics_address)
-            tasks.start_soon(_run_expiry, node)
-            tasks.start_soon(monitored_store.run)
+            tasks.start_soon(supervise, "expiry", partial(_run_expiry, node))
+            tasks.start_soon(supervise, "store_probes", monitored_store.run)
             for kind in GATEWAY_KINDS:
-                tasks.start_soon(_follow_as_member, node, objects, mirror.kinds[kind])
+                run = partial(_follow_as_member, node, objects, mirror.kinds[kind])
+                tasks.start_soon(supervise, f"follow_{kind}", run)
             retirements = SharedFollower(mirror.kinds[names.RETIREMENT_KIND], retirement)
-            tasks.start_soon(follow, objects, retirements)
-            tasks.start_soon(_run_membership, membership, retirement, store, settings.node)
+            run = partial(follow, objects, retirements)
+            tasks.start_soon(supervise, f"follow_{names.RETIREMENT_KIND}", run)
+            run = partial(_run_membership, membership, retirement, store, settings.node)
+            tasks.start_soon(supervise, "membership", run)
             log.info("ledger_serving", node=settings.node, address=address, disk=disk.name)
             async for signal_number in signals:
                 if signal_number is signal.SIGHUP:
--- a/src/bramleylead/platform/_decode.py
+++ b/src/bramleylead/platform/_decode.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 from typing import Any
 
 from bramleylead.platform._types import CallKind
@@ -16,6 +17,9 @@
 MS_PER_S = 1000.0
 CALL_KINDS = {"safe": CallKind.SAFE, "unsafe": CallKind.UNSAFE, "streaming": CallKind.STREAM}
 REPLICA_STATES = ("ready", "draining")
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
+MAX_SHOWN_CHARS = 60
 
 
 class UnreadableError(ValueError):
@@ -53,9 +57,9 @@
     try:
         state = plain["state"]
         service, address, data_centre = plain["service"], plain["address"], plain["zone"]
-        host, _, port = address.rpartition(":")
-        if state not in REPLICA_STATES or not host or not port.isdigit():
-            raise UnreadableError(f"replica {name}: state {state!r}, address {address!r}")
+        if state not in REPLICA_STATES:
+            raise UnreadableError(f"replica {name}: state {state!r}")
+        _check_address(name, address)
         if not isinstance(service, str) or not isinstance(data_centre, str):
             raise UnreadableError(f"replica {name}: service {service!r}, zone {data_centre!r}")
         slots, version = plain.get("slots", 0), plain["version"]
@@ -74,6 +78,22 @@
         raise UnreadableError(f"replica {name}: {type(error).__name__}: {error}") from error
 
 
+def _check_address(name: str, address: str) -> None:
+    """Check that a connection to an address can be attempted: an IP address and a port.
+
+    :raises UnreadableError: if it can't.
+    """
+    host, _, port = address.rpartition(":")
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not is_number or not 0 < int(port) <= MAX_PORT:
+        shown = address[:MAX_SHOWN_CHARS]
+        raise UnreadableError(f"replica {name}: address {shown!r}: no port from 1 to {MAX_PORT}")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError as error:
+        raise UnreadableError(f"replica {name}: address: {error}") from error
+
+
 def _parse_route(plain: dict[str, Any]) -> Route:
     split = plain.get("traffic-split")
     if split:
--- a/src/bramleylead/site_metrics.py
+++ b/src/bramleylead/site_metrics.py
@@ -27,7 +27,7 @@
 METRICS_PATH = "/metrics"
 DUMP_PATH = "/dump"
 SECONDS_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
-REASON_FIELDS = ("kind", "status", "may_have_run")
+REASON_FIELDS = ("kind", "status", "may_have_run", "task")
 """Fields of a line that name a reason and take few values."""
 COUNTED_SOURCES = ("memory", "ledger")
 """Where a turn was found. Other sources name nodes or revisions, of which there is no end."""
