Refuse numbers that no message between nodes can carry

Callers saw: a turn with a number over 64 bits in Bramleylead-Token-Usage ended the gateway's process, with all requests in it.

Cause: headers and objects of the store were parsed without a bound. The value was found impossible where msgpack encodes it, in a background task whose error ended the task group and the process.

Change: callers' numbers are finite and at most 10**15, or the request gets 400 naming the header; values of the store with integers over 64 bits or lone surrogates are unreadable; a request to a node that can't be encoded fails by itself; headers travel as the bytes that came; an unexpected error of a request is logged and counted.

--- a/src/bramleylead/connection/_client.py
+++ b/src/bramleylead/connection/_client.py
@@ -13,6 +13,7 @@
 import structlog
 from anyio.abc import ByteStream
 from anyio.abc import TaskGroup
+from result import Err
 from result import Ok
 from result import Result
 
@@ -55,11 +56,15 @@
         self.closed = False
 
     def open(self, request: tuple[Any, ...]) -> PeerCall:
+        """Send a request.
+
+        :raises MessageError: if no frame can carry it.
+        """
         call = PeerCall(self.next_call, self.frames)
+        self.frames.send_nowait(Frame(call.number, FrameKind.OPEN, to_plain(request)))
         self.calls[call.number] = call
         self.next_call += 1
         self.last_used_at = anyio.current_time()
-        self.frames.send_nowait(Frame(call.number, FrameKind.OPEN, to_plain(request)))
         self._start_awaiting_reply()
         return call
 
@@ -153,7 +158,7 @@
         """Send one message and return the single answer.
 
         An ``Err`` of kind ``OWNER_UNAVAILABLE`` means that no answer arrived; the request may have
-        been carried out.
+        been carried out. ``TOO_LARGE`` means that no message can carry it, so it was not sent.
 
         :param idempotent: whether the message may also be sent over a new connection if the
             current one stays silent; the first answer is returned.
@@ -176,7 +181,11 @@
         if connection is None:
             yield no_answer(address, "can't connect")
             return
-        call = connection.open(message)
+        try:
+            call = connection.open(message)
+        except MessageError as error:
+            yield _not_sendable(message, error)
+            return
         try:
             yield Ok(call)
         finally:
@@ -313,10 +322,20 @@
     return isinstance(answer, Ok) or answer.err_value.kind is not ErrorKind.OWNER_UNAVAILABLE
 
 
+def _not_sendable(message: tuple[Any, ...], error: MessageError) -> Err[Failure]:
+    """Return the failure for a request that no message can carry."""
+    detail = f"{type(message).__name__}: {error}"
+    log.warning("message_not_sendable", message=type(message).__name__, reason=str(error))
+    return Err(Failure(ErrorKind.TOO_LARGE, detail))
+
+
 async def _request_over(
     connection: _Connection, message: tuple[Any, ...], address: str
 ) -> Result[Any, Failure]:
-    call = connection.open(message)
+    try:
+        call = connection.open(message)
+    except MessageError as error:
+        return _not_sendable(message, error)
     try:
         return await first_answer(call, address)
     finally:
--- a/src/bramleylead/connection/_frames.py
+++ b/src/bramleylead/connection/_frames.py
@@ -87,9 +87,12 @@
     def send_nowait(self, frame: Frame, *, urgent: bool = True) -> int:
         """Queue a frame without waiting and return its size; a closed stream discards it.
 
-        :raises MessageError: if the frame exceeds the maximum size.
+        :raises MessageError: if the frame exceeds the maximum size, or can't be encoded.
         """
-        body = msgpack.packb([frame.call, int(frame.kind), frame.body])
+        try:
+            body = msgpack.packb([frame.call, int(frame.kind), frame.body])
+        except (ValueError, OverflowError, TypeError) as error:
+            raise MessageError(f"not encodable: {type(error).__name__}: {error}") from error
         if len(body) > self._max_frame_bytes:
             raise MessageError(
                 f"frame of {len(body)} bytes; at most {self._max_frame_bytes} are allowed"
--- a/src/bramleylead/gateway/_app.py
+++ b/src/bramleylead/gateway/_app.py
@@ -54,13 +54,25 @@
         self.in_flight += 1
         try:
             await self._serve(scope, receive, send)
+        except ResponseAbortedError:
+            raise
+        except Exception as error:
+            # The HTTP server answers 500 or closes the connection: neither promises anything.
+            log.exception("request_failed", reason=f"{type(error).__name__}: {error}")
+            raise
         finally:
             self.in_flight -= 1
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         exchange = Exchange(scope, receive, send)
         exchange.close_after = self.closing
-        writer = HttpResponseWriter(exchange, wire.read_call(exchange.headers))
+        try:
+            metadata = wire.read_call(exchange.headers)
+        except wire.HeaderError as error:
+            writer = HttpResponseWriter(exchange, wire.read_identity(exchange.headers))
+            await writer.send_failure(Failure(ErrorKind.MALFORMED, str(error)))
+            return
+        writer = HttpResponseWriter(exchange, metadata)
         await self._handle(scope, exchange, writer)
         if writer.aborted:
             # The HTTP server closes a connection whose response is incomplete.
--- a/src/bramleylead/gateway/_upstream.py
+++ b/src/bramleylead/gateway/_upstream.py
@@ -120,7 +120,7 @@
         self.request_count += 1
         try:
             return self._serialize(head, body)
-        except h11.LocalProtocolError as error:
+        except (h11.LocalProtocolError, UnicodeError) as error:
             raise UpstreamError(f"request {head.request_id}: {error}") from error
 
     async def send(self, data: bytes) -> None:
@@ -181,7 +181,11 @@
                 return None
 
     def _serialize(self, head: RequestHead, body: bytes) -> bytes:
-        event = h11.Request(method=head.method, target=head.target, headers=head.headers)
+        headers = [
+            (name.encode("latin-1"), value.encode("latin-1")) for name, value in head.headers
+        ]
+        target = head.target.encode("latin-1")
+        event = h11.Request(method=head.method, target=target, headers=headers)
         parts = [self._parser.send(event)]
         if body:
             parts.append(self._parser.send(h11.Data(data=body)))
--- a/src/bramleylead/platform/_objects.py
+++ b/src/bramleylead/platform/_objects.py
@@ -16,6 +16,7 @@
 from urllib.parse import quote
 from urllib.parse import urlencode
 
+import structlog
 from result import Err
 from result import Ok
 from result import Result
@@ -32,6 +33,8 @@
 CALL_TIMEOUT_S = 1.5
 KEEPALIVE_IDLE_S = 2
 WATCH_SLACK_S = 1.0
+MIN_INTEGER = -(2**63)
+MAX_INTEGER = 2**64 - 1
 STATUS_KINDS = {
     404: StoreErrorKind.NOT_FOUND,
     409: StoreErrorKind.CONFLICT,
@@ -42,6 +45,9 @@
 }
 
 
+log = structlog.get_logger()
+
+
 class PlatformObject(NamedTuple):
     """One object of a kind.
 
@@ -189,22 +195,50 @@
         return answer
     try:
         return Ok(parse(json.loads(answer.ok_value.body)))
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, RecursionError) as error:
         detail = f"malformed answer: {type(error).__name__}: {error}"
         return Err(StoreError(StoreErrorKind.UNKNOWN, detail))
 
 
 def _to_object(plain: dict[str, Any]) -> PlatformObject:
     metadata = plain["metadata"]
+    name = str(metadata["name"])
     return PlatformObject(
-        name=str(metadata["name"]),
-        value=plain.get("specification"),
-        status=plain.get("status"),
+        name=name,
+        value=_portable(name, plain.get("specification")),
+        status=_portable(name, plain.get("status")),
         revision=int(metadata["revision"]),
         deleting=bool(metadata.get("deleting", False)),
     )
 
 
+def _portable(name: str, value: Any) -> Any:
+    """Return a value if messages between nodes can carry it, else ``None``."""
+    if _is_portable(value):
+        return value
+    log.warning("object_unreadable", object=name, reason="number over 64 bits or invalid text")
+    return None
+
+
+def _is_portable(value: Any) -> bool:
+    """Return whether msgpack encodes a decoded JSON value: integers of 64 bits, text in UTF-8."""
+    if isinstance(value, dict):
+        return all(_is_portable(key) and _is_portable(item) for key, item in value.items())
+    if isinstance(value, list):
+        return all(map(_is_portable, value))
+    if isinstance(value, int):
+        return MIN_INTEGER <= value <= MAX_INTEGER
+    return not isinstance(value, str) or value.isascii() or _is_utf8(value)
+
+
+def _is_utf8(text: str) -> bool:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _to_page(plain: dict[str, Any]) -> ObjectPage:
     objects = tuple(_to_object(item) for item in plain["items"])
     return ObjectPage(objects, bool(plain["has-more"]), int(plain["as-of"]))
--- a/src/bramleylead/platform/_wire.py
+++ b/src/bramleylead/platform/_wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 
 import structlog
@@ -13,14 +14,25 @@
 from bramleylead.platform._types import ResponseMetadata
 
 MS_PER_S = 1000.0
+MAX_NUMBER = 10**15
+"""Messages between nodes carry 64 bits, and a float counts exactly up to 2**53."""
+MAX_DIGITS = 15
+MAX_SHOWN_CHARS = 40
 
 log = structlog.get_logger()
 
 Headers = list[tuple[str, str]]
 
 
+class HeaderError(ValueError):
+    """A number in a caller's header is outside of the permitted range."""
+
+
 def read_call(headers: Mapping[str, str]) -> CallMetadata:
-    """Parse the headers of a caller's request; header names are in lower case."""
+    """Parse the headers of a caller's request; header names are in lower case.
+
+    :raises HeaderError: if a number is too large or not finite.
+    """
     prompt_tokens, most_tokens = _parse_token_usage(headers.get(names.TOKEN_USAGE, ""))
     budget = _parse_number(headers, names.TOKEN_BUDGET)
     return CallMetadata(
@@ -40,6 +52,11 @@
     )
 
 
+def read_identity(headers: Mapping[str, str]) -> CallMetadata:
+    """Parse only the request's id and program, of a request whose other headers are invalid."""
+    return read_call({name: headers.get(name, "") for name in (names.REQUEST_ID, names.PROGRAM_ID)})
+
+
 def request_headers(
     received: Headers, *, remaining_s: float, replica: str, resume_after: str, body_bytes: int
 ) -> Headers:
@@ -110,14 +127,21 @@
 
 
 def _parse_number(headers: Mapping[str, str], name: str) -> float | None:
+    """Parse a number; ``None`` if there is none.
+
+    :raises HeaderError: if it is too large or not finite.
+    """
     text = headers.get(name, "")
     if not text:
         return None
     try:
-        return float(text)
+        number = float(text)
     except ValueError:
-        log.warning("header_unreadable", header=name, value=text[:40])
+        log.warning("header_unreadable", header=name, value=text[:MAX_SHOWN_CHARS])
         return None
+    if not math.isfinite(number) or abs(number) > MAX_NUMBER:
+        raise _out_of_range(name, text)
+    return number
 
 
 def _parse_seconds(headers: Mapping[str, str], name: str) -> float | None:
@@ -125,28 +149,48 @@
     return None if number is None else number / MS_PER_S
 
 
+def _out_of_range(name: str, text: str) -> HeaderError:
+    shown = text[:MAX_SHOWN_CHARS]
+    return HeaderError(f"header {name}: {shown!r}: must be a number of at most {MAX_NUMBER}")
+
+
 def _parse_token_usage(text: str) -> tuple[int, int]:
     """Parse the number of prompt tokens and the maximum of output tokens; 0 if missing."""
     prompt, _, output = text.partition(",")
-    return _parse_count(prompt), _parse_count(output)
+    return _parse_count(names.TOKEN_USAGE, prompt), _parse_count(names.TOKEN_USAGE, output)
+
+
+def _is_digits(text: str) -> bool:
+    """Return whether a text is a number to ``int``; ``str.isdigit`` accepts superscripts too."""
+    return text.isascii() and text.isdigit()
+
 
+def _parse_count(name: str, text: str) -> int:
+    """Parse a number of tokens; 0 if there is none.
 
-def _parse_count(text: str) -> int:
+    :raises HeaderError: if it is too large.
+    """
     text = text.strip()
-    return int(text) if text.isdigit() else 0
+    if not _is_digits(text):
+        return 0
+    if len(text) > MAX_DIGITS:
+        raise _out_of_range(name, text)
+    return int(text)
 
 
 def _parse_prompt(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for entry in text.split(",") if text else ():
         name, _, tokens = entry.strip().partition(":")
-        parts.append(PromptPart(name, _parse_count(tokens)))
+        parts.append(PromptPart(name, _parse_count(names.PROMPT_PREFIX, tokens)))
     return tuple(parts)
 
 
 def _parse_load(text: str) -> Load | None:
     numbers = [part.strip() for part in text.split(",")]
-    if len(numbers) != 3 or not all(number.isdigit() for number in numbers):
+    if len(numbers) != 3 or not all(map(_is_digits, numbers)):
+        return None
+    if any(len(number) > MAX_DIGITS for number in numbers):
         return None
     running, waiting, slots = map(int, numbers)
     return Load(running, waiting, slots)
@@ -154,13 +198,16 @@
 
 def _parse_rate(headers: Mapping[str, str]) -> float | None:
     """Parse a replica's limit; ``None`` if it names none or no rate."""
-    rate = _parse_number(headers, names.SERVER_LIMIT)
-    return rate if rate is not None and 0.0 <= rate < float("inf") else None
+    try:
+        rate = _parse_number(headers, names.SERVER_LIMIT)
+    except HeaderError:
+        return None
+    return rate if rate is not None and rate >= 0.0 else None
 
 
 def _parse_keep_alive_s(text: str) -> float | None:
     for option in text.split(","):
         name, _, value = option.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdigit():
-            return float(value)
+        if name.lower() == "timeout" and _is_digits(value.strip()):
+            return float(value.strip()[:MAX_DIGITS])
     return None
--- a/src/bramleylead/standins/_platform_store.py
+++ b/src/bramleylead/standins/_platform_store.py
@@ -15,7 +15,6 @@
 from bramleylead.http._exchange import Scope
 from bramleylead.http._exchange import Send
 from bramleylead.http._responses import JSON_TYPE
-from bramleylead.http._responses import encode_json
 from bramleylead.platform import _names as names
 
 PAGE_OBJECTS = 500
@@ -61,7 +60,7 @@
         if self.silent:
             await anyio.sleep_forever()
         headers = [("content-type", JSON_TYPE)]
-        await exchange.respond(status, encode_json(answer), headers)
+        await exchange.respond(status, json.dumps(answer).encode(), headers)
 
     def put(self, kind: str, name: str, value: Any) -> Plain:
         """Create or replace an object, as its own writer would."""
--- a/testing/connection/test_rpc.py
+++ b/testing/connection/test_rpc.py
@@ -83,6 +83,22 @@
         received = run_virtual(lambda: _run_with_pair(body), seed=1)
         self.assertEqual(received, [[Echo("report", 0), Echo("report", 1)], []])
 
+    # Guards against an error in the task of the sender, which ended the process.
+    def test_a_message_that_no_frame_can_carry_is_a_failure(self) -> None:
+        unsendable = [Echo("x", 2**64), Echo("\ud800"), Echo("x" * 5_000_000)]
+
+        async def body(network: FakeNetwork, server: PeerServer, client: PeerClient) -> Any:
+            failures = []
+            for item in unsendable:
+                failures.append(await client.request(ADDRESS, item, timeout_s=1, idempotent=True))
+                async with client.stream(ADDRESS, item) as opened:
+                    failures.append(opened)
+            return failures, await client.request(ADDRESS, Echo("hello"), timeout_s=1)
+
+        failures, answer = run_virtual(lambda: _run_with_pair(body), seed=1)
+        self.assertEqual({failure.err_value.kind for failure in failures}, {ErrorKind.TOO_LARGE})
+        self.assertEqual(answer, Ok(Echo("hello")))
+
     def test_a_wrong_cluster_key_gets_no_answer(self) -> None:
         async def body(network: FakeNetwork, server: PeerServer, client: PeerClient) -> Any:
             answer = await client.request(ADDRESS, Echo("hello"), timeout_s=1)
--- a/testing/gateway/test_follow.py
+++ b/testing/gateway/test_follow.py
@@ -107,6 +107,18 @@
 
         self.run_followers(main)
 
+    # Guards against lists that no node of the ledger could pass on any more.
+    def test_values_that_no_message_can_carry_are_unreadable(self) -> None:
+        values = [{"sequence": 2**64}, {"zone": "\ud800"}, {"\ud800": 1}, [[-(2**63) - 1]]]
+
+        async def main(store: PlatformStoreStandIn, directory: Directory) -> None:
+            for number, value in enumerate(values):
+                store.put("servers", f"foreign-{number}", {**ENTRY, "extra": value})
+            store.put("servers", "i-2", ENTRY)
+            await wait_until(lambda: directory.replica_names() == {"i-2"})
+
+        self.run_followers(main)
+
 
 class MemberListTest(unittest.TestCase):
     def run_member_list(
--- a/testing/platform/test_decode.py
+++ b/testing/platform/test_decode.py
@@ -152,6 +152,12 @@
         self.assertIsNone(facts.budget_tokens)
         self.assertEqual((facts.prompt, facts.max_output_tokens), ((), 0))
 
+    # Guards against str.isdigit, which accepts digits that int refuses.
+    def test_a_superscript_is_no_number(self) -> None:
+        self.assertEqual(wire.read_call({"bramleylead-token-usage": "²,²"}).max_output_tokens, 0)
+        answer = wire.read_answer({"bramleylead-server-load": "²,1,8", "keep-alive": "timeout=²"})
+        self.assertEqual((answer.load, answer.keep_alive_s), (None, None))
+
     def test_the_load_and_keep_alive_headers_of_an_answer_are_parsed(self) -> None:
         facts = wire.read_answer(
             {"bramleylead-server-load": "3,1,8", "keep-alive": "timeout=15, max=3"}
