Choose free ports outside the range of outgoing connections

Cause: port 0 gives a port of the ephemeral range (32768 to 60999 here); it is released and bound again later, and any outgoing connection of another process may get it in between.

Change: such ports are chosen below the ephemeral range, at most once a process.

--- a/src/bramleylead/process/_run_node.py
+++ b/src/bramleylead/process/_run_node.py
@@ -5,7 +5,6 @@
 import json
 import random
 import signal
-import socket
 import sys
 import time
 from collections.abc import AsyncIterator
@@ -23,6 +22,7 @@
 from bramleylead.backends import HttpBackends
 from bramleylead.connection import Network
 from bramleylead.connection import TcpNetwork
+from bramleylead.connection._free_ports import find_free_port
 from bramleylead.connection._tcp import split_address
 from bramleylead.metrics import Metrics
 from bramleylead.node_settings import NodeSettings
@@ -156,11 +156,7 @@
     host, port = split_address(address)
     if port:
         return address
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    with socket.socket(family, socket.SOCK_STREAM) as probe:
-        probe.bind((host, 0))
-        free_port = probe.getsockname()[1]
-    return f"{address.rpartition(':')[0]}:{free_port}"
+    return f"{address.rpartition(':')[0]}:{find_free_port(host)}"
 
 
 def dump_line(state: dict[str, Any]) -> str:
--- a/src/bramleylead/trials/site/_processes.py
+++ b/src/bramleylead/trials/site/_processes.py
@@ -5,7 +5,6 @@
 import json
 import shutil
 import signal
-import socket
 import sys
 from contextlib import AsyncExitStack
 from pathlib import Path
@@ -15,6 +14,7 @@
 import anyio
 from anyio.abc import Process
 
+from bramleylead.connection._free_ports import find_free_port
 from bramleylead.trials.site._proxy import HOST
 from bramleylead.trials.site._proxy import Proxy
 
@@ -31,7 +31,7 @@
         self._losses = losses
         self._process: Process | None = None
         self._log = folder / f"{name}.log"
-        self._ports = [_free_port() for _ in range(4)]
+        self._ports = [find_free_port(HOST) for _ in range(4)]
         self.name = name
         self.role = role
         self.store = Proxy("")
@@ -116,9 +116,3 @@
         if self.role == "ledger":
             return {**settings, "data_folder": str(self._folder / self.name)}
         return {**settings, "http_address": self.http, "ready_address": self.ready}
-
-
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
--- a/testing/gateway/test_processes.py
+++ b/testing/gateway/test_processes.py
@@ -4,7 +4,6 @@
 
 import json
 import signal
-import socket
 import sys
 import tempfile
 import unittest
@@ -19,6 +18,7 @@
 from anyio.abc import Process
 from anyio.abc import SocketStream
 
+from bramleylead.connection._free_ports import find_free_port
 from bramleylead.connection._http_client import HttpClient
 from bramleylead.connection._http_client import HttpResponse
 from bramleylead.platform import _names as names
@@ -46,12 +46,6 @@
 }
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
-
-
 class Site:
     """Two ledger nodes and a gateway, each in its own process."""
 
@@ -60,9 +54,9 @@
         self._store_address = store_address
         self._stack = stack
         self.processes: dict[str, Process] = {}
-        self.http = f"{HOST}:{free_port()}"
-        self.ready = f"{HOST}:{free_port()}"
-        self.metrics = f"{HOST}:{free_port()}"
+        self.http = f"{HOST}:{find_free_port(HOST)}"
+        self.ready = f"{HOST}:{find_free_port(HOST)}"
+        self.metrics = f"{HOST}:{find_free_port(HOST)}"
 
     async def start(self, name: str, role: str, **extra_settings: Any) -> None:
         """Start a process with its settings."""
@@ -72,8 +66,8 @@
             "data_centre": "d",
             "data_centres": {"d": "r"},
             "host": HOST,
-            "peer_ports": [free_port(), 0],
-            "metrics_address": f"{HOST}:{free_port()}",
+            "peer_ports": [find_free_port(HOST), 0],
+            "metrics_address": f"{HOST}:{find_free_port(HOST)}",
             "store": {"address": self._store_address},
             "cluster_key": "key between nodes of a test",
             "losses": 1,
