Read chains of turns from the ledger in pages

Callers saw: after the kill of the gateway that relayed its 45 turns of 100,000 bytes a program was refused with 503 at the other gateway, at each try, though the ledger had acknowledged each turn (LOST).

Cause: a member answers a look-up with the whole chain in one message. Over 4,000,000 bytes no frame carries it; the handler fails, and the gateway counts the failure like a member that does not answer.

Change: a page of at most 1,000,000 bytes an answer; a gateway asks for the turn that is missing until the chain is complete, also at another member if one dies, and puts its time limit off with each page. No message changes its form: a gateway of either build reads from members of either build what it could read before, and the new one more.

--- a/src/bramleylead/ledger/_answers.py
+++ b/src/bramleylead/ledger/_answers.py
@@ -8,7 +8,6 @@
 import anyio
 import structlog
 from result import Err
-from result import Ok
 from result import Result
 
 from bramleylead.connection import PeerClient
@@ -71,37 +70,61 @@
 class ChainSearch:
     """A lookup of one turn and its predecessors at the members of one view."""
 
-    def __init__(self, peers: PeerClient, view: LedgerView, turn: str) -> None:
+    def __init__(
+        self, peers: PeerClient, view: LedgerView, turn: str, found: dict[str, KeptTurn]
+    ) -> None:
         self._peers = peers
         self._view = view
         self._turn = turn
-        self._found_turns: dict[str, KeptTurn] = {}
-        self._pending = len(view.members)
+        self._found_turns = found
+        self._unanswered = len(view.members)
+        self._querying = 0
+        self._progressed = anyio.Event()
         self.absent_count = 0
         self.newer_view: LedgerView | None = None
-        self.answered = anyio.Event()
 
     @property
     def is_finished(self) -> bool:
         """Whether the lookup needs no further answers."""
-        return not self._pending or self.newer_view is not None or self.complete_chain() is not None
+        return not self._unanswered or self.newer_view is not None or self._first_missing() is None
+
+    @property
+    def is_querying(self) -> bool:
+        """Whether a member is being queried."""
+        return self._querying > 0
+
+    async def wait_progress(self) -> None:
+        """Wait for the next page, or until a member has nothing more."""
+        await self._progressed.wait()
 
     async def query_member(self, member: LedgerMember) -> None:
-        """Query one member."""
-        request = FindChain(self._view.epoch, self._turn)
-        answer = await request_member(self._peers, self._view, member, request)
-        self._pending -= 1
-        if isinstance(answer, Ok):
-            self._record_answer(member, answer.ok_value)
-        else:
-            log.info(
-                "turn_lookup_failed",
-                turn=self._turn,
-                member=member.node,
-                reason=answer.err_value.detail,
-            )
-        self.answered.set()
-        self.answered = anyio.Event()
+        """Ask a member for one page after the other, as long as it has missing turns."""
+        self._querying += 1
+        missing = self._first_missing()
+        while missing is not None:
+            request = FindChain(self._view.epoch, missing)
+            answer = await request_member(self._peers, self._view, member, request)
+            if not self._record_answer(member, missing, answer):
+                break
+            missing = self._first_missing()
+            self._notify_progress()
+        self._querying -= 1
+        self._unanswered -= 1
+        self._notify_progress()
+
+    def _notify_progress(self) -> None:
+        self._progressed.set()
+        self._progressed = anyio.Event()
+
+    def _first_missing(self) -> str | None:
+        """Return the newest turn of the chain that was not found; ``None`` if all were."""
+        name = self._turn
+        while name:
+            turn = self._found_turns.get(name)
+            if turn is None:
+                return name
+            name = turn.previous
+        return None
 
     def complete_chain(self) -> list[KeptTurn] | None:
         """Return the chain, oldest first, if every turn of it was found."""
@@ -115,16 +138,34 @@
             name = turn.previous
         return chain[::-1]
 
-    def _record_answer(self, member: LedgerMember, answer: Any) -> None:
-        if isinstance(answer, StaleEpoch):
-            if answer.view.epoch > self._view.epoch:
-                self.newer_view = answer.view
-            return
-        if not isinstance(answer, Chain) or answer.disk != member.disk:
-            return
-        self._found_turns |= {turn.turn: turn for turn in answer.turns}
-        if not answer.turns:
+    def _record_answer(
+        self, member: LedgerMember, asked: str, answer: Result[Any, Failure]
+    ) -> bool:
+        """Record a member's answer; return whether it had the turn that was asked for."""
+        if isinstance(answer, Err):
+            self._log_failure(member, asked, answer.err_value)
+            return False
+        chain = answer.ok_value
+        if isinstance(chain, StaleEpoch):
+            if chain.view.epoch > self._view.epoch:
+                self.newer_view = chain.view
+            return False
+        if not isinstance(chain, Chain) or chain.disk != member.disk:
+            return False
+        self._found_turns |= {turn.turn: turn for turn in chain.turns}
+        if not chain.turns and asked == self._turn:
             self.absent_count += 1
+        return asked in self._found_turns
+
+    def _log_failure(self, member: LedgerMember, asked: str, failure: Failure) -> None:
+        log.info(
+            "turn_lookup_failed",
+            turn=self._turn,
+            asked=asked,
+            member=member.node,
+            kind=failure.kind,
+            reason=failure.detail,
+        )
 
 
 async def wait_for_any(*events: anyio.Event) -> None:
--- a/src/bramleylead/ledger/_client.py
+++ b/src/bramleylead/ledger/_client.py
@@ -249,9 +249,10 @@
 
         The failure is ``UNKNOWN_TURN`` only if it is certain that the turn is not stored.
         """
+        turns: dict[str, KeptTurn] = {}
         for _ in range(MAX_ATTEMPTS):
             view = await self._known_view()
-            found = await self._search_chain(view, turn)
+            found = await self._search_chain(view, turn, turns)
             if found is not None:
                 return found
         return Err(_unavailable(f"turn {turn}: the ledger's members keep changing"))
@@ -308,21 +309,20 @@
         round_.record_answer(member, await request_member(self._peers, round_.view, member, entry))
 
     async def _search_chain(
-        self, view: LedgerView, turn: str
+        self, view: LedgerView, turn: str, found: dict[str, KeptTurn]
     ) -> Result[list[KeptTurn], Failure] | None:
-        """Query the members, nearest first; ``None`` if a newer view requires a restart."""
-        search = ChainSearch(self._peers, view, turn)
-        ordered = self.members_by_distance(view)
+        """Query the members, nearest first; ``None`` if a newer view requires a restart.
+
+        :param found: the turns found so far, to which this adds.
+        """
+        search = ChainSearch(self._peers, view, turn, found)
+        waiting = self.members_by_distance(view)
         async with anyio.create_task_group() as tasks:
-            with anyio.move_on_after(RESERVE_TIMEOUT_S):
-                for member in ordered:
-                    tasks.start_soon(search.query_member, member)
-                    with anyio.move_on_after(LOOKUP_HEDGE_DELAY_S):
-                        await search.answered.wait()
-                    if search.is_finished:
-                        break
+            with anyio.move_on_after(RESERVE_TIMEOUT_S) as scope:
                 while not search.is_finished:
-                    await search.answered.wait()
+                    if waiting:
+                        tasks.start_soon(search.query_member, waiting.pop(0))
+                    await _wait_while_answering(search, scope, hedge=bool(waiting))
             tasks.cancel_scope.cancel()
         if search.newer_view is not None:
             self._members.adopt(search.newer_view, source="answer")
@@ -339,6 +339,23 @@
         )
 
 
+async def _wait_while_answering(
+    search: ChainSearch, scope: anyio.CancelScope, *, hedge: bool
+) -> None:
+    """Wait until another member should be queried, or the lookup is finished.
+
+    :param scope: its deadline is put off with each page.
+    :param hedge: whether to return once no page has arrived for ``LOOKUP_HEDGE_DELAY_S``.
+    """
+    while True:
+        delay_s = LOOKUP_HEDGE_DELAY_S if hedge else RESERVE_TIMEOUT_S
+        with anyio.move_on_after(delay_s) as hedging:
+            await search.wait_progress()
+        if hedging.cancelled_caught or search.is_finished or not search.is_querying:
+            return
+        scope.deadline = anyio.current_time() + RESERVE_TIMEOUT_S
+
+
 def _discard_value(result: Result[Any, Failure]) -> Result[None, Failure]:
     return result if isinstance(result, Err) else Ok(None)
 
--- a/src/bramleylead/ledger/_messages.py
+++ b/src/bramleylead/ledger/_messages.py
@@ -78,7 +78,10 @@
 
 @message(169)
 class FindChain(NamedTuple):
-    """Asks for a turn and its predecessors; answered by :class:`Chain`."""
+    """Asks for a turn and its predecessors; answered by :class:`Chain`.
+
+    Whoever misses the predecessor of the last turn of an answer asks for that one next.
+    """
 
     epoch: int
     turn: str
@@ -86,7 +89,10 @@
 
 @message(170)
 class Chain(NamedTuple):
-    """The turns that the node has, newest first; each continues the one after it in the tuple."""
+    """The turns that the node has, newest first; each continues the one after it in the tuple.
+
+    As many as fit into a page. Nodes of earlier versions send the whole chain, or fail.
+    """
 
     node: str
     disk: str
--- a/src/bramleylead/ledger/_node.py
+++ b/src/bramleylead/ledger/_node.py
@@ -39,6 +39,8 @@
 from bramleylead.ledger._messages import Reserved
 from bramleylead.ledger._messages import Settle
 from bramleylead.ledger._messages import StaleEpoch
+from bramleylead.ledger._pages import first_page
+from bramleylead.ledger._pages import record_bytes
 from bramleylead.ledger._records import KeptTurn
 from bramleylead.ledger._records import LedgerState
 from bramleylead.ledger._records import Record
@@ -300,8 +302,8 @@
     async def _find_chain(self, request: FindChain, reply: Reply) -> None:
         if await self._refuse_stale(request.epoch, reply):
             return
-        turns = tuple(self._state.chain(request.turn))
-        await reply.send(Chain(self._node, self._disk.name, self._view.epoch, turns))
+        page = first_page(self._state.chain(request.turn), record_bytes)
+        await reply.send(Chain(self._node, self._disk.name, self._view.epoch, tuple(page)))
 
     async def _ask_state(self, request: AskState, reply: Reply) -> None:
         state = NodeState(
--- a/src/bramleylead/ledger/_records.py
+++ b/src/bramleylead/ledger/_records.py
@@ -110,14 +110,12 @@
         """Return the spending of each turn of a program."""
         return list(self._spendings.get(program, {}).values())
 
-    def chain(self, turn: str) -> list[KeptTurn]:
-        """Return a turn and its predecessors, newest first, as far as they are held."""
-        found = []
+    def chain(self, turn: str) -> Iterator[KeptTurn]:
+        """Yield a turn and its predecessors, newest first, as far as they are held."""
         record = self._records.get(f"turn/{turn}")
         while isinstance(record, KeptTurn):
-            found.append(record)
+            yield record
             record = self._records.get(f"turn/{record.previous}") if record.previous else None
-        return found
 
     def keys_after(self, number: int, *, limit: int) -> tuple[int, list[Key]]:
         """Return the last number read, and the keys added after ``number``, oldest first."""
--- a/testing/ledger/_fleet.py
+++ b/testing/ledger/_fleet.py
@@ -98,6 +98,7 @@
         self.nodes: dict[int, LedgerNode] = {}
         self.memberships: dict[int, Membership] = {}
         self.relay_tables: dict[int, RelayTable] = {}
+        self.servers: dict[int, PeerServer] = {}
         self.ports: dict[int, int] = {}
         self.target_size: int | None = None
         self._scopes: dict[int, anyio.CancelScope] = {}
@@ -146,6 +147,7 @@
     ) -> None:
         view = self.network.view(host(i))
         server = PeerServer(node=f"s{i}", cluster_key=KEY)
+        self.servers[i] = server
         with anyio.CancelScope() as scope:
             self._scopes[i] = scope
             async with (
--- a/testing/ledger/test_records.py
+++ b/testing/ledger/test_records.py
@@ -49,9 +49,9 @@
         state.add(turn("a"), now=0.0)
         state.add(turn("b", "a"), now=50.0)
         state.expire(KEEP_S + RETENTION_MARGIN_S + 40.0)
-        self.assertEqual(len(state.chain("b")), 2)
+        self.assertEqual(len(list(state.chain("b"))), 2)
         state.expire(KEEP_S + RETENTION_MARGIN_S + 51.0)
-        self.assertEqual((state.chain("b"), len(state)), ([], 0))
+        self.assertEqual((list(state.chain("b")), len(state)), ([], 0))
 
     def test_all_spendings_of_a_program_are_retained_as_long_as_its_latest(self) -> None:
         state = LedgerState()
