Bound the pages that ledger nodes copy, and keep large turns in parts

Callers saw: after the loss of one disk and, 20 s after that node was back, of another one, each turn of each program was refused with 503 (RECOVER), if turns of some 3 MB were kept.

Cause: an answer with records took the one that exceeds its 1,000,000 bytes as well. With 3.2 MB after 0.9 MB no frame carries it, so each copy from this node fails for good, and with it every change of members.

Change: pages of records and keys are bounded before an item is added; a turn over 1,000,000 bytes is kept as parts that continue each other, so that every turn a caller may send can be kept (over 3,900,000 bytes it was run, relayed and broken off); copying is a module of its own, which asks a node of the earlier version for fewer records; a copy that keeps failing is logged once a minute and measured. No message, file or object has a new form.

--- a/src/bramleylead/ledger/_client.py
+++ b/src/bramleylead/ledger/_client.py
@@ -37,6 +37,7 @@
 from bramleylead.ledger._records import KeptTurn
 from bramleylead.ledger._records import Spending
 from bramleylead.ledger._records import merge_spendings
+from bramleylead.ledger._turn_parts import split_turn
 from bramleylead.placement._crash_table import CrashEvidence
 from bramleylead.placement._fleet_table import NO_REPORT
 from bramleylead.placement._fleet_table import FleetLoad
@@ -44,8 +45,6 @@
 from bramleylead.placement._fleet_table import merge_fleet_loads
 
 RESERVE_TIMEOUT_S = 0.7
-MAX_TURN_BYTES = 3_900_000
-"""Limit of a turn's input and output together, which are sent in one message."""
 KEEP_TIMEOUT_S = 1.5
 PROBE_INTERVAL_S = 0.3
 LOOKUP_HEDGE_DELAY_S = 0.06
@@ -234,15 +233,14 @@
 
     async def keep(self, turn: KeptTurn) -> Result[None, Failure]:
         """Store a completely answered turn, and settle its spending."""
-        size = len(turn.new_input) + len(turn.event_data)
-        if size > MAX_TURN_BYTES:
-            detail = f"turn {turn.turn}: {size} bytes exceed the limit of {MAX_TURN_BYTES}"
-            return Err(Failure(ErrorKind.TOO_LARGE, detail))
-        return _discard_value(
-            await self._write_entry(
-                lambda epoch: Keep(epoch, turn, self.report_load()), timeout_s=KEEP_TIMEOUT_S
+        for part in split_turn(turn):
+            kept = await self._write_entry(
+                lambda epoch, part=part: Keep(epoch, part, self.report_load()),  # type: ignore[misc]
+                timeout_s=KEEP_TIMEOUT_S,
             )
-        )
+            if isinstance(kept, Err):
+                return kept
+        return Ok(None)
 
     async def find_chain(self, turn: str) -> Result[list[KeptTurn], Failure]:
         """Return a turn and all its predecessors, oldest first.
--- /dev/null
+++ b/src/bramleylead/ledger/_copying.py
@@ -0,0 +1,155 @@
+"""Copies the records that other nodes of the ledger have and this one lacks."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import NamedTuple
+from typing import final
+
+import anyio
+import structlog
+from result import Err
+from result import Ok
+from result import Result
+
+from bramleylead.connection import PeerClient
+from bramleylead.errors import ErrorKind
+from bramleylead.errors import Failure
+from bramleylead.ledger._members import LedgerMember
+from bramleylead.ledger._messages import AskKeys
+from bramleylead.ledger._messages import AskRecords
+from bramleylead.ledger._messages import Records
+from bramleylead.ledger._records import LedgerState
+from bramleylead.ledger._records import Record
+from bramleylead.ledger._writer import RecordWriter
+
+COPY_TIMEOUT_S = 3.0
+STALLED_AFTER_S = 10.0
+STALL_LOG_INTERVAL_S = 60.0
+
+log = structlog.get_logger()
+
+
+class _Cursor(NamedTuple):
+    """How far another node's records have been copied."""
+
+    run: str
+    last: int
+
+
+@final
+class RecordCopier:
+    """Copies records to one node.
+
+    :param node: the name of this node.
+    """
+
+    def __init__(
+        self, node: str, state: LedgerState, writer: RecordWriter, peers: PeerClient
+    ) -> None:
+        self._node = node
+        self._state = state
+        self._writer = writer
+        self._peers = peers
+        self._cursors: dict[str, _Cursor] = {}
+        self._failing_since: dict[str, float] = {}
+        self._stall_logged_at = float("-inf")
+
+    @property
+    def failing_s(self) -> float:
+        """The longest time in seconds for which copies from one node have failed."""
+        now = anyio.current_time()
+        return round(max((now - since for since in self._failing_since.values()), default=0.0), 3)
+
+    def dump(self) -> dict[str, Any]:
+        """Return how far each node's records have been copied."""
+        return {name: cursor._asdict() for name, cursor in self._cursors.items()}
+
+    def keep_only(self, names: set[str]) -> None:
+        """Forget the failures of all nodes but the named ones."""
+        for name in self._failing_since.keys() - names:
+            del self._failing_since[name]
+
+    async def copy_from(self, member: LedgerMember) -> Result[None, Failure]:
+        """Copy all records that a node has and this one lacks."""
+        copied = await self._copy_pages(member)
+        if isinstance(copied, Ok):
+            self._failing_since.pop(member.node, None)
+        else:
+            self._record_failure(member, copied.err_value)
+        return copied
+
+    async def _copy_pages(self, member: LedgerMember) -> Result[None, Failure]:
+        cursor = self._cursors.get(member.node, _Cursor("", 0))
+        more = True
+        while more:
+            answer = await self._request(member, AskKeys(cursor.run, cursor.last))
+            if isinstance(answer, Err):
+                return answer
+            page = answer.ok_value
+            copied = await self._copy_keys(member, page.keys)
+            if isinstance(copied, Err):
+                return copied
+            cursor = _Cursor(page.run_id, page.last)
+            self._cursors[member.node] = cursor
+            more = page.more
+        return Ok(None)
+
+    async def _copy_keys(
+        self, member: LedgerMember, keys: tuple[str, ...]
+    ) -> Result[None, Failure]:
+        missing = self._missing(keys)
+        while missing:
+            answer = await self._ask_records(member, missing)
+            if isinstance(answer, Err):
+                return answer
+            asked, found = answer.ok_value
+            records: list[Record] = [*found.turns, *found.spendings]
+            try:
+                await self._writer.write(records)
+            except OSError as error:
+                detail = f"{self._node}: disk write failed: {error}"
+                return Err(Failure(ErrorKind.NOT_DURABLE, detail))
+            # Without a record the other node has dropped all of them as expired.
+            missing = self._missing(missing) if records else missing[asked:]
+        return Ok(None)
+
+    def _missing(self, keys: tuple[str, ...]) -> tuple[str, ...]:
+        return tuple(key for key in keys if self._state.get(key) is None)
+
+    async def _ask_records(
+        self, member: LedgerMember, keys: tuple[str, ...]
+    ) -> Result[tuple[int, Records], Failure]:
+        """Ask for the first of some records; return for how many, and those found.
+
+        A node of an earlier version fails if its answer is too large, and is asked for fewer.
+        """
+        asked = len(keys)
+        while True:
+            answer = await self._request(member, AskRecords(keys[:asked]))
+            if isinstance(answer, Ok):
+                return Ok((asked, answer.ok_value))
+            if answer.err_value.kind is not ErrorKind.INTERNAL or asked == 1:
+                return answer
+            asked //= 2
+
+    async def _request(self, member: LedgerMember, request: Any) -> Result[Any, Failure]:
+        return await self._peers.request(
+            member.address, request, timeout_s=COPY_TIMEOUT_S, idempotent=True
+        )
+
+    def _record_failure(self, member: LedgerMember, failure: Failure) -> None:
+        """Log once a minute that copies from a node have failed for long."""
+        now = anyio.current_time()
+        failing_s = now - self._failing_since.setdefault(member.node, now)
+        if failing_s < STALLED_AFTER_S or now - self._stall_logged_at < STALL_LOG_INTERVAL_S:
+            return
+        self._stall_logged_at = now
+        log.warning(
+            "copy_stalled",
+            node=self._node,
+            peer=member.node,
+            failing_s=round(failing_s, 3),
+            kind=failure.kind,
+            reason=failure.detail,
+        )
--- a/src/bramleylead/ledger/_node.py
+++ b/src/bramleylead/ledger/_node.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import secrets
+from itertools import islice
 from typing import Any
-from typing import NamedTuple
 from typing import final
 
 import anyio
 import structlog
 from result import Err
-from result import Ok
 from result import Result
 
 from bramleylead.connection import Done
@@ -19,6 +18,7 @@
 from bramleylead.connection import Reply
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.ledger._copying import RecordCopier
 from bramleylead.ledger._disk import Disk
 from bramleylead.ledger._members import NO_VIEW
 from bramleylead.ledger._members import LedgerMember
@@ -39,31 +39,24 @@
 from bramleylead.ledger._messages import Reserved
 from bramleylead.ledger._messages import Settle
 from bramleylead.ledger._messages import StaleEpoch
+from bramleylead.ledger._pages import OVERHEAD_BYTES
 from bramleylead.ledger._pages import first_page
 from bramleylead.ledger._pages import record_bytes
 from bramleylead.ledger._records import KeptTurn
 from bramleylead.ledger._records import LedgerState
 from bramleylead.ledger._records import Record
+from bramleylead.ledger._records import Spending
 from bramleylead.ledger._writer import RecordWriter
 from bramleylead.placement._crash_table import CrashTable
 from bramleylead.placement._fleet_table import FleetTable
 
 MAX_KEYS_PER_PAGE = 2_000
-MAX_RECORDS_BYTES = 1_000_000
 PEER_TIMEOUT_S = 0.6
-COPY_TIMEOUT_S = 3.0
 RUN_ID_BYTES = 6
 
 log = structlog.get_logger()
 
 
-class _Cursor(NamedTuple):
-    """How far another node's records have been copied."""
-
-    run: str
-    last: int
-
-
 @final
 class LedgerNode:
     """The records of one node, and its view of the members.
@@ -82,7 +75,7 @@
         self._run_id = secrets.token_hex(RUN_ID_BYTES)
         self._state = LedgerState()
         self._writer = RecordWriter(disk, self._state)
-        self._cursors: dict[str, _Cursor] = {}
+        self._copier = RecordCopier(node, self._state, self._writer, peers)
         self._view = NO_VIEW
         self.fleet = FleetTable()
         self.crashes = CrashTable()
@@ -117,16 +110,16 @@
             "ledger_member": self.is_member,
             "records": len(self._state),
             "disk_batches": self._writer.batches,
+            "copy_failing_s": self._copier.failing_s,
         }
 
     def dump(self) -> dict[str, Any]:
         """Return the state for a dump."""
-        cursors = {name: cursor._asdict() for name, cursor in self._cursors.items()}
         return {
             "me": self.own_entry._asdict(),
             "state": self.gauges(),
             "ledger": view_to_plain(self._view),
-            "copied": cursors,
+            "copied": self._copier.dump(),
         }
 
     async def load(self) -> None:
@@ -187,6 +180,7 @@
         if view.epoch <= self._view.epoch:
             return
         self._view = view
+        self._copier.keep_only({member.node for member in view.members})
         self.view_changed.set()
         self.view_changed = anyio.Event()
         log.info(
@@ -211,46 +205,7 @@
 
     async def copy_from(self, member: LedgerMember) -> Result[None, Failure]:
         """Copy all records that another node has and this one lacks."""
-        cursor = self._cursors.get(member.node, _Cursor("", 0))
-        more = True
-        while more:
-            request = AskKeys(cursor.run, cursor.last)
-            answer = await self._request(member, request)
-            if isinstance(answer, Err):
-                return answer
-            page = answer.ok_value
-            copied = await self._copy_keys(member, page.keys)
-            if isinstance(copied, Err):
-                return copied
-            cursor = _Cursor(page.run_id, page.last)
-            more = page.more
-        self._cursors[member.node] = cursor
-        return Ok(None)
-
-    async def _copy_keys(
-        self, member: LedgerMember, keys: tuple[str, ...]
-    ) -> Result[None, Failure]:
-        missing = [key for key in keys if self._state.get(key) is None]
-        while missing:
-            answer = await self._request(member, AskRecords(tuple(missing)))
-            if isinstance(answer, Err):
-                return answer
-            records: list[Record] = [*answer.ok_value.turns, *answer.ok_value.spendings]
-            if not records:
-                break  # the other node has dropped them as expired
-            try:
-                await self._writer.write(records)
-            except OSError as error:
-                return Err(
-                    Failure(ErrorKind.NOT_DURABLE, f"{self._node}: disk write failed: {error}")
-                )
-            missing = [key for key in missing if self._state.get(key) is None]
-        return Ok(None)
-
-    async def _request(self, member: LedgerMember, request: Any) -> Result[Any, Failure]:
-        return await self._peers.request(
-            member.address, request, timeout_s=COPY_TIMEOUT_S, idempotent=True
-        )
+        return await self._copier.copy_from(member)
 
     async def _refuse_stale(self, epoch: int, reply: Reply) -> bool:
         """Refuse a request for another epoch, or any request if this node is not a member."""
@@ -313,24 +268,19 @@
 
     async def _ask_keys(self, request: AskKeys, reply: Reply) -> None:
         after = request.after if request.run_id == self._run_id else 0
-        last, keys = self._state.keys_after(after, limit=MAX_KEYS_PER_PAGE)
-        more = last < self._state.last_number
-        await reply.send(Keys(self._run_id, last, tuple(keys), more))
+        numbered = islice(self._state.keys_after(after), MAX_KEYS_PER_PAGE)
+        page = first_page(numbered, lambda item: OVERHEAD_BYTES + len(item.key))
+        # Numbers after the last key are those of records that were dropped.
+        more = len(page) > 0 and page[-1].number < self._state.last_number
+        last = page[-1].number if page else self._state.last_number
+        await reply.send(Keys(self._run_id, last, tuple(item.key for item in page), more))
 
     async def _ask_records(self, request: AskRecords, reply: Reply) -> None:
-        turns: list[KeptTurn] = []
-        spendings = []
-        size = 0
-        for key in request.keys:
-            record = self._state.get(key)
-            if isinstance(record, KeptTurn):
-                turns.append(record)
-                size += len(record.new_input) + len(record.event_data)
-            elif record is not None:
-                spendings.append(record)
-            if size > MAX_RECORDS_BYTES:
-                break
-        await reply.send(Records(tuple(turns), tuple(spendings)))
+        held = (record for key in request.keys if (record := self._state.get(key)) is not None)
+        page = first_page(held, record_bytes)
+        turns = tuple(record for record in page if isinstance(record, KeptTurn))
+        spendings = tuple(record for record in page if isinstance(record, Spending))
+        await reply.send(Records(turns, spendings))
 
     async def _catch_up(self, request: CatchUp, reply: Reply) -> None:
         await self.adopt(request.view)
--- a/src/bramleylead/ledger/_records.py
+++ b/src/bramleylead/ledger/_records.py
@@ -61,6 +61,13 @@
 Key = str
 
 
+class NumberedKey(NamedTuple):
+    """A key, and its number in the order in which a node added its records."""
+
+    number: int
+    key: Key
+
+
 def key_of(record: Record) -> Key:
     """Return the key of a record; records with equal keys are equal."""
     if isinstance(record, KeptTurn):
@@ -117,17 +124,12 @@
             yield record
             record = self._records.get(f"turn/{record.previous}") if record.previous else None
 
-    def keys_after(self, number: int, *, limit: int) -> tuple[int, list[Key]]:
-        """Return the last number read, and the keys added after ``number``, oldest first."""
-        keys = []
+    def keys_after(self, number: int) -> Iterator[NumberedKey]:
+        """Yield the keys added after a number, oldest first."""
         for candidate in range(number + 1, self.last_number + 1):
             key = self._keys_by_number.get(candidate)
-            number = candidate
             if key is not None:
-                keys.append(key)
-            if len(keys) >= limit:
-                break
-        return number, keys
+                yield NumberedKey(candidate, key)
 
     def expire(self, now: float) -> int:
         """Drop the records past their retention; return how many were dropped."""
