Let the grace for missing entries end by the store's last failure

Callers' requests reached a replica 2.51 to 2.59 s after its removal was acknowledged (DRAIN, drain-ms 2500), if it left 3 to 6 s after an outage of the store and right after another one.

Change: the grace ends 3.7 s after the last failed call (0.8 until the next call, 2.0 until entries are back, 0.9 until that is known); an entry that goes later is dropped at once, and a new outage does not prolong it.

--- a/src/bramleylead/gateway/_directory.py
+++ b/src/bramleylead/gateway/_directory.py
@@ -8,23 +8,39 @@
 
 from collections.abc import Sequence
 from typing import Any
+from typing import NamedTuple
 from typing import final
 
 import anyio
 import structlog
 
 from bramleylead.platform import _names as names
+from bramleylead.platform._follow import COALESCE_DELAY_S
+from bramleylead.platform._follow import MAX_BACKOFF_S
 from bramleylead.platform._follow import ConfirmingSource
 from bramleylead.platform._types import Configuration
 from bramleylead.platform._types import Replica
 
-EXPIRY_WINDOW_S = 6.0
-"""An entry removed this soon after a store failure may only have expired during the failure."""
-EXPIRY_GRACE_S = 2.2
+STORE_RETRY_S = MAX_BACKOFF_S
+"""The store was back at the latest so long after the last call that failed."""
+ENTRY_RETURN_S = 2.0
+"""The platform's bound on the time from the store's return until a live replica's entry is back."""
+LEARNING_S = 2 * COALESCE_DELAY_S + 0.1
+"""A change may wait behind another one at a ledger node, and again at the gateway."""
+EXPIRY_GRACE_S = STORE_RETRY_S + ENTRY_RETURN_S + LEARNING_S
+"""An entry that is missing this long after the store last failed is gone. It doesn't count from
+when this gateway learns of it: a replica that leaves after an outage would be used for too long."""
 
 log = structlog.get_logger()
 
 
+class _MissingEntry(NamedTuple):
+    """When this gateway learned that an entry is missing, and until when its replica is used."""
+
+    since: float
+    used_until: float
+
+
 @final
 class Directory:
     """The configuration and the replicas that one gateway knows."""
@@ -32,7 +48,7 @@
     def __init__(self) -> None:
         self._configuration: Configuration | None = None
         self._replicas: dict[str, Replica] = {}
-        self._missing_since: dict[str, float] = {}
+        self._missing: dict[str, _MissingEntry] = {}
         self._announced_leaving: set[str] = set()
         self._store_failed_at = float("-inf")
         self._replicas_listed = False
@@ -81,8 +97,8 @@
         replica = self._replicas.get(name)
         if replica is None or replica.leaving or name in self._announced_leaving:
             return False
-        now = anyio.current_time()
-        return now - self._missing_since.get(name, now) < EXPIRY_GRACE_S
+        missing = self._missing.get(name)
+        return missing is None or anyio.current_time() < missing.used_until
 
     def replica_names(self) -> set[str]:
         """Return the names of all known replicas, including leaving ones."""
@@ -91,10 +107,11 @@
     def dump(self) -> list[dict[str, Any]]:
         """Return every known replica, and for how long its entry has been missing."""
         now = anyio.current_time()
+        present = _MissingEntry(now, now)
         return [
             {
                 **replica._asdict(),
-                "missing_s": round(now - self._missing_since.get(replica.name, now), 3),
+                "missing_s": round(now - self._missing.get(replica.name, present).since, 3),
             }
             for replica in self._replicas.values()
         ]
@@ -135,7 +152,7 @@
         previous = self._replicas.get(replica.name)
         if previous is not None and previous.address != replica.address:
             self._announced_leaving.discard(replica.name)
-        self._missing_since.pop(replica.name, None)
+        self._missing.pop(replica.name, None)
         if previous == replica:
             return
         self._replicas[replica.name] = replica
@@ -151,16 +168,20 @@
 
     def remove_replica(self, name: str) -> None:
         """Remove a replica; after a recent store failure, only mark its entry as missing."""
-        if name not in self._replicas:
+        if name not in self._replicas or name in self._missing:
             return
         now = anyio.current_time()
         since_failure_s = now - self._store_failed_at
-        if since_failure_s < EXPIRY_WINDOW_S:
-            if name not in self._missing_since:
-                self._missing_since[name] = now
-                log.info("replica_missing", replica=name, trouble_s=round(since_failure_s, 3))
+        if since_failure_s >= EXPIRY_GRACE_S:
+            self._drop_replica(name, "removed")
             return
-        self._drop_replica(name, "removed")
+        self._missing[name] = _MissingEntry(now, self._store_failed_at + EXPIRY_GRACE_S)
+        log.info(
+            "replica_missing",
+            replica=name,
+            trouble_s=round(since_failure_s, 3),
+            used_for_s=round(EXPIRY_GRACE_S - since_failure_s, 3),
+        )
 
     def replace_replicas(self, replicas: Sequence[Replica]) -> None:
         """Replace the list of replicas."""
@@ -174,12 +195,12 @@
     def drop_expired(self) -> None:
         """Drop the replicas whose missing entries did not return within the grace period."""
         now = anyio.current_time()
-        for name, since in list(self._missing_since.items()):
-            if now - since >= EXPIRY_GRACE_S:
+        for name, missing in list(self._missing.items()):
+            if now >= missing.used_until:
                 self._drop_replica(name, "lapsed")
 
     def _drop_replica(self, name: str, reason: str) -> None:
-        self._missing_since.pop(name, None)
+        self._missing.pop(name, None)
         self._announced_leaving.discard(name)
         self._replicas.pop(name, None)
         log.info("replica_gone", replica=name, reason=reason)
--- a/testing/gateway/test_directory.py
+++ b/testing/gateway/test_directory.py
@@ -9,7 +9,6 @@
 import anyio
 
 from bramleylead.gateway._directory import EXPIRY_GRACE_S
-from bramleylead.gateway._directory import EXPIRY_WINDOW_S
 from bramleylead.gateway._directory import Directory
 from bramleylead.platform._types import CallKind
 from bramleylead.platform._types import Replica
@@ -54,10 +53,11 @@
         async def main(directory: Directory) -> None:
             directory.replace_replicas([A, B])
             directory.record_store_failure()
-            await anyio.sleep(EXPIRY_WINDOW_S / 2)
+            await anyio.sleep(EXPIRY_GRACE_S / 2)
             directory.replace_replicas([])
             self.assertEqual(available_names(directory), ["a", "b"])
-            await anyio.sleep(EXPIRY_GRACE_S / 2)
+            await anyio.sleep(EXPIRY_GRACE_S * 0.4)
+            self.assertEqual(available_names(directory), ["a", "b"])
             directory.put_replica(A)
             await anyio.sleep(EXPIRY_GRACE_S)
             self.assertEqual(available_names(directory), ["a"])
@@ -66,6 +66,34 @@
 
         run_with_directory(main)
 
+    # Guards against a replica that leaves after an outage and is used for too long: the grace
+    # period began when the gateway learned of the removal.
+    def test_the_grace_period_begins_with_the_last_failure_of_the_store(self) -> None:
+        async def main(directory: Directory) -> None:
+            directory.replace_replicas([A, B])
+            directory.record_store_failure()
+            await anyio.sleep(EXPIRY_GRACE_S * 0.9)
+            directory.remove_replica("a")
+            await anyio.sleep(EXPIRY_GRACE_S * 0.2)
+            self.assertEqual(available_names(directory), ["b"])
+            directory.remove_replica("b")
+            self.assertEqual(available_names(directory), [])
+
+        run_with_directory(main)
+
+    def test_a_second_outage_does_not_prolong_the_use_of_a_removed_replica(self) -> None:
+        async def main(directory: Directory) -> None:
+            directory.replace_replicas([A])
+            directory.record_store_failure()
+            directory.remove_replica("a")
+            await anyio.sleep(EXPIRY_GRACE_S * 0.9)
+            directory.record_store_failure()
+            directory.replace_replicas([])
+            await anyio.sleep(EXPIRY_GRACE_S * 0.2)
+            self.assertEqual(available_names(directory), [])
+
+        run_with_directory(main)
+
     def test_a_repeated_removal_does_not_restart_the_grace_period(self) -> None:
         async def main(directory: Directory) -> None:
             directory.replace_replicas([A])
--- a/testing/ledger/test_mirrored_store.py
+++ b/testing/ledger/test_mirrored_store.py
@@ -12,6 +12,7 @@
 from bramleylead.connection import PeerServer
 from bramleylead.connection import Reply
 from bramleylead.errors import ErrorKind
+from bramleylead.gateway._directory import ENTRY_RETURN_S
 from bramleylead.gateway._directory import Directory
 from bramleylead.gateway._followers import ConfigurationFollower
 from bramleylead.gateway._followers import ReplicaFollower
@@ -45,6 +46,9 @@
 KINDS = (names.CONFIGURATION_KIND, names.REPLICA_KIND)
 LOSSES = 1
 DRAIN_S = 2.5
+STABLE_S = 3.0
+"""The store is stable again so long after the end of an outage."""
+OUTAGE_S = 2.0
 """How long a replica still serves after the store has acknowledged that it leaves."""
 WATCH_PHASES_S = tuple(0.29 * i for i in range(12))
 """Delays before a fault, to hit every state of watches and probes that repeat periodically."""
@@ -400,6 +404,69 @@
             with self.subTest(delay_s=delay_s):
                 self.assertLess(self.measure_removal(after_recovery_s=delay_s), DRAIN_S)
 
+    # Guards against review case 4: the grace period of 2.2 s began when the gateway learned of the
+    # removal, up to 0.4 s late, and applied to removals up to 6 s after an outage.
+    def test_replicas_removed_after_an_outage_are_not_used_for_long(self) -> None:
+        for fault in ("refused", "silent"):
+            for delay_s in WATCH_PHASES_S:
+                with self.subTest(fault=fault, delay_s=delay_s):
+                    took_s = self.measure_removals(fault, after_outage_s=STABLE_S + delay_s)
+                    self.assertLess(max(took_s), DRAIN_S)
+
+    def measure_removals(self, fault: str, *, after_outage_s: float) -> list[float]:
+        """Return how long a gateway uses each of three replicas removed after an outage."""
+        names = ("i-1", "i-2", "i-3")
+        took_s: list[float] = []
+
+        async def main(site: Site) -> None:
+            for name in names[1:]:
+                site.store.put("servers", name, ENTRY)
+            await anyio.sleep(2)
+            getattr(site.store, fault).update({"s0", "s1", "s2", "g"})
+            await anyio.sleep(OUTAGE_S)
+            getattr(site.store, fault).clear()
+            await anyio.sleep(after_outage_s)
+            removed_at = []
+            for name in names:
+                site.store.remove("servers", name)
+                removed_at.append(anyio.current_time())
+                await anyio.sleep(0.02)
+            for name, at in zip(names, removed_at, strict=True):
+                await wait_until(lambda name=name: not site.directory.is_usable(name))
+                took_s.append(anyio.current_time() - at)
+
+        run_with_site(main)
+        return took_s
+
+    def test_an_entry_that_expired_in_an_outage_is_used_until_it_is_back(self) -> None:
+        for delay_s in WATCH_PHASES_S:
+            with self.subTest(delay_s=delay_s):
+                self.assertEqual(self.gaps_in_use(outage_s=OUTAGE_S + delay_s), [])
+
+    def gaps_in_use(self, *, outage_s: float) -> list[float]:
+        """Return the seconds after an outage at which an expired entry's replica was not used."""
+        gaps: list[float] = []
+
+        async def main(site: Site) -> None:
+            await anyio.sleep(2)
+            site.store.refused = {"s0", "s1", "s2", "g"}
+            await anyio.sleep(outage_s)
+            site.store.remove("servers", "i-1")
+            site.store.refused = set()
+            returned_at = anyio.current_time()
+            back = False
+            while anyio.current_time() - returned_at < 2 * ENTRY_RETURN_S:
+                await anyio.sleep(0.02)
+                since_s = anyio.current_time() - returned_at
+                if since_s >= ENTRY_RETURN_S and not back:
+                    site.store.put("servers", "i-1", ENTRY)
+                    back = True
+                if not site.directory.is_usable("i-1"):
+                    gaps.append(round(since_s, 2))
+
+        run_with_site(main)
+        return gaps
+
     def measure_removal(self, *, after_recovery_s: float) -> float:
         """Return how long a gateway uses a removed replica after a node regained the store."""
         took_s: list[float] = []
