Notice removals that a dead watch misses

A replica that is removed while the watch of its kind is dead is used until the watch times out, 16 s later (DRAIN). Cause: the probe compares the newest revision in a cheap list with that of the watch, and a removal raises no revision of what is left; the probe even confirmed the list as current. A watch found dead was also counted as a failure of the store, so that the removal it brought got the grace of an outage.

--- a/src/bramleylead/platform/_monitored_store.py
+++ b/src/bramleylead/platform/_monitored_store.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import NamedTuple
 from typing import Protocol
 from typing import final
@@ -24,6 +25,7 @@
 
 from bramleylead.platform._follow import ObjectSource
 from bramleylead.platform._objects import ChangePage
+from bramleylead.platform._objects import ObjectChange
 from bramleylead.platform._objects import ObjectPage
 from bramleylead.platform._store import StoreError
 from bramleylead.platform._store import StoreErrorKind
@@ -33,8 +35,10 @@
 PROBE_CHECK_INTERVAL_S = 0.2
 PROBE_TIMEOUT_S = 1.0
 DELIVERY_GRACE_S = 0.3
-"""A change in the list may still be on its way to the watch."""
+"""A change in the list may still be on its way to the watch, and a list may be old."""
 UNCONFIRMED_WATCH_TIMEOUT_S = 0.5
+MAX_LIST_AGE_S = 5.0
+"""A cheap list may be so old, so that it lacks objects that were created since."""
 
 log = structlog.get_logger()
 
@@ -74,6 +78,8 @@
         self._confirmed_at: dict[str, float] = {}
         self._probed_at: dict[str, float] = {}
         self._missed: dict[_Watch, _MissedChange] = {}
+        self._dead: set[_Watch] = set()
+        self._known_since: dict[str, dict[str, float]] = {}
 
     def confirmed_at(self, kind: str) -> float:
         """Return the time up to which all changes of a kind were reported; ``-inf`` if none.
@@ -100,12 +106,17 @@
         listed = await self._store.list(kind, after=after)
         if isinstance(listed, Ok):
             self._confirm(kind, started_at)
+            self._record_list(kind, listed.ok_value, is_first=not after)
         return listed
 
     async def watch(
         self, kind: str, *, after: int, wait_s: float
     ) -> Result[ChangePage, StoreError]:
-        """Wait for changes; ``UNAVAILABLE`` if the watch is found to be dead."""
+        """Wait for changes; ``UNAVAILABLE`` if the store is silent.
+
+        If the store answers and only the watch is dead, no changes are returned, so that the next
+        watch brings them: this is no failure of the store.
+        """
         if self._is_unconfirmed:
             wait_s = min(wait_s, UNCONFIRMED_WATCH_TIMEOUT_S)
         answer: Result[ChangePage, StoreError] | None = None
@@ -120,11 +131,16 @@
                 self._missed.pop(pending, None)
                 if not self._pending:
                     self._watch_started = anyio.Event()
-        if answer is None:
-            answer = Err(StoreError(StoreErrorKind.UNAVAILABLE, f"{kind}: the watch is dead"))
+        is_dead = pending in self._dead
+        self._dead.discard(pending)
         self._is_unconfirmed = not isinstance(answer, Ok)
+        if answer is None and is_dead:
+            return Ok(ChangePage((), after))
+        if answer is None:
+            return Err(StoreError(StoreErrorKind.UNAVAILABLE, f"{kind}: the store is silent"))
         if isinstance(answer, Ok):
             self._confirm(kind, anyio.current_time())
+            self._record_changes(kind, answer.ok_value.changes)
         return answer
 
     def _next_probed_kind(self) -> str:
@@ -142,21 +158,51 @@
             log.warning("store_silent", kind=kind, reason=listed.err_value.detail)
             self._cancel(pending)
             return
-        newest = max((found.revision for found in listed.ok_value.objects), default=0)
+        page = listed.ok_value
         for watch in pending:
             if watch not in self._pending or watch in self._missed:
                 continue
-            if watch.kind == kind and watch.after < newest:
-                self._missed[watch] = _MissedChange(newest, anyio.current_time())
+            if watch.kind == kind and self._shows_change(page, watch):
+                self._missed[watch] = _MissedChange(page.as_of, anyio.current_time())
             else:
                 self._confirm(watch.kind, started_at)
 
+    def _shows_change(self, page: ObjectPage, watch: _Watch) -> bool:
+        """Return whether a list shows an object that was changed or removed after a revision."""
+        if any(found.revision > watch.after for found in page.objects):
+            return True
+        if page.as_of <= watch.after:
+            return False
+        listed = {found.name for found in page.objects}
+        last = max(listed, default="") if page.more else None
+        known_before = anyio.current_time() - MAX_LIST_AGE_S
+        return any(
+            since <= known_before and name not in listed and (last is None or name <= last)
+            for name, since in self._known_since.get(watch.kind, {}).items()
+        )
+
+    def _record_list(self, kind: str, page: ObjectPage, *, is_first: bool) -> None:
+        """Keep the names of a kind's objects, by which a later list shows what was removed."""
+        before = self._known_since.get(kind, {})
+        now = anyio.current_time()
+        names = {found.name: before.get(found.name, now) for found in page.objects}
+        self._known_since[kind] = names if is_first else {**before, **names}
+
+    def _record_changes(self, kind: str, changes: Sequence[ObjectChange]) -> None:
+        known = self._known_since.setdefault(kind, {})
+        for change in changes:
+            if change.removed:
+                known.pop(change.object.name, None)
+            else:
+                known.setdefault(change.object.name, anyio.current_time())
+
     def _cancel_dead_watches(self) -> None:
         """Cancel the watches that have still not reported a change that a probe showed."""
         now = anyio.current_time()
         for watch, missed in list(self._missed.items()):
             if now - missed.seen_at >= DELIVERY_GRACE_S:
                 log.warning("watch_missed_change", kind=watch.kind, revision=missed.revision)
+                self._dead.add(watch)
                 self._cancel([watch])
 
     def _confirm(self, kind: str, at: float) -> None:
