Watch a list of several pages from the revision of its first page

A replica whose entry goes while the second page is read stays in use until its next change, which never comes. Cause: the watch began at the revision of the last page, which is after that change. Now it begins at that of the first page, and a list of several pages confirms nothing by itself. The new test in test_follow.py failed before.

--- a/src/bramleylead/platform/_follow.py
+++ b/src/bramleylead/platform/_follow.py
@@ -150,7 +150,13 @@
 
 
 async def _list(source: ObjectSource, follower: Follower) -> Result[int, StoreError]:
+    """List all objects, and return the revision from which to watch for changes.
+
+    That is the revision of the first page: an object of it may change while the others are read.
+    Changes that a later page shows already are then applied once more, which has no effect.
+    """
     objects: list[PlatformObject] = []
+    as_of: int | None = None
     after = ""
     while True:
         listed = await source.list(follower.kind, after=after)
@@ -158,9 +164,10 @@
             return listed
         page = listed.ok_value
         objects += page.objects
+        as_of = page.as_of if as_of is None else as_of
         if not page.more or not page.objects:
-            follower.replace_all(objects, as_of=page.as_of)
-            return Ok(page.as_of)
+            follower.replace_all(objects, as_of=as_of)
+            return Ok(as_of)
         after = page.objects[-1].name
 
 
--- a/src/bramleylead/platform/_monitored_store.py
+++ b/src/bramleylead/platform/_monitored_store.py
@@ -105,7 +105,8 @@
         started_at = anyio.current_time()
         listed = await self._store.list(kind, after=after)
         if isinstance(listed, Ok):
-            self._confirm(kind, started_at)
+            if not after and not listed.ok_value.more:
+                self._confirm(kind, started_at)
             self._record_list(kind, listed.ok_value, is_first=not after)
         return listed
 
--- a/testing/gateway/test_follow.py
+++ b/testing/gateway/test_follow.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 import anyio
+from result import Result
 
 from bramleylead.gateway._directory import Directory
 from bramleylead.gateway._followers import ConfigurationFollower
@@ -18,7 +19,10 @@
 from bramleylead.ledger._members import LedgerMember
 from bramleylead.ledger._members import LedgerView
 from bramleylead.platform._follow import follow
+from bramleylead.platform._objects import ObjectPage
 from bramleylead.platform._objects import PlatformStore
+from bramleylead.platform._store import StoreError
+from bramleylead.standins._platform_store import PAGE_OBJECTS
 from bramleylead.standins._platform_store import PlatformStoreStandIn
 from bramleylead.standins._serving import serve_app
 from testing.platform.test_decode import ENTRY
@@ -107,6 +111,43 @@
 
         self.run_followers(main)
 
+    # Guards against a replica that is used although it is gone: a list of several pages was watched
+    # from the revision of its last page, so a change to an earlier page meanwhile was missed.
+    def test_a_change_between_two_pages_of_a_list_is_applied(self) -> None:
+        class SlowSource:
+            """Waits before each page but the first, while the test changes the first one."""
+
+            def __init__(self, store: PlatformStore, stand_in: PlatformStoreStandIn) -> None:
+                self._store = store
+                self._stand_in = stand_in
+                self.watch = store.watch
+
+            async def list(self, kind: str, *, after: str = "") -> Result[ObjectPage, StoreError]:
+                if after:
+                    self._stand_in.remove("servers", "i-0000")
+                    changed = {**ENTRY, "state": "draining"}
+                    self._stand_in.put("servers", "i-0001", changed)
+                return await self._store.list(kind, after=after)
+
+        async def run() -> None:
+            stand_in, directory = PlatformStoreStandIn(), Directory()
+            for number in range(PAGE_OBJECTS + 10):
+                stand_in.put("servers", f"i-{number:04d}", ENTRY)
+            async with (
+                serve_app(stand_in.app, "127.0.0.1:0") as address,
+                PlatformStore(address) as store,
+                anyio.create_task_group() as tasks,
+            ):
+                source = SlowSource(store, stand_in)
+                tasks.start_soon(follow, source, ReplicaFollower(directory))
+                await wait_until(lambda: len(directory.replica_names()) == PAGE_OBJECTS + 9)
+                await wait_until(lambda: not directory.is_usable("i-0001"))
+                self.assertIsNone(directory.find("i-0000"))
+                self.assertTrue(directory.is_usable("i-0002"))
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
     # Guards against lists that no node of the ledger could pass on any more.
     def test_values_that_no_message_can_carry_are_unreadable(self) -> None:
         values = [{"sequence": 2**64}, {"zone": "\ud800"}, {"\ud800": 1}, [[-(2**63) - 1]]]
