Take a refusal for "not run" only if it names the request

Reported by operators of similar systems, and possible here: a replica writes an earlier refusal once more on a kept connection while it runs the next request. If the copy names no request, its caller was told 503, not run (REFUSED), or the request went to a second replica (TWICE).

Cause: a response without an id was taken for that to the request just sent, on any connection. Now it is an error on a connection that has carried another request, and a refusal counts only with the request's own id, also through another gateway.

--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -229,6 +229,10 @@
         if metadata.not_run or response.status == MISDIRECTED_STATUS:
             await discard_body(connection)
             misdirected = response.status == MISDIRECTED_STATUS
+            if metadata.request_id != call.metadata.request_id:
+                # It may have been written for another request; this one may have run.
+                detail = f"{replica.name}: refusal {response.status} without the request's id"
+                return UnknownOutcome(detail)
             log.info(
                 "replica_refused",
                 request=call.metadata.request_id,
--- a/src/bramleylead/gateway/_upstream.py
+++ b/src/bramleylead/gateway/_upstream.py
@@ -137,18 +137,31 @@
     async def read_head(self) -> ResponseHead:
         """Wait for the head of the response to this request; discard responses to other requests.
 
-        :raises UpstreamError: if the connection ends or carries no valid response.
+        :raises UpstreamError: if the connection ends or carries no valid response, or one that may
+            belong to an earlier request, since it names none.
         """
         assert self._request is not None
         for _ in range(MAX_STALE_RESPONSES):
             head = await self._read_response_head()
             self._body_bytes = 0
             response_request_id = head.header_map().get(self._id_header, "")
-            if not response_request_id or response_request_id == self._request.request_id:
+            if response_request_id == self._request.request_id:
+                return head
+            if not response_request_id:
+                self._require_first_request()
                 return head
             await self._discard_response()
         raise UpstreamError("received only responses to other requests")
 
+    def _require_first_request(self) -> None:
+        """Check that a response without an id can only answer the request that was sent.
+
+        :raises UpstreamError: if the connection has carried another request before.
+        """
+        if self.request_count > 1:
+            self._must_close = True
+            raise UpstreamError("a response without a request id on a connection in use again")
+
     async def read_chunk(self) -> bytes | None:
         """Return the next chunk of the body, or ``None`` at its end.
 
