Pass on only events that follow as the rest of a stream

Here answers with a status of error never got into a stream, but what came with 200 did: an error's text with a signature, the stream from its first event, the last event again, another response's bytes in an answer that ends with its connection.

Cause: a run was taken for the rest by status and signature; the ids, which increase, were not looked at. Now an event must have an id above the last one and hold no head of a response, and a run the media type of the stream; else the stream goes on elsewhere or breaks off.

--- a/src/bramleylead/gateway/_replica_connection.py
+++ b/src/bramleylead/gateway/_replica_connection.py
@@ -44,6 +44,11 @@
     status: int
     headers: Headers
 
+    @property
+    def media_type(self) -> str:
+        """The type of the body, without parameters; empty if not specified."""
+        return self.header_map().get("content-type", "").partition(";")[0].strip().lower()
+
     def header_map(self) -> dict[str, str]:
         """Return the headers by name."""
         return dict(self.headers)
--- a/src/bramleylead/gateway/_stream_state.py
+++ b/src/bramleylead/gateway/_stream_state.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 from typing import Protocol
 from typing import final
 
 import anyio
 
+from bramleylead.connection._events import StreamEvent
 from bramleylead.errors import Failure
 from bramleylead.gateway._budgets import BudgetReservation
 from bramleylead.gateway._call import Call
@@ -48,6 +50,11 @@
         ...
 
 
+STREAM_TYPE = "text/event-stream"
+HTTP_HEAD = re.compile(rb"^(id: ?)?HTTP/1\.[01] \d{3}", re.MULTILINE)
+"""The head of a response within an event, maybe behind the beginning of the one it cut off."""
+
+
 class PreparedRequest(NamedTuple):
     """The body and the budget reservation of a streaming request.
 
@@ -84,11 +91,26 @@
         self.unreached = 0
         self.events = 0
         self.last_event_id = call.metadata.resume_after
+        self.media_type = STREAM_TYPE if call.resumes_stream else ""
         self.output = bytearray()
         self.tried_replicas: set[str] = set()
         self.detail = "no replica is available"
         self.error_response: CompleteResponse | None = None
 
+    def accept_event(self, event: StreamEvent) -> bool:
+        """Add an event if it is the next one of this stream; return whether it is.
+
+        The ids of a stream increase. What a faulty replica writes instead of the rest may be
+        events sent before, or another response, which looks like an event.
+        """
+        if not _follows(event.event_id, self.last_event_id) or HTTP_HEAD.search(event.raw):
+            return False
+        self.events += 1
+        self.last_event_id = event.event_id or self.last_event_id
+        if self.call.route.retains_turns:
+            self.output += event.data + b"\n"
+        return True
+
     @property
     def can_retry(self) -> bool:
         """Whether the request may be sent to another replica."""
@@ -130,3 +152,10 @@
             new_input=call.body,
             event_data=bytes(self.output),
         )
+
+
+def _follows(event_id: str, previous_id: str) -> bool:
+    """Return whether an event may come after another one; one without an id always may."""
+    if not event_id or not previous_id.isdecimal():
+        return True
+    return event_id.isdecimal() and int(event_id) > int(previous_id)
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from itertools import takewhile
 from typing import final
 
 import anyio
@@ -38,6 +39,7 @@
 from bramleylead.platform._types import Software
 
 OK_STATUS = 200
+MAX_SHOWN_BYTES = 40
 
 log = structlog.get_logger()
 
@@ -226,6 +228,9 @@
                 return self._record_broken(stream, replica, result)
             if result.head.status != OK_STATUS:
                 return await self._relay_error(stream, result)
+            if stream.media_type and result.head.media_type != stream.media_type:
+                detail = f"{replica.name}: {result.head.media_type!r} instead of the stream's rest"
+                return self._record_broken(stream, replica, UnknownOutcome(detail))
             return await self._relay(stream, result)
 
     def _record_broken(
@@ -273,8 +278,7 @@
             detail = f"{response.replica.name}: the stream ended within an event"
             return self._record_broken(stream, response.replica, UnknownOutcome(detail))
         if not stream.started:
-            stream.started = True
-            await stream.writer.start_stream(response.head)
+            await self._start(stream, response)
         self._sender.record_outcome(
             response.replica, CompleteResponse(response.replica, response.head, b"")
         )
@@ -286,20 +290,26 @@
     async def _relay_chunk(
         self, stream: Stream, response: StartedResponse, reader: EventReader, chunk: bytes
     ) -> None:
+        """Relay the events that a chunk completes, up to one that is not of this stream.
+
+        :raises UpstreamError: if there is one.
+        """
         events = reader.feed(chunk)
-        if not events:
-            return
-        if not stream.started:
-            stream.started = True
-            await stream.writer.start_stream(response.head)
-        if stream.begun_by is None:
-            stream.begun_by = response.replica.software
-        for event in events:
-            stream.events += 1
-            stream.last_event_id = event.event_id or stream.last_event_id
-            if stream.call.route.retains_turns:
-                stream.output += event.data + b"\n"
-        await stream.writer.write(b"".join(event.raw for event in events))
+        sound = list(takewhile(stream.accept_event, events))
+        if sound:
+            if not stream.started:
+                await self._start(stream, response)
+            if stream.begun_by is None:
+                stream.begun_by = response.replica.software
+            await stream.writer.write(b"".join(event.raw for event in sound))
+        if len(sound) < len(events):
+            shown = events[len(sound)].raw[:MAX_SHOWN_BYTES]
+            raise UpstreamError(f"no event of this stream after {stream.last_event_id}: {shown!r}")
+
+    async def _start(self, stream: Stream, response: StartedResponse) -> None:
+        stream.started = True
+        stream.media_type = response.head.media_type
+        await stream.writer.start_stream(response.head)
 
     async def _finish(self, stream: Stream) -> bool:
         """Store the turn if the route requires it, then end the stream; return if it was stored."""
