Test that streams are resumed at their software after all gateways were killed

Reported by operators of a similar system: text joined from two versions after all front machines were killed. Looked for in records lost or late, two records of which one is settled, take-ups of take-ups, memory of gateways: not found here; the tests are green on the code before too. One gap closed, by reading: a take-up without Resumes was compared with records of requests that have no id.

--- a/src/bramleylead/gateway/_budgets.py
+++ b/src/bramleylead/gateway/_budgets.py
@@ -199,6 +199,8 @@
 
     An attempt that was settled without a token has brought no event.
     """
+    if not request_id:
+        return None
     offered = {
         spending.software
         for entry, spending in spendings.items()
--- a/testing/gateway/test_software_versions.py
+++ b/testing/gateway/test_software_versions.py
@@ -7,13 +7,19 @@
 import anyio
 from anyio.abc import ByteStream
 
+from bramleylead.ledger._records import Spending
 from bramleylead.platform._types import CallKind
+from bramleylead.platform._types import Software
+from testing.gateway._fleet import CrashableReplica
 from testing.gateway._fleet import Fleet
 from testing.gateway._fleet import run_with_fleet
+from testing.gateway._site import REQUEST_ID_HEADER
 from testing.gateway._site import FakeReplica
 from testing.gateway._site import ReceivedRequest
 from testing.gateway._site import ReceivedResponse
+from testing.gateway._site import Script
 from testing.gateway._site import Site
+from testing.gateway._site import event_stream
 from testing.gateway._site import respond_with
 from testing.gateway._site import route
 from testing.gateway.test_plain_calls import refused_response
@@ -21,6 +27,7 @@
 from testing.gateway.test_streams import break_stream_after
 from testing.gateway.test_streams import events
 from testing.gateway.test_streams import resume_stream
+from testing.ledger._fleet import gateway_host
 
 RESUMABLE = route(CallKind.STREAM, resumable=True, max_attempts=3)
 NUMBERS = (1, 2, 3, 4)
@@ -51,6 +58,20 @@
     return await site.request("/stream/x", body=b"q", headers=headers)
 
 
+def begin_and_hang(replica: CrashableReplica) -> Script:
+    """Return a script that sends two events and then nothing."""
+
+    async def script(received: ReceivedRequest, stream: ByteStream) -> None:
+        await stream.send(event_stream(received, 1, 2, end=False))
+        await anyio.sleep_forever()
+
+    return script
+
+
+async def send_ignored(site: Site, headers: dict[str, str]) -> None:
+    await site.request("/stream/x", body=b"q", headers=headers)
+
+
 class SoftwareVersionTest(unittest.TestCase):
     def test_a_broken_stream_goes_on_at_the_version_that_began_it(self) -> None:
         async def main(site: Site) -> None:
@@ -172,6 +193,106 @@
 
         run_with_site(main, RESUMABLE)
 
+    # Guards against text joined from two versions, as operators of similar systems report it: all
+    # gateways are killed at once, so that only the ledger knows what software began a stream.
+    def test_streams_are_resumed_at_their_version_after_all_gateways_were_killed(self) -> None:
+        for seed in range(1, 9):
+            with self.subTest(seed=seed):
+                run_with_fleet(self.check_killed_gateways, RESUMABLE, gateways=4, seed=seed)
+
+    async def check_killed_gateways(self, fleet: Fleet) -> None:
+        for version in ("v1", "v2", "v1", "v2"):
+            await fleet.add_replica(begin_and_hang, version=version)
+        begun: dict[str, str] = {}
+        names = [f"q{number}" for number in range(8)]
+        async with anyio.create_task_group() as streams:
+            for number, name in enumerate(names):
+                # Half of the streams belong to programs with a budget.
+                headers = program_headers(name) if number % 2 else {REQUEST_ID_HEADER: name}
+                site = fleet.gateways[number % 2]
+                streams.start_soon(lambda s=site, h=headers: send_ignored(s, h))
+            await anyio.sleep(0.3)
+            for replica in fleet.replicas:
+                for received in replica.process.received:
+                    begun[received.id] = replica.version
+            for number in (0, 1):
+                fleet.network.kill(gateway_host(number))
+            streams.cancel_scope.cancel()
+        self.assertEqual(set(begun), set(names))
+        self.assertEqual(set(begun.values()), {"v1", "v2"})
+        # The replicas of the old version have just left.
+        for replica in fleet.replicas:
+            fleet.unlist(replica.name)
+        for version in ("v2", "v3"):
+            await fleet.add_replica(lambda replica: resume_stream(*NUMBERS), version=version)
+        for number, name in enumerate(names):
+            headers = {"last-event-id": "2", "resumes": name}
+            takeup = program_headers(f"{name}.2", **headers) if number % 2 else headers
+            takeup = {REQUEST_ID_HEADER: f"{name}.2", **takeup}
+            response = await fleet.gateways[2].request("/stream/x", body=b"q", headers=takeup)
+            if begun[name] == "v2":
+                self.assertEqual((response.body, response.complete), (events(3, 4), True))
+            else:
+                self.assertEqual(response.status, 503)
+        resumed_at = {
+            received.id.partition(".")[0]: replica.version
+            for replica in fleet.replicas[4:]
+            for received in replica.process.received
+        }
+        self.assertEqual(set(resumed_at.values()), {"v2"})
+
+    def test_a_resumed_stream_that_breaks_off_is_resumed_at_the_version_that_began_it(self) -> None:
+        async def main(site: Site) -> None:
+            await site.add_replica("first", break_stream_after(1, 2), version="v1")
+            await site.request("/stream/x", body=b"q", headers=program_headers("q1"))
+            site.directory.remove_replica("first")
+            await site.add_replica("second", break_stream_after(3), version="v1")
+            again = await resume(site, "q2", "q1")
+            self.assertEqual((again.body, again.complete), (events(3), False))
+            site.directory.remove_replica("second")
+            others = await add_replicas(site, "v2", 4)
+            await add_replicas(site, "v1", 1)
+            # The caller names the request of the first event, or by mistake the second request.
+            headers = program_headers("q3", **{"last-event-id": "3", "resumes": "q1"})
+            response = await site.request("/stream/x", body=b"q", headers=headers)
+            self.assertEqual((response.body, response.complete), (events(4), True))
+            mistaken = await resume(site, "q4", "q2")
+            self.assertEqual(mistaken.status, 503)
+            self.assertFalse(any(replica.received for replica in others))
+
+        run_with_site(main, RESUMABLE)
+
+    def test_of_two_recorded_versions_none_is_taken_until_one_is_settled(self) -> None:
+        async def main(site: Site) -> None:
+            await add_replicas(site, "v1", 1)
+            await add_replicas(site, "v2", 1)
+            for version, settled in (("v1", False), ("v2", False), ("v1", True)):
+                software = Software("svc", version)
+                tokens = 0 if settled else 60
+                site.ledger.spendings.append(
+                    Spending("p", f"q1.{version}", tokens, settled, software)
+                )
+                response = await resume(site, f"q2.{version}.{settled}", "q1")
+                served = [name for name, each in site.replicas.items() if each.received]
+                if version == "v1" and not settled:
+                    self.assertEqual((response.status, served), (200, ["v1-0"]))
+                    site.replicas["v1-0"].received.clear()
+                elif settled:
+                    self.assertEqual((response.status, served), (200, ["v2-0"]))
+                else:
+                    self.assertEqual((response.status, served), (503, []))
+
+        run_with_site(main, RESUMABLE)
+
+    def test_a_request_without_an_id_is_not_taken_for_the_one_that_began_a_stream(self) -> None:
+        async def main(site: Site) -> None:
+            await add_replicas(site, "v1", 1)
+            software = Software("svc", "v1")
+            site.ledger.spendings.append(Spending("p", ".1a2b", 60, False, software))
+            self.assertEqual((await resume(site, "q2", "")).status, 503)
+
+        run_with_site(main, RESUMABLE)
+
     def test_another_gateway_resumes_a_stream_after_a_ledger_node_lost_its_disk(self) -> None:
         async def main(fleet: Fleet) -> None:
             await fleet.add_replica(lambda replica: break_stream_after(1, 2), version="v1")
