--- a/src/bramleylead/http/_server.py
+++ b/src/bramleylead/http/_server.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 import sys
 from collections.abc import Callable
 from collections.abc import Generator
@@ -24,6 +25,9 @@
 from bramleylead.connection._tcp import split_address
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.http._exchange import Receive
+from bramleylead.http._exchange import Scope
+from bramleylead.http._exchange import Send
 from bramleylead.http._responses import JSON_TYPE
 from bramleylead.http._responses import CallRef
 from bramleylead.http._responses import encode_json
@@ -39,6 +43,9 @@
 TCP_KEEPALIVE_INTERVAL_S = 5
 TCP_KEEPALIVE_PROBES = 3
 HEADERS_TOO_LARGE_STATUS = 431
+HTTP_1_0 = "1.0"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""SO_LINGER with no time to linger."""
 HEADER_TIMEOUT_FAILURE = Failure(
     ErrorKind.DEADLINE_EXCEEDED, f"headers: incomplete after {HEADER_TIMEOUT_S:g} s: send faster"
 )
@@ -153,6 +160,7 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         super().connection_made(transport)
+        self._wrapped_app, self.app = self.app, self._run_app
         self._start_header_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -167,6 +175,26 @@
         if self._request_in_progress():
             self._cancel_header_timer()
 
+    async def _run_app(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Run the application; reset the connection if its end would make a response look whole.
+
+        A response to HTTP/1.0 without a length ends with its connection. Closed after an error, a
+        response that was broken off would look like a complete one.
+        """
+        try:
+            await self._wrapped_app(scope, receive, send)
+        except BaseException:
+            cycle = self.cycle
+            is_broken_off = cycle.response_started and not cycle.response_complete
+            if scope["http_version"] == HTTP_1_0 and is_broken_off:
+                self._reset_connection()
+            raise
+
+    def _reset_connection(self) -> None:
+        raw_socket = self.transport.get_extra_info("socket")
+        raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.transport.abort()
+
     def shutdown(self) -> None:
         """Close the connection at a stop, unless a request has arrived in part.
 
