--- a/src/bramleylead/cli/commands/soak.py
+++ b/src/bramleylead/cli/commands/soak.py
@@ -44,6 +44,12 @@
         lower_bound=0.05,
         flag_values=values,
     )
+    flags.DEFINE_string(
+        "other_build",
+        "",
+        "Folder with the package of another version, in which part of the processes start.",
+        flag_values=values,
+    )
     flags.DEFINE_boolean("verbose", False, "Show the nodes' warnings.", flag_values=values)
 
 
@@ -56,7 +62,9 @@
     """Run one soak; its last line holds the figures. Fails if a promise was broken."""
     configure_logs("console", level=logging.WARNING if values.verbose else logging.CRITICAL)
     if values.profile == PROCESSES:
-        settings = SoakSettings(values.seed, values.minutes * 60.0, values.gap_s)
+        settings = SoakSettings(
+            values.seed, values.minutes * 60.0, values.gap_s, values.other_build
+        )
         report = anyio.run(soak_site, settings)
         print_report(report)
         return ExitCode.FAILED if report.findings else ExitCode.OK
--- a/src/bramleylead/trials/site/_processes.py
+++ b/src/bramleylead/trials/site/_processes.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import json
+import os
+import random
 import shutil
 import signal
 import sys
+from collections.abc import Sequence
 from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import Any
@@ -24,10 +27,25 @@
 
 @final
 class Node:
-    """One gateway or node of the ledger, with a proxy of its own to the platform's store."""
-
-    def __init__(self, name: str, role: str, folder: Path, *, losses: int) -> None:
+    """One gateway or node of the ledger, with a proxy of its own to the platform's store.
+
+    :param builds: folders that hold the package; each start takes one of them. The package of this
+        process if there are none.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        role: str,
+        folder: Path,
+        rng: random.Random,
+        *,
+        losses: int,
+        builds: Sequence[Path] = (),
+    ) -> None:
         self._folder = folder
+        self._rng = rng
+        self._builds = builds
         self._losses = losses
         self._process: Process | None = None
         self._log = folder / f"{name}.log"
@@ -63,8 +81,13 @@
         file = self._folder / f"{self.name}.json"
         file.write_text(json.dumps(self._settings()))
         words = [sys.executable, "-m", "bramleylead", self.role, f"--settings={file}"]
+        environment = dict(os.environ)
+        if self._builds:
+            environment["PYTHONPATH"] = str(self._rng.choice(self._builds))
         with self._log.open("ab") as log:
-            self._process = await anyio.open_process(words, stdin=None, stdout=log, stderr=log)
+            self._process = await anyio.open_process(
+                words, stdin=None, stdout=log, stderr=log, env=environment
+            )
 
     async def kill(self) -> None:
         """End the process at once."""
--- a/src/bramleylead/trials/site/_soak.py
+++ b/src/bramleylead/trials/site/_soak.py
@@ -15,6 +15,7 @@
 import anyio
 import structlog
 
+import bramleylead
 from bramleylead.connection._http_client import HttpClient
 from bramleylead.platform import _names as names
 from bramleylead.platform._encode import write_configuration
@@ -59,11 +60,23 @@
 
 
 class SoakSettings(NamedTuple):
-    """What a soak runs: its seed, the seconds in which faults come, and their mean distance."""
+    """What a soak runs: its seed, the seconds in which faults come, and their mean distance.
+
+    :param other_build: a folder that holds the package of another version, in which part of the
+        processes start; empty for none.
+    """
 
     seed: int
     length_s: float
     gap_s: float
+    other_build: str = ""
+
+    @property
+    def builds(self) -> tuple[Path, ...]:
+        """The folders whose package a process may run; none if all run that of this process."""
+        if not self.other_build:
+            return ()
+        return (Path(bramleylead.__file__).parent.parent, Path(self.other_build).resolve())
 
 
 class SoakReport(NamedTuple):
@@ -94,12 +107,13 @@
         rng = random.Random(f"{settings.seed}/site")
         self.judge = Judge()
         self.store = PlatformStoreStandIn()
-        self.gateways = [
-            Node(f"gateway-{i}", "gateway", folder, losses=LOSSES) for i in range(GATEWAYS)
-        ]
-        self.ledgers = [
-            Node(f"ledger-{i}", "ledger", folder, losses=LOSSES) for i in range(LEDGERS)
-        ]
+
+        def make_node(name: str, role: str) -> Node:
+            starts = random.Random(f"{settings.seed}/starts/{name}")
+            return Node(name, role, folder, starts, losses=LOSSES, builds=settings.builds)
+
+        self.gateways = [make_node(f"gateway-{i}", "gateway") for i in range(GATEWAYS)]
+        self.ledgers = [make_node(f"ledger-{i}", "ledger") for i in range(LEDGERS)]
         self.replicas = [
             SoakReplica(f"model-{i}", MODEL_SERVICE, self.judge, rng) for i in range(MODELS)
         ]
