Hand generators down, and check the path before relaying what may run once

Cause of the chance: the product drew from the module's generator (ties between members, waits, relays, first turns, limits), which no seed of a test reached. Now each object gets its generator from the process's settings (random_seed; other numbers each start without it), and tests in virtual time get theirs from the run's seed.

Trace: the second gateway holds an idle connection from before its paths were lost unnoticed and sends on it; the bytes may have arrived, so what may run once is never sent again and the caller gets 504 at its deadline. A right answer, and one that can be spared: a relay now opens a connection for such a request, which shows whether its path works, and if not another gateway is asked.

--- a/src/bramleylead/gateway/_connection_pool.py
+++ b/src/bramleylead/gateway/_connection_pool.py
@@ -66,15 +66,17 @@
         return len(self._in_use)
 
     async def acquire(
-        self, replica: Replica, *, idempotent: bool
+        self, replica: Replica, *, idempotent: bool, may_reuse: bool = True
     ) -> Result[UpstreamConnection, str]:
         """Return an idle connection or open one; an ``Err`` means that nothing was sent.
 
         :param idempotent: whether the request may be sent again if nothing passes any more.
+        :param may_reuse: whether an idle connection will do; a new one shows that the path works.
         """
-        connection = await self.take_idle(replica, idempotent=idempotent)
-        if connection is not None:
-            return Ok(connection)
+        if may_reuse:
+            connection = await self.take_idle(replica, idempotent=idempotent)
+            if connection is not None:
+                return Ok(connection)
         opened = await self._connect(replica)
         if isinstance(opened, Ok):
             self._record_use(opened.ok_value, replica, idempotent)
--- a/src/bramleylead/gateway/_permit_waits.py
+++ b/src/bramleylead/gateway/_permit_waits.py
@@ -28,7 +28,8 @@
 class PermitWaits:
     """Waits for permits of one gateway."""
 
-    def __init__(self, directory: Directory, limits: RateLimits) -> None:
+    def __init__(self, directory: Directory, limits: RateLimits, rng: random.Random) -> None:
+        self._rng = rng
         self._directory = directory
         self._limits = limits
 
@@ -52,5 +53,5 @@
         wait_s = self._limits.wait_s(names)
         if wait_s == float("inf"):
             return RETRY_AFTER_S
-        spread = random.uniform(1.0, 1.0 + RETRY_SPREAD)
+        spread = self._rng.uniform(1.0, 1.0 + RETRY_SPREAD)
         return min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S, wait_s * spread))
--- a/src/bramleylead/gateway/_plain_calls.py
+++ b/src/bramleylead/gateway/_plain_calls.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from typing import final
 
 import anyio
@@ -24,7 +23,6 @@
 from bramleylead.gateway._response_body import read_complete
 from bramleylead.gateway._sender import Sender
 from bramleylead.platform._types import Replica
-from bramleylead.platform._types import Route
 
 MAX_UNREACHED_REPLICAS = 4
 """Replicas that are unreachable or replaced don't count as attempts; this limits their number."""
@@ -32,14 +30,6 @@
 log = structlog.get_logger()
 
 
-def pick_service(route: Route) -> str:
-    """Choose the service for a request at random, weighted by the route's shares."""
-    if len(route.shares) == 1:
-        return route.shares[0].service
-    weights = [share.weight for share in route.shares]
-    return random.choices(route.shares, weights)[0].service
-
-
 @final
 class PlainCalls:
     """Answers requests to plain services."""
@@ -62,7 +52,7 @@
     async def _try_replicas(
         self, call: Call, attempts: _Attempts
     ) -> Result[CompleteResponse, Failure]:
-        service = pick_service(call.route)
+        service = self._sender.choice.pick_service(call.route)
         while attempts.can_retry and self._guard.refusal(call) is None:
             replica = await self._sender.choice.choose(call, service, attempts.tried_replicas)
             if replica is None:
--- a/src/bramleylead/gateway/_relay_server.py
+++ b/src/bramleylead/gateway/_relay_server.py
@@ -97,7 +97,11 @@
         if isinstance(replica, RelayRefusal):
             await self._refuse(request, reply, replica)
             return
-        acquired = await self._connections.acquire(replica, idempotent=request.idempotent)
+        # This gateway may have lost its paths too without notice. What may run once can't be sent
+        # again after an idle connection has turned out to be dead.
+        acquired = await self._connections.acquire(
+            replica, idempotent=request.idempotent, may_reuse=request.idempotent
+        )
         if isinstance(acquired, Err):
             await self._refuse(request, reply, RelayRefusal.UNREACHED)
             return
--- a/src/bramleylead/gateway/_relays.py
+++ b/src/bramleylead/gateway/_relays.py
@@ -58,7 +58,9 @@
         node: str,
         data_centre: str,
         regions: dict[str, str],
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
         self.peers = peers
         self._ledger = ledger
         self._node = node
@@ -109,7 +111,7 @@
 
         Gateways that are equally near are in random order, so that they share the load.
         """
-        relays = random.sample(list(self._known.values()), len(self._known))
+        relays = self._rng.sample(list(self._known.values()), len(self._known))
         now = anyio.current_time()
 
         def distance(relay: RelayGateway) -> tuple[bool, bool, bool]:
--- a/src/bramleylead/gateway/_replica_choice.py
+++ b/src/bramleylead/gateway/_replica_choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Iterable
 from typing import final
 
@@ -18,6 +19,7 @@
 from bramleylead.placement._replica_selector import ReplicaSelector
 from bramleylead.platform._types import NO_SOFTWARE
 from bramleylead.platform._types import Replica
+from bramleylead.platform._types import Route
 from bramleylead.platform._types import Software
 
 log = structlog.get_logger()
@@ -40,15 +42,24 @@
         *,
         data_centre: str,
         regions: dict[str, str],
+        rng: random.Random,
     ) -> None:
         self._directory = directory
         self._selector = selector
         self._limits = limits
         self._guard = guard
-        self._permit_waits = PermitWaits(directory, limits)
+        self._permit_waits = PermitWaits(directory, limits, rng)
+        self._rng = rng
         self._data_centre = data_centre
         self._regions = regions
 
+    def pick_service(self, route: Route) -> str:
+        """Choose the service for a request at random, weighted by the route's shares."""
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        weights = [share.weight for share in route.shares]
+        return self._rng.choices(route.shares, weights)[0].service
+
     async def choose(self, call: Call, service: str, tried_replicas: set[str]) -> Replica | None:
         """Return the next replica to send a request to, or ``None`` if none is left.
 
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -80,7 +80,9 @@
         ledger: LedgerClient,
         tasks: TaskGroup,
         metrics: SiteMetrics,
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
         self._settings = settings
         self._network = network
         self._tasks = tasks
@@ -93,11 +95,12 @@
             node=settings.node,
             data_centre=settings.data_centre,
             regions=settings.data_centres,
+            rng=rng,
         )
         connections = ReplicaConnections(self._pool, self._paths, relays)
-        self._selector = ReplicaSelector(first_turn=random.randrange(MAX_FIRST_TURN))
+        self._selector = ReplicaSelector(first_turn=rng.randrange(MAX_FIRST_TURN))
         self.directory = Directory()
-        self._limits = RateLimits()
+        self._limits = RateLimits(rng)
         self._crashes = CrashTable(settings.node)
         self._store = MonitoredStore(store)
         self._objects = MirroredStore(
@@ -105,6 +108,7 @@
             peers,
             ledger,
             on_store_failure=self.directory.record_store_failure,
+            rng=rng,
             gateway=settings.node,
             relay_offer=lambda: self._relay_server.current_offer(),
             traffic=self._limits,
@@ -122,6 +126,7 @@
             guard,
             data_centre=settings.data_centre,
             regions=settings.data_centres,
+            rng=rng,
         )
         sender = Sender(
             self.directory,
@@ -131,6 +136,7 @@
             self._limits,
             choice,
             self._paths,
+            rng,
         )
         streams = StreamCalls(sender, Budgets(ledger, tasks), TurnHistory(ledger), guard)
         self.app = GatewayApp(self.directory, PlainCalls(sender, guard), streams)
@@ -173,7 +179,7 @@
             self._network.serve, self._settings.peer_address, self._peer_server.serve_stream
         )
         for follower in (ConfigurationFollower(self.directory), ReplicaFollower(self.directory)):
-            run = partial(follow, self._objects, follower)
+            run = partial(follow, self._objects, follower, self._rng)
             self._tasks.start_soon(supervise, f"follow_{follower.kind}", run)
         self._tasks.start_soon(supervise, "store_probes", self._store.run)
         self._tasks.start_soon(supervise, "maintenance", self._run_maintenance)
@@ -246,6 +252,7 @@
     :param path: the settings file, named in the log on SIGHUP.
     :raises OSError: if an address can't be bound.
     """
+    rng = random.Random(settings.random_seed)
     network = TcpNetwork(keepalive_idle_s=PEER_SILENT_AFTER_S)
     async with (
         PlatformStore(settings.store.address) as store,
@@ -254,6 +261,7 @@
             peers,
             StoredMemberList(store).read,
             losses=settings.losses,
+            rng=rng,
             data_centre=settings.data_centre,
             regions=settings.data_centres,
             seeds=settings.ledger_seeds,
@@ -269,6 +277,7 @@
             ledger=ledger,
             tasks=tasks,
             metrics=metrics,
+            rng=rng,
         )
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             await gateway.start()
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import final
@@ -68,7 +69,9 @@
         limits: RateLimits,
         choice: ReplicaChoice,
         paths: ReplicaPaths,
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
         self.choice = choice
         self._paths = paths
         self._directory = directory
@@ -99,6 +102,7 @@
             progress,
             less_urgent_priorities=sum(other > call.route.priority for other in priorities),
             turn_s=self._mean_turn_s,
+            rng=self._rng,
         )
 
     def record_turn(self, call: Call, replica: Replica, *, took_s: float) -> None:
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -24,7 +24,6 @@
 from bramleylead.gateway._call import UnknownOutcome
 from bramleylead.gateway._crash_guard import CrashGuard
 from bramleylead.gateway._permit_waits import RETRY_AFTER_S
-from bramleylead.gateway._plain_calls import pick_service
 from bramleylead.gateway._replica_connection import UpstreamError
 from bramleylead.gateway._response_body import StartedResponse
 from bramleylead.gateway._response_body import read_complete
@@ -91,7 +90,7 @@
 
     async def _reserve(self, call: Call, body: bytes) -> Result[PreparedRequest, Failure]:
         """Reserve a turn's budget, unless the turn may not be sent now."""
-        service = pick_service(call.route)
+        service = self._sender.choice.pick_service(call.route)
         reserved = await self._budgets.reserve(
             call.metadata,
             crashes=self._guard.evidence(call),
--- a/src/bramleylead/ledger/_client.py
+++ b/src/bramleylead/ledger/_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 from collections.abc import Sequence
 from types import TracebackType
@@ -75,6 +76,7 @@
 
     :param read_members: reads the list of members from the platform's store.
     :param losses: how many members may lose their disks at once.
+    :param rng: decides between members that are equally near.
     :param data_centre: its members are preferred, then those of its region.
     :param regions: the region of each data centre.
     :param seeds: addresses of possible ledger nodes, queried while no member is known.
@@ -90,6 +92,7 @@
         read_members: ReadMembers,
         *,
         losses: int,
+        rng: random.Random,
         data_centre: str = "",
         regions: dict[str, str] | None = None,
         seeds: Sequence[str] = (),
@@ -102,6 +105,7 @@
             regions=regions or {},
             seeds=seeds,
             patience_s=patience_s,
+            rng=rng,
         )
         self._peers = peers
         self._losses = losses
--- a/src/bramleylead/ledger/_known_members.py
+++ b/src/bramleylead/ledger/_known_members.py
@@ -50,7 +50,9 @@
         regions: dict[str, str],
         seeds: Sequence[str],
         patience_s: float,
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
         self._peers = peers
         self._read_members = read_members
         self._data_centre = data_centre
@@ -79,7 +81,7 @@
             return (
                 member.data_centre != self._data_centre,
                 self._regions.get(member.data_centre) != region,
-                self._tie_breakers.setdefault(member.node, random.random()),
+                self._tie_breakers.setdefault(member.node, self._rng.random()),
             )
 
         return sorted((view or self.view).members, key=distance)
--- a/src/bramleylead/ledger/_membership.py
+++ b/src/bramleylead/ledger/_membership.py
@@ -83,11 +83,13 @@
         peers: PeerClient,
         *,
         losses: int,
+        rng: random.Random,
         target_size: int | None = None,
         regions: dict[str, str] | None = None,
     ) -> None:
         self._target_size = target_size or max(MIN_MEMBERS, 2 * losses + 1)
         self._regions = regions or {}
+        self._rng = rng
         self._vacant_since: float | None = None
         self._node = node
         self._synchroniser = Synchroniser(node, peers)
@@ -219,7 +221,7 @@
     async def _latest_view(self) -> _ListedView | None:
         """Return the view that a member reports, or else the one in the platform's store."""
         members = list(self._node.view.members)
-        random.shuffle(members)
+        self._rng.shuffle(members)
         for member in members:
             state = await self._node.fetch_state(member)
             if state is not None and state.view.epoch >= self._node.view.epoch:
@@ -236,7 +238,7 @@
         if len(view.members) >= self._target_size:
             if not listed.has_vacancy:
                 return False
-            await anyio.sleep(random.uniform(0.0, MAX_SPARE_DELAY_S))
+            await anyio.sleep(self._rng.uniform(0.0, MAX_SPARE_DELAY_S))
         started = anyio.current_time()
         async with anyio.create_task_group() as tasks:
             for member in view.members:
--- a/src/bramleylead/ledger/_mirrored_store.py
+++ b/src/bramleylead/ledger/_mirrored_store.py
@@ -106,12 +106,14 @@
         ledger: MemberSource,
         *,
         on_store_failure: Callable[[float], None],
+        rng: random.Random,
         gateway: str = "",
         relay_offer: Callable[[], RelayGateway] = lambda: NO_RELAY,
         traffic: TrafficReporter | None = None,
         crashes: CrashTable | None = None,
         patience_s: float = 0.0,
     ) -> None:
+        self._rng = rng
         self._store = store
         self._peers = peers
         self._ledger = ledger
@@ -256,7 +258,7 @@
         """Query the store itself, unless this was just begun or a recent call to it failed."""
         now = anyio.current_time()
         if self._members_answer and self._sources:
-            delay_s = random.uniform(0.0, MAX_STORE_DELAY_S)
+            delay_s = self._rng.uniform(0.0, MAX_STORE_DELAY_S)
             self._store_retry_at = max(self._store_retry_at, now + delay_s)
         self._members_answer = False
         if now < self._store_retry_at:
@@ -264,7 +266,7 @@
             return Err(StoreError(StoreErrorKind.UNAVAILABLE, detail))
         response = await call()
         if isinstance(response, Err) and response.err_value.kind is not StoreErrorKind.NOT_FOUND:
-            delay_s = STORE_RETRY_DELAY_S * random.uniform(0.5, 1.0)
+            delay_s = STORE_RETRY_DELAY_S * self._rng.uniform(0.5, 1.0)
             self._store_retry_at = anyio.current_time() + delay_s
         return response
 
--- a/src/bramleylead/ledger/_node_objects.py
+++ b/src/bramleylead/ledger/_node_objects.py
@@ -27,7 +27,8 @@
 class OtherMembers:
     """The members as one node knows them, in a random order that stays the same."""
 
-    def __init__(self, node: LedgerNode) -> None:
+    def __init__(self, node: LedgerNode, rng: random.Random) -> None:
+        self._rng = rng
         self._node = node
         self._ranks: dict[str, float] = {}
 
@@ -40,7 +41,7 @@
         """Return the other members."""
         others = [member for member in self.view.members if member != self._node.own_entry]
         return sorted(
-            others, key=lambda member: self._ranks.setdefault(member.node, random.random())
+            others, key=lambda member: self._ranks.setdefault(member.node, self._rng.random())
         )
 
     async def refresh(self) -> None:
@@ -51,11 +52,17 @@
 class NodeObjects:
     """The platform's objects as one ledger node reads them."""
 
-    def __init__(self, node: LedgerNode, store: ConfirmingSource, peers: PeerClient) -> None:
+    def __init__(
+        self, node: LedgerNode, store: ConfirmingSource, peers: PeerClient, rng: random.Random
+    ) -> None:
         self._node = node
         self._store = store
         self._mirrored = MirroredStore(
-            store, peers, OtherMembers(node), on_store_failure=lambda ago_s: None
+            store,
+            peers,
+            OtherMembers(node, rng),
+            rng=rng,
+            on_store_failure=lambda ago_s: None,
         )
 
     async def list(self, kind: str, *, after: str = "") -> Result[ObjectPage, StoreError]:
--- a/src/bramleylead/ledger/_relay_table.py
+++ b/src/bramleylead/ledger/_relay_table.py
@@ -60,7 +60,8 @@
 class RelayTable:
     """The gateways that have reported to one node."""
 
-    def __init__(self) -> None:
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
         self._reports: dict[str, _Report] = {}
 
     def register_handlers(self, server: PeerServer) -> None:
@@ -78,7 +79,7 @@
         """Return some of the other gateways, in random order."""
         self._drop_expired(now)
         others = [report.relay for name, report in self._reports.items() if name != gateway]
-        return tuple(random.sample(others, min(len(others), MAX_RELAYS_RETURNED)))
+        return tuple(self._rng.sample(others, min(len(others), MAX_RELAYS_RETURNED)))
 
     def _drop_expired(self, now: float) -> None:
         for name, report in list(self._reports.items()):
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import signal
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -85,6 +86,7 @@
     :param path: the settings file, named in the log on SIGHUP.
     :raises OSError: if the address can't be bound or the disk can't be read.
     """
+    rng = random.Random(settings.random_seed)
     network = TcpNetwork(keepalive_idle_s=SILENT_AFTER_S)
     address = settings.peer_address
     server = PeerServer(node=settings.node, cluster_key=settings.cluster_key)
@@ -107,8 +109,8 @@
         load_sharing = LoadSharing(node, peers, shares)
         load_sharing.register_handlers(server)
         monitored_store = MonitoredStore(store)
-        objects = NodeObjects(node, monitored_store, peers)
-        relays = RelayTable()
+        objects = NodeObjects(node, monitored_store, peers, rng)
+        relays = RelayTable(rng)
         relays.register_handlers(server)
         mirror = Mirror(
             MIRRORED_KINDS,
@@ -127,6 +129,7 @@
             StoredMemberList(store),
             peers,
             losses=settings.losses,
+            rng=rng,
             regions=settings.data_centres,
         )
         retirement = RetirementFollower(settings.node)
@@ -138,10 +141,10 @@
             tasks.start_soon(supervise, "expiry", partial(_run_expiry, node))
             tasks.start_soon(supervise, "store_probes", monitored_store.run)
             for kind in GATEWAY_KINDS:
-                run = partial(_follow_as_member, node, objects, mirror.kinds[kind])
+                run = partial(_follow_as_member, node, objects, mirror.kinds[kind], rng)
                 tasks.start_soon(supervise, f"follow_{kind}", run)
             retirements = SharedFollower(mirror.kinds[names.RETIREMENT_KIND], retirement)
-            run = partial(follow, objects, retirements)
+            run = partial(follow, objects, retirements, rng)
             tasks.start_soon(supervise, f"follow_{names.RETIREMENT_KIND}", run)
             run = partial(_run_membership, membership, retirement, store, settings.node)
             tasks.start_soon(supervise, "membership", run)
@@ -157,11 +160,13 @@
     log.info("ledger_stopped", node=settings.node)
 
 
-async def _follow_as_member(node: LedgerNode, objects: NodeObjects, follower: Follower) -> None:
+async def _follow_as_member(
+    node: LedgerNode, objects: NodeObjects, follower: Follower, rng: random.Random
+) -> None:
     """Follow a kind of objects for the gateways, which query members only."""
     while not node.is_member:
         await node.view_changed.wait()
-    await follow(objects, follower)
+    await follow(objects, follower, rng)
 
 
 async def _run_membership(
--- a/src/bramleylead/placement/_admission.py
+++ b/src/bramleylead/placement/_admission.py
@@ -58,12 +58,18 @@
 
 
 def check_admission(
-    load: ServiceLoad, progress: Progress, *, less_urgent_priorities: int, turn_s: float
+    load: ServiceLoad,
+    progress: Progress,
+    *,
+    less_urgent_priorities: int,
+    turn_s: float,
+    rng: random.Random,
 ) -> Refusal | None:
     """Return a refusal if a turn should not start now.
 
     :param less_urgent_priorities: how many priorities of the service's routes are less urgent.
     :param turn_s: how long a turn takes on average.
+    :param rng: spreads the times at which refused callers return.
     """
     if progress.turns:
         return None
@@ -75,11 +81,11 @@
         f"the replicas run {load.running:.0f} requests on {load.slots:.0f} slots; a program that "
         f"was refused {progress.refusals} times starts below {max_load:.2f} for each slot"
     )
-    return Refusal(_retry_after_s(load.per_slot - max_load, turn_s), detail)
+    return Refusal(_retry_after_s(load.per_slot - max_load, turn_s, rng), detail)
 
 
-def _retry_after_s(excess_per_slot: float, turn_s: float) -> float:
+def _retry_after_s(excess_per_slot: float, turn_s: float, rng: random.Random) -> float:
     """Return when room is expected: the excess leaves at one request a slot and turn."""
     expected_s = MIN_RETRY_AFTER_S + turn_s * (1 + excess_per_slot)
-    spread = random.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
+    spread = rng.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, expected_s * spread))
--- a/src/bramleylead/placement/_rate_limits.py
+++ b/src/bramleylead/placement/_rate_limits.py
@@ -32,10 +32,10 @@
 class _Permits:
     """The permits of one gateway for one replica, which accrue at a constant rate."""
 
-    def __init__(self, rate_per_s: float) -> None:
+    def __init__(self, rate_per_s: float, rng: random.Random) -> None:
         self._rate_per_s = rate_per_s
         # At a random point of the interval: all gateways begin at about the same time.
-        self._level = random.random()
+        self._level = rng.random()
         self._updated_at = anyio.current_time()
 
     @property
@@ -77,7 +77,8 @@
 class RateLimits:
     """The limits that replicas have named, and this gateway's permits."""
 
-    def __init__(self) -> None:
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
         self._limits: dict[str, float] = {}
         self._permits: dict[str, _Permits] = {}
         self._share = INITIAL_SHARE
@@ -150,7 +151,7 @@
         rate_per_s = self._share * self._limits[name]
         permits = self._permits.get(name)
         if permits is None:
-            self._permits[name] = _Permits(rate_per_s)
+            self._permits[name] = _Permits(rate_per_s, self._rng)
         else:
             permits.set_rate(rate_per_s)
 
--- a/src/bramleylead/platform/_follow.py
+++ b/src/bramleylead/platform/_follow.py
@@ -108,7 +108,8 @@
 class _Backoff:
     """Exponential backoff with jitter after consecutive failures."""
 
-    def __init__(self) -> None:
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
         self._failures = 0
 
     def reset(self) -> None:
@@ -117,12 +118,15 @@
     async def wait(self) -> None:
         backoff_s = min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2**self._failures)
         self._failures += 1
-        await anyio.sleep(backoff_s * random.uniform(0.5, 1.0))
+        await anyio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
 
 
-async def follow(source: ObjectSource, follower: Follower) -> None:
-    """Keep a follower up to date until cancelled."""
-    backoff = _Backoff()
+async def follow(source: ObjectSource, follower: Follower, rng: random.Random) -> None:
+    """Keep a follower up to date until cancelled.
+
+    :param rng: spreads the repetitions of calls that fail.
+    """
+    backoff = _Backoff(rng)
     revision: int | None = None
     is_failing = False
     while True:
--- a/src/bramleylead/site_settings.py
+++ b/src/bramleylead/site_settings.py
@@ -26,6 +26,7 @@
     :param metrics_address: where metrics and state dumps are read.
     :param losses: how many VMs with a disk may be lost at once.
     :param stop_grace_s: from the signal to stop until the process is ended by force.
+    :param random_seed: of what the process draws; by default each start draws other numbers.
     """
 
     node: Name
@@ -39,6 +40,7 @@
     cluster_key: Annotated[str, Field(min_length=16)]
     losses: Annotated[int, Field(ge=0)]
     stop_grace_s: Annotated[float, Field(gt=0)] = 8.0
+    random_seed: int | None = None
 
     @property
     def peer_address(self) -> str:
--- a/src/bramleylead/standins/__init__.py
+++ b/src/bramleylead/standins/__init__.py
@@ -21,6 +21,7 @@
 from bramleylead.standins._service import ToolModel
 from bramleylead.standins._tool_server import serve_tool
 from bramleylead.standins._virtual import run_virtual
+from bramleylead.standins._virtual import virtual_random
 from bramleylead.standins._weights import FakeWeightStore
 
 __all__ = [
@@ -44,4 +45,5 @@
     "serve_engine",
     "serve_objects",
     "serve_tool",
+    "virtual_random",
 ]
--- a/src/bramleylead/standins/_virtual.py
+++ b/src/bramleylead/standins/_virtual.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import TypeVar
@@ -13,6 +14,14 @@
 _T = TypeVar("_T")
 
 
+_seed = 0
+
+
+def virtual_random(name: str) -> random.Random:
+    """Return a generator for one part of a run; the run's seed and the name give its numbers."""
+    return random.Random(f"{_seed}/{name}")
+
+
 def run_virtual(main: Callable[[], Awaitable[_T]], *, seed: int) -> _T:
     """Run ``main`` on the trio backend with a clock that jumps to the next timer.
 
@@ -20,6 +29,8 @@
     sorted first, the same seed gives the same run. Both are trio's own hooks for deterministic
     tests.
     """
+    global _seed
+    _seed = seed
     trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio._core._run._r.seed(seed)
     clock = MockClock(autojump_threshold=0)
--- a/testing/gateway/_site.py
+++ b/testing/gateway/_site.py
@@ -56,6 +56,7 @@
 from bramleylead.platform._types import Service
 from bramleylead.platform._types import Share
 from bramleylead.standins import FakeNetwork
+from bramleylead.standins import virtual_random
 from testing.asgi_client import RawRequest
 from testing.asgi_client import send
 from testing.ledger._fleet import KEY
@@ -280,6 +281,7 @@
         peers: PeerClient | None = None,
         first_turn: int = 0,
     ) -> None:
+        rng = virtual_random(f"gateway {host}")
         self.host = host
         self.network = network or FakeNetwork({GATEWAY_IP: ("r", "d")})
         self.directory = Directory()
@@ -287,7 +289,7 @@
         self.replicas: dict[str, FakeReplica] = {}
         self.entries: dict[str, Replica] = {}
         self.selector = ReplicaSelector(first_turn=first_turn)
-        self.limits = RateLimits()
+        self.limits = RateLimits(rng)
         self.limits.record_share(1.0)
         self._tasks = tasks
         view = self.network.view(host)
@@ -299,6 +301,7 @@
             node=host,
             data_centre="d",
             regions={"d": "r"},
+            rng=rng,
         )
         self.connections = ReplicaConnections(self.pool, self.paths, relays)
         self.relay_server = RelayServer(
@@ -326,6 +329,7 @@
             guard,
             data_centre="d",
             regions={"d": "r"},
+            rng=rng,
         )
         reporter = LoadReporter(host, self.selector)
         sender = Sender(
@@ -336,6 +340,7 @@
             self.limits,
             choice,
             self.paths,
+            rng,
         )
         budgets = Budgets(self.ledger, tasks)  # type: ignore[arg-type]
         history = TurnHistory(self.ledger)  # type: ignore[arg-type]
--- a/testing/gateway/test_follow.py
+++ b/testing/gateway/test_follow.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -55,7 +56,7 @@
                 anyio.create_task_group() as tasks,
             ):
                 for follower in (ConfigurationFollower(directory), ReplicaFollower(directory)):
-                    tasks.start_soon(follow, store, follower)
+                    tasks.start_soon(follow, store, follower, random.Random(1))
                 await main(stand_in, directory)
                 tasks.cancel_scope.cancel()
 
@@ -139,7 +140,7 @@
                 anyio.create_task_group() as tasks,
             ):
                 source = SlowSource(store, stand_in)
-                tasks.start_soon(follow, source, ReplicaFollower(directory))
+                tasks.start_soon(follow, source, ReplicaFollower(directory), random.Random(1))
                 await wait_until(lambda: len(directory.replica_names()) == PAGE_OBJECTS + 9)
                 await wait_until(lambda: not directory.is_usable("i-0001"))
                 self.assertIsNone(directory.find("i-0000"))
--- a/testing/gateway/test_relayed_requests.py
+++ b/testing/gateway/test_relayed_requests.py
@@ -113,13 +113,15 @@
 
 
 class RelayedRequestTest(unittest.TestCase):
-    def run_with_lost_paths(self, main, *routes, make_script=answer, replicas: int = 3) -> None:
+    def run_with_lost_paths(
+        self, main, *routes, make_script=answer, replicas: int = 3, seed: int = 1
+    ) -> None:
         async def run(fleet: Fleet) -> None:
             for _ in range(replicas):
                 await fleet.add_replica(make_script)
             await main(fleet, await lose_paths(fleet))
 
-        run_with_fleet(run, *routes)
+        run_with_fleet(run, *routes, seed=seed)
 
     def test_method_target_and_body_reach_the_replica_unchanged(self) -> None:
         async def main(fleet: Fleet, stranded: Site) -> None:
@@ -271,7 +273,9 @@
                 self.assertEqual(response.status, 200)
             self.assertEqual(stranded.selector.health.known_replicas(), set())
 
-        self.run_with_lost_paths(main, SAFE, UNSAFE)
+        for seed in range(1, 7):
+            with self.subTest(seed=seed):
+                self.run_with_lost_paths(main, SAFE, UNSAFE, seed=seed)
 
     def test_gateways_that_are_all_cut_off_refuse_at_once_and_ask_each_other_once(self) -> None:
         async def main(fleet: Fleet, stranded: Site) -> None:
--- a/testing/ledger/_fleet.py
+++ b/testing/ledger/_fleet.py
@@ -26,6 +26,7 @@
 from bramleylead.ledger._relay_table import RelayTable
 from bramleylead.ledger._traffic_shares import TrafficShares
 from bramleylead.standins import FakeNetwork
+from bramleylead.standins import virtual_random
 
 KEY = "a shared key of the cluster"
 PORT = 7000
@@ -166,7 +167,7 @@
                 node.register_handlers(server)
                 self.nodes[i] = node
                 tasks.start_soon(node.run_writer)
-                self.relay_tables[i] = RelayTable()
+                self.relay_tables[i] = RelayTable(virtual_random(f"relays {i}"))
                 self.relay_tables[i].register_handlers(server)
                 load_sharing = LoadSharing(node, peers, TrafficShares())
                 load_sharing.register_handlers(server)
@@ -181,6 +182,7 @@
                     self.members,
                     peers,
                     losses=LOSSES,
+                    rng=virtual_random(f"membership {i}"),
                     target_size=self.target_size,
                     regions=REGIONS,
                 )
@@ -201,7 +203,7 @@
 
     def client(self, peers: PeerClient) -> LedgerClient:
         """Return a client of the ledger."""
-        return LedgerClient(peers, self.members.read, losses=LOSSES)
+        return LedgerClient(peers, self.members.read, losses=LOSSES, rng=virtual_random("client"))
 
 
 @asynccontextmanager
--- a/testing/ledger/test_mirrored_store.py
+++ b/testing/ledger/test_mirrored_store.py
@@ -34,6 +34,7 @@
 from bramleylead.platform._monitored_store import MonitoredStore
 from bramleylead.standins import FakeNetwork
 from bramleylead.standins import run_virtual
+from bramleylead.standins import virtual_random
 from testing.gateway._fake_objects import FakeObjects
 from testing.gateway.test_follow import wait_until
 from testing.platform.test_decode import ENTRY
@@ -97,7 +98,7 @@
             objects,
             TrafficShares(),
             self.node_crashes[i],
-            RelayTable(),
+            RelayTable(virtual_random(f"relays {i}")),
             ledger_epoch=lambda: self.members.epoch,
         )
         self.mirrors[i] = mirror
@@ -105,7 +106,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(objects.run)
             for kind in mirror.kinds.values():
-                tasks.start_soon(follow, objects, kind)
+                tasks.start_soon(follow, objects, kind, virtual_random(f"{i} {kind.kind}"))
             await view.serve(f"{node_host(i)}:7000", server.serve_stream)
 
     async def _send_state(self, request: AskState, reply: Reply) -> None:
@@ -119,6 +120,7 @@
                 peers,
                 self.store.read_members,
                 losses=LOSSES,
+                rng=virtual_random("client"),
                 data_centre="d0",
                 regions={f"d{i}": f"r{i}" for i in range(NODES)},
                 seeds=[f"{node_host(2)}:7000"],
@@ -133,6 +135,7 @@
                 peers,
                 ledger,
                 on_store_failure=self.directory.record_store_failure,
+                rng=virtual_random("store"),
                 gateway="g",
                 crashes=self.gateway_crashes,
             )
@@ -140,7 +143,7 @@
                 ConfigurationFollower(self.directory),
                 ReplicaFollower(self.directory),
             ):
-                tasks.start_soon(follow, objects, follower)
+                tasks.start_soon(follow, objects, follower, virtual_random(follower.kind))
 
 
 def run_with_site(main: Callable[[Site], Awaitable[None]]) -> None:
--- a/testing/ledger/test_relay_table.py
+++ b/testing/ledger/test_relay_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 
 from bramleylead.ledger._relay_table import MAX_RELAYS_RETURNED
@@ -16,7 +17,7 @@
 
 class RelayTableTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.table = RelayTable()
+        self.table = RelayTable(random.Random(1))
         for node in ("a", "b"):
             self.table.record(relay(node), now=1.0)
 
--- a/testing/placement/_replay.py
+++ b/testing/placement/_replay.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import random
 from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
@@ -23,6 +22,7 @@
 from bramleylead.placement._replica_selector import Candidate
 from bramleylead.placement._replica_selector import Prompt
 from bramleylead.placement._replica_selector import ReplicaSelector
+from bramleylead.standins import virtual_random
 
 MESSAGE_S = 0.004
 DECODE_S = 0.3
@@ -153,7 +153,9 @@
             sum(self.selector.running(name) for name in self._replay.engines),
             sum(engine.slots for engine in self._replay.engines.values()),
         )
-        refusal = check_admission(load, progress, less_urgent_priorities=0, turn_s=DECODE_S)
+        refusal = check_admission(
+            load, progress, less_urgent_priorities=0, turn_s=DECODE_S, rng=self._replay.rng
+        )
         return None if refusal is None else refusal.retry_after_s
 
 
@@ -162,6 +164,7 @@
 
     def __init__(self, load: Load) -> None:
         self.load = load
+        self.rng = virtual_random("replay")
         self.engines = {f"i{n}": FakeEngine(f"i{n}", load.slots) for n in range(load.replicas)}
         self.candidates = [
             Candidate(name, load.slots, 10_000_000, True, True) for name in self.engines
@@ -210,7 +213,7 @@
                 end = anyio.current_time() + self.load.seconds
                 number = 0
                 while anyio.current_time() < end:
-                    await anyio.sleep(random.expovariate(self.load.programs_per_s))
+                    await anyio.sleep(self.rng.expovariate(self.load.programs_per_s))
                     programs.start_soon(self._run_program, number)
                     number += 1
             tasks.cancel_scope.cancel()
@@ -230,13 +233,13 @@
                         other.record_shared(loads, now=now)
 
     async def _run_program(self, number: int) -> None:
-        shared = f"shared{min(int(random.expovariate(0.7)), SHARED_PARTS - 1)}"
+        shared = f"shared{min(int(self.rng.expovariate(0.7)), SHARED_PARTS - 1)}"
         refusals = 0
         started = anyio.current_time()
         for turn in range(self.load.turns):
             parts = ((shared, SHARED_TOKENS), (f"own{number}", TURN_TOKENS * (turn + 1)))
             while True:
-                gateway = random.choice(self.gateways)
+                gateway = self.rng.choice(self.gateways)
                 retry_after_s = await gateway.run_turn(Prompt(parts), Progress(turn, refusals))
                 if retry_after_s is None:
                     break
--- a/testing/placement/test_admission.py
+++ b/testing/placement/test_admission.py
@@ -16,6 +16,7 @@
 
 NEW = Progress(0, 0)
 SLOTS = 100
+RNG = random.Random(1)
 TURN_S = 0.35
 
 
@@ -23,12 +24,14 @@
     load_per_slot: float, progress: Progress = NEW, *, less_urgent: int = 0, slots: int = SLOTS
 ) -> Refusal | None:
     load = ServiceLoad(load_per_slot * slots, slots)
-    return check_admission(load, progress, less_urgent_priorities=less_urgent, turn_s=TURN_S)
+    return check_admission(
+        load, progress, less_urgent_priorities=less_urgent, turn_s=TURN_S, rng=RNG
+    )
 
 
 class AdmissionTest(unittest.TestCase):
     def setUp(self) -> None:
-        random.seed(1)
+        RNG.seed(1)
 
     def test_a_new_program_starts_while_there_is_room(self) -> None:
         self.assertIsNone(check(NEW_PROGRAM_MAX_LOAD - 0.01))
--- a/testing/placement/test_overload.py
+++ b/testing/placement/test_overload.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 import unittest
 
 from bramleylead.standins import run_virtual
@@ -20,7 +19,6 @@
         replays.append(Replay(load))
         await replays[0].run()
 
-    random.seed(seed)
     run_virtual(main, seed=seed)
     return replays[0]
 
@@ -53,7 +51,6 @@
             self.assertGreater(joining.read_tokens, 0)
             self.assertLessEqual(joining.most_present, joining.slots)
 
-        random.seed(1)
         run_virtual(main, seed=1)
 
 
--- a/testing/placement/test_rate_limits.py
+++ b/testing/placement/test_rate_limits.py
@@ -11,6 +11,7 @@
 from bramleylead.ledger._traffic_shares import TrafficShares
 from bramleylead.placement._rate_limits import RateLimits
 from bramleylead.standins import run_virtual
+from bramleylead.standins import virtual_random
 
 STABLE_S = 3.0
 WINDOW_S = 4.0
@@ -30,11 +31,12 @@
 
     async def main() -> None:
         shares = TrafficShares()
-        limits = [RateLimits() for _ in range(gateways)]
+        rng = virtual_random("demand")
+        limits = [RateLimits(random.Random(number)) for number in range(gateways)]
         started_at = anyio.current_time()
 
         async def report(number: int) -> None:
-            await anyio.sleep(random.uniform(0, REPORT_INTERVAL_S))
+            await anyio.sleep(rng.uniform(0, REPORT_INTERVAL_S))
             while True:
                 shares.record_gateway(f"g{number}", limits[number].demand_per_s)
                 limits[number].record_share(shares.share_of(f"g{number}"))
@@ -48,7 +50,7 @@
                 own.record_limit("r", limit_per_s)
             while (now := anyio.current_time() - started_at) < RUN_S:
                 for number, own in enumerate(limits):
-                    if random.random() < demand(number, now) * TICK_S:
+                    if rng.random() < demand(number, now) * TICK_S:
                         own.record_demand()
                         if own.take("r"):
                             sent.append(now)
@@ -115,7 +117,7 @@
 class RateLimitsTest(unittest.TestCase):
     def run_with_limits(self, main: Callable[[RateLimits], object]) -> None:
         async def run() -> None:
-            limits = RateLimits()
+            limits = RateLimits(random.Random(1))
             limits.record_share(1.0)
             main(limits)
 
