--- a/src/bramleylead/gateway/_connection_pool.py
+++ b/src/bramleylead/gateway/_connection_pool.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import NamedTuple
 from typing import final
 
@@ -13,6 +15,7 @@
 
 from bramleylead.connection import Network
 from bramleylead.gateway._relay_messages import Reach
+from bramleylead.gateway._replica_connection import ConnectionUse
 from bramleylead.gateway._upstream import UpstreamConnection
 from bramleylead.placement._replica_paths import ReplicaPaths
 from bramleylead.platform._types import Replica
@@ -65,6 +68,25 @@
         """The connections that carry a request now."""
         return len(self._in_use)
 
+    @asynccontextmanager
+    async def use(
+        self, replica: Replica, *, idempotent: bool, may_reuse: bool
+    ) -> AsyncIterator[Result[ConnectionUse, str]]:
+        """Use a connection for one request; on exit it is kept for the next one or closed.
+
+        An ``Err`` means that nothing was sent. The parameters are those of :meth:`acquire`.
+        """
+        acquired = await self.acquire(replica, idempotent=idempotent, may_reuse=may_reuse)
+        if isinstance(acquired, Err):
+            yield acquired
+            return
+        use = ConnectionUse(acquired.ok_value)
+        try:
+            yield Ok(use)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self.release(replica, acquired.ok_value, use.keep_alive_s)
+
     async def acquire(
         self, replica: Replica, *, idempotent: bool, may_reuse: bool = True
     ) -> Result[UpstreamConnection, str]:
--- a/src/bramleylead/gateway/_relay_server.py
+++ b/src/bramleylead/gateway/_relay_server.py
@@ -23,11 +23,12 @@
 from bramleylead.gateway._relay_messages import RelayRefused
 from bramleylead.gateway._relay_messages import RelayRequest
 from bramleylead.gateway._relay_messages import ReplicaChecked
+from bramleylead.gateway._replica_connection import ConnectionUse
+from bramleylead.gateway._replica_connection import ReplicaConnection
 from bramleylead.gateway._replica_connection import RequestHead
 from bramleylead.gateway._replica_connection import ResponseHead
 from bramleylead.gateway._replica_connection import UpstreamError
 from bramleylead.gateway._replica_connection import exchange_heads
-from bramleylead.gateway._upstream import UpstreamConnection
 from bramleylead.ledger._relay_table import NO_RELAY
 from bramleylead.ledger._relay_table import RelayGateway
 from bramleylead.placement._replica_paths import ReplicaPaths
@@ -99,44 +100,35 @@
             return
         # This gateway may have lost its paths too without notice. What may run once can't be sent
         # again after an idle connection has turned out to be dead.
-        acquired = await self._connections.acquire(
+        async with self._connections.use(
             replica, idempotent=request.idempotent, may_reuse=request.idempotent
-        )
-        if isinstance(acquired, Err):
-            await self._refuse(request, reply, RelayRefusal.UNREACHED)
-            return
-        connection = acquired.ok_value
-        keep_alive_s: float | None = None
-        try:
-            if not self._directory.is_usable(replica.name):
+        ) as used:
+            if isinstance(used, Err):
+                await self._refuse(request, reply, RelayRefusal.UNREACHED)
+            elif not self._directory.is_usable(replica.name):
                 await self._refuse(request, reply, RelayRefusal.NOT_LISTED)
-                return
-            keep_alive_s = await self._pass_response(request, reply, replica, connection)
-        finally:
-            with anyio.CancelScope(shield=True):
-                await self._connections.release(replica, connection, keep_alive_s)
+            else:
+                await self._pass_response(request, reply, replica, used.ok_value)
 
     async def _pass_response(
-        self, request: RelayRequest, reply: Reply, replica: Replica, connection: UpstreamConnection
-    ) -> float | None:
-        """Send the request and pass on the response; return the replica's keep-alive timeout."""
+        self, request: RelayRequest, reply: Reply, replica: Replica, use: ConnectionUse
+    ) -> None:
+        """Send the request and pass on the response."""
         head = RequestHead(
             request.method, request.target, list(request.headers), request.request_id
         )
-        keep_alive_s: float | None = None
         async with anyio.create_task_group() as tasks:
             try:
-                response = await exchange_heads(connection, head, request.body, tasks)
+                response = await exchange_heads(use.connection, head, request.body, tasks)
                 metadata = wire.read_answer(response.header_map())
-                keep_alive_s = metadata.keep_alive_s
+                use.keep_alive_s = metadata.keep_alive_s
                 if metadata.leaving:
                     self._directory.record_leaving(replica)
-                await _pass_on(response, connection, reply)
+                await _pass_on(response, use.connection, reply)
                 self._log_relayed(request, reply, response)
             except UpstreamError as error:
                 await reply.send(RelayBroken(str(error), error.connection_lost, error.path_lost))
             tasks.cancel_scope.cancel()
-        return keep_alive_s
 
     def _log_relayed(self, request: RelayRequest, reply: Reply, response: ResponseHead) -> None:
         log.info(
@@ -169,7 +161,7 @@
         await reply.send(RelayRefused(reason))
 
 
-async def _pass_on(response: ResponseHead, connection: UpstreamConnection, reply: Reply) -> None:
+async def _pass_on(response: ResponseHead, connection: ReplicaConnection, reply: Reply) -> None:
     """Pass on a response as it arrives.
 
     :raises UpstreamError: if it ends before it is complete.
--- a/src/bramleylead/gateway/_replica_connection.py
+++ b/src/bramleylead/gateway/_replica_connection.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 from typing import Protocol
+from typing import final
 
 from anyio.abc import TaskGroup
 
@@ -96,6 +97,18 @@
         ...
 
 
+@final
+class ConnectionUse:
+    """One use of a connection by a request.
+
+    :ivar keep_alive_s: how long the replica keeps the connection afterwards; ``None`` if unknown.
+    """
+
+    def __init__(self, connection: ReplicaConnection) -> None:
+        self.connection = connection
+        self.keep_alive_s: float | None = None
+
+
 async def exchange_heads(
     connection: ReplicaConnection, head: RequestHead, body: bytes, tasks: TaskGroup
 ) -> ResponseHead:
--- a/src/bramleylead/gateway/_replica_connections.py
+++ b/src/bramleylead/gateway/_replica_connections.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import final
 
 import anyio
@@ -14,6 +16,7 @@
 from bramleylead.gateway._relay_messages import Reach
 from bramleylead.gateway._relayed_connection import RelayedConnection
 from bramleylead.gateway._relays import Relays
+from bramleylead.gateway._replica_connection import ConnectionUse
 from bramleylead.gateway._replica_connection import ReplicaConnection
 from bramleylead.gateway._upstream import UpstreamConnection
 from bramleylead.placement._replica_paths import ReplicaPaths
@@ -34,6 +37,25 @@
         self._paths = paths
         self._relays = relays
 
+    @asynccontextmanager
+    async def use(
+        self, replica: Replica, *, idempotent: bool, deadline: float
+    ) -> AsyncIterator[Result[ConnectionUse, str]]:
+        """Use a connection for one request; on exit it is kept for the next one or closed.
+
+        An ``Err`` means that nothing was sent. The parameters are those of :meth:`acquire`.
+        """
+        acquired = await self.acquire(replica, idempotent=idempotent, deadline=deadline)
+        if isinstance(acquired, Err):
+            yield acquired
+            return
+        use = ConnectionUse(acquired.ok_value)
+        try:
+            yield Ok(use)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._release(replica, use)
+
     async def acquire(
         self, replica: Replica, *, idempotent: bool, deadline: float
     ) -> Result[ReplicaConnection, str]:
@@ -51,15 +73,6 @@
             return Ok(self._through_gateway(replica, idempotent, deadline))
         return direct
 
-    async def release(
-        self, replica: Replica, connection: ReplicaConnection, keep_alive_s: float | None
-    ) -> None:
-        """Keep a connection for the next request if possible, or close it."""
-        if isinstance(connection, UpstreamConnection):
-            await self._pool.release(replica, connection, keep_alive_s)
-        else:
-            await connection.aclose()
-
     async def has_crashed(self, replica: Replica) -> bool:
         """Return whether a replica whose connection was lost has crashed: it refuses the next one.
 
@@ -78,6 +91,12 @@
             return not self._paths.is_lost
         return confirmation.reach is Reach.REFUSED
 
+    async def _release(self, replica: Replica, use: ConnectionUse) -> None:
+        if isinstance(use.connection, UpstreamConnection):
+            await self._pool.release(replica, use.connection, use.keep_alive_s)
+        else:
+            await use.connection.aclose()
+
     def _needs_relay(self, replica: Replica) -> bool:
         """Return whether to use another gateway; on suspicion alone, only if one is known."""
         if not self._paths.needs_relay(replica.name, now=anyio.current_time()):
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -20,6 +20,7 @@
 from bramleylead.gateway._load_reporter import LoadReporter
 from bramleylead.gateway._replica_choice import ReplicaChoice
 from bramleylead.gateway._replica_choice import prompt_of
+from bramleylead.gateway._replica_connection import ConnectionUse
 from bramleylead.gateway._replica_connection import NotSentError
 from bramleylead.gateway._replica_connection import ReplicaConnection
 from bramleylead.gateway._replica_connection import RequestHead
@@ -126,22 +127,21 @@
         if call.metadata.budget_tokens is not None:
             self._reporter.report_placement()
         try:
-            acquired = await self._connections.acquire(
+            async with self._connections.use(
                 replica, idempotent=call.route.idempotent, deadline=call.deadline
-            )
-            if isinstance(acquired, Err):
-                self._record_unreached(call, replica, acquired.err_value)
-                yield NotRun(acquired.err_value, counts_as_attempt=False)
-                return
-            if not self._directory.is_usable(replica.name):
-                # It announced that it leaves while the connection was being opened.
-                await acquired.ok_value.aclose()
-                yield NotRun(f"{replica.name} is leaving", counts_as_attempt=False)
-                return
-            async with self._send_on_connection(
-                call, replica, acquired.ok_value, body, resume_after
-            ) as result:
-                yield result
+            ) as used:
+                if isinstance(used, Err):
+                    self._record_unreached(call, replica, used.err_value)
+                    yield NotRun(used.err_value, counts_as_attempt=False)
+                    return
+                if not self._directory.is_usable(replica.name):
+                    # It announced that it leaves while the connection was being opened.
+                    yield NotRun(f"{replica.name} is leaving", counts_as_attempt=False)
+                    return
+                async with self._send_on_connection(
+                    call, replica, used.ok_value, body, resume_after
+                ) as result:
+                    yield result
         finally:
             self._selector.end_request(replica.name)
 
@@ -163,20 +163,19 @@
         self,
         call: Call,
         replica: Replica,
-        connection: ReplicaConnection,
+        use: ConnectionUse,
         body: bytes,
         resume_after: str,
     ) -> AsyncIterator[StartedResponse | NotRun | UnknownOutcome]:
-        keep_alive_s: float | None = None
         result: StartedResponse | NotRun | UnknownOutcome | None = None
         started_at = anyio.current_time()
         try:
             async with anyio.create_task_group() as tasks:
                 result = await self._send_request(
-                    call, replica, connection, body, resume_after, tasks
+                    call, replica, use.connection, body, resume_after, tasks
                 )
                 if isinstance(result, StartedResponse):
-                    keep_alive_s = result.metadata.keep_alive_s
+                    use.keep_alive_s = result.metadata.keep_alive_s
                 yield result
                 tasks.cancel_scope.cancel()
         finally:
@@ -184,8 +183,6 @@
             if result is None and waited_s > NO_RESPONSE_FAILURE_S and not self._paths.is_lost:
                 reason = f"no response within {waited_s:.1f} s"
                 self._selector.health.record_failure(replica.name, reason=reason)
-            with anyio.CancelScope(shield=True):
-                await self._connections.release(replica, connection, keep_alive_s)
 
     async def _send_request(
         self,
