--- a/src/bramleylead/cli/_exit.py
+++ b/src/bramleylead/cli/_exit.py
@@ -19,3 +19,5 @@
     """A node refused the request; its answer is shown."""
     UNREACHABLE = 5
     """No node answered, or not in time."""
+    UNAVAILABLE = 6
+    """A library that the command needs is not installed."""
--- a/src/bramleylead/cli/_registry.py
+++ b/src/bramleylead/cli/_registry.py
@@ -4,12 +4,14 @@
 
 import importlib
 import pkgutil
+import sys
 from collections.abc import Callable
 from typing import NamedTuple
 
 from absl import flags
 
 from bramleylead.cli import commands
+from bramleylead.cli._exit import ExitCode
 
 Run = Callable[[flags.FlagValues, list[str]], int]
 DefineFlags = Callable[[flags.FlagValues], None]
@@ -61,8 +63,28 @@
 
 
 def load(name: str) -> Command | None:
-    """Import the module of one command, and no other's; ``None`` for an unknown command."""
+    """Import the module of one command, and no other's; ``None`` for an unknown command.
+
+    A deployment has only the libraries that its own commands need. The others are still listed.
+    """
     if name not in names():
         return None
-    importlib.import_module(f"{commands.__name__}.{name}")
+    try:
+        importlib.import_module(f"{commands.__name__}.{name}")
+    except ModuleNotFoundError as error:
+        library = error.name or ""
+        if library.partition(".")[0] == __name__.partition(".")[0]:
+            raise
+        return _unavailable(name, library)
     return COMMANDS[name]
+
+
+def _unavailable(name: str, library: str) -> Command:
+    """Return a command that only says which library it lacks."""
+    detail = f"needs {library}, which is not installed"
+
+    def run(values: flags.FlagValues, words: list[str]) -> int:
+        print(f"bramleylead {name}: {detail}", file=sys.stderr)
+        return ExitCode.UNAVAILABLE
+
+    return Command(name, "", f"Not available here: {detail}.", no_flags, run)
--- a/testing/runner.py
+++ b/testing/runner.py
@@ -9,6 +9,7 @@
 import multiprocessing
 import os
 import re
+import sys
 import time
 import unittest
 from collections.abc import Iterator
@@ -80,6 +81,8 @@
 def modules(pattern: str) -> Iterator[str]:
     """Yield the dotted names of test modules whose file matches a pattern, sorted."""
     for path in sorted(ROOT.rglob(pattern)):
+        if path.suffix != ".py":
+            continue
         parts = path.relative_to(ROOT.parent).with_suffix("").parts
         yield ".".join(parts)
 
@@ -101,7 +104,11 @@
 
 def main(argv: list[str]) -> int:
     """Run the tests and return the exit code."""
-    names = list(modules(argv[1] if len(argv) > 1 else "test_*.py"))
+    pattern = argv[1] if len(argv) > 1 else "test_*.py"
+    names = list(modules(pattern))
+    if not names:
+        print(f"no module in {ROOT.name}/ matches {pattern!r}", file=sys.stderr)
+        return 1
     outcomes = run_all(names)
     for outcome in outcomes:
         if outcome.failing:
