--- a/src/bramleylead/cli/commands/soak.py
+++ b/src/bramleylead/cli/commands/soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import traceback
 
 import anyio
 from absl import flags
@@ -65,9 +66,22 @@
         settings = SoakSettings(
             values.seed, values.minutes * 60.0, values.gap_s, values.other_build
         )
-        report = anyio.run(soak_site, settings)
+        try:
+            report = anyio.run(soak_site, settings)
+        except BaseExceptionGroup as error:
+            _print_causes(error)
+            raise
         print_report(report)
         return ExitCode.FAILED if report.findings else ExitCode.OK
     result = soak(seed=values.seed, minutes=values.minutes, profile=values.profile)
     print_result(result, values.profile)
     return ExitCode.FAILED if result.violations else ExitCode.OK
+
+
+def _print_causes(error: BaseException) -> None:
+    """Print the errors within nested groups, whose depth exceeds what a traceback shows."""
+    if isinstance(error, BaseExceptionGroup):
+        for cause in error.exceptions:
+            _print_causes(cause)
+    else:
+        traceback.print_exception(error)
