--- a/src/bramleylead/ledger/_members.py
+++ b/src/bramleylead/ledger/_members.py
@@ -96,6 +96,8 @@
     """
     try:
         members = tuple(LedgerMember(**member) for member in plain["members"])
+        if not all(isinstance(field, str) for member in members for field in member):
+            raise TypeError("a member's fields must be texts")
         return LedgerView(int(plain["epoch"]), members)
-    except (KeyError, TypeError) as error:
+    except (KeyError, TypeError, OverflowError) as error:
         raise ValueError(f"invalid ledger members: {type(error).__name__}: {error}") from error
--- a/src/bramleylead/platform/_decode.py
+++ b/src/bramleylead/platform/_decode.py
@@ -19,6 +19,7 @@
 REPLICA_STATES = ("ready", "draining")
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
+MAX_SLOTS = 1_000_000
 MAX_SHOWN_CHARS = 60
 
 
@@ -45,7 +46,7 @@
                 idle_timeout_s=limits["idle-timeout-ms"] / MS_PER_S,
             ),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise UnreadableError(f"configuration: {type(error).__name__}: {error}") from error
 
 
@@ -71,7 +72,7 @@
             address=address,
             data_centre=data_centre,
             leaving=state == "draining",
-            slots=slots if type(slots) is int else 0,
+            slots=slots if type(slots) is int and 0 <= slots <= MAX_SLOTS else 0,
             software_version=version,
         )
     except (KeyError, TypeError, AttributeError) as error:
