Share how a connection is owned, and keep waiting within the chain search

The context manager that gives a connection back stood twice; waiting for pages moves to the search that gets them.

--- a/src/bramleylead/gateway/_connection_pool.py
+++ b/src/bramleylead/gateway/_connection_pool.py
@@ -4,6 +4,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import NamedTuple
 from typing import final
 
@@ -16,6 +17,7 @@
 from bramleylead.connection import Network
 from bramleylead.gateway._relay_messages import Reach
 from bramleylead.gateway._replica_connection import ConnectionUse
+from bramleylead.gateway._replica_connection import owned
 from bramleylead.gateway._upstream import UpstreamConnection
 from bramleylead.placement._replica_paths import ReplicaPaths
 from bramleylead.platform._types import Replica
@@ -71,21 +73,14 @@
     @asynccontextmanager
     async def use(
         self, replica: Replica, *, idempotent: bool, may_reuse: bool
-    ) -> AsyncIterator[Result[ConnectionUse, str]]:
+    ) -> AsyncIterator[Result[ConnectionUse[UpstreamConnection], str]]:
         """Use a connection for one request; on exit it is kept for the next one or closed.
 
         An ``Err`` means that nothing was sent. The parameters are those of :meth:`acquire`.
         """
         acquired = await self.acquire(replica, idempotent=idempotent, may_reuse=may_reuse)
-        if isinstance(acquired, Err):
-            yield acquired
-            return
-        use = ConnectionUse(acquired.ok_value)
-        try:
-            yield Ok(use)
-        finally:
-            with anyio.CancelScope(shield=True):
-                await self.release(replica, acquired.ok_value, use.keep_alive_s)
+        async with owned(acquired, partial(self.release, replica)) as use:
+            yield use
 
     async def acquire(
         self, replica: Replica, *, idempotent: bool, may_reuse: bool = True
@@ -160,10 +155,9 @@
             connection.abandon()
         return len(given_up)
 
-    async def release(
-        self, replica: Replica, connection: UpstreamConnection, keep_alive_s: float | None
-    ) -> None:
+    async def release(self, replica: Replica, use: ConnectionUse[UpstreamConnection]) -> None:
         """Return a connection to the pool if it can be reused, or close it."""
+        connection, keep_alive_s = use.connection, use.keep_alive_s
         self._in_use.pop(connection, None)
         if not connection.reusable or replica.name not in self._idle:
             await connection.aclose()
--- a/src/bramleylead/gateway/_relay_server.py
+++ b/src/bramleylead/gateway/_relay_server.py
@@ -24,11 +24,11 @@
 from bramleylead.gateway._relay_messages import RelayRequest
 from bramleylead.gateway._relay_messages import ReplicaChecked
 from bramleylead.gateway._replica_connection import ConnectionUse
-from bramleylead.gateway._replica_connection import ReplicaConnection
 from bramleylead.gateway._replica_connection import RequestHead
 from bramleylead.gateway._replica_connection import ResponseHead
 from bramleylead.gateway._replica_connection import UpstreamError
 from bramleylead.gateway._replica_connection import exchange_heads
+from bramleylead.gateway._upstream import UpstreamConnection
 from bramleylead.ledger._relay_table import NO_RELAY
 from bramleylead.ledger._relay_table import RelayGateway
 from bramleylead.placement._replica_paths import ReplicaPaths
@@ -111,7 +111,11 @@
                 await self._pass_response(request, reply, replica, used.ok_value)
 
     async def _pass_response(
-        self, request: RelayRequest, reply: Reply, replica: Replica, use: ConnectionUse
+        self,
+        request: RelayRequest,
+        reply: Reply,
+        replica: Replica,
+        use: ConnectionUse[UpstreamConnection],
     ) -> None:
         """Send the request and pass on the response."""
         head = RequestHead(
@@ -161,7 +165,7 @@
         await reply.send(RelayRefused(reason))
 
 
-async def _pass_on(response: ResponseHead, connection: ReplicaConnection, reply: Reply) -> None:
+async def _pass_on(response: ResponseHead, connection: UpstreamConnection, reply: Reply) -> None:
     """Pass on a response as it arrives.
 
     :raises UpstreamError: if it ends before it is complete.
--- a/src/bramleylead/gateway/_replica_connection.py
+++ b/src/bramleylead/gateway/_replica_connection.py
@@ -2,11 +2,21 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+from typing import Generic
 from typing import NamedTuple
 from typing import Protocol
+from typing import TypeVar
 from typing import final
 
+import anyio
 from anyio.abc import TaskGroup
+from result import Err
+from result import Ok
+from result import Result
 
 SMALL_REQUEST_BYTES = 16_384
 
@@ -97,18 +107,37 @@
         ...
 
 
+_C = TypeVar("_C", bound=ReplicaConnection)
+
+
 @final
-class ConnectionUse:
+class ConnectionUse(Generic[_C]):
     """One use of a connection by a request.
 
     :ivar keep_alive_s: how long the replica keeps the connection afterwards; ``None`` if unknown.
     """
 
-    def __init__(self, connection: ReplicaConnection) -> None:
+    def __init__(self, connection: _C) -> None:
         self.connection = connection
         self.keep_alive_s: float | None = None
 
 
+@asynccontextmanager
+async def owned(
+    acquired: Result[_C, str], release: Callable[[ConnectionUse[_C]], Awaitable[None]]
+) -> AsyncIterator[Result[ConnectionUse[_C], str]]:
+    """Use a connection, if one was acquired, and release it on exit in every case."""
+    if isinstance(acquired, Err):
+        yield acquired
+        return
+    use = ConnectionUse(acquired.ok_value)
+    try:
+        yield Ok(use)
+    finally:
+        with anyio.CancelScope(shield=True):
+            await release(use)
+
+
 async def exchange_heads(
     connection: ReplicaConnection, head: RequestHead, body: bytes, tasks: TaskGroup
 ) -> ResponseHead:
--- a/src/bramleylead/gateway/_replica_connections.py
+++ b/src/bramleylead/gateway/_replica_connections.py
@@ -4,6 +4,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import final
 
 import anyio
@@ -18,6 +19,7 @@
 from bramleylead.gateway._relays import Relays
 from bramleylead.gateway._replica_connection import ConnectionUse
 from bramleylead.gateway._replica_connection import ReplicaConnection
+from bramleylead.gateway._replica_connection import owned
 from bramleylead.gateway._upstream import UpstreamConnection
 from bramleylead.placement._replica_paths import ReplicaPaths
 from bramleylead.platform._types import Replica
@@ -40,21 +42,14 @@
     @asynccontextmanager
     async def use(
         self, replica: Replica, *, idempotent: bool, deadline: float
-    ) -> AsyncIterator[Result[ConnectionUse, str]]:
+    ) -> AsyncIterator[Result[ConnectionUse[ReplicaConnection], str]]:
         """Use a connection for one request; on exit it is kept for the next one or closed.
 
         An ``Err`` means that nothing was sent. The parameters are those of :meth:`acquire`.
         """
         acquired = await self.acquire(replica, idempotent=idempotent, deadline=deadline)
-        if isinstance(acquired, Err):
-            yield acquired
-            return
-        use = ConnectionUse(acquired.ok_value)
-        try:
-            yield Ok(use)
-        finally:
-            with anyio.CancelScope(shield=True):
-                await self._release(replica, use)
+        async with owned(acquired, partial(self._release, replica)) as use:
+            yield use
 
     async def acquire(
         self, replica: Replica, *, idempotent: bool, deadline: float
@@ -93,7 +88,7 @@
 
     async def _release(self, replica: Replica, use: ConnectionUse) -> None:
         if isinstance(use.connection, UpstreamConnection):
-            await self._pool.release(replica, use.connection, use.keep_alive_s)
+            await self._pool.release(replica, use)
         else:
             await use.connection.aclose()
 
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -163,7 +163,7 @@
         self,
         call: Call,
         replica: Replica,
-        use: ConnectionUse,
+        use: ConnectionUse[ReplicaConnection],
         body: bytes,
         resume_after: str,
     ) -> AsyncIterator[StartedResponse | NotRun | UnknownOutcome]:
--- a/src/bramleylead/ledger/_answers.py
+++ b/src/bramleylead/ledger/_answers.py
@@ -21,6 +21,8 @@
 from bramleylead.ledger._records import KeptTurn
 
 ANSWER_TIMEOUT_S = 1.5
+LOOKUP_TIMEOUT_S = 0.7
+"""A lookup ends when no page has arrived for this time."""
 UPDATE_VIEW_TIMEOUT_S = 0.5
 
 log = structlog.get_logger()
@@ -88,14 +90,18 @@
         """Whether the lookup needs no further answers."""
         return not self._unanswered or self.newer_view is not None or self._first_missing() is None
 
-    @property
-    def is_querying(self) -> bool:
-        """Whether a member is being queried."""
-        return self._querying > 0
-
-    async def wait_progress(self) -> None:
-        """Wait for the next page, or until a member has nothing more."""
-        await self._progressed.wait()
+    async def wait_while_answering(self, scope: anyio.CancelScope, delay_s: float) -> None:
+        """Wait until another member should be queried, or the lookup is finished.
+
+        :param scope: its deadline is put off with each page.
+        :param delay_s: returns once no page has arrived for this time.
+        """
+        while True:
+            with anyio.move_on_after(delay_s) as waiting:
+                await self._progressed.wait()
+            if waiting.cancelled_caught or self.is_finished or not self._querying:
+                return
+            scope.deadline = anyio.current_time() + LOOKUP_TIMEOUT_S
 
     async def query_member(self, member: LedgerMember) -> None:
         """Ask a member for one page after the other, as long as it has missing turns."""
--- a/src/bramleylead/ledger/_client.py
+++ b/src/bramleylead/ledger/_client.py
@@ -21,6 +21,7 @@
 from bramleylead.connection import PeerClient
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.ledger._answers import LOOKUP_TIMEOUT_S
 from bramleylead.ledger._answers import ChainSearch
 from bramleylead.ledger._answers import EntryRound
 from bramleylead.ledger._answers import request_member
@@ -320,11 +321,13 @@
         search = ChainSearch(self._peers, view, turn, found)
         waiting = self.members_by_distance(view)
         async with anyio.create_task_group() as tasks:
-            with anyio.move_on_after(RESERVE_TIMEOUT_S) as scope:
+            with anyio.move_on_after(LOOKUP_TIMEOUT_S) as scope:
                 while not search.is_finished:
                     if waiting:
                         tasks.start_soon(search.query_member, waiting.pop(0))
-                    await _wait_while_answering(search, scope, hedge=bool(waiting))
+                    await search.wait_while_answering(
+                        scope, LOOKUP_HEDGE_DELAY_S if waiting else LOOKUP_TIMEOUT_S
+                    )
             tasks.cancel_scope.cancel()
         if search.newer_view is not None:
             self._members.adopt(search.newer_view, source="answer")
@@ -341,23 +344,6 @@
         )
 
 
-async def _wait_while_answering(
-    search: ChainSearch, scope: anyio.CancelScope, *, hedge: bool
-) -> None:
-    """Wait until another member should be queried, or the lookup is finished.
-
-    :param scope: its deadline is put off with each page.
-    :param hedge: whether to return once no page has arrived for ``LOOKUP_HEDGE_DELAY_S``.
-    """
-    while True:
-        delay_s = LOOKUP_HEDGE_DELAY_S if hedge else RESERVE_TIMEOUT_S
-        with anyio.move_on_after(delay_s) as hedging:
-            await search.wait_progress()
-        if hedging.cancelled_caught or search.is_finished or not search.is_querying:
-            return
-        scope.deadline = anyio.current_time() + RESERVE_TIMEOUT_S
-
-
 def _discard_value(result: Result[Any, Failure]) -> Result[None, Failure]:
     return result if isinstance(result, Err) else Ok(None)
 
