--- a/testing/ledger/test_membership.py
+++ b/testing/ledger/test_membership.py
@@ -111,6 +111,24 @@
 
         run_with_ledger(main, count=4)
 
+    # Guards against a ledger that takes no entry any more: two members are left after a planned
+    # retirement, one of them is replaced for good, and its successor can't join.
+    def test_a_successor_joins_though_one_of_two_members_is_gone_for_good(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            async with ledger.gateway(0) as gateway:
+                await gateway.keep(turn("a"))
+                await ledger.leave(1)
+                await gateway.keep(turn("b", "a"))
+                ledger.kill(2)
+                await anyio.sleep(1.0)
+                await ledger.start(3, tasks=tasks)
+                with anyio.fail_after(2 * CATCH_UP_S):
+                    await ledger.wait_for_members(3)
+                (await gateway.keep(turn("c", "b"))).unwrap()
+                self.assertEqual(len((await gateway.find_chain("c")).unwrap()), 3)
+
+        run_with_ledger(main)
+
     def test_a_node_that_left_does_not_join_again(self) -> None:
         async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
             await ledger.leave(1)
