--- a/src/bramleylead/trials/site/_proxy.py
+++ b/src/bramleylead/trials/site/_proxy.py
@@ -19,6 +19,7 @@
 HOST = "127.0.0.1"
 DELAY_S = 0.25
 READ_BYTES = 65_536
+CLOSED = -1
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 log = structlog.get_logger()
 
@@ -62,6 +63,8 @@
         """Reset all open connections."""
         for stream in list(self._streams):
             raw = stream.extra(SocketAttribute.raw_socket)
+            if raw.fileno() == CLOSED:
+                continue  # It ended while another one was being reset.
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             await anyio.aclose_forcefully(stream)
 
