Take an event id of over 18 digits for no number

By reading the diff: int() refuses texts of over 4,300 digits, so such an id of a replica, or in a caller's Last-Event-Id, would have ended its request with an unexpected error. Added to the answers of test_errors_within_streams.py.

--- a/src/bramleylead/gateway/_stream_state.py
+++ b/src/bramleylead/gateway/_stream_state.py
@@ -50,6 +50,7 @@
         ...
 
 
+MAX_ID_DIGITS = 18
 STREAM_TYPE = "text/event-stream"
 HTTP_HEAD = re.compile(rb"^(id: ?)?HTTP/1\.[01] \d{3}", re.MULTILINE)
 """The head of a response within an event, maybe behind the beginning of the one it cut off."""
@@ -156,6 +157,11 @@
 
 def _follows(event_id: str, previous_id: str) -> bool:
     """Return whether an event may come after another one; one without an id always may."""
-    if not event_id or not previous_id.isdecimal():
+    if not event_id or not _is_number(previous_id):
         return True
-    return event_id.isdecimal() and int(event_id) > int(previous_id)
+    return _is_number(event_id) and int(event_id) > int(previous_id)
+
+
+def _is_number(text: str) -> bool:
+    """Return whether a text is a number of a length that ``int`` accepts."""
+    return text.isascii() and text.isdigit() and len(text) <= MAX_ID_DIGITS
--- a/testing/gateway/test_errors_within_streams.py
+++ b/testing/gateway/test_errors_within_streams.py
@@ -95,6 +95,11 @@
     "the event before once more": send(
         lambda received: full_response(received, events(2), "200 OK", STREAM_TYPE)
     ),
+    "an id longer than a number": send(
+        lambda received: full_response(
+            received, b"id: " + b"9" * 5000 + b"\ndata: x\n\n", "200 OK", STREAM_TYPE
+        )
+    ),
     "nothing": send(lambda received: b"\r\n", close=True),
 }
 
