Soak processes under signals, ports in use, used up descriptors and odd entries

Users saw processes that ended by themselves or did not start. The soak could not show that: it did not look at the end of a process, and had no fault that aims at one.

A process that ends unasked is a finding now and is started again, as a platform does; so is a gateway that is not ready 40 s (the bound of a start) after the last fault. New faults, for gateways and ledger nodes: SIGHUP in series while a process runs, stops and starts; a start while one of its ports is the local port of an outgoing connection; more idle connections than it has descriptors (a limit of 120 each). Another writer's entry among the replicas may be nested 700 deep, lack a port, or be a list.

--- a/src/bramleylead/trials/site/_faults.py
+++ b/src/bramleylead/trials/site/_faults.py
@@ -30,7 +30,7 @@
 _acts: dict[FaultKind, Act] = {}
 
 
-def _act(*kinds: FaultKind) -> Callable[[Act], Act]:
+def act(*kinds: FaultKind) -> Callable[[Act], Act]:
     """Register what is done for some kinds of fault."""
 
     def register(act: Act) -> Act:
@@ -83,7 +83,7 @@
         log.info("fault_ends", kind=fault.kind, target=fault.target)
 
 
-@_act(FaultKind.KILL_GATEWAY, FaultKind.STOP_GATEWAY)
+@act(FaultKind.KILL_GATEWAY, FaultKind.STOP_GATEWAY)
 async def _end_gateway(faults: Faults, fault: Fault) -> None:
     node = faults.gateway(fault)
     async with faults.alone(node.name):
@@ -95,7 +95,7 @@
         await node.start()
 
 
-@_act(FaultKind.KILL_LEDGER, FaultKind.STOP_LEDGER, FaultKind.WIPE_LEDGER)
+@act(FaultKind.KILL_LEDGER, FaultKind.STOP_LEDGER, FaultKind.WIPE_LEDGER)
 async def _end_ledger(faults: Faults, fault: Fault) -> None:
     node = faults.ledger(fault)
     async with faults.alone(node.name):
@@ -107,7 +107,7 @@
         await node.start()
 
 
-@_act(FaultKind.FREEZE_GATEWAY, FaultKind.FREEZE_LEDGER)
+@act(FaultKind.FREEZE_GATEWAY, FaultKind.FREEZE_LEDGER)
 async def _freeze(faults: Faults, fault: Fault) -> None:
     is_gateway = fault.kind is FaultKind.FREEZE_GATEWAY
     node = faults.gateway(fault) if is_gateway else faults.ledger(fault)
@@ -118,7 +118,7 @@
         node.thaw()
 
 
-@_act(FaultKind.KILL_ALL)
+@act(FaultKind.KILL_ALL)
 async def _kill_all(faults: Faults, fault: Fault) -> None:
     nodes = [*faults.site.ledgers, *faults.site.gateways]
     faults.unsettle(faults.site.gateways, fault.for_s)
@@ -131,7 +131,7 @@
             await node.start()
 
 
-@_act(FaultKind.STORE_OUT, FaultKind.STORE_SILENT)
+@act(FaultKind.STORE_OUT, FaultKind.STORE_SILENT)
 async def _store(faults: Faults, fault: Fault) -> None:
     store = faults.site.store
     async with faults.alone("store"):
@@ -142,13 +142,13 @@
         store.out = store.silent = False
 
 
-@_act(FaultKind.STORE_FORGETS)
+@act(FaultKind.STORE_FORGETS)
 async def _store_forgets(faults: Faults, fault: Fault) -> None:
     faults.unsettle(faults.site.gateways, 0.0)
     faults.site.store.compact()
 
 
-@_act(FaultKind.STORE_TURNS_AWAY)
+@act(FaultKind.STORE_TURNS_AWAY)
 async def _store_turns_away(faults: Faults, fault: Fault) -> None:
     nodes = [*faults.site.ledgers, *faults.site.gateways]
     node = nodes[fault.target % len(nodes)]
@@ -168,7 +168,7 @@
 }
 
 
-@_act(*WAYS)
+@act(*WAYS)
 async def _replica_way(faults: Faults, fault: Fault) -> None:
     replica = faults.replica(fault)
     async with faults.alone(replica.name):
@@ -178,12 +178,12 @@
         await replica.proxy.reset()
 
 
-@_act(FaultKind.REPLICA_RESETS)
+@act(FaultKind.REPLICA_RESETS)
 async def _replica_resets(faults: Faults, fault: Fault) -> None:
     await faults.replica(fault).proxy.reset()
 
 
-@_act(FaultKind.REPLICA_GREY)
+@act(FaultKind.REPLICA_GREY)
 async def _replica_grey(faults: Faults, fault: Fault) -> None:
     replica = faults.replica(fault)
     async with faults.alone(replica.name):
@@ -192,7 +192,7 @@
         replica.grey = 0.0
 
 
-@_act(FaultKind.REPLICA_DRAINS)
+@act(FaultKind.REPLICA_DRAINS)
 async def _replica_drains(faults: Faults, fault: Fault) -> None:
     """Let a replica leave; after a while it comes back as another one."""
     replica = faults.replica(fault)
@@ -205,7 +205,7 @@
         faults.site.list(replica, leaving=False)
 
 
-@_act(FaultKind.CONFIGURE)
+@act(FaultKind.CONFIGURE)
 async def _configure(faults: Faults, fault: Fault) -> None:
     faults.site.configure()
 
--- a/src/bramleylead/trials/site/_judge.py
+++ b/src/bramleylead/trials/site/_judge.py
@@ -124,6 +124,14 @@
         """Take in that a turn was said not to exist although it was answered whole."""
         self._find("kept turns", f"{request}: {previous} was answered whole and is not found")
 
+    def ended(self, node: str, detail: str) -> None:
+        """Take in that a process ended without being asked to, or otherwise than asked."""
+        self._find("runs on", f"{node}: {detail}")
+
+    def unready(self, gateway: str) -> None:
+        """Take in that a gateway did not become ready after the last fault."""
+        self._find("becomes ready", gateway)
+
     def _check_drained(self, request: str, replica: str, gateway: str, sent_at: float) -> None:
         drained_at = self._drained.get(replica)
         if drained_at is None or not self._at_peace(gateway):
--- a/src/bramleylead/trials/site/_plan.py
+++ b/src/bramleylead/trials/site/_plan.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Sequence
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -30,6 +31,13 @@
     REPLICA_GREY = "replica_grey"
     REPLICA_DRAINS = "replica_drains"
     CONFIGURE = "configure"
+    SIGNALS_TO_GATEWAY = "signals_to_gateway"
+    SIGNALS_TO_LEDGER = "signals_to_ledger"
+    PORT_IN_USE_GATEWAY = "port_in_use_gateway"
+    PORT_IN_USE_LEDGER = "port_in_use_ledger"
+    DESCRIPTORS_GATEWAY = "descriptors_gateway"
+    DESCRIPTORS_LEDGER = "descriptors_ledger"
+    ODD_ENTRY = "odd_entry"
 
 
 LEDGER_LOSSES = (
@@ -38,6 +46,9 @@
     FaultKind.FREEZE_LEDGER,
     FaultKind.WIPE_LEDGER,
     FaultKind.KILL_ALL,
+    FaultKind.SIGNALS_TO_LEDGER,
+    FaultKind.PORT_IN_USE_LEDGER,
+    FaultKind.DESCRIPTORS_LEDGER,
 )
 """One of these at a time: more is beyond what a deployment says that it bears."""
 FIRST_AT_S = 1.0
@@ -45,6 +56,16 @@
 LEDGER_REST_S = 6.0
 """After a node of the ledger is back the others need this long to copy to it."""
 ALL_KINDS = tuple(FaultKind)
+PROCESS_KINDS = (
+    FaultKind.SIGNALS_TO_GATEWAY,
+    FaultKind.SIGNALS_TO_LEDGER,
+    FaultKind.PORT_IN_USE_GATEWAY,
+    FaultKind.PORT_IN_USE_LEDGER,
+    FaultKind.DESCRIPTORS_GATEWAY,
+    FaultKind.DESCRIPTORS_LEDGER,
+    FaultKind.ODD_ENTRY,
+)
+"""What could end a process, or keep one from becoming ready, without work of its own."""
 
 
 class Fault(NamedTuple):
@@ -60,10 +81,13 @@
     for_s: float
 
 
-def draw_plan(seed: int, *, length_s: float, gap_s: float) -> list[Fault]:
+def draw_plan(
+    seed: int, *, length_s: float, gap_s: float, kinds: Sequence[FaultKind] = ALL_KINDS
+) -> list[Fault]:
     """Return the faults of a seed in order of time.
 
     :param gap_s: the mean time from one to the next.
+    :param kinds: what is drawn.
     """
     rng = random.Random(f"{seed}/faults")
     plan = []
@@ -72,7 +96,7 @@
     while at_s < length_s:
         fault = Fault(
             round(at_s, 3),
-            rng.choice(ALL_KINDS),
+            rng.choice(kinds),
             rng.randrange(1_000),
             round(rng.uniform(0.3, LONGEST_FAULT_S), 3),
         )
--- a/src/bramleylead/trials/site/_processes.py
+++ b/src/bramleylead/trials/site/_processes.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import sys
@@ -23,6 +24,12 @@
 
 GRACE_S = 6.0
 CLUSTER_KEY = "key between nodes of a soak"
+DESCRIPTORS = 120
+"""The limit of each process, so that a soak can use it up."""
+HANDLER_POLL_S = 0.005
+HANDLER_TIMEOUT_S = 40.0
+LAST_OUTPUT_CHARACTERS = 600
+SIGNAL_SETS = ("SigIgn:", "SigCgt:")
 
 
 @final
@@ -48,6 +55,7 @@
         self._builds = builds
         self._losses = losses
         self._process: Process | None = None
+        self._ends_on_request = False
         self._log = folder / f"{name}.log"
         self._ports = [find_free_port(HOST) for _ in range(4)]
         self.name = name
@@ -64,11 +72,28 @@
         """Where the balancer asks."""
         return f"{HOST}:{self._ports[2]}"
 
+    @property
+    def addresses(self) -> list[str]:
+        """Where the process listens for callers (a gateway), nodes and metrics."""
+        ports = self._ports if self.role == "gateway" else [self._ports[0], self._ports[3]]
+        return [f"{HOST}:{port}" for port in ports]
+
     @property
     def is_running(self) -> bool:
         """Whether its process has not ended."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def ended_by_itself(self) -> int | None:
+        """The exit code of a process that nobody ended; ``None`` if it runs or was ended."""
+        if self._process is None or self._ends_on_request:
+            return None
+        return self._process.returncode
+
+    def last_lines(self) -> str:
+        """Return the end of the process's output."""
+        return self._log.read_text(errors="replace")[-LAST_OUTPUT_CHARACTERS:]
+
     async def open(self, store_address: str, stack: AsyncExitStack) -> None:
         """Start it; its process ends with the stack."""
         self.store.target = store_address
@@ -88,9 +113,23 @@
             self._process = await anyio.open_process(
                 words, stdin=None, stdout=log, stderr=log, env=environment
             )
+        self._ends_on_request = False
+        resource.prlimit(self._process.pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+
+    async def handles(self, number: signal.Signals) -> None:
+        """Wait until a signal does not end the process by default.
+
+        :raises TimeoutError: if that takes longer than a start may take.
+        """
+        with anyio.fail_after(HANDLER_TIMEOUT_S):
+            while True:
+                if not self.is_running or self._handles(number):
+                    return
+                await anyio.sleep(HANDLER_POLL_S)
 
     async def kill(self) -> None:
         """End the process at once."""
+        self._ends_on_request = True
         if self._process is not None and self._process.returncode is None:
             self._process.kill()
         if self._process is not None:
@@ -99,6 +138,7 @@
     async def stop(self) -> int:
         """Ask the process to end, wait until it has, and return its exit code."""
         assert self._process is not None
+        self._ends_on_request = True
         if self._process.returncode is None:
             self._process.send_signal(signal.SIGTERM)
         with anyio.move_on_after(GRACE_S):
@@ -108,20 +148,25 @@
 
     def freeze(self) -> None:
         """Let the process stand still."""
-        self._signal(signal.SIGSTOP)
+        self.send_signal(signal.SIGSTOP)
 
     def thaw(self) -> None:
         """Let it go on."""
-        self._signal(signal.SIGCONT)
+        self.send_signal(signal.SIGCONT)
 
     def wipe(self) -> None:
         """Lose the disk; the process must have ended."""
         shutil.rmtree(self._folder / self.name, ignore_errors=True)
 
-    def _signal(self, number: signal.Signals) -> None:
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal, if the process runs."""
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
 
+    def _handles(self, number: signal.Signals) -> bool:
+        assert self._process is not None
+        return _is_handled(Path(f"/proc/{self._process.pid}/status").read_text(), number)
+
     def _settings(self) -> dict[str, Any]:
         settings: dict[str, Any] = {
             "node": self.name,
@@ -139,3 +184,9 @@
         if self.role == "ledger":
             return {**settings, "data_folder": str(self._folder / self.name)}
         return {**settings, "http_address": self.http, "ready_address": self.ready}
+
+
+def _is_handled(status: str, number: signal.Signals) -> bool:
+    """Return whether a process ignores or catches a signal, by its status file."""
+    sets = [line.split()[1] for line in status.splitlines() if line.startswith(SIGNAL_SETS)]
+    return any(int(digits, 16) >> (number - 1) & 1 for digits in sets)
--- a/src/bramleylead/trials/site/_soak.py
+++ b/src/bramleylead/trials/site/_soak.py
@@ -6,7 +6,9 @@
 import sys
 import tempfile
 from collections import Counter
+from collections.abc import Iterator
 from contextlib import AsyncExitStack
+from contextlib import contextmanager
 from pathlib import Path
 from typing import NamedTuple
 from typing import TextIO
@@ -16,6 +18,7 @@
 import structlog
 
 import bramleylead
+import bramleylead.trials.site._process_faults  # registers its faults
 from bramleylead.connection._http_client import HttpClient
 from bramleylead.platform import _names as names
 from bramleylead.platform._encode import write_configuration
@@ -36,7 +39,9 @@
 from bramleylead.trials.site._judge import EVENT_TOKENS
 from bramleylead.trials.site._judge import Finding
 from bramleylead.trials.site._judge import Judge
+from bramleylead.trials.site._plan import ALL_KINDS
 from bramleylead.trials.site._plan import Fault
+from bramleylead.trials.site._plan import FaultKind
 from bramleylead.trials.site._plan import draw_plan
 from bramleylead.trials.site._processes import Node
 from bramleylead.trials.site._replica import SoakReplica
@@ -50,6 +55,7 @@
 START_PATIENCE_S = 40.0
 BALANCER_S = 0.3
 PACE_S = 0.1
+WATCH_INTERVAL_S = 0.1
 STALL_S = 0.4
 REST_S = 8.0
 """After the last fault traffic goes on this long: what was kept must be found then."""
@@ -64,12 +70,14 @@
 
     :param other_build: a folder that holds the package of another version, in which part of the
         processes start; empty for none.
+    :param kinds: the faults that may come.
     """
 
     seed: int
     length_s: float
     gap_s: float
     other_build: str = ""
+    kinds: tuple[FaultKind, ...] = ALL_KINDS
 
     @property
     def builds(self) -> tuple[Path, ...]:
@@ -139,9 +147,29 @@
         tasks.start_soon(self._watch_own_pace)
         for node in self.gateways:
             tasks.start_soon(self._watch_ready, node)
+        for node in [*self.ledgers, *self.gateways]:
+            tasks.start_soon(self._watch_end, node)
         with anyio.fail_after(START_PATIENCE_S):
             await self._all_ready.wait()
 
+    async def expect_ready(self) -> None:
+        """Wait until all gateways take callers again; one that does not is a finding."""
+        with anyio.move_on_after(START_PATIENCE_S):
+            while True:
+                if len(self._taking) == len(self.gateways):
+                    return
+                await anyio.sleep(WATCH_INTERVAL_S)
+        for node in self.gateways:
+            if node.name not in self._taking:
+                self.judge.unready(node.name)
+
+    @contextmanager
+    def odd_entry(self, name: str, specification: object) -> Iterator[None]:
+        """List an entry of another writer within this context."""
+        self.store.put(names.REPLICA_KIND, name, specification)
+        yield
+        self.store.remove(names.REPLICA_KIND, name)
+
     def taking(self) -> list[Node]:
         """Return the gateways that new callers are sent to; all of them if none is ready."""
         ready = [node for node in self.gateways if node.name in self._taking]
@@ -174,6 +202,17 @@
                 log.warning("machine_stalled", for_s=round(now - started_at, 2))
                 self.judge.unsettle([node.name for node in self.gateways], now + UNEASY_S)
 
+    async def _watch_end(self, node: Node) -> None:
+        """Start a process again that ended by itself, as the platform does; that is a finding."""
+        while True:
+            await anyio.sleep(WATCH_INTERVAL_S)
+            code = node.ended_by_itself
+            if code is not None:
+                self.judge.ended(node.name, f"ended by itself, code {code}: {node.last_lines()}")
+                self.judge.restarted(node.name)
+                self.judge.unsettle([each.name for each in self.gateways], anyio.current_time())
+                await node.start()
+
     async def _watch_ready(self, node: Node) -> None:
         """Ask a gateway as the balancer does: two misses take it out, one answer brings it back."""
         misses = 0
@@ -193,7 +232,9 @@
 
 async def soak_site(settings: SoakSettings) -> SoakReport:
     """Run one soak and return what became of it."""
-    plan = draw_plan(settings.seed, length_s=settings.length_s, gap_s=settings.gap_s)
+    plan = draw_plan(
+        settings.seed, length_s=settings.length_s, gap_s=settings.gap_s, kinds=settings.kinds
+    )
     async with AsyncExitStack() as stack:
         folder = stack.enter_context(tempfile.TemporaryDirectory())
         site = Site(settings, Path(folder))
@@ -203,6 +244,7 @@
             for _ in range(CALLERS):
                 tasks.start_soon(callers.run)
             await Faults(site).play(plan)
+            await site.expect_ready()
             await anyio.sleep(REST_S)
             tasks.cancel_scope.cancel()
         return SoakReport(
