--- a/src/bramleylead/cli/_site_process.py
+++ b/src/bramleylead/cli/_site_process.py
@@ -60,6 +60,7 @@
     settings = loaded.ok_value
     with LogWriter(sys.stdout) as writer:
         metrics = SiteMetrics()
+        metrics.describe_log(writer.gauges)
         configure_buffered_logs(writer, node=settings.node, count_line=metrics.count_line)
         options = {"loop_factory": new_event_loop}
         anyio.run(run, settings, Path(file), metrics, backend="asyncio", backend_options=options)
--- a/src/bramleylead/site_metrics.py
+++ b/src/bramleylead/site_metrics.py
@@ -57,6 +57,7 @@
             "bramleylead_state", "What the process believes, by name.", registry=self.registry
         )
         self._gauges: Gauges = dict
+        self._log_gauges: Gauges = dict
         self._dump: Dump = dict
 
     def describe(self, gauges: Gauges, dump: Dump) -> None:
@@ -64,6 +65,10 @@
         self._gauges = gauges
         self._dump = dump
 
+    def describe_log(self, gauges: Gauges) -> None:
+        """Say where the numbers on the log's writer come from."""
+        self._log_gauges = gauges
+
     def count_line(self, logger: Any, method: str, event: dict[str, Any]) -> dict[str, Any]:
         """Count a line of the log (a structlog processor)."""
         labels = {"event": event["event"]}
@@ -81,7 +86,7 @@
         """Serve the metrics page and the state dump."""
         exchange = Exchange(scope, receive, send)
         if exchange.path == METRICS_PATH:
-            for name, value in self._gauges().items():
+            for name, value in {**self._log_gauges(), **self._gauges()}.items():
                 self._state.set({"name": name}, value)
             accept = exchange.headers.get("accept", "")
             content, headers = render(self.registry, [accept] if accept else [])
--- a/testing/test_site_metrics.py
+++ b/testing/test_site_metrics.py
@@ -44,7 +44,10 @@
     def test_the_state_is_shown_as_numbers_and_as_a_dump(self) -> None:
         metrics = SiteMetrics()
         metrics.describe(lambda: {"replicas": 9}, lambda: {"node": "g1"})
-        self.assertIn('bramleylead_state{name="replicas"} 9', self.page(metrics, "/metrics")[1])
+        metrics.describe_log(lambda: {"log_lines_dropped": 4})
+        page = self.page(metrics, "/metrics")[1]
+        self.assertIn('bramleylead_state{name="replicas"} 9', page)
+        self.assertIn('bramleylead_state{name="log_lines_dropped"} 4', page)
         self.assertEqual(json.loads(self.page(metrics, "/dump")[1]), {"node": "g1"})
 
     def test_the_page_is_served_over_http(self) -> None:
