Write one view at a time to a ledger node's disk

What operators saw: a node of the ledger whose view.json is empty or a mix of two views ends with code 1 at each start (JSONDecodeError).

Cause: a node hears of a new view from several others at once (probes run side by side, CatchUp from each gateway and node). Each of them opened, cut and wrote the same view.json.new on a thread of its own, and renamed it while another was still writing; the later rename could also put the older view back.

The new test fails: the disk keeps the first view, the node acts by the second, two writes at once.

Change: a lock around check, write and adoption. Why it works: write_view is called nowhere else, so a rename is never beside another write.

--- a/src/bramleylead/ledger/_node.py
+++ b/src/bramleylead/ledger/_node.py
@@ -77,6 +77,7 @@
         self._writer = RecordWriter(disk, self._state)
         self._copier = RecordCopier(node, self._state, self._writer, peers)
         self._view = NO_VIEW
+        self._adopting = anyio.Lock()
         self.fleet = FleetTable()
         self.crashes = CrashTable()
         self.leaving = False
@@ -171,14 +172,18 @@
         """
         if view.epoch <= self._view.epoch:
             return
+        # One at a time, else the disk could keep the older of two views, or a mix of them.
+        async with self._adopting:
+            if view.epoch > self._view.epoch:
+                await self._write_and_adopt(view)
+
+    async def _write_and_adopt(self, view: LedgerView) -> None:
         before = self._view
         try:
             await self._disk.write_view(view)
         except OSError as error:
             log.error("disk_write_failed", node=self._node, epoch=view.epoch, reason=str(error))
             return
-        if view.epoch <= self._view.epoch:
-            return
         self._view = view
         self._copier.keep_only({member.node for member in view.members})
         self.view_changed.set()
--- a/testing/ledger/_fleet.py
+++ b/testing/ledger/_fleet.py
@@ -43,6 +43,9 @@
         self.view = NO_VIEW
         self.records: list[Record] = []
         self.full = False
+        self.view_delays_s: dict[int, float] = {}
+        self.most_views_at_once = 0
+        self._views_being_written = 0
 
     async def load(self) -> tuple[LedgerView, list[Record]]:
         return self.view, list(self.records)
@@ -54,7 +57,10 @@
         self.records += records
 
     async def write_view(self, view: LedgerView) -> None:
-        await anyio.sleep(SYNC_S)
+        self._views_being_written += 1
+        self.most_views_at_once = max(self.most_views_at_once, self._views_being_written)
+        await anyio.sleep(self.view_delays_s.get(view.epoch, SYNC_S))
+        self._views_being_written -= 1
         if self.full:
             raise OSError(28, "No space left on device")
         self.view = view
--- a/testing/ledger/test_membership.py
+++ b/testing/ledger/test_membership.py
@@ -45,6 +45,21 @@
 
         run_with_ledger(main)
 
+    # Guards against an older view, or a mix of two, on the disk of a node that adopts both.
+    def test_of_two_views_adopted_at_once_the_later_one_is_on_disk(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            node, disk = ledger.nodes[0], ledger.disks[0]
+            first = node.view._replace(epoch=node.view.epoch + 1)
+            second = node.view._replace(epoch=node.view.epoch + 2)
+            disk.view_delays_s = {first.epoch: 0.02, second.epoch: 0.01}
+            async with anyio.create_task_group() as both:
+                both.start_soon(node.adopt, first)
+                both.start_soon(node.adopt, second)
+            self.assertEqual((node.view, disk.view), (second, second))
+            self.assertEqual(disk.most_views_at_once, 1)
+
+        run_with_ledger(main)
+
     def test_a_new_view_is_sent_to_the_other_members(self) -> None:
         async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
             ledger.target_size = 4
