Try a ledger node's disk again when the system refuses it at the start

What operators saw: a node of the ledger whose folder is a file, or whose disk gives EIO, EMFILE or another error at the start, ended with code 1 and a raw trace, and did so at each start.

Cause: the folder was made and the disk's name read in a constructor on the event loop, the rest in load(), each tried once.

Evidence, the process test on the code before: "no line disk_unreadable; exit code 1".

Change: open_disk and load_node repeat both, on a thread, after 0.2 to 5 s, for as long as it lasts. It is never given up: a disk that is away may come back with what it holds, and machines whose disks are away together would otherwise all count as empty. The node is no member meanwhile and serves nothing, so that a spare takes its place. disk_unreadable names the error, and is counted by it; a disk without an answer is logged every 5 s. A lack of threads or memory counts as an error of the disk (run_in_thread), here and for writes. The folder's name is synced in its parent when it is made.

--- a/src/bramleylead/ledger/_disk.py
+++ b/src/bramleylead/ledger/_disk.py
@@ -18,13 +18,17 @@
 from typing import Protocol
 from typing import final
 
-import anyio
-import anyio.to_thread
 import structlog
 
 from bramleylead.connection import MessageError
 from bramleylead.connection import decode
 from bramleylead.connection import encode
+from bramleylead.ledger._files import make_folder
+from bramleylead.ledger._files import read_file
+from bramleylead.ledger._files import replace_file
+from bramleylead.ledger._files import run_in_thread
+from bramleylead.ledger._files import sync_folder
+from bramleylead.ledger._files import write_all
 from bramleylead.ledger._members import NO_VIEW
 from bramleylead.ledger._members import LedgerView
 from bramleylead.ledger._members import view_from_plain
@@ -82,7 +86,7 @@
         self._handle: int | None = None
         self._current_bytes = 0
         self._next_number = 1
-        folder.mkdir(parents=True, exist_ok=True)
+        make_folder(folder)
         self._name = self._load_or_create_name()
 
     @property
@@ -92,16 +96,16 @@
 
     async def load(self) -> tuple[LedgerView, list[Record]]:
         """Read the view and all intact records."""
-        return await anyio.to_thread.run_sync(self._load)
+        return await run_in_thread(self._load)
 
     async def write(self, records: list[Record]) -> None:
         """Append records and sync them."""
-        await anyio.to_thread.run_sync(self._append, records)
+        await run_in_thread(self._append, records)
 
     async def write_view(self, view: LedgerView) -> None:
         """Replace the file that contains the view."""
         text = json.dumps(view_to_plain(view)).encode()
-        await anyio.to_thread.run_sync(self._replace_file, "view.json", text)
+        await run_in_thread(replace_file, self._folder / "view.json", text)
 
     async def delete_expired(self, is_held: Callable[[Key], bool]) -> None:
         """Delete the segment files of which no record is held."""
@@ -110,18 +114,21 @@
         ]
         for segment in expired:
             self._closed_segments.remove(segment)
-            await anyio.to_thread.run_sync(segment.path.unlink)
+            await run_in_thread(segment.path.unlink)
             log.info("segment_dropped", file=segment.path.name, records=len(segment.keys))
 
     def _load_or_create_name(self) -> str:
         path = self._folder / "disk"
-        if path.exists():
-            return path.read_text()
-        self._replace_file("disk", secrets.token_hex(DISK_NAME_BYTES).encode())
-        return path.read_text()
+        content = read_file(path)
+        if content is not None:
+            return content.decode()
+        name = secrets.token_hex(DISK_NAME_BYTES)
+        replace_file(path, name.encode())
+        return name
 
     def _load(self) -> tuple[LedgerView, list[Record]]:
         records: list[Record] = []
+        self._closed_segments = []
         paths = sorted(self._folder.glob(f"*{SEGMENT_SUFFIX}"))
         for path in paths:
             found = list(_read_segment(path))
@@ -143,7 +150,7 @@
         assert self._handle is not None and self._current_segment is not None
         data = b"".join(_frame_record(encode(record)) for record in records)
         try:
-            _write_all(self._handle, data)
+            write_all(self._handle, data)
             os.fdatasync(self._handle)
         except OSError:
             # It is unknown how much reached the file, so the next records go to a new one.
@@ -159,7 +166,7 @@
         self._handle = os.open(path, os.O_CREAT | os.O_WRONLY | os.O_APPEND, 0o644)
         self._current_segment = _Segment(path, set())
         self._current_bytes = 0
-        self._sync_folder()
+        sync_folder(self._folder)
 
     def _close_current_segment(self) -> None:
         if self._handle is not None and self._current_segment is not None:
@@ -168,30 +175,6 @@
         self._handle = None
         self._current_segment = None
 
-    def _replace_file(self, name: str, data: bytes) -> None:
-        new_path = self._folder / f"{name}.new"
-        handle = os.open(new_path, os.O_CREAT | os.O_WRONLY | os.O_TRUNC, 0o644)
-        try:
-            _write_all(handle, data)
-            os.fsync(handle)
-        finally:
-            os.close(handle)
-        new_path.rename(self._folder / name)
-        self._sync_folder()
-
-    def _sync_folder(self) -> None:
-        handle = os.open(self._folder, os.O_RDONLY)
-        try:
-            os.fsync(handle)
-        finally:
-            os.close(handle)
-
-
-def _write_all(handle: int, data: bytes) -> None:
-    remaining = memoryview(data)
-    while remaining:
-        remaining = remaining[os.write(handle, remaining) :]
-
 
 def _frame_record(body: bytes) -> bytes:
     return len(body).to_bytes(4, "big") + zlib.crc32(body).to_bytes(4, "big") + body
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -18,7 +18,8 @@
 from bramleylead.connection import PeerServer
 from bramleylead.connection import TcpNetwork
 from bramleylead.http._server import HttpServer
-from bramleylead.ledger._disk import FileDisk
+from bramleylead.ledger._disk_loading import load_node
+from bramleylead.ledger._disk_loading import open_disk
 from bramleylead.ledger._load_sharing import LoadSharing
 from bramleylead.ledger._member_list import StoredMemberList
 from bramleylead.ledger._membership import Membership
@@ -84,7 +85,7 @@
     """Run a ledger node until SIGTERM or SIGINT.
 
     :param path: the settings file, named in the log on SIGHUP.
-    :raises OSError: if the address can't be bound or the disk can't be read.
+    :raises OSError: if the address can't be bound.
     """
     rng = random.Random(settings.random_seed)
     network = TcpNetwork(keepalive_idle_s=SILENT_AFTER_S)
@@ -95,7 +96,7 @@
         PeerClient(network, node=settings.node, cluster_key=settings.cluster_key) as peers,
         anyio.create_task_group() as tasks,
     ):
-        disk = FileDisk(Path(settings.data_folder))
+        disk = await open_disk(Path(settings.data_folder))
         node = LedgerNode(
             node=settings.node,
             address=address,
@@ -103,7 +104,7 @@
             peers=peers,
             data_centre=settings.data_centre,
         )
-        await node.load()
+        await load_node(node)
         node.register_handlers(server)
         shares = TrafficShares()
         load_sharing = LoadSharing(node, peers, shares)
--- a/testing/ledger/_fleet.py
+++ b/testing/ledger/_fleet.py
@@ -14,6 +14,7 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.ledger._client import LedgerClient
+from bramleylead.ledger._disk_loading import load_node
 from bramleylead.ledger._load_sharing import LoadSharing
 from bramleylead.ledger._members import NO_VIEW
 from bramleylead.ledger._members import LedgerView
@@ -43,11 +44,14 @@
         self.view = NO_VIEW
         self.records: list[Record] = []
         self.full = False
+        self.load_errors: list[OSError] = []
         self.view_delays_s: dict[int, float] = {}
         self.most_views_at_once = 0
         self._views_being_written = 0
 
     async def load(self) -> tuple[LedgerView, list[Record]]:
+        if self.load_errors:
+            raise self.load_errors.pop()
         return self.view, list(self.records)
 
     async def write(self, records: list[Record]) -> None:
@@ -169,7 +173,7 @@
                     peers=peers,
                     data_centre=f"d{i % 3}",
                 )
-                await node.load()
+                await load_node(node)
                 node.register_handlers(server)
                 self.nodes[i] = node
                 tasks.start_soon(node.run_writer)
