Start a ledger node on a damaged disk as one that lost its disk

What operators saw: a torn view.json, a folder named like a segment, or a file x.segment ended a node of the ledger at each start, code 1; an empty file "disk" gave it an empty disk name, which does not tell one content from another.

Cause: the content of the disk was believed, or its first odd byte left load().

Change: names and views are checked. What is wrong gives the disk another name, written durably before the old view is set aside, so that a start which ends in between is repeated. Membership knows a lost disk by that name: a new test shows that such a node counts for no entry until it is removed and has joined (two epochs later). Records have checksums and are kept. Numbers of segments are never used again while a name with them exists; foreign names are logged.

--- a/src/bramleylead/ledger/_disk.py
+++ b/src/bramleylead/ledger/_disk.py
@@ -3,16 +3,19 @@
 A new file is started when the node starts and when a segment is full. A record torn by a power loss
 is therefore always at the end of a file, and reading stops there. A file is deleted once the node
 holds none of its records any more.
+
+The disk's name identifies its content. Where the name or the view is damaged, or a folder lies in
+the place of a segment, the disk gets another name and no view, so that its node counts as one that
+lost its disk. The records that are read are kept: each has a checksum.
 """
 
 from __future__ import annotations
 
 import json
 import os
+import re
 import secrets
-import zlib
 from collections.abc import Callable
-from collections.abc import Iterator
 from pathlib import Path
 from typing import NamedTuple
 from typing import Protocol
@@ -20,13 +23,11 @@
 
 import structlog
 
-from bramleylead.connection import MessageError
-from bramleylead.connection import decode
-from bramleylead.connection import encode
 from bramleylead.ledger._files import make_folder
 from bramleylead.ledger._files import read_file
 from bramleylead.ledger._files import replace_file
 from bramleylead.ledger._files import run_in_thread
+from bramleylead.ledger._files import set_aside
 from bramleylead.ledger._files import sync_folder
 from bramleylead.ledger._files import write_all
 from bramleylead.ledger._members import NO_VIEW
@@ -36,11 +37,16 @@
 from bramleylead.ledger._records import Key
 from bramleylead.ledger._records import Record
 from bramleylead.ledger._records import key_of
+from bramleylead.ledger._segments import frame_record
+from bramleylead.ledger._segments import read_segment
 
-HEADER_BYTES = 8
 SEGMENT_BYTES = 4_000_000
 SEGMENT_SUFFIX = ".segment"
 DISK_NAME_BYTES = 8
+DISK_NAME = re.compile(rb"[0-9a-f]{%d}" % (2 * DISK_NAME_BYTES))
+SEGMENT_NAME = re.compile(rf"[0-9]{{1,18}}{re.escape(SEGMENT_SUFFIX)}")
+LOGGED_BYTES = 60
+LOGGED_FILES = 10
 
 log = structlog.get_logger()
 
@@ -118,37 +124,73 @@
             log.info("segment_dropped", file=segment.path.name, records=len(segment.keys))
 
     def _load_or_create_name(self) -> str:
-        path = self._folder / "disk"
-        content = read_file(path)
-        if content is not None:
+        content = read_file(self._folder / "disk")
+        if content is not None and DISK_NAME.fullmatch(content):
             return content.decode()
+        if content is not None:
+            log.error("disk_damaged", file="disk", content=repr(content[:LOGGED_BYTES]))
+        return self._create_name()
+
+    def _create_name(self) -> str:
+        """Give the disk another name, durably, and only then set the view aside."""
+        path = self._folder / "disk"
         name = secrets.token_hex(DISK_NAME_BYTES)
+        if path.is_dir():
+            set_aside(path)
         replace_file(path, name.encode())
+        set_aside(self._folder / "view.json")
         return name
 
     def _load(self) -> tuple[LedgerView, list[Record]]:
         records: list[Record] = []
+        view = self._load_view()
         self._closed_segments = []
-        paths = sorted(self._folder.glob(f"*{SEGMENT_SUFFIX}"))
-        for path in paths:
-            found = list(_read_segment(path))
+        for path in self._segment_paths():
+            if path.is_dir():
+                log.error("disk_damaged", file=path.name, content="a folder")
+                view = self._drop_view()
+                set_aside(path)
+                continue
+            found = list(read_segment(path))
             records += found
             self._closed_segments.append(_Segment(path, {key_of(record) for record in found}))
-        if paths:
-            self._next_number = int(paths[-1].name.removesuffix(SEGMENT_SUFFIX)) + 1
-        return self._load_view(), records
+        return view, records
+
+    def _segment_paths(self) -> list[Path]:
+        """Return the paths with a segment's name, oldest first."""
+        names = sorted(path.name for path in self._folder.iterdir())
+        numbers = {
+            int(name.removesuffix(SEGMENT_SUFFIX)): name
+            for name in names
+            if SEGMENT_NAME.fullmatch(name)
+        }
+        foreign = [name for name in names if name.endswith(SEGMENT_SUFFIX)]
+        foreign = [name for name in foreign if name not in numbers.values()]
+        if foreign:
+            log.warning("files_ignored", files=foreign[:LOGGED_FILES], count=len(foreign))
+        self._next_number = max(numbers, default=0) + 1
+        return [self._folder / numbers[number] for number in sorted(numbers)]
 
     def _load_view(self) -> LedgerView:
-        path = self._folder / "view.json"
-        if not path.exists():
+        content = read_file(self._folder / "view.json")
+        if content is None:
             return NO_VIEW
-        return view_from_plain(json.loads(path.read_bytes()))
+        try:
+            return view_from_plain(json.loads(content))
+        except (ValueError, RecursionError) as error:
+            damage = repr(content[:LOGGED_BYTES])
+            log.error("disk_damaged", file="view.json", content=damage, reason=str(error))
+            return self._drop_view()
+
+    def _drop_view(self) -> LedgerView:
+        self._name = self._create_name()
+        return NO_VIEW
 
     def _append(self, records: list[Record]) -> None:
         if self._handle is None or self._current_bytes > SEGMENT_BYTES:
             self._open_next_segment()
         assert self._handle is not None and self._current_segment is not None
-        data = b"".join(_frame_record(encode(record)) for record in records)
+        data = b"".join(frame_record(record) for record in records)
         try:
             write_all(self._handle, data)
             os.fdatasync(self._handle)
@@ -174,27 +216,3 @@
             self._closed_segments.append(self._current_segment)
         self._handle = None
         self._current_segment = None
-
-
-def _frame_record(body: bytes) -> bytes:
-    return len(body).to_bytes(4, "big") + zlib.crc32(body).to_bytes(4, "big") + body
-
-
-def _read_segment(path: Path) -> Iterator[Record]:
-    """Yield the intact records of a file, up to the first one torn by a power loss."""
-    data = path.read_bytes()
-    offset = 0
-    while offset + HEADER_BYTES <= len(data):
-        length = int.from_bytes(data[offset : offset + 4], "big")
-        checksum = int.from_bytes(data[offset + 4 : offset + 8], "big")
-        body = data[offset + HEADER_BYTES : offset + HEADER_BYTES + length]
-        if len(body) < length or zlib.crc32(body) != checksum:
-            break
-        try:
-            yield decode(body)
-        except MessageError as error:
-            log.error("record_unreadable", file=path.name, at=offset, reason=str(error))
-            break
-        offset += HEADER_BYTES + length
-    if offset < len(data):
-        log.warning("segment_torn", file=path.name, whole_bytes=offset, bytes=len(data))
--- a/testing/ledger/test_disk.py
+++ b/testing/ledger/test_disk.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import errno
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import anyio
 
+from bramleylead.ledger import _disk
 from bramleylead.ledger._disk import FileDisk
+from bramleylead.ledger._members import NO_VIEW
 from bramleylead.ledger._members import LedgerMember
 from bramleylead.ledger._members import LedgerView
 from bramleylead.ledger._records import Record
@@ -73,3 +77,81 @@
         self.assertEqual(len(self.read()), 2)
         anyio.run(disk.delete_expired, lambda key: False)
         self.assertEqual([record.turn for record in self.read()], ["b"])
+
+
+class DamagedDiskTest(unittest.TestCase):
+    """Guards against a node that can't start, or that counts as complete, on a damaged disk."""
+
+    def setUp(self) -> None:
+        parent = tempfile.TemporaryDirectory()
+        self.addCleanup(parent.cleanup)
+        self.folder = Path(parent.name) / "ledger"
+        disk = FileDisk(self.folder)
+        self.name = disk.name
+        self.view = LedgerView(4, (LedgerMember("s", "10.0.0.1:7", disk.name),))
+        anyio.run(disk.write, [turn("a")])
+        anyio.run(disk.write_view, self.view)
+
+    def assert_counts_as_lost(self) -> None:
+        """Its node is in no view, keeps the records, and has the same name at the next start."""
+        disk = FileDisk(self.folder)
+        self.assertEqual(anyio.run(disk.load), (NO_VIEW, [turn("a")]))
+        self.assertRegex(disk.name, "^[0-9a-f]{16}$")
+        self.assertNotEqual(disk.name, self.name)
+        again = FileDisk(self.folder)
+        self.assertEqual(anyio.run(again.load), (NO_VIEW, [turn("a")]))
+        self.assertEqual(again.name, disk.name)
+        anyio.run(again.write_view, self.view)
+        anyio.run(again.write, [turn("b")])
+        self.assertEqual(anyio.run(FileDisk(self.folder).load), (self.view, [turn("a"), turn("b")]))
+
+    def test_a_damaged_view(self) -> None:
+        for content in (b"", b'{"epoch": 4, "mem', b"null", b"\xff", b"[" * 100_000):
+            with self.subTest(content=content[:20]):
+                self.setUp()
+                (self.folder / "view.json").write_bytes(content)
+                self.assert_counts_as_lost()
+
+    def test_a_damaged_name(self) -> None:
+        # An empty name does not tell one content from another.
+        for content in (b"", self.name.encode()[:5], b"\xff" * 16, self.name.encode() + b"\n"):
+            with self.subTest(content=content):
+                self.setUp()
+                (self.folder / "disk").write_bytes(content)
+                self.assert_counts_as_lost()
+
+    def test_a_lost_name(self) -> None:
+        (self.folder / "disk").unlink()
+        self.assert_counts_as_lost()
+
+    def test_folders_in_the_place_of_files(self) -> None:
+        for name in ("disk", "view.json", "0000000007.segment"):
+            with self.subTest(name=name):
+                self.setUp()
+                (self.folder / name).unlink(missing_ok=True)
+                (self.folder / name).mkdir()
+                (self.folder / name / "file").touch()
+                self.assert_counts_as_lost()
+
+    def test_files_with_other_names_are_ignored(self) -> None:
+        for name in ("x.segment", ".segment", "1e3.segment", "a \udcff.segment", "other"):
+            (self.folder / name).touch()
+        disk = FileDisk(self.folder)
+        self.assertEqual(anyio.run(disk.load), (self.view, [turn("a")]))
+        self.assertEqual(disk.name, self.name)
+
+    def test_what_is_left_of_a_replacement_is_ignored(self) -> None:
+        for name in ("disk.new", "view.json.new"):
+            (self.folder / name).write_bytes(b"torn")
+        disk = FileDisk(self.folder)
+        self.assertEqual(anyio.run(disk.load), (self.view, [turn("a")]))
+        self.assertEqual(disk.name, self.name)
+
+    def test_a_start_that_ends_between_two_steps_is_repeated(self) -> None:
+        (self.folder / "view.json").write_bytes(b"")
+        with (
+            mock.patch.object(_disk, "set_aside", side_effect=OSError(errno.EIO, "ended here")),
+            self.assertRaises(OSError),
+        ):
+            anyio.run(FileDisk(self.folder).load)
+        self.assert_counts_as_lost()
--- a/testing/ledger/test_membership.py
+++ b/testing/ledger/test_membership.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from bramleylead.ledger._members import NO_VIEW
 from bramleylead.ledger._members import LedgerMember
 from bramleylead.ledger._members import LedgerView
 from bramleylead.ledger._members import view_from_plain
@@ -144,6 +145,26 @@
 
         run_with_ledger(main)
 
+    def test_a_disk_with_another_name_counts_for_no_entry_until_its_node_has_joined(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            async with ledger.gateway(0) as gateway:
+                await gateway.keep(turn("a"))
+                ledger.kill(0)
+                ledger.disks[0].name, ledger.disks[0].view = "another", NO_VIEW
+                before = ledger.members.view
+                await ledger.start(0, tasks=tasks)
+                self.assertFalse(ledger.nodes[0].is_member)
+                ledger.kill(1)
+                self.assertTrue((await gateway.keep(turn("b", "a"))).is_err())
+                await ledger.start(1, tasks=tasks)
+                await ledger.wait_for_members(0)
+                joined = ledger.members.view
+                self.assertEqual(joined.epoch, before.epoch + 2)
+                self.assertEqual(joined.member("s0").disk, "another")
+                (await gateway.keep(turn("c", "a"))).unwrap()
+
+        run_with_ledger(main)
+
     def test_a_node_that_left_does_not_join_again(self) -> None:
         async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
             await ledger.leave(1)
