Refuse the records of a failed write, whatever failed, and go on

What operators saw: a node of the ledger ended with a raw trace when a write found no memory or no thread ("can't start new thread"); a full disk got one empty file a batch; a segment whose name could not be synced took the next records, which a power loss could then lose with it though acknowledged.

Cause: the writer caught OSError only, and the task that it runs in is not started again, since what is on disk was unknown after other errors. A segment was given up only where its bytes failed, not where its folder's sync did.

Change: any failure refuses its batch and gives the segment up; a segment in which nothing was acknowledged is deleted at once. Why it is safe to go on: the state takes records only after the write, and no later record goes into a file whose content is unknown. Nothing ends the process on purpose any more. A segment is never opened over an existing file.

--- a/src/bramleylead/ledger/_disk.py
+++ b/src/bramleylead/ledger/_disk.py
@@ -16,6 +16,7 @@
 import re
 import secrets
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 from typing import NamedTuple
 from typing import Protocol
@@ -187,32 +188,47 @@
         return NO_VIEW
 
     def _append(self, records: list[Record]) -> None:
-        if self._handle is None or self._current_bytes > SEGMENT_BYTES:
-            self._open_next_segment()
-        assert self._handle is not None and self._current_segment is not None
-        data = b"".join(frame_record(record) for record in records)
+        data = b"".join(map(frame_record, records))
         try:
-            write_all(self._handle, data)
-            os.fdatasync(self._handle)
-        except OSError:
+            self._append_bytes(data)
+        except BaseException:
             # It is unknown how much reached the file, so the next records go to a new one.
-            self._close_current_segment()
+            self._abandon_current_segment()
             raise
+        assert self._current_segment is not None
         self._current_bytes += len(data)
-        self._current_segment.keys.update(key_of(record) for record in records)
+        self._current_segment.keys.update(map(key_of, records))
+
+    def _append_bytes(self, data: bytes) -> None:
+        if self._handle is None or self._current_bytes > SEGMENT_BYTES:
+            self._close_current_segment()
+            self._open_next_segment()
+        assert self._handle is not None
+        write_all(self._handle, data)
+        os.fdatasync(self._handle)
 
     def _open_next_segment(self) -> None:
-        self._close_current_segment()
         path = self._folder / f"{self._next_number:010d}{SEGMENT_SUFFIX}"
         self._next_number += 1
-        self._handle = os.open(path, os.O_CREAT | os.O_WRONLY | os.O_APPEND, 0o644)
+        self._handle = os.open(path, os.O_CREAT | os.O_EXCL | os.O_WRONLY | os.O_APPEND, 0o644)
         self._current_segment = _Segment(path, set())
         self._current_bytes = 0
         sync_folder(self._folder)
 
     def _close_current_segment(self) -> None:
-        if self._handle is not None and self._current_segment is not None:
-            os.close(self._handle)
-            self._closed_segments.append(self._current_segment)
-        self._handle = None
-        self._current_segment = None
+        handle, self._handle = self._handle, None
+        segment, self._current_segment = self._current_segment, None
+        if segment is not None:
+            self._closed_segments.append(segment)
+        if handle is not None:
+            with suppress(OSError):
+                os.close(handle)
+
+    def _abandon_current_segment(self) -> None:
+        """Close the segment, and delete it if nothing in it has been acknowledged."""
+        segment = self._current_segment
+        self._close_current_segment()
+        if segment is not None and not segment.keys:
+            with suppress(OSError):
+                segment.path.unlink()
+                self._closed_segments.remove(segment)
--- a/src/bramleylead/ledger/_writer.py
+++ b/src/bramleylead/ledger/_writer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from typing import final
 
 import anyio
@@ -73,13 +74,21 @@
             batch.done.set()
 
     async def _write_batch(self, batch: _Batch) -> None:
+        """Write a batch; whatever fails refuses this batch only, and nothing of it counts."""
         records = list(batch.records.values())
         try:
             await self._disk.write(records)
         except OSError as error:
             batch.failed = error
             log.error("disk_write_failed", records=len(records), reason=str(error))
-            return
+        except Exception as error:
+            reason = f"{type(error).__name__}: {error}"
+            batch.failed = OSError(errno.EIO, reason)
+            log.exception("disk_write_failed", records=len(records), reason=reason)
+        else:
+            self._add(records)
+
+    def _add(self, records: list[Record]) -> None:
         self.batches += 1
         now = anyio.current_time()
         for record in records:
