Try again to delete a segment that could not be deleted

What operators saw: segment_not_dropped, once, and a disk that fills: the file was forgotten until the next start, and those behind it waited another pass.

Cause: a segment was struck off the list before its file was deleted, and the first error ended the pass.

Evidence, the new test before: one call instead of two.

Change: struck off afterwards, and the pass goes on; a file that is gone counts as deleted.

--- a/src/bramleylead/ledger/_disk.py
+++ b/src/bramleylead/ledger/_disk.py
@@ -115,14 +115,21 @@
         await run_in_thread(replace_file, self._folder / "view.json", text)
 
     async def delete_expired(self, is_held: Callable[[Key], bool]) -> None:
-        """Delete the segment files of which no record is held."""
+        """Delete the segment files of which no record is held; one that fails is tried again."""
         expired = [
             segment for segment in self._closed_segments if not any(map(is_held, segment.keys))
         ]
+        failed: OSError | None = None
         for segment in expired:
+            try:
+                await run_in_thread(_delete_file, segment.path)
+            except OSError as error:
+                failed = error
+                continue
             self._closed_segments.remove(segment)
-            await run_in_thread(segment.path.unlink)
             log.info("segment_dropped", file=segment.path.name, records=len(segment.keys))
+        if failed is not None:
+            raise failed
 
     def _load_or_create_name(self) -> str:
         content = read_file(self._folder / "disk")
@@ -232,3 +239,7 @@
             with suppress(OSError):
                 segment.path.unlink()
                 self._closed_segments.remove(segment)
+
+
+def _delete_file(path: Path) -> None:
+    path.unlink(missing_ok=True)
--- a/testing/ledger/test_writer.py
+++ b/testing/ledger/test_writer.py
@@ -79,3 +79,17 @@
         with mock.patch.object(os, "fsync", wraps=os.fsync) as synced:
             anyio.run(disk.write, [turn("a")])
         self.assertEqual(synced.call_count, 1)
+
+    def test_a_segment_that_can_not_be_deleted_keeps_no_other_and_is_tried_again(self) -> None:
+        for name in ("a", "b"):
+            disk = FileDisk(self.folder)
+            anyio.run(disk.load)
+            anyio.run(disk.write, [turn(name)])
+        disk = FileDisk(self.folder)
+        anyio.run(disk.load)
+        unlink = mock.patch.object(Path, "unlink", side_effect=[OSError(errno.EIO, "error"), None])
+        with unlink as deleted, self.assertRaises(OSError):
+            anyio.run(disk.delete_expired, lambda key: False)
+        self.assertEqual(deleted.call_count, 2)
+        anyio.run(disk.delete_expired, lambda key: False)
+        self.assertFalse((self.folder / "0000000001.segment").exists())
