Tell at a ledger node's start how its last run ended

What operators saw: nothing. A process that was killed, or whose error went to a standard error that nobody kept, left no trace for its next start.

Change: run.json on the ledger's disk says that a run has begun, and, where it ended by itself, that it stopped or failed, with the reason and how long it ran. The next start logs last_run_ended; where the file still says running, the run was killed or its VM lost power. It is written twice a run, never on the path of a request, within 2 s at the start and 0.5 s at the end, and no error of it ends or delays a run further (run_not_recorded).

--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -20,6 +20,7 @@
 from bramleylead.http._server import HttpServer
 from bramleylead.ledger._disk_loading import load_node
 from bramleylead.ledger._disk_loading import open_disk
+from bramleylead.ledger._last_run import RunRecord
 from bramleylead.ledger._load_sharing import LoadSharing
 from bramleylead.ledger._member_list import StoredMemberList
 from bramleylead.ledger._membership import Membership
@@ -94,9 +95,11 @@
     async with (
         PlatformStore(settings.store.address) as store,
         PeerClient(network, node=settings.node, cluster_key=settings.cluster_key) as peers,
+        RunRecord(Path(settings.data_folder)) as run_record,
         anyio.create_task_group() as tasks,
     ):
         disk = await open_disk(Path(settings.data_folder))
+        await run_record.begin()
         node = LedgerNode(
             node=settings.node,
             address=address,
--- a/testing/ledger/test_disk_loading.py
+++ b/testing/ledger/test_disk_loading.py
@@ -3,11 +3,7 @@
 from __future__ import annotations
 
 import errno
-import json
-import subprocess
-import sys
 import tempfile
-import time
 import unittest
 from pathlib import Path
 from unittest import mock
@@ -15,7 +11,6 @@
 import anyio
 from structlog.testing import capture_logs
 
-from bramleylead.connection._free_ports import find_free_port
 from bramleylead.ledger._disk import FileDisk
 from bramleylead.ledger._disk_loading import SILENT_DISK_S
 from bramleylead.ledger._disk_loading import open_disk
@@ -24,10 +19,9 @@
 from testing.ledger._fleet import Ledger
 from testing.ledger._fleet import turn
 from testing.ledger._fleet import wait_until
+from testing.ledger._process import LedgerProcess
 from testing.ledger.test_entries import run_with_ledger
 
-HOST = "127.0.0.1"
-TIMEOUT_S = 30.0
 ERRNOS = (errno.EIO, errno.ENOSPC, errno.EMFILE, errno.EAGAIN)
 
 
@@ -84,48 +78,9 @@
 class ProcessTest(unittest.TestCase):
     # Guards against a process that ends, at each start, since its folder can't be used.
     def test_a_node_whose_folder_is_a_file_serves_once_that_is_mended(self) -> None:
-        with tempfile.TemporaryDirectory() as parent:
-            folder = Path(parent) / "ledger"
-            folder.write_bytes(b"")
-            log = Path(parent) / "log"
-            with log.open("wb") as output:
-                process = _start(Path(parent), folder, output)
-                try:
-                    self.assertEqual(_line(process, log, "disk_unreadable")["kind"], "EEXIST")
-                    folder.unlink()
-                    self.assertEqual(_line(process, log, "ledger_serving")["node"], "s")
-                finally:
-                    process.kill()
-                    process.wait()
-
-
-def _start(parent: Path, folder: Path, output: object) -> subprocess.Popen[bytes]:
-    settings = {
-        "node": "s",
-        "region": "r",
-        "data_centre": "d",
-        "data_centres": {"d": "r"},
-        "host": HOST,
-        "peer_ports": [find_free_port(HOST), 0],
-        "metrics_address": f"{HOST}:{find_free_port(HOST)}",
-        "store": {"address": f"{HOST}:{find_free_port(HOST)}"},
-        "cluster_key": "key between nodes of a test",
-        "losses": 1,
-        "stop_grace_s": 6.0,
-        "data_folder": str(folder),
-    }
-    file = parent / "settings.json"
-    file.write_text(json.dumps(settings))
-    command = [sys.executable, "-m", "bramleylead", "ledger", f"--settings={file}"]
-    return subprocess.Popen(command, stdout=output, stderr=subprocess.DEVNULL)
-
-
-def _line(process: subprocess.Popen[bytes], log: Path, event: str) -> dict[str, object]:
-    """Return the first line with an event, once it is written."""
-    deadline = time.monotonic() + TIMEOUT_S
-    while time.monotonic() < deadline and process.poll() is None:
-        for text in log.read_text().splitlines():
-            if text.startswith("{") and json.loads(text)["event"] == event:
-                return json.loads(text)
-        time.sleep(0.05)
-    raise AssertionError(f"no line {event}; exit code {process.poll()}")
+        with tempfile.TemporaryDirectory() as parent, LedgerProcess(Path(parent)) as process:
+            process.folder.write_bytes(b"")
+            process.start()
+            self.assertEqual(process.wait_for_line("disk_unreadable")["kind"], "EEXIST")
+            process.folder.unlink()
+            self.assertEqual(process.wait_for_line("ledger_serving")["node"], "s")
