--- a/src/bramleylead/cli/_story.py
+++ b/src/bramleylead/cli/_story.py
@@ -41,7 +41,10 @@
 )
 LEDGER_BELIEFS = frozenset(
     {
+        "disk_damaged",
+        "disk_unreadable",
         "disk_write_failed",
+        "last_run_ended",
         "ledger_loaded",
         "ledger_lost",
         "ledger_stopping",
