Let the log go on after a lack of memory

What operators would see: no line any more after one MemoryError on the thread that writes the log; it is outside what the stream's errors cover.

Evidence, the new test before: {'event': 'written'} not found in [].

Change: the lines in hand are lost, counted as one, and the thread goes on.

--- a/src/bramleylead/_log_writer.py
+++ b/src/bramleylead/_log_writer.py
@@ -129,12 +129,21 @@
         while not self._closing.is_set() or self._lines:
             self._wake.wait()
             self._wake.clear()
-            if self._flush():
+            if self._try_flush():
                 self._closing.wait(FLUSH_INTERVAL_S)
             else:
                 self._wake.set()
                 self._closing.wait(RETRY_INTERVAL_S)
 
+    def _try_flush(self) -> bool:
+        try:
+            return self._flush()
+        except MemoryError as error:
+            # The lines in hand are lost; how many is not known any more.
+            self._refused += 1
+            self._reason = type(error).__name__
+            return False
+
     def _flush(self) -> bool:
         """Write what waits; return whether the stream took it."""
         text = ""
--- a/testing/test_log_writer.py
+++ b/testing/test_log_writer.py
@@ -15,6 +15,7 @@
 import structlog
 
 from bramleylead import _log_writer
+from bramleylead._log_output import LogOutput
 from bramleylead._log_writer import BUFFER_LINES
 from bramleylead._log_writer import LINES_PER_KIND_PER_S
 from bramleylead._log_writer import LogWriter
@@ -176,6 +177,25 @@
         self.assertEqual(b"".join(taken).splitlines()[:2], [b"fir", b"second"])
         self.assertEqual(writer.lines_dropped, 1)
 
+    def test_a_lack_of_memory_costs_the_lines_in_hand(self) -> None:
+        stream = io.StringIO()
+        failed = threading.Event()
+        put = LogOutput.put
+
+        def put_later(output: LogOutput, text: str) -> object:
+            if not failed.is_set():
+                failed.set()
+                raise MemoryError
+            return put(output, text)
+
+        with mock.patch.object(LogOutput, "put", put_later), LogWriter(stream) as writer:
+            writer.write('{"event": "lost"}')
+            self.assertTrue(failed.wait(TIMEOUT_S))
+            writer.write('{"event": "written"}')
+        events = [json.loads(line) for line in stream.getvalue().splitlines()]
+        self.assertIn({"event": "written"}, events)
+        self.assertIn("MemoryError", [line.get("reason") for line in events])
+
     def test_surrogates_in_a_line_are_escaped(self) -> None:
         with Path(os.devnull).open("w") as stream, mock.patch.object(os, "write") as write:
             write.side_effect = lambda descriptor, data: len(data)
