Log traces without the local variables of their frames

Operators saw, in each task_failed and request_failed line, the local variables of every function of the trace, although the page on logs promises that prompts, answers and keys are never written: bodies of requests, and the settings with the cluster key in them.

Cause: structlog's dict_tracebacks renders a trace with show_locals, which is true by default; the console form does the same where rich is installed.

A ValueError in a function with settings as its argument printed "locals": {"settings": "{'cluster_key': ...'}"}.

Change: one renderer for all JSON logs, without locals, and the plain form on the console. A trace still names file, line and function of each frame, which is what it is read for.

--- a/src/bramleylead/logs.py
+++ b/src/bramleylead/logs.py
@@ -13,6 +13,10 @@
 from bramleylead._log_writer import LogWriter
 
 LOG_FORMATS = ("json", "console")
+TRACE = structlog.processors.ExceptionRenderer(
+    structlog.tracebacks.ExceptionDictTransformer(show_locals=False)
+)
+"""Local variables hold prompts, answers and keys, so a trace names places only."""
 
 
 def configure_logs(log_format: str, *, level: int = logging.INFO) -> None:
@@ -62,5 +66,8 @@
 
 def _renderers(log_format: str) -> list[Any]:
     if log_format == "console":
-        return [structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())]
-    return [structlog.processors.dict_tracebacks, structlog.processors.JSONRenderer()]
+        renderer = structlog.dev.ConsoleRenderer(
+            colors=sys.stderr.isatty(), exception_formatter=structlog.dev.plain_traceback
+        )
+        return [renderer]
+    return [TRACE, structlog.processors.JSONRenderer()]
