Write how a process began and ended as its log's first and last line

Operators could not tell from a log how a process ended: a stop left "gateway_stopped" without the signal; an error left a raw trace of many lines, without event, node or time, on another stream, and exit code 1, whatever the error was.

Cause: nothing stood between the event loop and the interpreter that catches the error and writes a line.

Change: process_started (role, version, process id, Python, kind of machine, limit of descriptors, settings file) and process_ended (stopped, by which signal; or failed, by which error, errno, text, task, place) go through the same log writer, which is flushed before the process ends. The trace is a field of the line. Exit codes 7 (the operating system refused something) and 8 (an unexpected error) for the two roles, instead of 1. The task is the outermost function of the package on the error's way, since an error that ends a task began there.

--- a/src/bramleylead/cli/_exit.py
+++ b/src/bramleylead/cli/_exit.py
@@ -21,3 +21,7 @@
     """No node answered, or not in time."""
     UNAVAILABLE = 6
     """A library that the command needs is not installed."""
+    SYSTEM_REFUSED = 7
+    """A process of a deployment ended because the operating system refused something."""
+    UNEXPECTED = 8
+    """An unexpected error ended a process of a deployment: a fault of the program."""
--- a/src/bramleylead/cli/_site_process.py
+++ b/src/bramleylead/cli/_site_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -16,6 +17,9 @@
 from bramleylead._event_loop import new_event_loop
 from bramleylead._log_writer import LogWriter
 from bramleylead.cli._exit import ExitCode
+from bramleylead.cli._process_log import log_failed
+from bramleylead.cli._process_log import log_started
+from bramleylead.cli._process_log import log_stopped
 from bramleylead.logs import configure_buffered_logs
 from bramleylead.site_metrics import SiteMetrics
 from bramleylead.site_settings import SiteSettings
@@ -39,10 +43,13 @@
 def run_site_process(
     name: str,
     model: type[_S],
-    run: Callable[[_S, Path, SiteMetrics], Awaitable[None]],
+    run: Callable[[_S, Path, SiteMetrics], Awaitable[signal.Signals]],
     values: flags.FlagValues,
 ) -> int:
-    """Check the settings whole, then run until a signal."""
+    """Check the settings whole, then run until a signal; the log's last line says how it ended.
+
+    :param run: runs the role, and returns the signal that stopped it.
+    """
     file = values.settings or os.environ.get(SETTINGS_VARIABLE, "")
     if not file:
         print(f"{name}: name a file by --settings or {SETTINGS_VARIABLE}", file=sys.stderr)
@@ -61,6 +68,12 @@
     with LogWriter(sys.stdout) as writer:
         metrics = SiteMetrics()
         configure_buffered_logs(writer, node=settings.node, count_line=metrics.count_line)
+        log_started(name, Path(file))
         options = {"loop_factory": new_event_loop}
-        anyio.run(run, settings, Path(file), metrics, backend="asyncio", backend_options=options)
-    return ExitCode.OK
+        try:
+            number = anyio.run(
+                run, settings, Path(file), metrics, backend="asyncio", backend_options=options
+            )
+        except Exception as error:
+            return log_failed(name, error)
+        return log_stopped(name, number)
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -246,8 +246,10 @@
             await self._pool.close_expired()
 
 
-async def run_gateway(settings: GatewaySettings, path: Path, metrics: SiteMetrics) -> None:
-    """Run a gateway until SIGTERM or SIGINT.
+async def run_gateway(
+    settings: GatewaySettings, path: Path, metrics: SiteMetrics
+) -> signal.Signals:
+    """Run a gateway until SIGTERM or SIGINT; return which one.
 
     :param path: the settings file, named in the log on SIGHUP.
     :raises OSError: if an address can't be bound.
@@ -288,3 +290,4 @@
                 await gateway.stop()
                 break
         tasks.cancel_scope.cancel()
+    return number
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -80,8 +80,8 @@
             self.requested.set()
 
 
-async def run_ledger(settings: LedgerSettings, path: Path, metrics: SiteMetrics) -> None:
-    """Run a ledger node until SIGTERM or SIGINT.
+async def run_ledger(settings: LedgerSettings, path: Path, metrics: SiteMetrics) -> signal.Signals:
+    """Run a ledger node until SIGTERM or SIGINT; return which one.
 
     :param path: the settings file, named in the log on SIGHUP.
     :raises OSError: if the address can't be bound or the disk can't be read.
@@ -158,6 +158,7 @@
                 break
         tasks.cancel_scope.cancel()
     log.info("ledger_stopped", node=settings.node)
+    return signal_number
 
 
 async def _follow_as_member(
