Keep the signals of a process from its first line to its end

Operators saw processes that ended without a line in their log, with code -1, -2 or -15, after SIGHUP (the settings have changed) or SIGTERM that came in the first half second of a start or in a stop, when a SIGHUP or a second SIGTERM came while a process drained or just after its last line.

Cause: handlers stood only inside anyio.open_signal_receiver. It was entered after all libraries had been imported and, in a ledger node, its disk had been read; when it was left, it restored the default handlers while the process still ran.

Change: a SignalInbox is entered in the first lines of the program, before any library, for the three commands that serve. It keeps signals until they are taken. A SignalReceiver hands them to the event loop by the interpreter's wake-up socket and changes no handler when it is left. Once the command has ended, the signals are ignored, since the interpreter itself restores the handlers of all signals but those that are ignored. A signal to stop ends a process whose loop doesn't run yet as soon as the log is open, and cancels a start that is under way, which may wait long for an address or a disk; a gateway that takes callers already still serves them to the end. The node command uses the same, so that it survives SIGHUP too, and SIGUSR1 while it starts. Other commands keep their behaviour.

SIGPIPE is ignored in both roles, as before.

--- a/src/bramleylead/cli/_site_process.py
+++ b/src/bramleylead/cli/_site_process.py
@@ -7,6 +7,7 @@
 import sys
 from collections.abc import Awaitable
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import TypeVar
 
@@ -16,6 +17,8 @@
 
 from bramleylead._event_loop import new_event_loop
 from bramleylead._log_writer import LogWriter
+from bramleylead._signals import SignalInbox
+from bramleylead._signals import signals_of
 from bramleylead.cli._exit import ExitCode
 from bramleylead.cli._process_log import log_failed
 from bramleylead.cli._process_log import log_started
@@ -28,6 +31,8 @@
 SETTINGS_VARIABLE = "BRAMLEYLEAD_NODE_FILE"
 
 _S = TypeVar("_S", bound=SiteSettings)
+RunRole = Callable[[_S, Path, SiteMetrics, SignalInbox], Awaitable[signal.Signals]]
+"""Runs a role until a signal, and returns which one."""
 
 
 def define_settings_flag(values: flags.FlagValues) -> None:
@@ -40,16 +45,8 @@
     )
 
 
-def run_site_process(
-    name: str,
-    model: type[_S],
-    run: Callable[[_S, Path, SiteMetrics], Awaitable[signal.Signals]],
-    values: flags.FlagValues,
-) -> int:
-    """Check the settings whole, then run until a signal; the log's last line says how it ended.
-
-    :param run: runs the role, and returns the signal that stopped it.
-    """
+def run_site_process(name: str, model: type[_S], run: RunRole[_S], values: flags.FlagValues) -> int:
+    """Check the settings whole, then run until a signal; the log's last line says how it ended."""
     file = values.settings or os.environ.get(SETTINGS_VARIABLE, "")
     if not file:
         print(f"{name}: name a file by --settings or {SETTINGS_VARIABLE}", file=sys.stderr)
@@ -64,16 +61,23 @@
         for fault in loaded.err_value:
             print(f"{file}: {fault}", file=sys.stderr)
         return ExitCode.INVALID
-    settings = loaded.ok_value
+    with signals_of(name) as signals:
+        return _run_role(name, run, loaded.ok_value, Path(file), signals)
+
+
+def _run_role(
+    name: str, run: RunRole[_S], settings: _S, file: Path, signals: SignalInbox
+) -> ExitCode:
     with LogWriter(sys.stdout) as writer:
         metrics = SiteMetrics()
         configure_buffered_logs(writer, node=settings.node, count_line=metrics.count_line)
-        log_started(name, Path(file))
+        log_started(name, file)
+        if signals.stop_signal is not None:
+            return log_stopped(name, signals.stop_signal)
+        body = partial(run, settings, file, metrics, signals)
         options = {"loop_factory": new_event_loop}
         try:
-            number = anyio.run(
-                run, settings, Path(file), metrics, backend="asyncio", backend_options=options
-            )
+            number = anyio.run(body, backend="asyncio", backend_options=options)
         except Exception as error:
             return log_failed(name, error)
         return log_stopped(name, number)
--- a/src/bramleylead/cli/commands/node.py
+++ b/src/bramleylead/cli/commands/node.py
@@ -10,6 +10,7 @@
 from result import Err
 
 from bramleylead._event_loop import new_event_loop
+from bramleylead._signals import signals_of
 from bramleylead.cli._exit import ExitCode
 from bramleylead.cli._registry import command
 from bramleylead.logs import configure_logs
@@ -41,7 +42,10 @@
     code = ExitCode.INVALID
     try:
         options = {"loop_factory": new_event_loop}
-        graceful = anyio.run(run_node, settings, backend="asyncio", backend_options=options)
+        with signals_of("node") as signals:
+            graceful = anyio.run(
+                run_node, settings, signals, backend="asyncio", backend_options=options
+            )
         code = ExitCode.OK if graceful else ExitCode.FAILED
     except* (OSError, ValueError) as errors:
         for error in _leaves(errors):
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -13,6 +13,8 @@
 import structlog
 from anyio.abc import TaskGroup
 
+from bramleylead._signal_receiver import serve_until_stopped
+from bramleylead._signals import SignalInbox
 from bramleylead.connection import Network
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
@@ -157,6 +159,7 @@
             on_lost=self._selector.health.forget_failures,
         )
         self._http = HttpServer(self.app)
+        self._takes_callers = False
         self._ready = HttpServer(readiness_app(self.is_ready))
         self._metrics = HttpServer(metrics.app)
         metrics.describe(self._gauges, self._dump)
@@ -173,6 +176,7 @@
         :raises OSError: if an address can't be bound.
         """
         await self._tasks.start(self._http.serve, self._settings.http_address)
+        self._takes_callers = True
         await self._tasks.start(self._ready.serve, self._settings.ready_address)
         await self._tasks.start(self._metrics.serve, self._settings.metrics_address)
         await self._tasks.start(
@@ -197,10 +201,11 @@
         started_at = anyio.current_time()
         log.info("gateway_stopping", node=self._settings.node)
         self.app.closing = True
-        await anyio.sleep(UNREADY_BEFORE_STOP_S)
         stop_at = started_at + self._settings.stop_grace_s - STOP_MARGIN_S
-        self._http.stop(grace_s=stop_at - anyio.current_time())
-        await self._http.closed.wait()
+        if self._takes_callers:
+            await anyio.sleep(UNREADY_BEFORE_STOP_S)
+            self._http.stop(grace_s=stop_at - anyio.current_time())
+            await self._http.closed.wait()
         await self._peer_server.drain(timeout_s=max(0.0, stop_at - anyio.current_time()))
         log.info(
             "gateway_stopped",
@@ -247,7 +252,7 @@
 
 
 async def run_gateway(
-    settings: GatewaySettings, path: Path, metrics: SiteMetrics
+    settings: GatewaySettings, path: Path, metrics: SiteMetrics, signals: SignalInbox
 ) -> signal.Signals:
     """Run a gateway until SIGTERM or SIGINT; return which one.
 
@@ -281,13 +286,13 @@
             metrics=metrics,
             rng=rng,
         )
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            await gateway.start()
-            async for number in signals:
-                if number is signal.SIGHUP:
-                    log.info("settings_changed", node=settings.node, file=str(path))
-                    continue
-                await gateway.stop()
-                break
+        number = await serve_until_stopped(
+            signals,
+            gateway.start,
+            on_settings_changed=lambda: log.info(
+                "settings_changed", node=settings.node, file=str(path)
+            ),
+        )
+        await gateway.stop()
         tasks.cancel_scope.cancel()
     return number
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -14,6 +14,8 @@
 import anyio
 import structlog
 
+from bramleylead._signal_receiver import serve_until_stopped
+from bramleylead._signals import SignalInbox
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import TcpNetwork
@@ -80,7 +82,9 @@
             self.requested.set()
 
 
-async def run_ledger(settings: LedgerSettings, path: Path, metrics: SiteMetrics) -> signal.Signals:
+async def run_ledger(
+    settings: LedgerSettings, path: Path, metrics: SiteMetrics, signals: SignalInbox
+) -> signal.Signals:
     """Run a ledger node until SIGTERM or SIGINT; return which one.
 
     :param path: the settings file, named in the log on SIGHUP.
@@ -103,7 +107,6 @@
             peers=peers,
             data_centre=settings.data_centre,
         )
-        await node.load()
         node.register_handlers(server)
         shares = TrafficShares()
         load_sharing = LoadSharing(node, peers, shares)
@@ -133,7 +136,9 @@
             regions=settings.data_centres,
         )
         retirement = RetirementFollower(settings.node)
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+
+        async def start() -> None:
+            await node.load()
             tasks.start_soon(node.run_writer)
             tasks.start_soon(supervise, "load_sharing", load_sharing.run)
             await tasks.start(network.serve, address, server.serve_stream)
@@ -149,16 +154,19 @@
             run = partial(_run_membership, membership, retirement, store, settings.node)
             tasks.start_soon(supervise, "membership", run)
             log.info("ledger_serving", node=settings.node, address=address, disk=disk.name)
-            async for signal_number in signals:
-                if signal_number is signal.SIGHUP:
-                    log.info("settings_changed", node=settings.node, file=str(path))
-                    continue
-                log.info("ledger_stopping", node=settings.node)
-                await server.drain(timeout_s=DRAIN_TIMEOUT_S)
-                break
+
+        number = await serve_until_stopped(
+            signals,
+            start,
+            on_settings_changed=lambda: log.info(
+                "settings_changed", node=settings.node, file=str(path)
+            ),
+        )
+        log.info("ledger_stopping", node=settings.node)
+        await server.drain(timeout_s=DRAIN_TIMEOUT_S)
         tasks.cancel_scope.cancel()
     log.info("ledger_stopped", node=settings.node)
-    return signal_number
+    return number
 
 
 async def _follow_as_member(
--- a/src/bramleylead/process/_run_node.py
+++ b/src/bramleylead/process/_run_node.py
@@ -19,6 +19,9 @@
 from anyio.abc import TaskGroup
 from anyio.abc import TaskStatus
 
+from bramleylead._signal_receiver import SignalReceiver
+from bramleylead._signals import STOP_SIGNALS
+from bramleylead._signals import SignalInbox
 from bramleylead.backends import HttpBackends
 from bramleylead.connection import Network
 from bramleylead.connection import TcpNetwork
@@ -111,34 +114,40 @@
         closed.set()
 
 
-async def run_node(settings: NodeSettings) -> bool:
+async def run_node(settings: NodeSettings, signals: SignalInbox) -> bool:
     """Run a node until a signal ends it; return whether it stopped gracefully.
 
     SIGTERM and SIGINT stop it gracefully, and a second one ends it immediately. SIGUSR1 writes the
-    state dump to standard output as one line of JSON.
+    state dump to standard output as one line of JSON. SIGHUP is logged.
 
     :raises OSError: if an address can't be bound.
     :raises ValueError: if the store's location can't be used.
     """
     settings = with_free_ports(settings)
     metrics = Metrics()
-    async with (
-        open_store(settings.store, registry=metrics.registry) as store,
-        serve_node(
-            settings,
-            store=store,
-            network=TcpNetwork(),
-            rng=random.SystemRandom(),
-            metrics=metrics,
-        ) as served,
-    ):
-        log.info(
-            "node_serving",
-            node=settings.node,
-            http_address=settings.http_address,
-            peer_address=settings.peer_address,
-        )
-        return await _SignalHandler(served).run()
+    handler = _SignalHandler(settings.node, signals)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(handler.run, tasks)
+        async with (
+            open_store(settings.store, registry=metrics.registry) as store,
+            serve_node(
+                settings,
+                store=store,
+                network=TcpNetwork(),
+                rng=random.SystemRandom(),
+                metrics=metrics,
+            ) as served,
+        ):
+            log.info(
+                "node_serving",
+                node=settings.node,
+                http_address=settings.http_address,
+                peer_address=settings.peer_address,
+            )
+            handler.served = served
+            await handler.ended.wait()
+        tasks.cancel_scope.cancel()
+    return handler.is_graceful
 
 
 def with_free_ports(settings: NodeSettings) -> NodeSettings:
@@ -166,41 +175,56 @@
 
 @final
 class _SignalHandler:
-    """Handles the signals of a node's process."""
-
-    def __init__(self, served: ServedNode) -> None:
-        self._served = served
-        self._stopping = False
-        self._graceful = False
-
-    async def run(self) -> bool:
-        """Handle signals until the node has stopped; return whether it stopped gracefully."""
-        handled_signals = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
-        async with anyio.create_task_group() as tasks:
-            with anyio.open_signal_receiver(*handled_signals) as signals:
-                async for number in signals:
-                    if number is signal.SIGUSR1:
-                        tasks.start_soon(self._write_dump)
-                    else:
-                        self._on_stop_signal(tasks)
-        return self._graceful
+    """Handles the signals of a node's process.
 
-    def _on_stop_signal(self, tasks: TaskGroup) -> None:
-        if self._stopping:
-            log.warning("node_ended_at_once", node=self._served.node.settings.node)
-            tasks.cancel_scope.cancel()
-            return
-        self._stopping = True
-        tasks.start_soon(self._stop, tasks)
+    :ivar served: the node, once it has started; until then a signal to stop gives the start up.
+    :ivar ended: set when the node has stopped, or is to end at once.
+    """
 
-    async def _stop(self, tasks: TaskGroup) -> None:
-        await self._served.stop()
-        self._graceful = True
-        tasks.cancel_scope.cancel()
+    def __init__(self, node: str, signals: SignalInbox) -> None:
+        self._node = node
+        self._signals = signals
+        self._stop_scope = anyio.CancelScope()
+        self._is_stopping = False
+        self.served: ServedNode | None = None
+        self.is_graceful = False
+        self.ended = anyio.Event()
+
+    async def run(self, tasks: TaskGroup) -> None:
+        """Handle signals until cancelled.
+
+        :param tasks: runs what a signal asks for, and the start, which is cancelled with it.
+        """
+        with SignalReceiver(self._signals) as received:
+            async for number in received:
+                if number in STOP_SIGNALS:
+                    self._on_stop_signal(tasks)
+                elif number is signal.SIGHUP:
+                    log.info("hangup_ignored", node=self._node)
+                elif self.served is not None:
+                    tasks.start_soon(self._write_dump, self.served)
 
-    async def _write_dump(self) -> None:
+    def _on_stop_signal(self, tasks: TaskGroup) -> None:
+        if self.served is None:
+            log.info("node_start_given_up", node=self._node)
+            self.is_graceful = True
+            tasks.cancel_scope.cancel()
+        elif self._is_stopping:
+            log.warning("node_ended_at_once", node=self._node)
+            self._stop_scope.cancel()
+        else:
+            self._is_stopping = True
+            tasks.start_soon(self._stop, self.served)
+
+    async def _stop(self, served: ServedNode) -> None:
+        with self._stop_scope:
+            await served.stop()
+            self.is_graceful = True
+        self.ended.set()
+
+    async def _write_dump(self, served: ServedNode) -> None:
         """Write the dump in a worker thread, so that a slow reader can't block the node."""
-        line = dump_line(self._served.node.dump())
+        line = dump_line(served.node.dump())
         await anyio.to_thread.run_sync(_write, line, abandon_on_cancel=True)
 
 
--- a/testing/process/test_run_node.py
+++ b/testing/process/test_run_node.py
@@ -17,6 +17,8 @@
 import anyio
 import httpcore
 
+from bramleylead._signals import SIGNALS_OF_COMMAND
+from bramleylead._signals import SignalInbox
 from bramleylead.node_settings import NodeSettings
 from bramleylead.process import _node
 from bramleylead.process._run_node import free_address
@@ -58,7 +60,8 @@
     results: list[Any] = []
 
     async def serve() -> None:
-        ended.append(await run_node(node))
+        with SignalInbox(SIGNALS_OF_COMMAND["node"]) as signals:
+            ended.append(await run_node(node, signals))
 
     async def main() -> None:
         with anyio.fail_after(TEST_LIMIT_S):
@@ -89,6 +92,13 @@
         self.assertEqual((before, while_stopping), (503, 200))
         self.assertEqual(ended, [True])
 
+    # Guards against a node that ends by force: a signal in its start found no handler.
+    def test_a_signal_while_a_node_starts_gives_the_start_up(self) -> None:
+        with SignalInbox(SIGNALS_OF_COMMAND["node"]) as signals:
+            send(signal.SIGHUP)
+            send(signal.SIGTERM)
+            self.assertTrue(anyio.run(run_node, settings(), signals, backend="asyncio"))
+
     def test_a_second_signal_ends_the_node_immediately(self) -> None:
         async def body(node: NodeSettings) -> None:
             _node.LEAVE_PROPAGATION_S, original = TEST_LIMIT_S, _node.LEAVE_PROPAGATION_S
@@ -123,8 +133,9 @@
         with socket.socket() as taken:
             taken.bind(("127.0.0.1", int(node.http_address.rpartition(":")[2])))
             taken.listen()
+            signals = SignalInbox(SIGNALS_OF_COMMAND["node"])
             with self.assertRaises(BaseExceptionGroup) as raised:
-                anyio.run(run_node, node, backend="asyncio")
+                anyio.run(run_node, node, signals, backend="asyncio")
         self.assertIsNotNone(raised.exception.subgroup(OSError))
 
 
