Read a settings file again that is being replaced

Operators saw a gateway or ledger node end with code 3 right at its start, though its settings were right: the platform replaces the file at every start and whenever the settings change, and a process that read it in the middle found it missing, empty or cut off.

Cause: the file was read once.

A signal to stop ends the tries, with code 0.

--- a/src/bramleylead/cli/_site_process.py
+++ b/src/bramleylead/cli/_site_process.py
@@ -23,6 +23,7 @@
 from bramleylead.cli._process_log import log_failed
 from bramleylead.cli._process_log import log_started
 from bramleylead.cli._process_log import log_stopped
+from bramleylead.cli._settings_reading import read_settings
 from bramleylead.logs import configure_buffered_logs
 from bramleylead.site_metrics import SiteMetrics
 from bramleylead.site_settings import SiteSettings
@@ -49,22 +50,32 @@
     """Check the settings whole, then run until a signal; the log's last line says how it ended."""
     file = values.settings or os.environ.get(SETTINGS_VARIABLE, "")
     if not file:
-        print(f"{name}: name a file by --settings or {SETTINGS_VARIABLE}", file=sys.stderr)
+        _report(f"{name}: name a file by --settings or {SETTINGS_VARIABLE}")
         return ExitCode.USAGE
-    try:
-        text = Path(file).read_bytes()
-    except OSError as error:
-        print(f"{name}: {file}: {error.strerror}", file=sys.stderr)
-        return ExitCode.INVALID
-    loaded = load_model(model, text)
-    if isinstance(loaded, Err):
-        for fault in loaded.err_value:
-            print(f"{file}: {fault}", file=sys.stderr)
-        return ExitCode.INVALID
     with signals_of(name) as signals:
+        found = read_settings(Path(file), signals, report=_report)
+        if found.trouble is not None:
+            return _end_without_settings(file, found.trouble, signals.stop_signal)
+        loaded = load_model(model, found.text)
+        if isinstance(loaded, Err):
+            for fault in loaded.err_value:
+                _report(f"{file}: {fault}")
+            return ExitCode.INVALID
         return _run_role(name, run, loaded.ok_value, Path(file), signals)
 
 
+def _end_without_settings(file: str, trouble: str, number: signal.Signals | None) -> ExitCode:
+    if number is None:
+        _report(f"{file}: {trouble}")
+        return ExitCode.INVALID
+    _report(f"{file}: {trouble}: stopped by {number.name}")
+    return ExitCode.OK
+
+
+def _report(line: str) -> None:
+    print(line, file=sys.stderr, flush=True)
+
+
 def _run_role(
     name: str, run: RunRole[_S], settings: _S, file: Path, signals: SignalInbox
 ) -> ExitCode:
--- a/src/bramleylead/validation.py
+++ b/src/bramleylead/validation.py
@@ -59,6 +59,17 @@
         return Err(tuple(_to_fault(model, detail) for detail in details))
 
 
+def check_document(text: str | bytes) -> Fault | None:
+    """Return the fault of a text that is not one JSON document, such as one that is cut off."""
+    try:
+        json.loads(text)
+    except (json.JSONDecodeError, UnicodeDecodeError) as error:
+        return _document_fault(error)
+    except (RecursionError, ValueError):
+        pass
+    return None
+
+
 def show_value(value: Any) -> str:
     """Return a value as short JSON."""
     text = json.dumps(value, ensure_ascii=False, default=str)
@@ -74,11 +85,8 @@
 def _check_syntax(text: str | bytes) -> Fault | None:
     try:
         json.loads(text, object_pairs_hook=_unique_keys, parse_constant=_refuse_constant)
-    except json.JSONDecodeError as error:
-        place = f"line {error.lineno} column {error.colno}"
-        return Fault(place, error.msg, "must be one JSON document")
-    except UnicodeDecodeError as error:
-        return Fault(f"byte {error.start}", "not UTF-8", "must be UTF-8")
+    except (json.JSONDecodeError, UnicodeDecodeError) as error:
+        return _document_fault(error)
     except RecursionError:
         return Fault("(document)", "nested too deeply", "must be one JSON document")
     except _DuplicateKeyError as error:
@@ -88,6 +96,13 @@
     return None
 
 
+def _document_fault(error: json.JSONDecodeError | UnicodeDecodeError) -> Fault:
+    if isinstance(error, UnicodeDecodeError):
+        return Fault(f"byte {error.start}", "not UTF-8", "must be UTF-8")
+    place = f"line {error.lineno} column {error.colno}"
+    return Fault(place, error.msg, "must be one JSON document")
+
+
 def _unique_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     found = dict(pairs)
     if len(found) == len(pairs):
