Stop a ledger node that waits for its disk

Operators would have seen a ledger node whose disk can't be opened, such as with a file in the place of its folder, ignore SIGTERM until SIGKILL.

Cause: since the node waits for its disk instead of ending, the wait came before the part of the run in which signals are taken.

Evidence: the new test before the change: "subprocess.TimeoutExpired: ... timed out after 60.0 seconds"; by hand, SIGTERM 2 s after the start: no end within 10 s, log: process_started, disk_unreadable six times.

Change: complete_unless_stopped runs a step of a start and cancels it at a signal to stop, which stays in the inbox. The node then logs ledger_stopped and ends with code 0; the same by hand: code 0 at once.

--- a/src/bramleylead/_signal_receiver.py
+++ b/src/bramleylead/_signal_receiver.py
@@ -7,15 +7,21 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Self
+from typing import TypeVar
 from typing import final
 
 import anyio
+from result import Err
+from result import Ok
+from result import Result
 
 from bramleylead._signals import STOP_SIGNALS
 from bramleylead._signals import SignalInbox
 
 WAKE_BYTES = 4096
 
+_T = TypeVar("_T")
+
 
 @final
 class SignalReceiver:
@@ -49,8 +55,35 @@
             received = self._inbox.take()
             if received is not None:
                 return received
-            await anyio.wait_readable(self._reader)
-            self._reader.recv(WAKE_BYTES)
+            await self._wait()
+
+    async def wait_for_stop(self) -> signal.Signals:
+        """Wait for a signal to stop, and return it without taking it."""
+        while self._inbox.stop_signal is None:
+            await self._wait()
+        return self._inbox.stop_signal
+
+    async def _wait(self) -> None:
+        await anyio.wait_readable(self._reader)
+        self._reader.recv(WAKE_BYTES)
+
+
+async def complete_unless_stopped(
+    signals: SignalInbox, action: Callable[[], Awaitable[_T]]
+) -> Result[_T, signal.Signals]:
+    """Return an action's result, or the signal to stop that came before and cancelled it."""
+    async with anyio.create_task_group() as tasks:
+
+        async def cancel_at_stop() -> None:
+            with SignalReceiver(signals) as receiver:
+                await receiver.wait_for_stop()
+                tasks.cancel_scope.cancel()
+
+        tasks.start_soon(cancel_at_stop)
+        result = Ok(await action())
+        tasks.cancel_scope.cancel()
+        return result
+    return Err(signals.stop_signal)
 
 
 async def serve_until_stopped(
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -13,7 +13,9 @@
 
 import anyio
 import structlog
+from result import Err
 
+from bramleylead._signal_receiver import complete_unless_stopped
 from bramleylead._signal_receiver import serve_until_stopped
 from bramleylead._signals import SignalInbox
 from bramleylead.connection import PeerClient
@@ -102,7 +104,13 @@
         RunRecord(Path(settings.data_folder)) as run_record,
         anyio.create_task_group() as tasks,
     ):
-        disk = await open_disk(Path(settings.data_folder))
+        opened = await complete_unless_stopped(
+            signals, partial(open_disk, Path(settings.data_folder))
+        )
+        if isinstance(opened, Err):
+            log.info("ledger_stopped", node=settings.node)
+            return opened.err_value
+        disk = opened.ok_value
         await run_record.begin()
         node = LedgerNode(
             node=settings.node,
--- a/testing/cli/test_signals.py
+++ b/testing/cli/test_signals.py
@@ -116,9 +116,10 @@
 
         self.wait_until(is_done, before_each=send)
 
-    def end(self) -> Life:
-        """Wait for the end."""
+    def live(self, run: Callable[[Started], None]) -> Life:
+        """Do something to the process, wait for its end, and return how it lived."""
         try:
+            run(self)
             code = self.process.wait(LIMIT_S)
         finally:
             self.process.kill()
@@ -130,12 +131,7 @@
 def live(role: str, run: Callable[[Started], None], *command: str) -> Life:
     """Start a process, do something to it, and return how it lived."""
     with tempfile.TemporaryDirectory() as folder:
-        started = Started(role, Path(folder), *(command or ("-m", "bramleylead")))
-        try:
-            run(started)
-        finally:
-            life = started.end()
-    return life
+        return Started(role, Path(folder), *(command or ("-m", "bramleylead"))).live(run)
 
 
 class SignalsTest(unittest.TestCase):
@@ -200,3 +196,15 @@
             return live(role, send)
 
         self.check(run)
+
+    # Guards against a ledger node that only SIGKILL ends: it waited for its disk first.
+    def test_a_stop_is_clean_while_the_disk_can_not_be_opened(self) -> None:
+        def stop(started: Started) -> None:
+            started.wait_until(lambda: "disk_unreadable" in started.text)
+            started.process.terminate()
+
+        with tempfile.TemporaryDirectory() as folder:
+            (Path(folder) / "disk").write_text("no folder")
+            life = Started("ledger", Path(folder), "-m", "bramleylead").live(stop)
+        self.assertEqual(life.code, 0, life.events)
+        self.assertEqual(life.events[-2:], ["ledger_stopped", "process_ended"])
