Wait for a port that is in use instead of ending the process

Seen: a gateway or a ledger node one of whose ports was, at its start, the local port of somebody's outgoing connection for 1.5 s ended with code 1 and a trace (EADDRINUSE). Connections take their ports from the kernel, so this comes by chance on a machine that is shared; the next start meets the same until the connection has ended.

Cause: bind and listen were tried once, and the error ended the process's task group.

Change: one module opens all listeners. Processes that are started again when they end (gateway, ledger node) wait: for a port in use, and for a lack of descriptors or memory, as long as they are kept, since ending gains nothing; for other errors (EADDRNOTAVAIL, EACCES) 30 s, as only other settings cure them, and then they end with a line that says so. bind and listen are repeated together, as listen can fail with EADDRINUSE too. Commands that somebody runs (node, stand-ins) still report the error at once. The servers start beside the loop that takes signals, so that a process that waits can be stopped: a wait without a bound would otherwise have held up SIGTERM. A gateway starts its followers at once and is ready only when callers and nodes can reach it. The address of the metrics holds up nothing.

--- a/src/bramleylead/connection/_tcp.py
+++ b/src/bramleylead/connection/_tcp.py
@@ -10,9 +10,14 @@
 import anyio
 from anyio.abc import ByteStream
 from anyio.abc import SocketAttribute
+from anyio.abc import SocketListener
 from anyio.abc import SocketStream
 from anyio.abc import TaskStatus
 
+from bramleylead.connection._listener import bound_address
+from bramleylead.connection._listener import listener_opener
+from bramleylead.connection._listener import split_address
+
 KEEPALIVE_PROBES = 2
 KEEPALIVE_INTERVAL_S = 1
 MAX_PORT = 65_535
@@ -25,9 +30,11 @@
     :param keepalive_idle_s: idle time, in whole seconds, before the kernel sends keepalive probes
         on streams opened here; a stream whose probes are not answered is closed. 0 keeps the
         kernel's defaults.
+    :param waits_for_address: whether :meth:`serve` waits for an address that is in use.
     """
 
-    def __init__(self, *, keepalive_idle_s: int = 0) -> None:
+    def __init__(self, *, keepalive_idle_s: int = 0, waits_for_address: bool = False) -> None:
+        self._open_listener = listener_opener(waits=waits_for_address)
         self._options = keepalive_options(keepalive_idle_s)
 
     async def connect(self, address: str) -> ByteStream:
@@ -53,10 +60,12 @@
         *,
         task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Accept TCP streams on ``host:port``; port 0 selects a free port."""
-        host, port = split_address(address)
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
-        bound_port = listener.extra(SocketAttribute.local_port)
+        """Accept TCP streams on ``host:port``; port 0 selects a free port.
+
+        :raises OSError: if the address can't be used.
+        """
+        raw_listener = await self._open_listener(address)
+        listener = await SocketListener.from_socket(raw_listener)
 
         async def accept(stream: SocketStream) -> None:
             async with stream:
@@ -64,16 +73,10 @@
                 await handler(stream)
 
         async with listener:
-            task_status.started(f"{host}:{bound_port}")
+            task_status.started(bound_address(address, raw_listener))
             await listener.serve(accept)
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``host:port``; an IPv6 host must be in square brackets."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 def _target(address: str) -> tuple[str, int]:
     """Split an address to connect to.
 
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -156,28 +156,46 @@
             relays,
             on_lost=self._selector.health.forget_failures,
         )
-        self._http = HttpServer(self.app)
-        self._ready = HttpServer(readiness_app(self.is_ready))
-        self._metrics = HttpServer(metrics.app)
+        self._http = HttpServer(self.app, waits_for_address=True)
+        self._ready = HttpServer(readiness_app(self.is_ready), waits_for_address=True)
+        self._metrics = HttpServer(metrics.app, waits_for_address=True)
+        self._is_serving = False
         metrics.describe(self._gauges, self._dump)
 
     def is_ready(self) -> bool:
         """Whether the load balancer may send callers here."""
         return (
-            self.directory.is_complete and not self.app.closing and not self._ledger.is_unavailable
+            self._is_serving
+            and self.directory.is_complete
+            and not self.app.closing
+            and not self._ledger.is_unavailable
         )
 
     async def start(self) -> None:
-        """Start the servers and the background tasks.
+        """Start the background tasks and the servers; return once requests can arrive.
 
-        :raises OSError: if an address can't be bound.
+        :raises OSError: if an address can't be used.
         """
-        await self._tasks.start(self._http.serve, self._settings.http_address)
-        await self._tasks.start(self._ready.serve, self._settings.ready_address)
-        await self._tasks.start(self._metrics.serve, self._settings.metrics_address)
+        self._start_background_tasks()
+        self._tasks.start_soon(self._metrics.serve, self._settings.metrics_address)
+        async with anyio.create_task_group() as starting:
+            starting.start_soon(self._tasks.start, self._http.serve, self._settings.http_address)
+            starting.start_soon(self._tasks.start, self._ready.serve, self._settings.ready_address)
+            starting.start_soon(self._start_peer_server)
+        self._is_serving = True
+        log.info(
+            "gateway_serving",
+            node=self._settings.node,
+            http_address=self._settings.http_address,
+            data_centre=self._settings.data_centre,
+        )
+
+    async def _start_peer_server(self) -> None:
         await self._tasks.start(
             self._network.serve, self._settings.peer_address, self._peer_server.serve_stream
         )
+
+    def _start_background_tasks(self) -> None:
         for follower in (ConfigurationFollower(self.directory), ReplicaFollower(self.directory)):
             run = partial(follow, self._objects, follower, self._rng)
             self._tasks.start_soon(supervise, f"follow_{follower.kind}", run)
@@ -185,12 +203,6 @@
         self._tasks.start_soon(supervise, "maintenance", self._run_maintenance)
         self._tasks.start_soon(supervise, "ledger_probes", self._ledger.run_probes)
         self._tasks.start_soon(supervise, "path_monitor", self._path_monitor.run)
-        log.info(
-            "gateway_serving",
-            node=self._settings.node,
-            http_address=self._settings.http_address,
-            data_centre=self._settings.data_centre,
-        )
 
     async def stop(self) -> None:
         """Report unready to the load balancer, finish the requests in flight, and stop."""
@@ -250,10 +262,10 @@
     """Run a gateway until SIGTERM or SIGINT.
 
     :param path: the settings file, named in the log on SIGHUP.
-    :raises OSError: if an address can't be bound.
+    :raises OSError: if an address can't be used. A port that is in use is waited for.
     """
     rng = random.Random(settings.random_seed)
-    network = TcpNetwork(keepalive_idle_s=PEER_SILENT_AFTER_S)
+    network = TcpNetwork(keepalive_idle_s=PEER_SILENT_AFTER_S, waits_for_address=True)
     async with (
         PlatformStore(settings.store.address) as store,
         PeerClient(network, node=settings.node, cluster_key=settings.cluster_key) as peers,
@@ -280,7 +292,7 @@
             rng=rng,
         )
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            await gateway.start()
+            tasks.start_soon(gateway.start)
             async for number in signals:
                 if number is signal.SIGHUP:
                     log.info("settings_changed", node=settings.node, file=str(path))
--- a/src/bramleylead/http/_server.py
+++ b/src/bramleylead/http/_server.py
@@ -22,7 +22,9 @@
 from anyio.abc import TaskStatus
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
-from bramleylead.connection._tcp import split_address
+from bramleylead.connection._listener import BACKLOG_CONNECTIONS
+from bramleylead.connection._listener import bound_address
+from bramleylead.connection._listener import listener_opener
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.http._exchange import Receive
@@ -34,7 +36,6 @@
 from bramleylead.http._responses import failure_body
 from bramleylead.http._responses import failure_headers
 
-BACKLOG_CONNECTIONS = 1024
 HEADER_TIMEOUT_S = 10.0
 HTTP_KEEP_ALIVE_S = 30
 MAX_HEADER_BYTES = 32_000
@@ -56,9 +57,11 @@
     """One HTTP listener of one node.
 
     :param app: the ASGI callable.
+    :param waits_for_address: whether :meth:`serve` waits for an address that is in use.
     """
 
-    def __init__(self, app: Callable[..., Any]) -> None:
+    def __init__(self, app: Callable[..., Any], *, waits_for_address: bool = False) -> None:
+        self._open_listener = listener_opener(waits=waits_for_address)
         config = uvicorn.Config(
             app,
             interface="asgi3",
@@ -76,6 +79,8 @@
             h11_max_incomplete_event_size=MAX_HEADER_BYTES,
         )
         self._server = _Server(config)
+        self._opening: anyio.CancelScope | None = None
+        self._is_stopped = False
         self.closed = anyio.Event()
 
     async def serve(
@@ -85,16 +90,18 @@
 
         ``task_status.started()`` receives the bound address. Cancelling aborts every connection.
 
-        :raises OSError: if the address can't be bound.
+        :raises OSError: if the address can't be used.
         """
-        listener = _bind(address)
-        bound = f"{address.rpartition(':')[0]}:{listener.getsockname()[1]}"
-        self._server.on_started = lambda: task_status.started(bound)
+        listener = await self._open(address)
         try:
-            await self._server.serve(sockets=[listener])
+            if listener is not None:
+                bound = bound_address(address, listener)
+                self._server.on_started = lambda: task_status.started(bound)
+                await self._server.serve(sockets=[listener])
         finally:
             self._server.abort_all()
-            listener.close()
+            if listener is not None:
+                listener.close()
             self.closed.set()
 
     def stop(self, *, grace_s: float) -> None:
@@ -103,13 +110,29 @@
         :param grace_s: requests still running after this time are cancelled.
         """
         self._server.config.timeout_graceful_shutdown = grace_s  # type: ignore[assignment]
-        self._server.request_exit()
+        self._exit()
 
     def kill(self) -> None:
         """Abort the listener, every connection and every request at once, like a process crash."""
         self._server.force_exit = True
         self._server.abort_all()
+        self._exit()
+
+    async def _open(self, address: str) -> socket.socket | None:
+        """Return a listener, or None if the server is stopped before it has its address."""
+        with anyio.CancelScope() as self._opening:
+            if not self._is_stopped:
+                return await self._open_listener(address, _set_tcp_timeouts)
+        return None
+
+    def _exit(self) -> None:
+        """End :meth:`serve`, also while it waits for its address or before it is called."""
+        self._is_stopped = True
         self._server.request_exit()
+        if self._opening is None:
+            self.closed.set()
+        else:
+            self._opening.cancel()
 
 
 class _Server(uvicorn.Server):
@@ -271,24 +294,3 @@
         (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
     ):
         listener.setsockopt(socket.IPPROTO_TCP, option, value)
-
-
-def _bind(address: str) -> socket.socket:
-    """Return a bound socket.
-
-    The protocol is passed explicitly, because asyncio sets TCP_NODELAY only on sockets whose
-    protocol is TCP. With Nagle's algorithm a response waits some 40 ms for the caller's
-    acknowledgement.
-    """
-    host, port = split_address(address)
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    try:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        _set_tcp_timeouts(listener)
-        listener.bind((host, port))
-        listener.setblocking(False)
-    except OSError:
-        listener.close()
-        raise
-    return listener
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -84,10 +84,11 @@
     """Run a ledger node until SIGTERM or SIGINT.
 
     :param path: the settings file, named in the log on SIGHUP.
-    :raises OSError: if the address can't be bound or the disk can't be read.
+    :raises OSError: if an address can't be used, or the disk can't be read. A port that is in use
+        is waited for.
     """
     rng = random.Random(settings.random_seed)
-    network = TcpNetwork(keepalive_idle_s=SILENT_AFTER_S)
+    network = TcpNetwork(keepalive_idle_s=SILENT_AFTER_S, waits_for_address=True)
     address = settings.peer_address
     server = PeerServer(node=settings.node, cluster_key=settings.cluster_key)
     async with (
@@ -133,11 +134,12 @@
             regions=settings.data_centres,
         )
         retirement = RetirementFollower(settings.node)
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            tasks.start_soon(node.run_writer)
-            tasks.start_soon(supervise, "load_sharing", load_sharing.run)
+        metrics_server = HttpServer(metrics.app, waits_for_address=True)
+
+        async def start() -> None:
+            tasks.start_soon(metrics_server.serve, settings.metrics_address)
             await tasks.start(network.serve, address, server.serve_stream)
-            await tasks.start(HttpServer(metrics.app).serve, settings.metrics_address)
+            tasks.start_soon(supervise, "load_sharing", load_sharing.run)
             tasks.start_soon(supervise, "expiry", partial(_run_expiry, node))
             tasks.start_soon(supervise, "store_probes", monitored_store.run)
             for kind in GATEWAY_KINDS:
@@ -149,6 +151,10 @@
             run = partial(_run_membership, membership, retirement, store, settings.node)
             tasks.start_soon(supervise, "membership", run)
             log.info("ledger_serving", node=settings.node, address=address, disk=disk.name)
+
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            tasks.start_soon(node.run_writer)
+            tasks.start_soon(start)
             async for signal_number in signals:
                 if signal_number is signal.SIGHUP:
                     log.info("settings_changed", node=settings.node, file=str(path))
