Go on accepting connections after every error of the system

Seen: with 120 descriptors and 200 idle connections at the port for nodes a gateway and a ledger node ended with code 1 (OSError: [Errno 24] Too many open files). At the port for callers asyncio wrote a trace for each failed accept and paused for a second.

Cause: the loop that accepted nodes' connections ended with the first error of accept, of the set-up of a connection that had been reset already, or of the code that served one connection; the process's task group ended with it.

Change: one acceptor serves both kinds of listeners. An error of accept costs a pause of 10 ms to 0.5 s and a line every 10 s with the name of the error and how often it came; an error of one connection's set-up or handler costs this connection, with a trace unless it is the system's. A listener on which no later call can succeed is opened anew at its address. uvicorn's way to accept is no longer used: at EMFILE it repeats accept up to 1,024 times, with a trace and a timer each, before it pauses.

--- /dev/null
+++ b/src/bramleylead/connection/_accept.py
@@ -0,0 +1,134 @@
+"""Accepts connections, and goes on after every error that the system returns for it."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import final
+
+import anyio
+import structlog
+from anyio.abc import TaskGroup
+
+from bramleylead.connection._listener import bound_address
+from bramleylead.connection._listener import error_name
+from bramleylead.connection._listener import open_listener
+from bramleylead.connection._listener import retry_delays
+from bramleylead.connection._listener import wait_for_listener
+
+MAX_ACCEPTED_AT_ONCE = 64
+FIRST_PAUSE_S = 0.01
+MAX_PAUSE_S = 0.5
+LOG_INTERVAL_S = 10.0
+BROKEN_LISTENER = frozenset({errno.EBADF, errno.EINVAL, errno.ENOTSOCK, errno.EOPNOTSUPP})
+"""Errors that no later call on the same socket is free of."""
+
+log = structlog.get_logger()
+
+
+@final
+class Acceptor:
+    """Accepts connections at one address; an error costs at most one of them.
+
+    :param serve: serves one connection, and closes its socket.
+    :param waits_for_address: whether :meth:`open` waits for an address that is in use.
+    :param prepare: sets options of the listener before it is bound.
+    """
+
+    def __init__(
+        self,
+        serve: Callable[[socket.socket], Awaitable[None]],
+        *,
+        waits_for_address: bool,
+        prepare: Callable[[socket.socket], None] | None = None,
+    ) -> None:
+        self._serve = serve
+        self._waits_for_address = waits_for_address
+        self._prepare = prepare
+        self._listener: socket.socket | None = None
+        self._address = ""
+        self._last_logged: dict[str, float] = {}
+        self._unlogged: dict[str, int] = {}
+
+    async def open(self, address: str) -> str:
+        """Listen on ``host:port`` and return the bound address; port 0 selects a free port.
+
+        :raises OSError: if the address can't be used.
+        """
+        open_now = wait_for_listener if self._waits_for_address else open_listener
+        self._listener = await open_now(address, self._prepare)
+        self._address = bound_address(address, self._listener)
+        return self._address
+
+    async def run(self, connections: TaskGroup) -> None:
+        """Accept connections until closed; each is served by a task of ``connections``.
+
+        A listener that is broken is replaced by another one at the same address.
+        """
+        while self._listener is not None:
+            try:
+                await self._accept_all(self._listener, connections)
+            except anyio.ClosedResourceError:
+                return
+            except OSError as error:
+                log.error("listener_failed", address=self._address, kind=error_name(error))
+                self.close()
+                self._listener = await wait_for_listener(self._address, self._prepare)
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._listener is not None:
+            anyio.notify_closing(self._listener)
+            self._listener.close()
+            self._listener = None
+
+    async def _accept_all(self, listener: socket.socket, connections: TaskGroup) -> None:
+        """Accept connections until the listener is broken.
+
+        :raises anyio.ClosedResourceError: if it is closed here.
+        :raises OSError: if no later call on it can succeed.
+        """
+        delays = retry_delays(FIRST_PAUSE_S, MAX_PAUSE_S)
+        while self._listener is listener:
+            await anyio.wait_readable(listener)
+            try:
+                self._accept_pending(listener, connections)
+            except OSError as error:
+                if error.errno in BROKEN_LISTENER:
+                    raise
+                self._note(error)
+                await anyio.sleep(next(delays))
+            else:
+                delays = retry_delays(FIRST_PAUSE_S, MAX_PAUSE_S)
+
+    def _accept_pending(self, listener: socket.socket, connections: TaskGroup) -> None:
+        for _ in range(MAX_ACCEPTED_AT_ONCE):
+            try:
+                connection, _ = listener.accept()
+            except BlockingIOError:
+                return
+            connection.setblocking(False)
+            connections.start_soon(self._serve_safely, connection)
+
+    async def _serve_safely(self, connection: socket.socket) -> None:
+        """Serve one connection; an error of it ends this connection only."""
+        try:
+            await self._serve(connection)
+        except OSError as error:
+            self._note(error)
+        except Exception as error:
+            reason = f"{type(error).__name__}: {error}"
+            log.exception("connection_failed", address=self._address, reason=reason)
+
+    def _note(self, error: OSError) -> None:
+        """Log an error of the system, each kind at most once in ``LOG_INTERVAL_S``."""
+        kind = error_name(error)
+        self._unlogged[kind] = self._unlogged.get(kind, 0) + 1
+        now = anyio.current_time()
+        if now - self._last_logged.get(kind, -LOG_INTERVAL_S) < LOG_INTERVAL_S:
+            return
+        self._last_logged[kind] = now
+        failures = self._unlogged.pop(kind)
+        log.warning("accept_failed", address=self._address, kind=kind, failures=failures)
--- a/src/bramleylead/connection/_listener.py
+++ b/src/bramleylead/connection/_listener.py
@@ -1,4 +1,4 @@
-"""Opens a listening socket; on request, waits for its address while the system can't give it.
+"""Opens listening sockets, at once or as soon as the system gives the address.
 
 A port can be in use for a while through no fault of the settings: by a connection that somebody
 else has opened from it, or by a former process that has not ended yet. Ending a process
@@ -11,7 +11,6 @@
 import socket
 from collections.abc import Callable
 from collections.abc import Iterator
-from typing import Protocol
 
 import anyio
 import structlog
@@ -38,20 +37,7 @@
 log = structlog.get_logger()
 
 
-class ListenerOpener(Protocol):
-    """Opens a listener."""
-
-    async def __call__(
-        self, address: str, prepare: Callable[[socket.socket], None] | None = None
-    ) -> socket.socket:
-        """Return a non-blocking socket that listens.
-
-        :raises OSError: if the address can't be used.
-        """
-        ...
-
-
-def open_listener(
+async def open_listener(
     address: str, prepare: Callable[[socket.socket], None] | None = None
 ) -> socket.socket:
     """Return a non-blocking socket that listens on ``host:port``.
@@ -92,7 +78,7 @@
     kind = ""
     while True:
         try:
-            listener = open_listener(address, prepare)
+            listener = await open_listener(address, prepare)
         except OSError as error:
             waited_s = round(anyio.current_time() - started, 3)
             is_passing = error.errno in PASSING_ERRORS
@@ -112,21 +98,6 @@
         await anyio.sleep(next(delays))
 
 
-def listener_opener(*, waits: bool) -> ListenerOpener:
-    """Return the function that opens listeners.
-
-    :param waits: whether it waits for an address. A process that is started again when it ends
-        waits; a command that somebody runs reports the error at once.
-    """
-
-    async def open_at_once(
-        address: str, prepare: Callable[[socket.socket], None] | None = None
-    ) -> socket.socket:
-        return open_listener(address, prepare)
-
-    return wait_for_listener if waits else open_at_once
-
-
 def bound_address(address: str, listener: socket.socket) -> str:
     """Return an address with the port that a listener has been given for it."""
     return f"{address.rpartition(':')[0]}:{listener.getsockname()[1]}"
--- a/src/bramleylead/connection/_tcp.py
+++ b/src/bramleylead/connection/_tcp.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -10,12 +11,10 @@
 import anyio
 from anyio.abc import ByteStream
 from anyio.abc import SocketAttribute
-from anyio.abc import SocketListener
 from anyio.abc import SocketStream
 from anyio.abc import TaskStatus
 
-from bramleylead.connection._listener import bound_address
-from bramleylead.connection._listener import listener_opener
+from bramleylead.connection._accept import Acceptor
 from bramleylead.connection._listener import split_address
 
 KEEPALIVE_PROBES = 2
@@ -34,7 +33,7 @@
     """
 
     def __init__(self, *, keepalive_idle_s: int = 0, waits_for_address: bool = False) -> None:
-        self._open_listener = listener_opener(waits=waits_for_address)
+        self._waits_for_address = waits_for_address
         self._options = keepalive_options(keepalive_idle_s)
 
     async def connect(self, address: str) -> ByteStream:
@@ -64,17 +63,34 @@
 
         :raises OSError: if the address can't be used.
         """
-        raw_listener = await self._open_listener(address)
-        listener = await SocketListener.from_socket(raw_listener)
 
-        async def accept(stream: SocketStream) -> None:
-            async with stream:
+        async def serve_connection(connection: socket.socket) -> None:
+            async with await _wrap(connection) as stream:
                 _set_nodelay(stream)
                 await handler(stream)
 
-        async with listener:
-            task_status.started(bound_address(address, raw_listener))
-            await listener.serve(accept)
+        acceptor = Acceptor(serve_connection, waits_for_address=self._waits_for_address)
+        bound = await acceptor.open(address)
+        try:
+            async with anyio.create_task_group() as connections:
+                task_status.started(bound)
+                await acceptor.run(connections)
+        finally:
+            acceptor.close()
+
+
+async def _wrap(connection: socket.socket) -> SocketStream:
+    """Return an accepted connection as a stream, or close it.
+
+    :raises OSError: if it has been reset already.
+    """
+    try:
+        return await SocketStream.from_socket(connection)
+    except BaseException as error:
+        connection.close()
+        if isinstance(error, ValueError):
+            raise ConnectionResetError(errno.ECONNRESET, str(error)) from error
+        raise
 
 
 def _target(address: str) -> tuple[str, int]:
--- a/src/bramleylead/http/_server.py
+++ b/src/bramleylead/http/_server.py
@@ -22,9 +22,7 @@
 from anyio.abc import TaskStatus
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
-from bramleylead.connection._listener import BACKLOG_CONNECTIONS
-from bramleylead.connection._listener import bound_address
-from bramleylead.connection._listener import listener_opener
+from bramleylead.connection._accept import Acceptor
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.http._exchange import Receive
@@ -61,7 +59,6 @@
     """
 
     def __init__(self, app: Callable[..., Any], *, waits_for_address: bool = False) -> None:
-        self._open_listener = listener_opener(waits=waits_for_address)
         config = uvicorn.Config(
             app,
             interface="asgi3",
@@ -74,11 +71,10 @@
             proxy_headers=False,
             server_header=False,
             date_header=False,
-            backlog=BACKLOG_CONNECTIONS,
             timeout_keep_alive=HTTP_KEEP_ALIVE_S,
             h11_max_incomplete_event_size=MAX_HEADER_BYTES,
         )
-        self._server = _Server(config)
+        self._server = _Server(config, waits_for_address=waits_for_address)
         self._opening: anyio.CancelScope | None = None
         self._is_stopped = False
         self.closed = anyio.Event()
@@ -92,16 +88,13 @@
 
         :raises OSError: if the address can't be used.
         """
-        listener = await self._open(address)
         try:
-            if listener is not None:
-                bound = bound_address(address, listener)
+            bound = await self._open(address)
+            if bound:
                 self._server.on_started = lambda: task_status.started(bound)
-                await self._server.serve(sockets=[listener])
+                await self._server.serve()
         finally:
             self._server.abort_all()
-            if listener is not None:
-                listener.close()
             self.closed.set()
 
     def stop(self, *, grace_s: float) -> None:
@@ -118,12 +111,12 @@
         self._server.abort_all()
         self._exit()
 
-    async def _open(self, address: str) -> socket.socket | None:
-        """Return a listener, or None if the server is stopped before it has its address."""
+    async def _open(self, address: str) -> str:
+        """Return the bound address, or nothing if the server is stopped before it has one."""
         with anyio.CancelScope() as self._opening:
             if not self._is_stopped:
-                return await self._open_listener(address, _set_tcp_timeouts)
-        return None
+                return await self._server.acceptor.open(address)
+        return ""
 
     def _exit(self) -> None:
         """End :meth:`serve`, also while it waits for its address or before it is called."""
@@ -136,11 +129,14 @@
 
 
 class _Server(uvicorn.Server):
-    """uvicorn without signal handlers and without polling."""
+    """uvicorn without signal handlers and polling, and with this project's way to accept."""
 
-    def __init__(self, config: uvicorn.Config) -> None:
+    def __init__(self, config: uvicorn.Config, *, waits_for_address: bool) -> None:
         super().__init__(config)
         self._exit_requested = anyio.Event()
+        self.acceptor = Acceptor(
+            self._connect, waits_for_address=waits_for_address, prepare=_set_tcp_timeouts
+        )
         self.servers = []
         self.on_started: Callable[[], None] = lambda: None
 
@@ -150,14 +146,20 @@
         yield
 
     async def startup(self, sockets: list[socket.socket] | None = None) -> None:
-        """Start, then call ``on_started``, as the address is now bound."""
-        await super().startup(sockets)
+        """Start; the acceptor has been opened."""
+        await self.lifespan.startup()
+        self.started = True
         self.on_started()
 
     async def main_loop(self) -> None:
-        """Wait until :meth:`request_exit` is called."""
+        """Accept connections until :meth:`request_exit` is called."""
         await self.on_tick(0)
-        await self._exit_requested.wait()
+        async with anyio.create_task_group() as connecting:
+            async with anyio.create_task_group() as accepting:
+                accepting.start_soon(self.acceptor.run, connecting)
+                await self._exit_requested.wait()
+                accepting.cancel_scope.cancel()
+            self.acceptor.close()
 
     def request_exit(self) -> None:
         """Make :meth:`main_loop` return."""
@@ -166,13 +168,24 @@
 
     def abort_all(self) -> None:
         """Close the listener, abort every connection, cancel every request."""
-        for server in self.servers:
-            server.close()
+        self.acceptor.close()
         for connection in list(self.server_state.connections):
             connection.transport.abort()
         for task in list(self.server_state.tasks):
             task.cancel()
 
+    async def _connect(self, connection: socket.socket) -> None:
+        """Hand an accepted connection over to its protocol."""
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.connect_accepted_socket(self._new_protocol, connection)
+        except BaseException:
+            connection.close()
+            raise
+
+    def _new_protocol(self) -> _HttpProtocol:
+        return _HttpProtocol(self.config, self.server_state, self.lifespan.state)
+
 
 class _HttpProtocol(H11Protocol):
     """uvicorn's protocol with a header timeout and the error responses of :class:`HttpApp`."""
--- a/testing/gateway/test_processes.py
+++ b/testing/gateway/test_processes.py
@@ -83,16 +83,17 @@
         self._stack.push_async_callback(_kill, process)
         self.processes[name] = process
 
-    async def start_ledger(self, name: str) -> None:
-        await self.start(name, "ledger", data_folder=str(self._folder / name))
+    async def start_ledger(self, name: str, **extra_settings: Any) -> None:
+        await self.start(name, "ledger", data_folder=str(self._folder / name), **extra_settings)
 
-    async def start_gateway(self) -> None:
+    async def start_gateway(self, **extra_settings: Any) -> None:
         await self.start(
             "gateway",
             "gateway",
             http_address=self.http,
             ready_address=self.ready,
             metrics_address=self.metrics,
+            **extra_settings,
         )
 
     async def request(self, address: str, path: str, **options: Any) -> HttpResponse | None:
--- a/testing/gateway/test_system_errors.py
+++ b/testing/gateway/test_system_errors.py
@@ -2,20 +2,57 @@
 
 from __future__ import annotations
 
+import resource
 import signal
+import socket
 import tempfile
 import unittest
 from contextlib import AsyncExitStack
+from contextlib import suppress
 from pathlib import Path
 
 import anyio
+import anyio.lowlevel
+from anyio.abc import Process
 
+from bramleylead.connection._free_ports import find_free_port
 from bramleylead.connection._listener import split_address
+from bramleylead.connection._server import HANDSHAKE_TIMEOUT_S
 from testing.connection.test_listener import held_port
 from testing.gateway.test_processes import TIMEOUT_S
 from testing.gateway.test_processes import Site
 
 NO_STORE = "127.0.0.1:9"
+FEW_DESCRIPTORS = 120
+MORE_CONNECTIONS = 200
+
+
+def limit_descriptors(process: Process) -> None:
+    """Leave a running process few descriptors."""
+    limits = (FEW_DESCRIPTORS, FEW_DESCRIPTORS)
+    resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
+
+
+async def hold_connections(address: str, stack: AsyncExitStack) -> None:
+    """Open idle connections and hold them; those that nobody accepts wait in the backlog."""
+    for _ in range(MORE_CONNECTIONS):
+        connection = stack.enter_context(socket.socket())
+        connection.setblocking(False)
+        connection.connect_ex(split_address(address))
+        await anyio.lowlevel.checkpoint()
+
+
+async def answers(address: str) -> None:
+    """Wait until a server answers HTTP on a new connection, or closes one without an answer."""
+    with anyio.fail_after(TIMEOUT_S):
+        async with await anyio.connect_tcp(*split_address(address)) as stream:
+            await stream.send(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+            with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                await stream.receive()
+
+
+def port_of(address: str) -> int:
+    return split_address(address)[1]
 
 
 async def wait_for_line(site: Site, name: str, event: str) -> None:
@@ -59,6 +96,32 @@
 
         anyio.run(main)
 
+    # Guards against a process that ends since accept has no descriptor left.
+    def test_idle_connections_at_any_port_do_not_end_a_gateway_or_a_ledger_node(self) -> None:
+        async def main() -> None:
+            async with AsyncExitStack() as stack:
+                folder = stack.enter_context(tempfile.TemporaryDirectory())
+                site = Site(Path(folder), NO_STORE, stack)
+                nodes, ledger_nodes = (f"127.0.0.1:{find_free_port('127.0.0.1')}" for _ in "12")
+                await site.start_gateway(peer_ports=[port_of(nodes), 0])
+                await site.start_ledger("l", peer_ports=[port_of(ledger_nodes), 0])
+                await wait_for_line(site, "gateway", "gateway_serving")
+                await wait_for_line(site, "l", "ledger_serving")
+                for process in site.processes.values():
+                    limit_descriptors(process)
+                for address in (nodes, ledger_nodes, site.http, site.metrics):
+                    async with AsyncExitStack() as connections:
+                        await hold_connections(address, connections)
+                        await anyio.sleep(HANDSHAKE_TIMEOUT_S)
+                    await answers(address)
+                for name, process in site.processes.items():
+                    self.assertIsNone(process.returncode, name)
+                    process.send_signal(signal.SIGTERM)
+                    with anyio.fail_after(TIMEOUT_S):
+                        self.assertEqual(await process.wait(), 0)
+
+        anyio.run(main)
+
 
 if __name__ == "__main__":
     unittest.main()
