Register the listener of callers once, not for each connection

Cause: waiting through anyio registers and removes the listener at the selector for each connection, and a task of a task group costs more than a plain one.

Change: the module that drives uvicorn watches its listener itself and starts plain tasks.

--- a/src/bramleylead/connection/_accept.py
+++ b/src/bramleylead/connection/_accept.py
@@ -6,11 +6,11 @@
 import socket
 from collections.abc import Awaitable
 from collections.abc import Callable
+from functools import partial
 from typing import final
 
 import anyio
 import structlog
-from anyio.abc import TaskGroup
 
 from bramleylead.connection._listener import bound_address
 from bramleylead.connection._listener import error_name
@@ -27,6 +27,17 @@
 
 log = structlog.get_logger()
 
+Serve = Callable[[socket.socket], Awaitable[None]]
+StartTask = Callable[[Serve, socket.socket], object]
+Watch = Callable[[socket.socket, Callable[[], None]], Awaitable[None]]
+
+
+async def watch_readable(watched: socket.socket, on_readable: Callable[[], None]) -> None:
+    """Call a function whenever a socket is readable, until it raises an error."""
+    while True:
+        await anyio.wait_readable(watched)
+        on_readable()
+
 
 @final
 class Acceptor:
@@ -35,18 +46,22 @@
     :param serve: serves one connection, and closes its socket.
     :param waits_for_address: whether :meth:`open` waits for an address that is in use.
     :param prepare: sets options of the listener before it is bound.
+    :param watch: calls a function whenever a socket is readable, until that raises an error.
     """
 
     def __init__(
         self,
-        serve: Callable[[socket.socket], Awaitable[None]],
+        serve: Serve,
         *,
         waits_for_address: bool,
         prepare: Callable[[socket.socket], None] | None = None,
+        watch: Watch = watch_readable,
     ) -> None:
         self._serve = serve
         self._waits_for_address = waits_for_address
         self._prepare = prepare
+        self._watch = watch
+        self._pauses = retry_delays(FIRST_PAUSE_S, MAX_PAUSE_S)
         self._listener: socket.socket | None = None
         self._address = ""
         self._last_logged: dict[str, float] = {}
@@ -62,14 +77,16 @@
         self._address = bound_address(address, self._listener)
         return self._address
 
-    async def run(self, connections: TaskGroup) -> None:
-        """Accept connections until closed; each is served by a task of ``connections``.
+    async def run(self, start_task: StartTask) -> None:
+        """Accept connections until closed.
 
         A listener that is broken is replaced by another one at the same address.
+
+        :param start_task: starts a task that serves one connection.
         """
         while self._listener is not None:
             try:
-                await self._accept_all(self._listener, connections)
+                await self._accept_all(self._listener, start_task)
             except anyio.ClosedResourceError:
                 return
             except OSError as error:
@@ -84,33 +101,35 @@
             self._listener.close()
             self._listener = None
 
-    async def _accept_all(self, listener: socket.socket, connections: TaskGroup) -> None:
+    async def _accept_all(self, listener: socket.socket, start_task: StartTask) -> None:
         """Accept connections until the listener is broken.
 
         :raises anyio.ClosedResourceError: if it is closed here.
         :raises OSError: if no later call on it can succeed.
         """
-        delays = retry_delays(FIRST_PAUSE_S, MAX_PAUSE_S)
+        accept_pending = partial(self._accept_pending, listener, start_task)
         while self._listener is listener:
-            await anyio.wait_readable(listener)
             try:
-                self._accept_pending(listener, connections)
+                await self._watch(listener, accept_pending)
             except OSError as error:
                 if error.errno in BROKEN_LISTENER:
                     raise
                 self._note(error)
-                await anyio.sleep(next(delays))
-            else:
-                delays = retry_delays(FIRST_PAUSE_S, MAX_PAUSE_S)
+                await anyio.sleep(next(self._pauses))
 
-    def _accept_pending(self, listener: socket.socket, connections: TaskGroup) -> None:
+    def _accept_pending(self, listener: socket.socket, start_task: StartTask) -> None:
+        """Accept the connections that have arrived.
+
+        :raises OSError: if one can't be accepted.
+        """
         for _ in range(MAX_ACCEPTED_AT_ONCE):
             try:
                 connection, _ = listener.accept()
             except BlockingIOError:
-                return
+                break
             connection.setblocking(False)
-            connections.start_soon(self._serve_safely, connection)
+            start_task(self._serve_safely, connection)
+        self._pauses = retry_delays(FIRST_PAUSE_S, MAX_PAUSE_S)
 
     async def _serve_safely(self, connection: socket.socket) -> None:
         """Serve one connection; an error of it ends this connection only."""
--- a/src/bramleylead/connection/_tcp.py
+++ b/src/bramleylead/connection/_tcp.py
@@ -74,7 +74,7 @@
         try:
             async with anyio.create_task_group() as connections:
                 task_status.started(bound)
-                await acceptor.run(connections)
+                await acceptor.run(connections.start_soon)
         finally:
             acceptor.close()
 
--- a/src/bramleylead/http/_server.py
+++ b/src/bramleylead/http/_server.py
@@ -23,6 +23,7 @@
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from bramleylead.connection._accept import Acceptor
+from bramleylead.connection._accept import Serve
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.http._exchange import Receive
@@ -94,6 +95,7 @@
                 self._server.on_started = lambda: task_status.started(bound)
                 await self._server.serve()
         finally:
+            self._server.acceptor.close()
             self._server.abort_all()
             self.closed.set()
 
@@ -135,9 +137,13 @@
         super().__init__(config)
         self._exit_requested = anyio.Event()
         self.acceptor = Acceptor(
-            self._connect, waits_for_address=waits_for_address, prepare=_set_tcp_timeouts
+            self._connect,
+            waits_for_address=waits_for_address,
+            prepare=_set_tcp_timeouts,
+            watch=_watch_readable,
         )
         self.servers = []
+        self._connecting: set[asyncio.Future[None]] = set()
         self.on_started: Callable[[], None] = lambda: None
 
     @contextlib.contextmanager
@@ -154,12 +160,13 @@
     async def main_loop(self) -> None:
         """Accept connections until :meth:`request_exit` is called."""
         await self.on_tick(0)
-        async with anyio.create_task_group() as connecting:
-            async with anyio.create_task_group() as accepting:
-                accepting.start_soon(self.acceptor.run, connecting)
-                await self._exit_requested.wait()
-                accepting.cancel_scope.cancel()
-            self.acceptor.close()
+        async with anyio.create_task_group() as accepting:
+            accepting.start_soon(self.acceptor.run, self._start_connecting)
+            await self._exit_requested.wait()
+            accepting.cancel_scope.cancel()
+        self.acceptor.close()
+        if self._connecting:
+            await asyncio.wait(self._connecting)
 
     def request_exit(self) -> None:
         """Make :meth:`main_loop` return."""
@@ -167,13 +174,18 @@
         self._exit_requested.set()
 
     def abort_all(self) -> None:
-        """Close the listener, abort every connection, cancel every request."""
-        self.acceptor.close()
+        """Abort every connection, cancel every request."""
         for connection in list(self.server_state.connections):
             connection.transport.abort()
         for task in list(self.server_state.tasks):
             task.cancel()
 
+    def _start_connecting(self, connect: Serve, connection: socket.socket) -> None:
+        """Start a plain task, which costs less than one of a task group."""
+        task = asyncio.ensure_future(connect(connection))
+        self._connecting.add(task)
+        task.add_done_callback(self._connecting.discard)
+
     async def _connect(self, connection: socket.socket) -> None:
         """Hand an accepted connection over to its protocol."""
         loop = asyncio.get_running_loop()
@@ -187,6 +199,28 @@
         return _HttpProtocol(self.config, self.server_state, self.lifespan.state)
 
 
+async def _watch_readable(watched: socket.socket, on_readable: Callable[[], None]) -> None:
+    """Call a function whenever a socket is readable, until it raises an error of the system.
+
+    Unlike anyio's way, it registers the socket once.
+    """
+    loop = asyncio.get_running_loop()
+    failed = loop.create_future()
+
+    def call() -> None:
+        try:
+            on_readable()
+        except OSError as error:
+            loop.remove_reader(watched)
+            failed.set_exception(error)
+
+    loop.add_reader(watched, call)
+    try:
+        await failed
+    finally:
+        loop.remove_reader(watched)
+
+
 class _HttpProtocol(H11Protocol):
     """uvicorn's protocol with a header timeout and the error responses of :class:`HttpApp`."""
 
