Keep idle connections from taking the descriptors that a process needs

Seen: a gateway with few descriptors answered no new caller while idle connections were held at its port; each of them lived until its time limit of 10 s, and with them the process had no descriptor left for replicas, ledger and store.

Cause: a server accepted as many connections as there were descriptors. Nothing was kept back.

Change: of the limit on descriptors, 200 (at most a quarter) are reserved. Of the rest, half are for callers, 3 in 100 each for readiness and metrics, and an eighth for connections between nodes that have made no handshake yet. Beyond its share a server closes the connection that has been idle longest: first those that never sent anything, then kept ones, then those with a part of a request. A connection on which a request runs, data waits to be read, or an answer is still to be sent is never closed, so a request that is read whole is answered; only one that crosses the close fails. With nothing to close, the connection is accepted all the same, up to the last descriptor. At EMFILE one idle connection is closed as well. A refusal of new connections instead would let idle ones keep sound callers out.

The class of one HTTP connection has its own module now; the test of the header's time limit patches the constant there, unchanged else.

--- a/src/bramleylead/connection/_server.py
+++ b/src/bramleylead/connection/_server.py
@@ -18,6 +18,8 @@
 from bramleylead.connection._frames import FrameKind
 from bramleylead.connection._frames import FrameStream
 from bramleylead.connection._handshake import server_handshake
+from bramleylead.connection._room import NODES_SHARE
+from bramleylead.connection._room import descriptor_share
 from bramleylead.connection._rpc import Reply
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
@@ -37,12 +39,23 @@
     """Serves calls of other nodes, with one handler per message class.
 
     :param coalesce_s: how long a reply message that is not urgent waits to be sent with others.
+    :param max_unproven: connections that may be without a handshake at once; beyond it the oldest
+        of them is closed.
     """
 
-    def __init__(self, *, node: str, cluster_key: str, coalesce_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        *,
+        node: str,
+        cluster_key: str,
+        coalesce_s: float = 0.0,
+        max_unproven: int | None = None,
+    ) -> None:
         self._node = node
         self._cluster_key = cluster_key
         self._coalesce_s = coalesce_s
+        self._max_unproven = max_unproven or descriptor_share(NODES_SHARE)
+        self._unproven: dict[anyio.CancelScope, None] = {}
         self._handlers: dict[type, Handler] = {}
         self._running_calls = 0
         self._idle = anyio.Event()
@@ -50,6 +63,7 @@
         self.bad_frames = 0
         self.handler_errors = 0
         self.connections = 0
+        self.closed_unproven = 0
 
     def handle(self, message_class: type, handler: Handler) -> None:
         """Register the handler of one message class.
@@ -87,8 +101,9 @@
             self.connections -= 1
 
     async def _serve_frames(self, frames: FrameStream, task_group: TaskGroup) -> None:
-        with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
-            peer = await server_handshake(frames, node=self._node, key=self._cluster_key)
+        peer = await self._shake_hands(frames)
+        if peer is None:
+            return
         connection = _Connection(frames, peer, task_group)
         task_group.start_soon(connection.close_when_silent)
         while True:
@@ -103,6 +118,24 @@
             elif frame.call in connection.calls:
                 connection.calls[frame.call].handle_frame(frame)
 
+    async def _shake_hands(self, frames: FrameStream) -> str | None:
+        """Return the peer's name, or None if it did not come in time or others needed its place."""
+        with anyio.move_on_after(HANDSHAKE_TIMEOUT_S) as scope:
+            self._enter_unproven(scope)
+            try:
+                return await server_handshake(frames, node=self._node, key=self._cluster_key)
+            finally:
+                self._unproven.pop(scope, None)
+        return None
+
+    def _enter_unproven(self, scope: anyio.CancelScope) -> None:
+        if len(self._unproven) >= self._max_unproven:
+            oldest = next(iter(self._unproven))
+            del self._unproven[oldest]
+            oldest.cancel()
+            self.closed_unproven += 1
+        self._unproven[scope] = None
+
     def _open_call(self, frame: Frame, connection: _Connection) -> None:
         request = from_plain(frame.body)
         reply = Reply(frame.call, connection.frames, connection.peer)
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -17,6 +17,7 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import TcpNetwork
+from bramleylead.connection._room import MONITORING_SHARE
 from bramleylead.gateway._app import GatewayApp
 from bramleylead.gateway._app import readiness_app
 from bramleylead.gateway._budgets import Budgets
@@ -157,8 +158,10 @@
             on_lost=self._selector.health.forget_failures,
         )
         self._http = HttpServer(self.app, waits_for_address=True)
-        self._ready = HttpServer(readiness_app(self.is_ready), waits_for_address=True)
-        self._metrics = HttpServer(metrics.app, waits_for_address=True)
+        self._ready = HttpServer(
+            readiness_app(self.is_ready), waits_for_address=True, share=MONITORING_SHARE
+        )
+        self._metrics = HttpServer(metrics.app, waits_for_address=True, share=MONITORING_SHARE)
         self._is_serving = False
         metrics.describe(self._gauges, self._dump)
 
@@ -233,6 +236,9 @@
             "requests_relayed": self._relay_server.running,
             "unreached_replicas": len(self._paths.unreached(now=anyio.current_time())),
             "ready": self.is_ready(),
+            "callers_connected": len(self._http.room),
+            "idle_connections_closed": self._http.room.closed,
+            "unproven_connections_closed": self._peer_server.closed_unproven,
             **object_ages(self._objects, (names.CONFIGURATION_KIND, names.REPLICA_KIND)),
         }
 
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -17,6 +17,7 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import TcpNetwork
+from bramleylead.connection._room import MONITORING_SHARE
 from bramleylead.http._server import HttpServer
 from bramleylead.ledger._disk import FileDisk
 from bramleylead.ledger._load_sharing import LoadSharing
@@ -134,7 +135,7 @@
             regions=settings.data_centres,
         )
         retirement = RetirementFollower(settings.node)
-        metrics_server = HttpServer(metrics.app, waits_for_address=True)
+        metrics_server = HttpServer(metrics.app, waits_for_address=True, share=MONITORING_SHARE)
 
         async def start() -> None:
             tasks.start_soon(metrics_server.serve, settings.metrics_address)
--- a/testing/gateway/test_system_errors.py
+++ b/testing/gateway/test_system_errors.py
@@ -7,17 +7,19 @@
 import socket
 import tempfile
 import unittest
+from collections.abc import Iterator
 from contextlib import AsyncExitStack
+from contextlib import contextmanager
 from contextlib import suppress
 from pathlib import Path
 
 import anyio
 import anyio.lowlevel
-from anyio.abc import Process
 
 from bramleylead.connection._free_ports import find_free_port
 from bramleylead.connection._listener import split_address
 from bramleylead.connection._server import HANDSHAKE_TIMEOUT_S
+from bramleylead.http._protocol import HEADER_TIMEOUT_S
 from testing.connection.test_listener import held_port
 from testing.gateway.test_processes import TIMEOUT_S
 from testing.gateway.test_processes import Site
@@ -25,12 +27,19 @@
 NO_STORE = "127.0.0.1:9"
 FEW_DESCRIPTORS = 120
 MORE_CONNECTIONS = 200
+CALLERS = 20
+RECONNECT_S = 1.0
 
 
-def limit_descriptors(process: Process) -> None:
-    """Leave a running process few descriptors."""
-    limits = (FEW_DESCRIPTORS, FEW_DESCRIPTORS)
-    resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
+@contextmanager
+def few_descriptors() -> Iterator[None]:
+    """Give few descriptors to the processes that are started in this context."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (FEW_DESCRIPTORS, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
 
 
 async def hold_connections(address: str, stack: AsyncExitStack) -> None:
@@ -42,6 +51,21 @@
         await anyio.lowlevel.checkpoint()
 
 
+async def keep_holding(address: str) -> None:
+    """Hold idle connections; replace those that are closed."""
+    async with anyio.create_task_group() as tasks:
+        for _ in range(MORE_CONNECTIONS):
+            tasks.start_soon(keep_holding_one, address)
+
+
+async def keep_holding_one(address: str) -> None:
+    while True:
+        with suppress(OSError, anyio.EndOfStream, anyio.BrokenResourceError):
+            async with await anyio.connect_tcp(*split_address(address)) as stream:
+                await stream.receive()
+        await anyio.sleep(RECONNECT_S)
+
+
 async def answers(address: str) -> None:
     """Wait until a server answers HTTP on a new connection, or closes one without an answer."""
     with anyio.fail_after(TIMEOUT_S):
@@ -103,12 +127,11 @@
                 folder = stack.enter_context(tempfile.TemporaryDirectory())
                 site = Site(Path(folder), NO_STORE, stack)
                 nodes, ledger_nodes = (f"127.0.0.1:{find_free_port('127.0.0.1')}" for _ in "12")
-                await site.start_gateway(peer_ports=[port_of(nodes), 0])
-                await site.start_ledger("l", peer_ports=[port_of(ledger_nodes), 0])
+                with few_descriptors():
+                    await site.start_gateway(peer_ports=[port_of(nodes), 0])
+                    await site.start_ledger("l", peer_ports=[port_of(ledger_nodes), 0])
                 await wait_for_line(site, "gateway", "gateway_serving")
                 await wait_for_line(site, "l", "ledger_serving")
-                for process in site.processes.values():
-                    limit_descriptors(process)
                 for address in (nodes, ledger_nodes, site.http, site.metrics):
                     async with AsyncExitStack() as connections:
                         await hold_connections(address, connections)
@@ -122,6 +145,30 @@
 
         anyio.run(main)
 
+    # Guards against callers that get no connection since idle ones hold all descriptors.
+    def test_callers_are_served_while_idle_connections_are_held(self) -> None:
+        async def main() -> None:
+            async with AsyncExitStack() as stack:
+                folder = stack.enter_context(tempfile.TemporaryDirectory())
+                site = Site(Path(folder), NO_STORE, stack)
+                with few_descriptors():
+                    await site.start_gateway()
+                await wait_for_line(site, "gateway", "gateway_serving")
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(keep_holding, site.http)
+                    await anyio.sleep(1.0)
+                    for _ in range(CALLERS):
+                        # Idle connections end by themselves after HEADER_TIMEOUT_S.
+                        with anyio.fail_after(HEADER_TIMEOUT_S / 2):
+                            response = await site.request(site.http, "/p/x")
+                        self.assertEqual(response and response.status, 503)
+                    tasks.cancel_scope.cancel()
+                self.assertNotIn(
+                    "accept_failed", {line.get("event") for line in site.log("gateway")}
+                )
+
+        anyio.run(main)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/testing/http/test_server.py
+++ b/testing/http/test_server.py
@@ -16,6 +16,7 @@
 from anyio.abc import SocketStream
 
 from bramleylead.connection._tcp import split_address
+from bramleylead.http import _protocol
 from bramleylead.http import _server
 from bramleylead.request import AnswerChunk
 from bramleylead.request import HttpApp
@@ -196,7 +197,7 @@
             self.assertEqual((status, document["error"]["error_kind"]), (504, "deadline_exceeded"))
             server.stop(grace_s=1)
 
-        with unittest.mock.patch.object(_server, "HEADER_TIMEOUT_S", 0.2):
+        with unittest.mock.patch.object(_protocol, "HEADER_TIMEOUT_S", 0.2):
             serve(FakeNode(), body)
 
     def test_a_too_large_body_is_refused_without_a_connection_reset(self) -> None:
