Start servers and the record writer again; contain tasks of one request

Seen: none of these in operation; found by going through every task that the run functions start.

Cause: tasks that were not supervised ended the process with an unexpected error: the four servers of a gateway, the two of a ledger node and that of a node, the writer of records, the heartbeats, and the background tasks of a single request or connection (an entry sent to a member, a budget settled, a report, a refresh of the members, a connection to another node).

Change: servers are supervised; an error before the first start is raised, as only other settings cure it. Tasks of one request or connection are contained: logged, and nothing else ends. The writer fails the batch that met the error, so that its callers turn to another member, and goes on.

--- a/src/bramleylead/connection/_client.py
+++ b/src/bramleylead/connection/_client.py
@@ -29,6 +29,8 @@
 from bramleylead.connection._rpc import no_answer
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.supervision import contain
+from bramleylead.supervision import supervise
 
 HEARTBEAT_INTERVAL_S = 0.5
 SILENCE_TIMEOUT_S = 1.5
@@ -134,7 +136,7 @@
     async def __aenter__(self) -> Self:
         self._tasks = anyio.create_task_group()
         await self._tasks.__aenter__()
-        self._tasks.start_soon(self._run_heartbeats)
+        self._tasks.start_soon(supervise, "heartbeats", self._run_heartbeats)
         return self
 
     async def __aexit__(
@@ -247,7 +249,9 @@
             except OSError:
                 return None
             connection = _Connection(stream, coalesce_s=self._coalesce_s)
-            self._tasks.start_soon(self._run, address, connection, connected, opened)
+            self._tasks.start_soon(
+                contain, "peer_connection", self._run, address, connection, connected, opened
+            )
             try:
                 await connected.wait()
             finally:
--- a/src/bramleylead/gateway/_budgets.py
+++ b/src/bramleylead/gateway/_budgets.py
@@ -25,6 +25,7 @@
 from bramleylead.platform._types import NO_SOFTWARE
 from bramleylead.platform._types import CallMetadata
 from bramleylead.platform._types import Software
+from bramleylead.supervision import contain
 
 RESERVATION_ID_BYTES = 4
 SETTLE_RETRY_DELAYS_S = (0.3, 0.6, 1.2, 2.4, 4.8)
@@ -163,7 +164,7 @@
 
     def _settle_soon(self, metadata: CallMetadata, spending: Spending, tokens: int) -> None:
         settled = spending._replace(tokens=tokens, settled=True)
-        self._tasks.start_soon(self._settle, metadata, settled)
+        self._tasks.start_soon(contain, "settle", self._settle, metadata, settled)
 
     async def _settle(self, metadata: CallMetadata, spending: Spending) -> None:
         for delay_s in SETTLE_RETRY_DELAYS_S:
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -54,6 +54,7 @@
 from bramleylead.site_metrics import SiteMetrics
 from bramleylead.site_settings import GatewaySettings
 from bramleylead.supervision import supervise
+from bramleylead.supervision import supervise_server
 
 MAINTENANCE_INTERVAL_S = 1.0
 UNREADY_BEFORE_STOP_S = 3.2
@@ -180,11 +181,21 @@
         :raises OSError: if an address can't be used.
         """
         self._start_background_tasks()
-        self._tasks.start_soon(self._metrics.serve, self._settings.metrics_address)
+        self._tasks.start_soon(
+            supervise_server, "metrics", self._metrics.serve, self._settings.metrics_address
+        )
         async with anyio.create_task_group() as starting:
-            starting.start_soon(self._tasks.start, self._http.serve, self._settings.http_address)
-            starting.start_soon(self._tasks.start, self._ready.serve, self._settings.ready_address)
-            starting.start_soon(self._start_peer_server)
+            for name, serve, *arguments in (
+                ("callers", self._http.serve, self._settings.http_address),
+                ("readiness", self._ready.serve, self._settings.ready_address),
+                (
+                    "nodes",
+                    self._network.serve,
+                    self._settings.peer_address,
+                    self._peer_server.serve_stream,
+                ),
+            ):
+                starting.start_soon(self._tasks.start, supervise_server, name, serve, *arguments)
         self._is_serving = True
         log.info(
             "gateway_serving",
@@ -193,11 +204,6 @@
             data_centre=self._settings.data_centre,
         )
 
-    async def _start_peer_server(self) -> None:
-        await self._tasks.start(
-            self._network.serve, self._settings.peer_address, self._peer_server.serve_stream
-        )
-
     def _start_background_tasks(self) -> None:
         for follower in (ConfigurationFollower(self.directory), ReplicaFollower(self.directory)):
             run = partial(follow, self._objects, follower, self._rng)
--- a/src/bramleylead/http/_server.py
+++ b/src/bramleylead/http/_server.py
@@ -78,6 +78,8 @@
 
         :raises OSError: if the address can't be used.
         """
+        if not self._is_stopped:
+            self.closed = anyio.Event()
         try:
             bound = await self._open(address)
             if bound:
--- a/src/bramleylead/ledger/_client.py
+++ b/src/bramleylead/ledger/_client.py
@@ -45,6 +45,7 @@
 from bramleylead.placement._fleet_table import FleetLoad
 from bramleylead.placement._fleet_table import LoadReport
 from bramleylead.placement._fleet_table import merge_fleet_loads
+from bramleylead.supervision import contain
 
 RESERVE_TIMEOUT_S = 0.7
 KEEP_TIMEOUT_S = 1.5
@@ -287,7 +288,7 @@
                 f"{len(round_.acks)} of {round_.required_acks} acknowledgements; {round_.failures}"
             )
             assert self._tasks is not None
-            self._tasks.start_soon(self.refresh)
+            self._tasks.start_soon(contain, "refresh", self.refresh)
             break
         self._mark_unavailable(detail)
         return Err(_unavailable(f"ledger at epoch {self.view.epoch}: {detail}"))
@@ -300,12 +301,12 @@
         assert self._tasks is not None, "LedgerClient is used outside its context"
         ordered = self.members_by_distance(round_.view)
         for member in ordered[: round_.required_acks]:
-            self._tasks.start_soon(self._send, member, entry, round_)
+            self._tasks.start_soon(contain, "entry", self._send, member, entry, round_)
         with anyio.move_on_after(ENTRY_HEDGE_DELAY_S):
             await wait_for_any(round_.decided, round_.member_failed)
         if not round_.decided.is_set():
             for member in ordered[round_.required_acks :]:
-                self._tasks.start_soon(self._send, member, entry, round_)
+                self._tasks.start_soon(contain, "entry", self._send, member, entry, round_)
         await round_.decided.wait()
 
     async def _send(self, member: LedgerMember, entry: Any, round_: EntryRound) -> None:
@@ -338,7 +339,7 @@
         if search.absent_count >= view.absences_needed(self._losses):
             return Err(Failure(ErrorKind.UNKNOWN_TURN, f"turn {turn} is not stored"))
         assert self._tasks is not None
-        self._tasks.start_soon(self.refresh)
+        self._tasks.start_soon(contain, "refresh", self.refresh)
         return Err(
             _unavailable(f"turn {turn}: absent at {search.absent_count} of {len(view.members)}")
         )
--- a/src/bramleylead/ledger/_member_reports.py
+++ b/src/bramleylead/ledger/_member_reports.py
@@ -19,6 +19,7 @@
 from bramleylead.ledger._messages import ReportLoad
 from bramleylead.placement._crash_table import CrashEvidence
 from bramleylead.placement._fleet_table import LoadReport
+from bramleylead.supervision import contain
 
 PLACEMENT_REPORTS = 2
 """Members told of each placement. They tell the others some time later, and with one only, more
@@ -46,7 +47,7 @@
     def report_placement(self, report: LoadReport) -> None:
         """Tell that a turn was placed."""
         for member in self._members.by_distance()[:PLACEMENT_REPORTS]:
-            self._tasks.start_soon(self._send, member, ReportLoad(report))
+            self._tasks.start_soon(contain, "report", self._send, member, ReportLoad(report))
 
     async def report_crash(self, evidence: tuple[CrashEvidence, ...]) -> list[CrashEvidence]:
         """Tell that a request was running when a replica crashed, or that it was answered.
@@ -70,7 +71,7 @@
                 all_answered.set()
 
         for member in members:
-            self._tasks.start_soon(report_to, member)
+            self._tasks.start_soon(contain, "report", report_to, member)
         with anyio.move_on_after(CRASH_ANSWER_WAIT_S if members else 0.0):
             await all_answered.wait()
         return known
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -40,6 +40,7 @@
 from bramleylead.site_metrics import SiteMetrics
 from bramleylead.site_settings import LedgerSettings
 from bramleylead.supervision import supervise
+from bramleylead.supervision import supervise_server
 
 EXPIRE_INTERVAL_S = 10.0
 RETIRE_RETRY_S = 0.3
@@ -138,8 +139,12 @@
         metrics_server = HttpServer(metrics.app, waits_for_address=True, share=MONITORING_SHARE)
 
         async def start() -> None:
-            tasks.start_soon(metrics_server.serve, settings.metrics_address)
-            await tasks.start(network.serve, address, server.serve_stream)
+            tasks.start_soon(
+                supervise_server, "metrics", metrics_server.serve, settings.metrics_address
+            )
+            await tasks.start(
+                supervise_server, "nodes", network.serve, address, server.serve_stream
+            )
             tasks.start_soon(supervise, "load_sharing", load_sharing.run)
             tasks.start_soon(supervise, "expiry", partial(_run_expiry, node))
             tasks.start_soon(supervise, "store_probes", monitored_store.run)
@@ -154,7 +159,7 @@
             log.info("ledger_serving", node=settings.node, address=address, disk=disk.name)
 
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            tasks.start_soon(node.run_writer)
+            tasks.start_soon(supervise, "writer", node.run_writer)
             tasks.start_soon(start)
             async for signal_number in signals:
                 if signal_number is signal.SIGHUP:
--- a/src/bramleylead/ledger/_writer.py
+++ b/src/bramleylead/ledger/_writer.py
@@ -68,9 +68,17 @@
             self._has_records = anyio.Event()
             batch, self._next_batch = self._next_batch, _Batch()
             self._batch_in_flight = batch
-            await self._write_batch(batch)
-            self._batch_in_flight = None
-            batch.done.set()
+            try:
+                await self._write_batch(batch)
+            except Exception as error:
+                batch.failed = OSError(f"not written: {type(error).__name__}: {error}")
+                self._finish(batch)
+                raise
+            self._finish(batch)
+
+    def _finish(self, batch: _Batch) -> None:
+        self._batch_in_flight = None
+        batch.done.set()
 
     async def _write_batch(self, batch: _Batch) -> None:
         records = list(batch.records.values())
--- a/src/bramleylead/process/_node.py
+++ b/src/bramleylead/process/_node.py
@@ -60,6 +60,8 @@
 from bramleylead.request import key_matches
 from bramleylead.scheduling import NodeScheduler
 from bramleylead.scheduling import RetryBudget
+from bramleylead.supervision import supervise
+from bramleylead.supervision import supervise_server
 from bramleylead.version import Config
 from bramleylead.version import Ticket
 from bramleylead.version._validation import validate_ticket
@@ -318,12 +320,23 @@
         tasks = await self._stack.enter_async_context(anyio.create_task_group())
         self._stack.callback(tasks.cancel_scope.cancel)
         self._make_owner(tasks)
-        await tasks.start(self._network.serve, self.peer_address, self._server.serve_stream)
+        await tasks.start(
+            supervise_server,
+            "nodes",
+            self._network.serve,
+            self.peer_address,
+            self._server.serve_stream,
+        )
         for part in (self._membership, self.tickets, self._scheduler, self._partitions):
             await self._stack.enter_async_context(part)
         gauges = GaugeRefresher(self.metrics, self._client, self._server, self._escrow, self._owned)
-        for loop in (self._ender.run, self._sweep.run, self._return_grants, gauges.run):
-            tasks.start_soon(loop)
+        for name, loop in (
+            ("garbage_collection", self._ender.run),
+            ("cache_sweep", self._sweep.run),
+            ("grant_return", self._return_grants),
+            ("gauges", gauges.run),
+        ):
+            tasks.start_soon(supervise, name, loop)
         self._ready = True
         log.info("node_started", node=self.settings.node, boot_id=boot_id)
 
--- a/testing/connection/test_accept.py
+++ b/testing/connection/test_accept.py
@@ -8,6 +8,7 @@
 import unittest.mock
 from collections.abc import Awaitable
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 import anyio
@@ -16,9 +17,12 @@
 
 from bramleylead.connection import TcpNetwork
 from bramleylead.connection import _accept
+from bramleylead.connection._free_ports import find_free_port
 from bramleylead.connection._listener import open_listener
 from bramleylead.connection._listener import split_address
 from bramleylead.http._server import HttpServer
+from bramleylead.supervision import supervise_server
+from testing.connection.test_listener import wait_for_event
 from testing.connection.test_tcp_options import answer_empty
 
 LIMIT_S = 20.0
@@ -143,6 +147,36 @@
         self.assertEqual(failed, ["EINVAL"] * 2)
 
 
+class RestartTest(unittest.TestCase):
+    # Guards against a server of callers that can't be started again after an unexpected error.
+    def test_a_server_of_callers_is_started_again(self) -> None:
+        run_acceptor = _accept.Acceptor.run
+        failures = [ValueError("unexpected")]
+
+        async def run(self: Any, start_task: Any) -> None:
+            if failures:
+                raise failures.pop()
+            await run_acceptor(self, start_task)
+
+        async def main() -> None:
+            server = HttpServer(answer_empty, waits_for_address=True)
+            address = f"127.0.0.1:{find_free_port('127.0.0.1')}"
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(supervise_server, "callers", server.serve, address)
+                await wait_for_event(lines, "task_failed")
+                with anyio.fail_after(LIMIT_S):
+                    while True:
+                        with suppress(OSError):
+                            self.assertTrue(await ask(address))
+                            break
+                        await anyio.sleep(0.05)
+                server.stop(grace_s=1.0)
+                await server.closed.wait()
+
+        with unittest.mock.patch.object(_accept.Acceptor, "run", run), capture_logs() as lines:
+            anyio.run(main)
+
+
 class ConnectionTest(unittest.TestCase):
     # Guards against an unexpected error of one connection that ends the server, and the process.
     def test_an_unexpected_error_ends_its_connection_only(self) -> None:
--- a/testing/connection/test_rpc.py
+++ b/testing/connection/test_rpc.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+import unittest.mock
 from typing import Any
 from typing import NamedTuple
 
@@ -15,6 +16,7 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import Reply
+from bramleylead.connection import _client
 from bramleylead.connection import message
 from bramleylead.connection._frames import FrameStream
 from bramleylead.connection._handshake import client_handshake
@@ -54,6 +56,21 @@
     return result
 
 
+class UnexpectedErrorTest(unittest.TestCase):
+    # Guards against a process that ends since one connection to a node met an unexpected error.
+    def test_an_unexpected_error_of_a_connection_fails_its_calls_only(self) -> None:
+        async def body(network: FakeNetwork, server: PeerServer, client: PeerClient) -> Any:
+            with unittest.mock.patch.object(
+                _client, "client_handshake", side_effect=RecursionError
+            ):
+                failed = await client.request(ADDRESS, Echo("hello"), timeout_s=1)
+            self.assertIsInstance(failed, Err)
+            return await client.request(ADDRESS, Echo("hello"), timeout_s=1)
+
+        answer = run_virtual(lambda: _run_with_pair(body), seed=1)
+        self.assertEqual(answer, Ok(Echo("hello")))
+
+
 class RequestTest(unittest.TestCase):
     def test_a_request_gets_its_answer(self) -> None:
         async def body(network: FakeNetwork, server: PeerServer, client: PeerClient) -> Any:
