--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -19,6 +19,7 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import TcpNetwork
+from bramleylead.connection._room import MONITORING_SHARE
 from bramleylead.gateway._app import GatewayApp
 from bramleylead.gateway._app import readiness_app
 from bramleylead.gateway._budgets import Budgets
@@ -55,6 +56,7 @@
 from bramleylead.site_metrics import SiteMetrics
 from bramleylead.site_settings import GatewaySettings
 from bramleylead.supervision import supervise
+from bramleylead.supervision import supervise_server
 
 MAINTENANCE_INTERVAL_S = 1.0
 UNREADY_BEFORE_STOP_S = 3.2
@@ -158,30 +160,62 @@
             relays,
             on_lost=self._selector.health.forget_failures,
         )
-        self._http = HttpServer(self.app)
+        self._http = HttpServer(self.app, waits_for_address=True)
+        self._ready = HttpServer(
+            readiness_app(self.is_ready), waits_for_address=True, share=MONITORING_SHARE
+        )
+        self._metrics = HttpServer(metrics.app, waits_for_address=True, share=MONITORING_SHARE)
         self._takes_callers = False
-        self._ready = HttpServer(readiness_app(self.is_ready))
-        self._metrics = HttpServer(metrics.app)
+        self._is_serving = False
         metrics.describe(self._gauges, self._dump)
 
     def is_ready(self) -> bool:
         """Whether the load balancer may send callers here."""
         return (
-            self.directory.is_complete and not self.app.closing and not self._ledger.is_unavailable
+            self._is_serving
+            and self.directory.is_complete
+            and not self.app.closing
+            and not self._ledger.is_unavailable
         )
 
     async def start(self) -> None:
-        """Start the servers and the background tasks.
+        """Start the background tasks and the servers; return once requests can arrive.
 
-        :raises OSError: if an address can't be bound.
+        :raises OSError: if an address can't be used.
         """
-        await self._tasks.start(self._http.serve, self._settings.http_address)
-        self._takes_callers = True
-        await self._tasks.start(self._ready.serve, self._settings.ready_address)
-        await self._tasks.start(self._metrics.serve, self._settings.metrics_address)
-        await self._tasks.start(
-            self._network.serve, self._settings.peer_address, self._peer_server.serve_stream
+        self._start_background_tasks()
+        self._tasks.start_soon(
+            supervise_server, "metrics", self._metrics.serve, self._settings.metrics_address
         )
+        async with anyio.create_task_group() as starting:
+            starting.start_soon(self._serve_callers)
+            starting.start_soon(
+                self._start_server, "readiness", self._ready.serve, self._settings.ready_address
+            )
+            starting.start_soon(
+                self._start_server,
+                "nodes",
+                self._network.serve,
+                self._settings.peer_address,
+                self._peer_server.serve_stream,
+            )
+        self._is_serving = True
+        log.info(
+            "gateway_serving",
+            node=self._settings.node,
+            http_address=self._settings.http_address,
+            data_centre=self._settings.data_centre,
+        )
+
+    async def _serve_callers(self) -> None:
+        await self._start_server("callers", self._http.serve, self._settings.http_address)
+        self._takes_callers = True
+
+    async def _start_server(self, name: str, *serve: Any) -> None:
+        """Return once a server listens; it serves until the process stops."""
+        await self._tasks.start(supervise_server, name, *serve)
+
+    def _start_background_tasks(self) -> None:
         for follower in (ConfigurationFollower(self.directory), ReplicaFollower(self.directory)):
             run = partial(follow, self._objects, follower, self._rng)
             self._tasks.start_soon(supervise, f"follow_{follower.kind}", run)
@@ -189,12 +223,6 @@
         self._tasks.start_soon(supervise, "maintenance", self._run_maintenance)
         self._tasks.start_soon(supervise, "ledger_probes", self._ledger.run_probes)
         self._tasks.start_soon(supervise, "path_monitor", self._path_monitor.run)
-        log.info(
-            "gateway_serving",
-            node=self._settings.node,
-            http_address=self._settings.http_address,
-            data_centre=self._settings.data_centre,
-        )
 
     async def stop(self) -> None:
         """Report unready to the load balancer, finish the requests in flight, and stop."""
@@ -226,6 +254,9 @@
             "requests_relayed": self._relay_server.running,
             "unreached_replicas": len(self._paths.unreached(now=anyio.current_time())),
             "ready": self.is_ready(),
+            "callers_connected": len(self._http.room),
+            "idle_connections_closed": self._http.room.closed,
+            "unproven_connections_closed": self._peer_server.closed_unproven,
             **object_ages(self._objects, (names.CONFIGURATION_KIND, names.REPLICA_KIND)),
         }
 
@@ -257,10 +288,10 @@
     """Run a gateway until SIGTERM or SIGINT; return which one.
 
     :param path: the settings file, named in the log on SIGHUP.
-    :raises OSError: if an address can't be bound.
+    :raises OSError: if an address can't be used. A port that is in use is waited for.
     """
     rng = random.Random(settings.random_seed)
-    network = TcpNetwork(keepalive_idle_s=PEER_SILENT_AFTER_S)
+    network = TcpNetwork(keepalive_idle_s=PEER_SILENT_AFTER_S, waits_for_address=True)
     async with (
         PlatformStore(settings.store.address) as store,
         PeerClient(network, node=settings.node, cluster_key=settings.cluster_key) as peers,
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -21,6 +21,7 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import TcpNetwork
+from bramleylead.connection._room import MONITORING_SHARE
 from bramleylead.http._server import HttpServer
 from bramleylead.ledger._disk_loading import load_node
 from bramleylead.ledger._disk_loading import open_disk
@@ -45,6 +46,7 @@
 from bramleylead.site_metrics import SiteMetrics
 from bramleylead.site_settings import LedgerSettings
 from bramleylead.supervision import supervise
+from bramleylead.supervision import supervise_server
 
 EXPIRE_INTERVAL_S = 10.0
 RETIRE_RETRY_S = 0.3
@@ -92,10 +94,10 @@
     """Run a ledger node until SIGTERM or SIGINT; return which one.
 
     :param path: the settings file, named in the log on SIGHUP.
-    :raises OSError: if the address can't be bound.
+    :raises OSError: if an address can't be used. A port that is in use is waited for.
     """
     rng = random.Random(settings.random_seed)
-    network = TcpNetwork(keepalive_idle_s=SILENT_AFTER_S)
+    network = TcpNetwork(keepalive_idle_s=SILENT_AFTER_S, waits_for_address=True)
     address = settings.peer_address
     server = PeerServer(node=settings.node, cluster_key=settings.cluster_key)
     async with (
@@ -104,11 +106,16 @@
         RunRecord(Path(settings.data_folder)) as run_record,
         anyio.create_task_group() as tasks,
     ):
+        metrics_server = HttpServer(metrics.app, waits_for_address=True, share=MONITORING_SHARE)
+        tasks.start_soon(
+            supervise_server, "metrics", metrics_server.serve, settings.metrics_address
+        )
         opened = await complete_unless_stopped(
             signals, partial(open_disk, Path(settings.data_folder))
         )
         if isinstance(opened, Err):
             log.info("ledger_stopped", node=settings.node)
+            tasks.cancel_scope.cancel()
             return opened.err_value
         disk = opened.ok_value
         await run_record.begin()
@@ -151,10 +158,11 @@
 
         async def start() -> None:
             await load_node(node)
-            tasks.start_soon(node.run_writer)
+            tasks.start_soon(supervise, "writer", node.run_writer)
+            await tasks.start(
+                supervise_server, "nodes", network.serve, address, server.serve_stream
+            )
             tasks.start_soon(supervise, "load_sharing", load_sharing.run)
-            await tasks.start(network.serve, address, server.serve_stream)
-            await tasks.start(HttpServer(metrics.app).serve, settings.metrics_address)
             tasks.start_soon(supervise, "expiry", partial(_run_expiry, node))
             tasks.start_soon(supervise, "store_probes", monitored_store.run)
             for kind in GATEWAY_KINDS:
