--- a/src/bramleylead/connection/_accept.py
+++ b/src/bramleylead/connection/_accept.py
@@ -18,7 +18,8 @@
 from bramleylead.connection._listener import retry_delays
 from bramleylead.connection._listener import wait_for_listener
 
-MAX_ACCEPTED_AT_ONCE = 64
+MAX_ACCEPTED_AT_ONCE = 8
+"""Accepted sockets take descriptors beyond the share of their server until they are counted."""
 FIRST_PAUSE_S = 0.01
 MAX_PAUSE_S = 0.5
 LOG_INTERVAL_S = 10.0
