Check the software version again after each wait for a permit

Reported by operators of a similar system: during a release, streams went on at replicas of a version that had just joined, at a front machine that was out of step. Looked for here, and found in one place.

Cause: where a stream must go on at the software that began it, the replicas of other software were put into a set of names before the choice, and the choice may then wait (up to 0.2 s from the request's arrival, 1 s for a turn that continues another one) until the limit of a replica allows a request. A replica that joined during that wait was in no set, and was chosen; so was a replica whose entry changed its version under the same name. A process that stands still during the wait makes the window as long as it stood.

Change: the choice is handed the software instead of the names, and leaves others out anew in each round. Nothing is decided by what was read before a wait.

--- a/src/bramleylead/gateway/_replica_choice.py
+++ b/src/bramleylead/gateway/_replica_choice.py
@@ -60,16 +60,27 @@
         weights = [share.weight for share in route.shares]
         return self._rng.choices(route.shares, weights)[0].service
 
-    async def choose(self, call: Call, service: str, tried_replicas: set[str]) -> Replica | None:
+    async def choose(
+        self,
+        call: Call,
+        service: str,
+        tried_replicas: set[str],
+        *,
+        software: Software | None = None,
+    ) -> Replica | None:
         """Return the next replica to send a request to, or ``None`` if none is left.
 
-        May wait for a while if the limits of all replicas allow no request now.
+        May wait for a while if the limits of all replicas allow no request now. Replicas may come
+        or change meanwhile.
+
+        :param software: the only software that may run the request; ``None`` if any may.
         """
         while True:
-            replica = self._choose_permitted(call, service, tried_replicas)
+            excluded = tried_replicas | self._replicas_of_others(software)
+            replica = self._choose_permitted(call, service, excluded)
             if replica is not None:
                 return replica
-            if not await self._permit_waits.wait(call, service, tried_replicas):
+            if not await self._permit_waits.wait(call, service, excluded):
                 return None
 
     def preferred_software(self, call: Call, service: str) -> Software:
@@ -81,11 +92,6 @@
         chosen = self._selector.choose(self._candidates(call, permitted.values()), prompt_of(call))
         return NO_SOFTWARE if chosen is None else permitted[chosen.name].software
 
-    def replicas_of_others(self, software: Software) -> set[str]:
-        """Return the replicas of the same service that run other software."""
-        replicas = self._directory.replicas(software.service)
-        return {replica.name for replica in replicas if replica.software != software}
-
     def is_served(self, software: Software) -> bool:
         """Return whether a replica that runs the software may be sent requests."""
         replicas = self._directory.replicas(software.service)
@@ -152,6 +158,13 @@
         )
         return by_name[chosen.name]
 
+    def _replicas_of_others(self, software: Software | None) -> set[str]:
+        """Return the replicas of the same service that run other software."""
+        if software is None:
+            return set()
+        replicas = self._directory.replicas(software.service)
+        return {replica.name for replica in replicas if replica.software != software}
+
     def _permitted(self, service: str, excluded: set[str]) -> dict[str, Replica]:
         return {
             replica.name: replica
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -184,8 +184,9 @@
         choice = self._sender.choice
         call, software = stream.call, stream.software
         if software is not None:
-            excluded = stream.tried_replicas | choice.replicas_of_others(software)
-            replica = await choice.choose(call, stream.service, excluded)
+            replica = await choice.choose(
+                call, stream.service, stream.tried_replicas, software=software
+            )
             if replica is not None or stream.begun_by is not None:
                 return replica
         return await choice.choose(call, stream.service, stream.tried_replicas)
--- a/testing/gateway/test_software_versions.py
+++ b/testing/gateway/test_software_versions.py
@@ -32,6 +32,8 @@
 RESUMABLE = route(CallKind.STREAM, resumable=True, max_attempts=3)
 NUMBERS = (1, 2, 3, 4)
 SETTLED_S = 0.2
+PERMIT_S = 0.1
+"""Time until a limited replica allows the next request."""
 
 
 def program_headers(request_id: str, **others: str) -> dict[str, str]:
@@ -58,6 +60,18 @@
     return await site.request("/stream/x", body=b"q", headers=headers)
 
 
+async def limited_replica_of_a_broken_stream(site: Site) -> FakeReplica:
+    """Return the only replica of the version that began a stream; its limit allows no request."""
+    await site.add_replica("first", break_stream_after(1, 2), version="v1")
+    await site.request("/stream/x", body=b"q", headers=program_headers("q1"))
+    site.directory.remove_replica("first")
+    (last,) = await add_replicas(site, "v1", 1)
+    site.limits.record_limit("v1-0", 1 / PERMIT_S)
+    while site.limits.take("v1-0"):
+        pass
+    return last
+
+
 def begin_and_hang(replica: CrashableReplica) -> Script:
     """Return a script that sends two events and then nothing."""
 
@@ -293,6 +307,36 @@
 
         run_with_site(main, RESUMABLE)
 
+    # Guards against text joined from two versions: while the only replica of a stream's version
+    # allows no request, replicas of a new version join.
+    def test_a_version_that_joins_during_a_wait_does_not_go_on_with_a_stream(self) -> None:
+        async def main(site: Site) -> None:
+            last = await limited_replica_of_a_broken_stream(site)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(add_replicas, site, "v2", 1)
+                response = await resume(site, "q2", "q1")
+            self.assertEqual((response.body, response.complete), (events(3, 4), True))
+            self.assertEqual((len(last.received), site.replicas["v2-0"].received), (1, []))
+
+        run_with_site(main, RESUMABLE)
+
+    def test_a_version_that_changes_during_a_wait_does_not_go_on_with_a_stream(self) -> None:
+        async def main(site: Site) -> None:
+            last = await limited_replica_of_a_broken_stream(site)
+            responses: list[ReceivedResponse] = []
+
+            async def resume_in_background() -> None:
+                responses.append(await resume(site, "q2", "q1"))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(resume_in_background)
+                await anyio.sleep(PERMIT_S / 2)
+                changed = site.entries["v1-0"]._replace(software_version="v2")
+                site.directory.put_replica(changed)
+            self.assertEqual((responses[0].status, last.received), (503, []))
+
+        run_with_site(main, RESUMABLE)
+
     def test_another_gateway_resumes_a_stream_after_a_ledger_node_lost_its_disk(self) -> None:
         async def main(fleet: Fleet) -> None:
             await fleet.add_replica(lambda replica: break_stream_after(1, 2), version="v1")
