Take a head that runs on into another one for no response

Reported by operators of a similar system: a replica stopped in the middle of its answer's head; clients got a 200 with a body that wasn't the answer's. A head that is cut and then closed or reset was always an error here. One case was open: the connection goes on, and the next thing on it is another whole response (a late copy that broke off, or a replica that begins its answer again with an error).

Cause: h11 takes the second status line for the rest of the line that was cut, of a header's value or of the reason. The response then had the status of the first head, the headers of both (the id of the second, so the check of ids passed), and the body of the second.

Change: a head with a whole status line in its reason or in a header's value is an error, whose request may have run. Interim responses are checked too. In every other place of a head h11 refuses the second status line itself.

--- a/src/bramleylead/gateway/_upstream.py
+++ b/src/bramleylead/gateway/_upstream.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import re
 import select
 from collections.abc import Callable
 from types import TracebackType
@@ -32,6 +33,8 @@
 MAX_STALE_RESPONSES = 8
 MAX_INFORMATIONAL_RESPONSES = 8
 
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d( |$)")
+
 TRANSPORT_ERRORS = (
     anyio.EndOfStream,
     anyio.BrokenResourceError,
@@ -208,6 +211,8 @@
     async def _read_response_head(self) -> ResponseHead:
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
+            if isinstance(event, (h11.Response, h11.InformationalResponse)):
+                _require_one_head(event)
             if isinstance(event, h11.Response):
                 headers = [
                     (name.decode("latin-1"), value.decode("latin-1"))
@@ -264,3 +269,15 @@
             raise UpstreamError(detail, connection_lost=True) from error
         self._on_received()
         return data
+
+
+def _require_one_head(head: h11.Response | h11.InformationalResponse) -> None:
+    """Check that a head was not cut off and continued by that of another response.
+
+    Its status would be joined with the headers and the body of the other one.
+
+    :raises UpstreamError: if the status line of another response is within it.
+    """
+    texts = [head.reason, *(value for _, value in head.headers)]
+    if any(STATUS_LINE.search(text) for text in texts):
+        raise UpstreamError(f"a response {head.status_code} runs on into the head of another one")
