Take a head that runs on into its body for no response

What clients saw, in a test: a replica leaves out the end of its head, from within a header's value on, and goes on with its body. The lines of the body up to the first empty one were taken for headers. Where the length or the chunked coding was in the part left out, the rest of the body ended with its connection: a 200, framed as whole, whose body lacks its beginning (MIXED), also on streams, which then lack their first event (ORDER).

Cause: h11 takes a bare line feed for the end of a line, as it may, also in a head whose other lines end with a carriage return and a line feed.

Change: the bytes of each head are checked as they came: a second status line, or two kinds of line ends, is an error, whose request may have run. Heads with bare line feeds throughout are taken as before.

Not told apart: a body that begins with an empty line of the same kind as the head's.

--- a/src/bramleylead/gateway/_upstream.py
+++ b/src/bramleylead/gateway/_upstream.py
@@ -33,7 +33,8 @@
 MAX_STALE_RESPONSES = 8
 MAX_INFORMATIONAL_RESPONSES = 8
 
-STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d( |$)")
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d( |\r?$)", re.MULTILINE)
+BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
 
 TRANSPORT_ERRORS = (
     anyio.EndOfStream,
@@ -66,6 +67,7 @@
         self._request_sent = True
         self._response_complete = False
         self._must_close = False
+        self._head_data: bytearray | None = None
         self._body_bytes = 0
         self._reading: anyio.CancelScope | None = None
         self._abandoned = False
@@ -210,9 +212,7 @@
 
     async def _read_response_head(self) -> ResponseHead:
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
-            event = await self._next_event()
-            if isinstance(event, (h11.Response, h11.InformationalResponse)):
-                _require_one_head(event)
+            event = await self._next_head()
             if isinstance(event, h11.Response):
                 headers = [
                     (name.decode("latin-1"), value.decode("latin-1"))
@@ -221,6 +221,15 @@
                 return ResponseHead(event.status_code, headers)
         raise UpstreamError("received only informational responses")
 
+    async def _next_head(self) -> h11.Event:
+        """Return the next event, the head of a response, and check what it was parsed from."""
+        self._head_data = bytearray(self._parser.trailing_data[0])
+        event = await self._next_event()
+        rest, _ = self._parser.trailing_data
+        _require_one_head(bytes(self._head_data[: len(self._head_data) - len(rest)]))
+        self._head_data = None
+        return event
+
     async def _discard_response(self) -> None:
         """Discard a response to another request and reset the parser for the next one."""
         await self.discard_body()
@@ -268,16 +277,20 @@
             detail = f"connection error: {type(error).__name__}"
             raise UpstreamError(detail, connection_lost=True) from error
         self._on_received()
+        if self._head_data is not None:
+            self._head_data += data
         return data
 
 
-def _require_one_head(head: h11.Response | h11.InformationalResponse) -> None:
-    """Check that a head was not cut off and continued by that of another response.
+def _require_one_head(data: bytes) -> None:
+    """Check that a head was not cut off and continued by other data, which would complete it.
 
-    Its status would be joined with the headers and the body of the other one.
+    Its status would be joined with the headers and the body of another response, or its headers
+    with a part of its body. A replica ends all lines of a head alike.
 
-    :raises UpstreamError: if the status line of another response is within it.
+    :raises UpstreamError: if it was.
     """
-    texts = [head.reason, *(value for _, value in head.headers)]
-    if any(STATUS_LINE.search(text) for text in texts):
-        raise UpstreamError(f"a response {head.status_code} runs on into the head of another one")
+    if STATUS_LINE.search(data, 1):
+        raise UpstreamError("the head of a response runs on into that of another one")
+    if b"\r\n" in data and BARE_LINE_FEED.search(data):
+        raise UpstreamError("the head of a response runs on into other text")
