--- a/src/bramleylead/standins/_network.py
+++ b/src/bramleylead/standins/_network.py
@@ -221,6 +221,7 @@
         self.receiver = receiver
         self.ends = {sender, receiver}
         self.silent = False
+        self.is_reset = False
         self.put, self.get = anyio.create_memory_object_stream[tuple[float, bytes]](QUEUED_CHUNKS)
 
     async def send(self, data: bytes) -> None:
@@ -234,7 +235,12 @@
         await self.put.send((due, data))
 
     async def receive(self) -> bytes:
-        due, data = await self.get.receive()
+        try:
+            due, data = await self.get.receive()
+        except anyio.EndOfStream:
+            if self.is_reset:
+                raise anyio.BrokenResourceError from None
+            raise
         wait = due - anyio.current_time()
         if wait > 0:
             await anyio.sleep(wait)
@@ -265,6 +271,11 @@
         if not self._out.silent:
             await self._out.put.aclose()
 
+    async def reset(self) -> None:
+        """Close it so that the other end gets an error after what was sent, and no end."""
+        self._out.is_reset = True
+        await self.aclose()
+
     async def aclose(self) -> None:
         if not self._out.silent:
             self._out.put.close()
