Pass a promising status on only from a replica that says "not run"

What callers saw, in a test: a replica that answers 408, 429 or 503 without Bramleylead-Not-Run has the status passed on, with its signature. To callers it is the promise that the request has not run and never will (REFUSED), and they send it again. Only that header says so ("No other response states this"); an unsigned 503, which some other process at the address may write, was passed on as well.

Change: such an answer is no answer: its request may have run. The caller gets 502 without the replica's signature; a safe request or a stream that may be resumed goes on at another replica first. A 421 is taken as before, with the request's id: a replica that isn't the one named hasn't run it.

--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -44,6 +44,8 @@
 from bramleylead.platform._types import ResponseMetadata
 
 MISDIRECTED_STATUS = 421
+PROMISING_STATUSES = frozenset({408, 429, 503})
+"""To callers these say that the request has not run and never will."""
 NO_RESPONSE_FAILURE_S = 1.0
 """A request abandoned after this long without a response head counts as a replica failure."""
 INITIAL_TURN_S = 0.35
@@ -244,6 +246,9 @@
             return NotRun(
                 f"{replica.name} refused: {response.status}", counts_as_attempt=not misdirected
             )
+        if response.status in PROMISING_STATUSES:
+            # The replica has not said that it didn't run the request.
+            return UnknownOutcome(f"{replica.name}: {response.status} without a promise")
         if metadata.encoded or (response.status < 300 and not metadata.signed):
             return UnknownOutcome(
                 f"{replica.name}: {response.status}: unsigned or unexpectedly encoded response"
--- a/testing/gateway/test_repeated_refusals.py
+++ b/testing/gateway/test_repeated_refusals.py
@@ -116,6 +116,28 @@
 
         run_with_site(main, UNSAFE)
 
+    # Guards against REFUSED: a status that promises "not run", passed on from a replica that has
+    # not said so.
+    def test_a_replica_s_status_promises_nothing_unless_it_says_not_run(self) -> None:
+        async def main(site: Site) -> None:
+            for name in "ab":
+                await site.add_replica(name, script)
+            for number, path in enumerate(("/unsafe/a", "/stream/a")):
+                headers = {"bramleylead-request-id": f"q{number}"}
+                answer = await site.request(path, body=b"o", headers=headers)
+                self.assertEqual(answer.status, 502)
+                self.assertNotIn("bramleylead-server-stamp", answer.headers)
+            self.assertEqual(ran, ["q0", "q1"])
+
+        async def script(received: ReceivedRequest, stream: ByteStream) -> None:
+            ran.append(received.id)
+            await stream.send(full_response(received, b"failed", status))
+
+        for status in ("408 Slow", "429 Many", "503 Failed"):
+            ran: list[str] = []
+            with self.subTest(status):
+                run_with_site(main, UNSAFE, STREAM)
+
     def test_a_copy_that_reaches_another_gateway_is_not_passed_on_as_a_refusal(self) -> None:
         for variant in VARIANTS:
             with self.subTest(**variant):
