Reset HTTP/1.0 callers also if the process ends in a response

What callers saw, in a test: a stream to a caller of HTTP/1.0 ends with its connection. If the gateway is killed, or ends by itself, the kernel closes the connection in the ordinary way, and the part looks like a whole answer (MIXED).

Cause: the reset was sent by the code that breaks a response off. A process that ends runs no code.

Change: SO_LINGER without time is set when a request of HTTP/1.0 begins, and taken back when its response has been handed to the kernel whole. Until then whoever closes the socket resets it.

--- a/src/bramleylead/http/_server.py
+++ b/src/bramleylead/http/_server.py
@@ -46,6 +46,7 @@
 HTTP_1_0 = "1.0"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """SO_LINGER with no time to linger."""
+FLUSH_ON_CLOSE = struct.pack("ii", 0, 0)
 HEADER_TIMEOUT_FAILURE = Failure(
     ErrorKind.DEADLINE_EXCEEDED, f"headers: incomplete after {HEADER_TIMEOUT_S:g} s: send faster"
 )
@@ -146,7 +147,7 @@
         for server in self.servers:
             server.close()
         for connection in list(self.server_state.connections):
-            connection.transport.abort()
+            connection.abort()
         for task in list(self.server_state.tasks):
             task.cancel()
 
@@ -157,6 +158,8 @@
     _header_timer: asyncio.TimerHandle | None = None
     _received_any = False
     _stopping = False
+    _aborted = False
+    _resets_on_close = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         super().connection_made(transport)
@@ -165,8 +168,17 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._cancel_header_timer()
+        is_sent = exc is None and not self._aborted and not self._request_in_progress()
+        if self._resets_on_close and is_sent:
+            # The socket is closed after this call.
+            self._set_linger(FLUSH_ON_CLOSE)
         super().connection_lost(exc)
 
+    def abort(self) -> None:
+        """Close the connection at once; what has not been sent is lost."""
+        self._aborted = True
+        self.transport.abort()
+
     def data_received(self, data: bytes) -> None:
         self._received_any = True
         if not self._request_in_progress():
@@ -178,22 +190,23 @@
     async def _run_app(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Run the application; reset the connection if its end would make a response look whole.
 
-        A response to HTTP/1.0 without a length ends with its connection. Closed after an error, a
-        response that was broken off would look like a complete one.
+        A response to HTTP/1.0 without a length ends with its connection. Closed in its middle, by
+        an error or by the end of the process, it would look complete. So the connection is reset,
+        whoever closes it, until the response has been sent.
         """
+        if scope["http_version"] == HTTP_1_0:
+            self._resets_on_close = True
+            self._set_linger(RESET_ON_CLOSE)
         try:
             await self._wrapped_app(scope, receive, send)
         except BaseException:
-            cycle = self.cycle
-            is_broken_off = cycle.response_started and not cycle.response_complete
-            if scope["http_version"] == HTTP_1_0 and is_broken_off:
-                self._reset_connection()
+            if self._resets_on_close and self._request_in_progress():
+                self.abort()
             raise
 
-    def _reset_connection(self) -> None:
+    def _set_linger(self, option: bytes) -> None:
         raw_socket = self.transport.get_extra_info("socket")
-        raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        self.transport.abort()
+        raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
 
     def shutdown(self) -> None:
         """Close the connection at a stop, unless a request has arrived in part.
--- a/testing/http/test_http_1_0.py
+++ b/testing/http/test_http_1_0.py
@@ -19,19 +19,29 @@
     """Ends a response in its middle."""
 
 
-def received_by_caller(version: bytes, *, broken_off: bool) -> tuple[bytes, bool]:
-    """Return what a caller receives, and whether the connection was reset."""
+def received_by_caller(
+    version: bytes, *, broken_off: bool = False, killed: bool = False
+) -> tuple[bytes, bool]:
+    """Return what a caller receives, and whether the connection was reset.
+
+    :param broken_off: whether the application ends the response in its middle.
+    :param killed: whether the server is killed in its middle.
+    """
+    server: HttpServer
 
     async def app(scope, receive, send) -> None:
         exchange = Exchange(scope, receive, send)
         await exchange.start(200, [("content-type", "text/event-stream")])
         await exchange.write(EVENT)
         await anyio.sleep(0.1)
+        if killed:
+            server.kill()
         if broken_off:
             raise BrokenOffError
         await exchange.write(b"", more=False)
 
     async def main() -> tuple[bytes, bool]:
+        nonlocal server
         server = HttpServer(app)
         received = b""
         with anyio.fail_after(TEST_LIMIT_S):
@@ -59,6 +69,11 @@
         _, was_reset = received_by_caller(b"1.0", broken_off=True)
         self.assertTrue(was_reset)
 
+    # Guards against the same when the gateway ends by itself or is killed.
+    def test_a_response_is_reset_if_the_server_is_killed_in_its_middle(self) -> None:
+        _, was_reset = received_by_caller(b"1.0", killed=True)
+        self.assertTrue(was_reset)
+
     def test_a_complete_response_ends_with_its_connection(self) -> None:
         received, was_reset = received_by_caller(b"1.0", broken_off=False)
         self.assertTrue(received.endswith(EVENT))
