Check a replica's software again just before a request is sent to it

Reported: a front machine out of step during a release went on with streams at replicas of another version. Found here in a second place, where the out-of-step gateway can't reach the replicas itself.

Cause: a gateway that passes a request on for another one looked the replica up by its name only. If the gateway that asks has an older list, and the replica has started again under its name with other software, the one asked knows so and sent the request nevertheless. Besides, an entry that changed while a connection was being opened was noticed only in the answer's head: the replica had worked in vain, and a request that may run once was 502.

Evidence, before: the take-up of a stream of v1 through a gateway whose list says v2 was answered 200 with events ("200 != 503"); the other test: "(502, [the request]) != (503, [])". After: both green, with the 99 tests of the modules that send and relay requests.

Change: a relayed request names the software that it is for, and a gateway refuses it ("not listed", which old builds know) if its own list differs. After the connection has been opened, the entry must still have the same software and address, directly and when passed on. So a gateway that stood still between its choice and its send checks the choice again.

The message has one field more at its end: old builds ignore it, and a request of an old build, which lacks it, is passed on as before (tested).

--- a/src/bramleylead/gateway/_directory.py
+++ b/src/bramleylead/gateway/_directory.py
@@ -100,6 +100,13 @@
         missing = self._missing.get(name)
         return missing is None or anyio.current_time() < missing.used_until
 
+    def is_current(self, replica: Replica) -> bool:
+        """Return whether a replica that was chosen before may still be sent that request."""
+        listed = self._replicas.get(replica.name)
+        if listed is None or listed.software != replica.software:
+            return False
+        return listed.address == replica.address and self.is_usable(replica.name)
+
     def replica_names(self) -> set[str]:
         """Return the names of all known replicas, including leaving ones."""
         return set(self._replicas)
--- a/src/bramleylead/gateway/_relay_messages.py
+++ b/src/bramleylead/gateway/_relay_messages.py
@@ -6,6 +6,8 @@
 from typing import NamedTuple
 
 from bramleylead.connection import message
+from bramleylead.platform._types import NO_SOFTWARE
+from bramleylead.platform._types import Software
 
 
 class Reach(StrEnum):
@@ -37,6 +39,8 @@
     :param replica: its name; the gateway asked looks up the address itself.
     :param idempotent: whether the request may be sent to another replica if this one falls silent.
     :param timeout_s: when to give the request up; the gateway that asks may be cut off meanwhile.
+    :param software: what the replica must run; one of the two gateways may know an older list.
+        Gateways of former releases don't say.
     """
 
     replica: str
@@ -47,6 +51,7 @@
     headers: tuple[tuple[str, str], ...]
     request_id: str
     body: bytes
+    software: Software = NO_SOFTWARE
 
 
 @message(190)
--- a/src/bramleylead/gateway/_relay_server.py
+++ b/src/bramleylead/gateway/_relay_server.py
@@ -33,7 +33,9 @@
 from bramleylead.ledger._relay_table import RelayGateway
 from bramleylead.placement._replica_paths import ReplicaPaths
 from bramleylead.platform import _wire as wire
+from bramleylead.platform._types import NO_SOFTWARE
 from bramleylead.platform._types import Replica
+from bramleylead.platform._types import Software
 
 MAX_RELAYED_REQUESTS = 256
 """Requests of other gateways that are carried at once; their bodies are held in memory."""
@@ -92,7 +94,7 @@
             self.running -= 1
 
     async def _send(self, request: RelayRequest, reply: Reply) -> None:
-        replica = self._find(request.replica)
+        replica = self._find(request.replica, request.software)
         if self.running > MAX_RELAYED_REQUESTS:
             replica = RelayRefusal.BUSY
         if isinstance(replica, RelayRefusal):
@@ -105,7 +107,7 @@
         ) as used:
             if isinstance(used, Err):
                 await self._refuse(request, reply, RelayRefusal.UNREACHED)
-            elif not self._directory.is_usable(replica.name):
+            elif not self._directory.is_current(replica):
                 await self._refuse(request, reply, RelayRefusal.NOT_LISTED)
             else:
                 await self._pass_response(request, reply, replica, used.ok_value)
@@ -143,8 +145,11 @@
             status=response.status,
         )
 
-    def _find(self, name: str) -> Replica | RelayRefusal:
-        """Return a replica, or why nothing may be sent to it from here."""
+    def _find(self, name: str, software: Software = NO_SOFTWARE) -> Replica | RelayRefusal:
+        """Return a replica, or why nothing may be sent to it from here.
+
+        :param software: what it must run, if specified.
+        """
         if self._is_stopping():
             return RelayRefusal.STOPPING
         if self._paths.is_lost:
@@ -152,6 +157,8 @@
         replica = self._directory.find(name)
         if replica is None or not self._directory.is_usable(name):
             return RelayRefusal.NOT_LISTED
+        if software not in (NO_SOFTWARE, replica.software):
+            return RelayRefusal.NOT_LISTED
         return replica
 
     async def _refuse(self, request: RelayRequest, reply: Reply, reason: RelayRefusal) -> None:
--- a/src/bramleylead/gateway/_relayed_connection.py
+++ b/src/bramleylead/gateway/_relayed_connection.py
@@ -164,6 +164,7 @@
             headers=tuple(self._head.headers),
             request_id=self._head.request_id,
             body=self._body,
+            software=self._replica.software,
         )
 
     async def _receive(self) -> Any:
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -136,9 +136,9 @@
                     self._record_unreached(call, replica, used.err_value)
                     yield NotRun(used.err_value, counts_as_attempt=False)
                     return
-                if not self._directory.is_usable(replica.name):
-                    # It announced that it leaves while the connection was being opened.
-                    yield NotRun(f"{replica.name} is leaving", counts_as_attempt=False)
+                if not self._directory.is_current(replica):
+                    # Its entry changed while the connection was being opened.
+                    yield NotRun(f"{replica.name} leaves or changed", counts_as_attempt=False)
                     return
                 async with self._send_on_connection(
                     call, replica, used.ok_value, body, resume_after
--- a/testing/gateway/test_relayed_requests.py
+++ b/testing/gateway/test_relayed_requests.py
@@ -8,9 +8,14 @@
 import anyio
 from anyio.abc import ByteStream
 
+from bramleylead.connection._codec import from_plain
+from bramleylead.connection._codec import to_plain
 from bramleylead.gateway import _relay_server
 from bramleylead.gateway._path_monitor import SILENCE_S
+from bramleylead.gateway._relay_messages import RelayRequest
+from bramleylead.platform._types import NO_SOFTWARE
 from bramleylead.platform._types import CallKind
+from bramleylead.platform._types import Software
 from testing.gateway._fleet import CrashableReplica
 from testing.gateway._fleet import Fleet
 from testing.gateway._fleet import run_with_fleet
@@ -307,6 +312,14 @@
         self.run_with_lost_paths(main, SAFE)
 
 
+class MessageTest(unittest.TestCase):
+    def test_a_request_from_a_gateway_that_names_no_software_is_read(self) -> None:
+        software = Software("svc", "v1")
+        request = RelayRequest("a", True, 1.0, "GET", "/", (), "q1", b"", software)
+        self.assertEqual(from_plain(to_plain(request)), request)
+        self.assertEqual(from_plain(to_plain(request)[:-1]).software, NO_SOFTWARE)
+
+
 class SoundReplicaTest(unittest.TestCase):
     def test_a_replica_that_falls_silent_for_a_second_is_no_lost_path(self) -> None:
         async def main(fleet: Fleet) -> None:
--- a/testing/gateway/test_software_versions.py
+++ b/testing/gateway/test_software_versions.py
@@ -10,6 +10,7 @@
 from bramleylead.ledger._records import Spending
 from bramleylead.platform._types import CallKind
 from bramleylead.platform._types import Software
+from bramleylead.standins._network import SAME_DATA_CENTRE_S
 from testing.gateway._fleet import CrashableReplica
 from testing.gateway._fleet import Fleet
 from testing.gateway._fleet import run_with_fleet
@@ -24,12 +25,14 @@
 from testing.gateway._site import route
 from testing.gateway.test_plain_calls import refused_response
 from testing.gateway.test_plain_calls import run_with_site
+from testing.gateway.test_relayed_requests import lose_paths
 from testing.gateway.test_streams import break_stream_after
 from testing.gateway.test_streams import events
 from testing.gateway.test_streams import resume_stream
 from testing.ledger._fleet import gateway_host
 
 RESUMABLE = route(CallKind.STREAM, resumable=True, max_attempts=3)
+PROBED = route(CallKind.SAFE)
 NUMBERS = (1, 2, 3, 4)
 SETTLED_S = 0.2
 PERMIT_S = 0.1
@@ -72,6 +75,14 @@
     return last
 
 
+async def break_off_then_resume(received: ReceivedRequest, stream: ByteStream) -> None:
+    """Break a stream off after two events, or resume it."""
+    if "last-event-id" in received.headers:
+        await resume_stream(*NUMBERS)(received, stream)
+    else:
+        await break_stream_after(1, 2)(received, stream)
+
+
 def begin_and_hang(replica: CrashableReplica) -> Script:
     """Return a script that sends two events and then nothing."""
 
@@ -337,6 +348,51 @@
 
         run_with_site(main, RESUMABLE)
 
+    def test_a_stream_is_not_sent_to_a_replica_that_changes_while_the_connection_is_opened(
+        self,
+    ) -> None:
+        async def main(site: Site) -> None:
+            (replica,) = await add_replicas(site, "v1", 1)
+            begun = Spending("p", "q1.1", 60, settled=False, software=Software("svc", "v1"))
+            site.ledger.spendings.append(begun)
+            responses: list[ReceivedResponse] = []
+
+            async def resume_in_background() -> None:
+                responses.append(await resume(site, "q2", "q1"))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(resume_in_background)
+                await anyio.sleep(SAME_DATA_CENTRE_S)
+                changed = site.entries["v1-0"]._replace(software_version="v2")
+                site.directory.put_replica(changed)
+            self.assertEqual((responses[0].status, replica.received), (503, []))
+
+        run_with_site(main, RESUMABLE)
+
+    # Guards against text joined from two versions by a gateway that is out of step: it reaches no
+    # replica itself, and the gateway that it asks knows that the replica has other software now.
+    def test_a_gateway_does_not_pass_on_a_stream_to_other_software_than_it_was_asked_for(
+        self,
+    ) -> None:
+        async def main(fleet: Fleet) -> None:
+            for _ in range(3):
+                await fleet.add_replica(lambda replica: break_off_then_resume)
+            begun = await fleet.gateways[1].request(
+                "/stream/x", body=b"q", headers=program_headers("q1")
+            )
+            self.assertEqual((begun.body, begun.complete), (events(1, 2), False))
+            for gateway in fleet.gateways[1:]:
+                for replica in gateway.directory.usable():
+                    changed = replica._replace(software_version="v2")
+                    gateway.directory.put_replica(changed)
+            outdated = await lose_paths(fleet)
+            response = await resume(outdated, "q2", "q1")
+            self.assertEqual(response.status, 503)
+            received = [r.id for x in fleet.replicas for r in x.process.received]
+            self.assertNotIn("q2", received)
+
+        run_with_fleet(main, RESUMABLE._replace(max_attempts=1), PROBED)
+
     def test_another_gateway_resumes_a_stream_after_a_ledger_node_lost_its_disk(self) -> None:
         async def main(fleet: Fleet) -> None:
             await fleet.add_replica(lambda replica: break_stream_after(1, 2), version="v1")
