Record a stream's software as unknown if its replica's entry changes

Evidence, before: the new test in four variants (with and without a budget, with and without an event after the change): the gateway went on at v1 with a stream that v2 had begun ("events 1 2 3 4, complete" instead of a stream that breaks off), and a caller that took it up was answered 200 instead of 503.

Change: with each event, and when the stream breaks, the entry is compared with the one by which the replica was chosen. If its software differs, the record in the ledger is replaced by one that names none, so that any gateway refuses to go on, and this gateway breaks the stream off instead of taking it up. A stream that ends whole is not touched.

Cost: a look at the list an event; a message to the ledger only when an entry changed. What decides on a stream's software moves to a module of its own, `_stream_software.py`.

Not closed: a stream that breaks before the list shows the change, and one that goes on at such a replica before it does.

--- a/src/bramleylead/gateway/_replica_choice.py
+++ b/src/bramleylead/gateway/_replica_choice.py
@@ -97,6 +97,11 @@
         replicas = self._directory.replicas(software.service)
         return any(replica.software == software for replica in replicas)
 
+    def runs_as_listed(self, replica: Replica) -> bool:
+        """Return whether the list shows no other software for a replica than it was chosen for."""
+        listed = self._directory.find(replica.name)
+        return listed is None or listed.software == replica.software
+
     def retry_after_s(self, service: str) -> float:
         """Return when a caller whose request could be sent to no replica should return."""
         return self._permit_waits.retry_after_s(service)
--- a/src/bramleylead/gateway/_stream_state.py
+++ b/src/bramleylead/gateway/_stream_state.py
@@ -88,6 +88,7 @@
         self.finished = False
         self.may_have_run = False
         self.connection_lost = False
+        self.software_changed = False
         self.attempts = 0
         self.unreached = 0
         self.events = 0
@@ -115,6 +116,8 @@
     @property
     def can_retry(self) -> bool:
         """Whether the request may be sent to another replica."""
+        if self.software_changed:
+            return False
         if self.may_have_run and not self.call.route.resumable:
             return False
         return (
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -29,13 +29,12 @@
 from bramleylead.gateway._response_body import read_complete
 from bramleylead.gateway._response_body import unknown_outcome
 from bramleylead.gateway._sender import Sender
+from bramleylead.gateway._stream_software import StreamSoftware
 from bramleylead.gateway._stream_state import PreparedRequest
 from bramleylead.gateway._stream_state import ResponseWriter
 from bramleylead.gateway._stream_state import Stream
 from bramleylead.gateway._turn_history import TurnHistory
-from bramleylead.platform._types import NO_SOFTWARE
 from bramleylead.platform._types import Replica
-from bramleylead.platform._types import Software
 
 OK_STATUS = 200
 MAX_SHOWN_BYTES = 40
@@ -62,6 +61,7 @@
         self._guard = guard
         self._budgets = budgets
         self._history = history
+        self._software = StreamSoftware(sender.choice, budgets)
 
     async def answer(self, call: Call, writer: ResponseWriter) -> None:
         """Send a complete response, an error or an aborted stream by the caller's deadline."""
@@ -95,7 +95,7 @@
             call.metadata,
             crashes=self._guard.evidence(call),
             resumable=call.route.resumable,
-            software=self._software_to_record(call, service),
+            software=self._software.to_record(call, service),
         )
         if isinstance(reserved, Err):
             return reserved
@@ -111,12 +111,6 @@
             service = begun_by.service
         return Ok(PreparedRequest(body, reservation, service, begun_by))
 
-    def _software_to_record(self, call: Call, service: str) -> Software:
-        """Return the software that a stream is going to be offered to, if it may be resumed."""
-        if not call.route.resumable or call.resumes_stream:
-            return NO_SOFTWARE
-        return self._sender.choice.preferred_software(call, service)
-
     def _check_reserved(
         self, call: Call, service: str, reservation: BudgetReservation
     ) -> Failure | None:
@@ -125,7 +119,7 @@
         if held_back is not None:
             return held_back
         if call.resumes_stream:
-            return self._check_software(call, reservation.begun_by)
+            return self._software.refusal(call, reservation.begun_by)
         if reservation.progress is None or call.metadata.previous_turn:
             return None
         refusal = self._sender.check_admission(call, service, reservation.progress)
@@ -133,17 +127,6 @@
             return None
         return Failure(ErrorKind.OVERLOADED, refusal.detail, refusal.retry_after_s)
 
-    def _check_software(self, call: Call, begun_by: Software | None) -> Failure | None:
-        """Return a failure if no replica can go on with a stream that a caller resumes."""
-        if begun_by is None:
-            detail = f"request {call.metadata.resumed_request!r} began no stream that is known"
-            return Failure(ErrorKind.STREAM_NOT_RESUMABLE, detail)
-        is_allowed = any(share.service == begun_by.service for share in call.route.shares)
-        if is_allowed and self._sender.choice.is_served(begun_by):
-            return None
-        detail = f"no replica runs the software that began the stream: {begun_by}"
-        return Failure(ErrorKind.STREAM_NOT_RESUMABLE, detail)
-
     async def _stream(self, stream: Stream) -> None:
         """Run a stream; its spending is settled in every case."""
         turn_saved = False
@@ -161,16 +144,17 @@
     async def _try_replicas(self, stream: Stream) -> bool:
         """Relay the stream; return whether it is complete. The end is not sent yet."""
         while stream.can_retry and self._guard.refusal(stream.call) is None:
-            replica = await self._choose(stream)
+            replica = await self._software.choose(stream)
             if replica is None:
                 stream.retry_after_s = self._sender.choice.retry_after_s(stream.service)
                 break
-            if not await self._record_software(stream, replica):
+            if not await self._software.record(stream, replica):
                 break
             events_before = stream.events
             end = await self._attempt(stream, replica)
             if end is not _StreamEnd.BROKEN:
                 return end is _StreamEnd.WHOLE
+            await self._software.check(stream, replica)
             if stream.connection_lost:
                 crashed = await self._guard.record_lost_connection(
                     stream.call, replica, events=stream.events - events_before
@@ -179,38 +163,6 @@
                 stream.attempts -= crashed
         return False
 
-    async def _choose(self, stream: Stream) -> Replica | None:
-        """Return the next replica; one that runs the stream's software, once it has begun."""
-        choice = self._sender.choice
-        call, software = stream.call, stream.software
-        if software is not None:
-            replica = await choice.choose(
-                call, stream.service, stream.tried_replicas, software=software
-            )
-            if replica is not None or stream.begun_by is not None:
-                return replica
-        return await choice.choose(call, stream.service, stream.tried_replicas)
-
-    async def _record_software(self, stream: Stream, replica: Replica) -> bool:
-        """Record the software that may begin a stream before it does; return if that succeeded."""
-        recorded = stream.reservation.spending
-        if recorded is None or not stream.call.route.resumable or stream.begun_by is not None:
-            return True
-        if recorded.software == replica.software:
-            return True
-        reserved = await self._budgets.reserve(
-            stream.call.metadata,
-            resumable=True,
-            software=replica.software,
-            replaces=stream.reservation.entry,
-        )
-        if isinstance(reserved, Err):
-            stream.detail = reserved.err_value.detail
-            return False
-        self._budgets.settle(stream.call.metadata, stream.reservation, 0)
-        stream.reservation = reserved.ok_value
-        return True
-
     async def _attempt(self, stream: Stream, replica: Replica) -> _StreamEnd:
         stream.tried_replicas.add(replica.name)
         may_have_run_before, stream.may_have_run = stream.may_have_run, True
@@ -302,6 +254,7 @@
             if stream.begun_by is None:
                 stream.begun_by = response.replica.software
             await stream.writer.write(b"".join(event.raw for event in sound))
+            await self._software.check(stream, response.replica)
         if len(sound) < len(events):
             shown = events[len(sound)].raw[:MAX_SHOWN_BYTES]
             raise UpstreamError(f"no event of this stream after {stream.last_event_id}: {shown!r}")
--- a/testing/gateway/test_software_versions.py
+++ b/testing/gateway/test_software_versions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from functools import partial
 
 import anyio
 from anyio.abc import ByteStream
@@ -20,6 +21,8 @@
 from testing.gateway._site import ReceivedResponse
 from testing.gateway._site import Script
 from testing.gateway._site import Site
+from testing.gateway._site import chunk
+from testing.gateway._site import event
 from testing.gateway._site import event_stream
 from testing.gateway._site import respond_with
 from testing.gateway._site import route
@@ -348,6 +351,41 @@
 
         run_with_site(main, RESUMABLE)
 
+    # Guards against text joined from two versions: a replica that started again under its name
+    # with other software began a stream before the list of replicas told of it.
+    def test_a_stream_whose_replica_turns_out_to_run_other_software_is_not_resumed(self) -> None:
+        for budgeted in (True, False):
+            for late_event in (True, False):
+                with self.subTest(budgeted=budgeted, late_event=late_event):
+                    check = partial(self.check_late_version, budgeted, late_event)
+                    run_with_site(check, RESUMABLE)
+
+    async def check_late_version(self, budgeted: bool, late_event: bool, site: Site) -> None:
+        async def begin(received: ReceivedRequest, stream: ByteStream) -> None:
+            await add_replicas(site, "v1", 2)
+            await stream.send(event_stream(received, 1, 2, end=False))
+            await anyio.sleep(SETTLED_S)
+            changed = site.entries["restarted"]._replace(software_version="v2")
+            site.directory.put_replica(changed)
+            if late_event:
+                await stream.send(chunk(event(3)))
+                await anyio.sleep(SETTLED_S)
+                # A caller whose connection is cut takes the stream up while it still runs.
+                early = await resume(site, "q2", "q1")
+                self.assertEqual(early.status, 503)
+            await stream.aclose()
+
+        await site.add_replica("restarted", begin, version="v1")
+        headers = program_headers("q1") if budgeted else {REQUEST_ID_HEADER: "q1"}
+        response = await site.request("/stream/x", body=b"q", headers=headers)
+        sent = (1, 2, 3) if late_event else (1, 2)
+        self.assertEqual((response.body, response.complete), (events(*sent), False))
+        await anyio.sleep(SETTLED_S)
+        headers = {**headers, REQUEST_ID_HEADER: "q3", "last-event-id": "2", "resumes": "q1"}
+        later = await site.request("/stream/x", body=b"q", headers=headers)
+        self.assertEqual(later.status, 503)
+        self.assertEqual([site.replicas[f"v1-{n}"].received for n in (0, 1)], [[], []])
+
     def test_a_stream_is_not_sent_to_a_replica_that_changes_while_the_connection_is_opened(
         self,
     ) -> None:
