KNOWN-RED: a stream goes on at a restarted process the list doesn't show

A replica may start again under the name that it had, with other software. Until the list shows it, a gateway that goes on with a stream takes it for the former process, and text of two versions is joined (ORDER). The users' pages name a sign, `born`, the time of the start, in the entry and in /api/report; answers don't carry it.

--- a/testing/gateway/test_out_of_step.py
+++ b/testing/gateway/test_out_of_step.py
@@ -23,6 +23,7 @@
 from testing.gateway._site import Script
 from testing.gateway._site import Site
 from testing.gateway._site import chunk
+from testing.gateway._site import event_stream
 from testing.gateway._site import full_response
 from testing.gateway._site import response_head
 from testing.gateway._site import route
@@ -137,6 +138,26 @@
         self.assertEqual(refused.status, 503)
 
 
+class RestartedReplicaTest(unittest.TestCase):
+    # The list still shows the former process of the replica, which ran the stream's version.
+    def test_a_stream_does_not_go_on_at_a_process_that_the_list_does_not_show_yet(self) -> None:
+        async def main(site: Site) -> None:
+            async def restarted(received: ReceivedRequest, stream: ByteStream) -> None:
+                if received.target == "/api/report":
+                    await stream.send(full_response(received, b'{"born": 2}'))
+                    return
+                await stream.send(event_stream(received, 3, 4).replace(b"word", b"else"))
+
+            await site.add_replica("first", break_stream_after(1, 2), version="v1")
+            await site.request("/stream/x", body=b"q", headers=program_headers("q1"))
+            site.directory.remove_replica("first")
+            await site.add_replica("restarted", restarted, version="v1")
+            resumed = await resume(site, "q2", "q1")
+            self.assertNotIn(b"else", resumed.body)
+
+        run_with_site(main, RESUMABLE)
+
+
 class FrozenGatewayTest(unittest.TestCase):
     # Guards against ORDER: a gateway stands still while replicas of a stream's version end, and
     # others start at their addresses; it goes on with its old list.
