Test late copies of an answer that are cut at any byte

A replica writes the answer to one request again while the next one runs on the same connection, whole or cut after any byte, and closes. The next request is answered 502, never with the copy; with a length and in chunks.

--- a/testing/gateway/test_broken_answers.py
+++ b/testing/gateway/test_broken_answers.py
@@ -218,6 +218,35 @@
                 self.assertIn(response.status, (200, 502))
                 self.assertFalse(response.status == 200 and response.complete)
 
+    # Guards against MIXED: a late copy of an answer on a connection in use again, whole or cut.
+    def test_a_copy_of_the_answer_before_is_never_the_answer_however_it_is_cut(self) -> None:
+        for framing in FRAMINGS[:2]:
+            with self.subTest(framing.name):
+                run_with_site(partial(self.check_copies, framing), *ROUTES)
+
+    async def check_copies(self, framing: Framing, site: Site) -> None:
+        former: list[bytes] = []
+
+        async def script(received: ReceivedRequest, stream: ByteStream) -> None:
+            if not former:
+                former.append(framing.write(received))
+                await stream.send(former[0])
+                return
+            await stream.send(former.pop()[:cut])
+            await stream.aclose()
+
+        replica = await site.add_replica("a", script)
+        cut = whole_bytes = 1
+        while cut <= whole_bytes:
+            path = PATHS[cut % len(PATHS)]
+            first = await site.request(path, body=b"q", headers={REQUEST_ID_HEADER: "q0001"})
+            whole_bytes = len(former[0])
+            self.assertEqual((first.status, first.complete), (200, True))
+            second = await site.request(path, body=b"q", headers={REQUEST_ID_HEADER: "q0002"})
+            self.assertEqual(second.status, 502)
+            cut += 1
+        self.assertLess(replica.connections, len(replica.received))
+
     # Guards against the other side: a sound stream that pauses for long between any two bytes.
     def test_a_stream_that_comes_byte_by_byte_is_whole(self) -> None:
         async def main(site: Site) -> None:
