Use an idle connection only for the address that it was opened to

Cause: idle connections were kept by the replica's name. A replica that starts again under its name at another address, while its former process still serves for a while, was sent requests on connections to the former one, which accepts its name.

Evidence: the new test, before: an idle connection to port 80 was returned for the replica at port 81; after: none, and it is closed.

Change: a connection knows its address, and one of another address is closed when it would be used.

--- a/src/bramleylead/gateway/_connection_pool.py
+++ b/src/bramleylead/gateway/_connection_pool.py
@@ -104,7 +104,10 @@
         idle = self._idle.get(replica.name, [])
         while idle:
             connection = idle.pop()
-            if anyio.current_time() < connection.reuse_until and connection.is_idle():
+            # A replica may have started again under its name elsewhere.
+            is_current = connection.address == replica.address
+            is_open = anyio.current_time() < connection.reuse_until and connection.is_idle()
+            if is_current and is_open:
                 self._record_use(connection, replica, idempotent)
                 return connection
             await connection.aclose()
@@ -207,9 +210,13 @@
             return Err(f"{replica.address}: can't connect: {_describe(error)}")
         self.opened += 1
         self._paths.record_reached(replica.name, now=anyio.current_time())
-        return Ok(
-            UpstreamConnection(stream, id_header=self._id_header, on_received=self._record_heard)
+        connection = UpstreamConnection(
+            stream,
+            address=replica.address,
+            id_header=self._id_header,
+            on_received=self._record_heard,
         )
+        return Ok(connection)
 
     def _record_heard(self) -> None:
         self._paths.record_heard(now=anyio.current_time())
--- a/src/bramleylead/gateway/_upstream.py
+++ b/src/bramleylead/gateway/_upstream.py
@@ -48,6 +48,7 @@
 class UpstreamConnection:
     """One connection; carries one request at a time.
 
+    :param address: of the replica.
     :param id_header: the header in which a response carries the id of its request.
     :param on_received: called whenever something arrives.
     """
@@ -56,9 +57,11 @@
         self,
         stream: ByteStream,
         *,
+        address: str,
         id_header: str,
         on_received: Callable[[], None] = lambda: None,
     ) -> None:
+        self.address = address
         self._stream = stream
         self._id_header = id_header
         self._on_received = on_received
--- a/testing/gateway/test_connection_pool.py
+++ b/testing/gateway/test_connection_pool.py
@@ -107,6 +107,19 @@
         self.run_with_pool(main)
 
 
+class MovedReplicaTest(PoolTestCase):
+    # Guards against a request to the former process of a replica, maybe of another version, that
+    # still serves at its address while the list shows the new one.
+    def test_a_connection_to_the_former_address_of_a_replica_is_not_used(self) -> None:
+        async def main(pool: ConnectionPool, slow: SlowNetwork, network: FakeNetwork) -> None:
+            await pool.probe(REPLICA)
+            moved = REPLICA._replace(address=f"{REPLICA_IP}:81")
+            self.assertIsNone(await pool.take_idle(moved, idempotent=True))
+            self.assertFalse(pool.has_any_idle)
+
+        self.run_with_pool(main)
+
+
 class ExpiryTest(PoolTestCase):
     def test_a_replica_may_be_added_while_expired_connections_are_closed(self) -> None:
         async def main(pool: ConnectionPool, slow: SlowNetwork, network: FakeNetwork) -> None:
