--- a/src/bramleylead/gateway/_upstream.py
+++ b/src/bramleylead/gateway/_upstream.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import re
 import select
 from collections.abc import Callable
 from types import TracebackType
@@ -32,6 +33,9 @@
 MAX_STALE_RESPONSES = 8
 MAX_INFORMATIONAL_RESPONSES = 8
 
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d( |\r?$)", re.MULTILINE)
+BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
+
 TRANSPORT_ERRORS = (
     anyio.EndOfStream,
     anyio.BrokenResourceError,
@@ -44,6 +48,7 @@
 class UpstreamConnection:
     """One connection; carries one request at a time.
 
+    :param address: of the replica.
     :param id_header: the header in which a response carries the id of its request.
     :param on_received: called whenever something arrives.
     """
@@ -52,9 +57,11 @@
         self,
         stream: ByteStream,
         *,
+        address: str,
         id_header: str,
         on_received: Callable[[], None] = lambda: None,
     ) -> None:
+        self.address = address
         self._stream = stream
         self._id_header = id_header
         self._on_received = on_received
@@ -63,6 +70,7 @@
         self._request_sent = True
         self._response_complete = False
         self._must_close = False
+        self._head_data: bytearray | None = None
         self._body_bytes = 0
         self._reading: anyio.CancelScope | None = None
         self._abandoned = False
@@ -207,7 +215,7 @@
 
     async def _read_response_head(self) -> ResponseHead:
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
-            event = await self._next_event()
+            event = await self._next_head()
             if isinstance(event, h11.Response):
                 headers = [
                     (name.decode("latin-1"), value.decode("latin-1"))
@@ -216,6 +224,15 @@
                 return ResponseHead(event.status_code, headers)
         raise UpstreamError("received only informational responses")
 
+    async def _next_head(self) -> h11.Event:
+        """Return the next event, the head of a response, and check what it was parsed from."""
+        self._head_data = bytearray(self._parser.trailing_data[0])
+        event = await self._next_event()
+        rest, _ = self._parser.trailing_data
+        _require_one_head(bytes(self._head_data[: len(self._head_data) - len(rest)]))
+        self._head_data = None
+        return event
+
     async def _discard_response(self) -> None:
         """Discard a response to another request and reset the parser for the next one."""
         await self.discard_body()
@@ -263,4 +280,20 @@
             detail = f"connection error: {type(error).__name__}"
             raise UpstreamError(detail, connection_lost=True) from error
         self._on_received()
+        if self._head_data is not None:
+            self._head_data += data
         return data
+
+
+def _require_one_head(data: bytes) -> None:
+    """Check that a head was not cut off and continued by other data, which would complete it.
+
+    Its status would be joined with the headers and the body of another response, or its headers
+    with a part of its body. A replica ends all lines of a head alike.
+
+    :raises UpstreamError: if it was.
+    """
+    if STATUS_LINE.search(data, 1):
+        raise UpstreamError("the head of a response runs on into that of another one")
+    if b"\r\n" in data and BARE_LINE_FEED.search(data):
+        raise UpstreamError("the head of a response runs on into other text")
--- a/src/bramleylead/http/_server.py
+++ b/src/bramleylead/http/_server.py
@@ -171,7 +171,7 @@
     def abort_all(self) -> None:
         """Abort every connection, cancel every request."""
         for connection in list(self.server_state.connections):
-            connection.transport.abort()
+            connection.abort()
         for task in list(self.server_state.tasks):
             task.cancel()
 
--- a/testing/gateway/test_software_versions.py
+++ b/testing/gateway/test_software_versions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from functools import partial
 
 import anyio
 from anyio.abc import ByteStream
@@ -10,6 +11,7 @@
 from bramleylead.ledger._records import Spending
 from bramleylead.platform._types import CallKind
 from bramleylead.platform._types import Software
+from bramleylead.standins._network import SAME_DATA_CENTRE_S
 from testing.gateway._fleet import CrashableReplica
 from testing.gateway._fleet import Fleet
 from testing.gateway._fleet import run_with_fleet
@@ -19,19 +21,25 @@
 from testing.gateway._site import ReceivedResponse
 from testing.gateway._site import Script
 from testing.gateway._site import Site
+from testing.gateway._site import chunk
+from testing.gateway._site import event
 from testing.gateway._site import event_stream
 from testing.gateway._site import respond_with
 from testing.gateway._site import route
 from testing.gateway.test_plain_calls import refused_response
 from testing.gateway.test_plain_calls import run_with_site
+from testing.gateway.test_relayed_requests import lose_paths
 from testing.gateway.test_streams import break_stream_after
 from testing.gateway.test_streams import events
 from testing.gateway.test_streams import resume_stream
 from testing.ledger._fleet import gateway_host
 
 RESUMABLE = route(CallKind.STREAM, resumable=True, max_attempts=3)
+PROBED = route(CallKind.SAFE)
 NUMBERS = (1, 2, 3, 4)
 SETTLED_S = 0.2
+PERMIT_S = 0.1
+"""Time until a limited replica allows the next request."""
 
 
 def program_headers(request_id: str, **others: str) -> dict[str, str]:
@@ -58,6 +66,26 @@
     return await site.request("/stream/x", body=b"q", headers=headers)
 
 
+async def limited_replica_of_a_broken_stream(site: Site) -> FakeReplica:
+    """Return the only replica of the version that began a stream; its limit allows no request."""
+    await site.add_replica("first", break_stream_after(1, 2), version="v1")
+    await site.request("/stream/x", body=b"q", headers=program_headers("q1"))
+    site.directory.remove_replica("first")
+    (last,) = await add_replicas(site, "v1", 1)
+    site.limits.record_limit("v1-0", 1 / PERMIT_S)
+    while site.limits.take("v1-0"):
+        pass
+    return last
+
+
+async def break_off_then_resume(received: ReceivedRequest, stream: ByteStream) -> None:
+    """Break a stream off after two events, or resume it."""
+    if "last-event-id" in received.headers:
+        await resume_stream(*NUMBERS)(received, stream)
+    else:
+        await break_stream_after(1, 2)(received, stream)
+
+
 def begin_and_hang(replica: CrashableReplica) -> Script:
     """Return a script that sends two events and then nothing."""
 
@@ -293,6 +321,116 @@
 
         run_with_site(main, RESUMABLE)
 
+    # Guards against text joined from two versions: while the only replica of a stream's version
+    # allows no request, replicas of a new version join.
+    def test_a_version_that_joins_during_a_wait_does_not_go_on_with_a_stream(self) -> None:
+        async def main(site: Site) -> None:
+            last = await limited_replica_of_a_broken_stream(site)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(add_replicas, site, "v2", 1)
+                response = await resume(site, "q2", "q1")
+            self.assertEqual((response.body, response.complete), (events(3, 4), True))
+            self.assertEqual((len(last.received), site.replicas["v2-0"].received), (1, []))
+
+        run_with_site(main, RESUMABLE)
+
+    def test_a_version_that_changes_during_a_wait_does_not_go_on_with_a_stream(self) -> None:
+        async def main(site: Site) -> None:
+            last = await limited_replica_of_a_broken_stream(site)
+            responses: list[ReceivedResponse] = []
+
+            async def resume_in_background() -> None:
+                responses.append(await resume(site, "q2", "q1"))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(resume_in_background)
+                await anyio.sleep(PERMIT_S / 2)
+                changed = site.entries["v1-0"]._replace(software_version="v2")
+                site.directory.put_replica(changed)
+            self.assertEqual((responses[0].status, last.received), (503, []))
+
+        run_with_site(main, RESUMABLE)
+
+    # Guards against text joined from two versions: a replica that started again under its name
+    # with other software began a stream before the list of replicas told of it.
+    def test_a_stream_whose_replica_turns_out_to_run_other_software_is_not_resumed(self) -> None:
+        for budgeted in (True, False):
+            for late_event in (True, False):
+                with self.subTest(budgeted=budgeted, late_event=late_event):
+                    check = partial(self.check_late_version, budgeted, late_event)
+                    run_with_site(check, RESUMABLE)
+
+    async def check_late_version(self, budgeted: bool, late_event: bool, site: Site) -> None:
+        async def begin(received: ReceivedRequest, stream: ByteStream) -> None:
+            await add_replicas(site, "v1", 2)
+            await stream.send(event_stream(received, 1, 2, end=False))
+            await anyio.sleep(SETTLED_S)
+            changed = site.entries["restarted"]._replace(software_version="v2")
+            site.directory.put_replica(changed)
+            if late_event:
+                await stream.send(chunk(event(3)))
+                await anyio.sleep(SETTLED_S)
+                # A caller whose connection is cut takes the stream up while it still runs.
+                early = await resume(site, "q2", "q1")
+                self.assertEqual(early.status, 503)
+            await stream.aclose()
+
+        await site.add_replica("restarted", begin, version="v1")
+        headers = program_headers("q1") if budgeted else {REQUEST_ID_HEADER: "q1"}
+        response = await site.request("/stream/x", body=b"q", headers=headers)
+        sent = (1, 2, 3) if late_event else (1, 2)
+        self.assertEqual((response.body, response.complete), (events(*sent), False))
+        await anyio.sleep(SETTLED_S)
+        headers = {**headers, REQUEST_ID_HEADER: "q3", "last-event-id": "2", "resumes": "q1"}
+        later = await site.request("/stream/x", body=b"q", headers=headers)
+        self.assertEqual(later.status, 503)
+        self.assertEqual([site.replicas[f"v1-{n}"].received for n in (0, 1)], [[], []])
+
+    def test_a_stream_is_not_sent_to_a_replica_that_changes_while_the_connection_is_opened(
+        self,
+    ) -> None:
+        async def main(site: Site) -> None:
+            (replica,) = await add_replicas(site, "v1", 1)
+            begun = Spending("p", "q1.1", 60, settled=False, software=Software("svc", "v1"))
+            site.ledger.spendings.append(begun)
+            responses: list[ReceivedResponse] = []
+
+            async def resume_in_background() -> None:
+                responses.append(await resume(site, "q2", "q1"))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(resume_in_background)
+                await anyio.sleep(SAME_DATA_CENTRE_S)
+                changed = site.entries["v1-0"]._replace(software_version="v2")
+                site.directory.put_replica(changed)
+            self.assertEqual((responses[0].status, replica.received), (503, []))
+
+        run_with_site(main, RESUMABLE)
+
+    # Guards against text joined from two versions by a gateway that is out of step: it reaches no
+    # replica itself, and the gateway that it asks knows that the replica has other software now.
+    def test_a_gateway_does_not_pass_on_a_stream_to_other_software_than_it_was_asked_for(
+        self,
+    ) -> None:
+        async def main(fleet: Fleet) -> None:
+            for _ in range(3):
+                await fleet.add_replica(lambda replica: break_off_then_resume)
+            begun = await fleet.gateways[1].request(
+                "/stream/x", body=b"q", headers=program_headers("q1")
+            )
+            self.assertEqual((begun.body, begun.complete), (events(1, 2), False))
+            for gateway in fleet.gateways[1:]:
+                for replica in gateway.directory.usable():
+                    changed = replica._replace(software_version="v2")
+                    gateway.directory.put_replica(changed)
+            outdated = await lose_paths(fleet)
+            response = await resume(outdated, "q2", "q1")
+            self.assertEqual(response.status, 503)
+            received = [r.id for x in fleet.replicas for r in x.process.received]
+            self.assertNotIn("q2", received)
+
+        run_with_fleet(main, RESUMABLE._replace(max_attempts=1), PROBED)
+
     def test_another_gateway_resumes_a_stream_after_a_ledger_node_lost_its_disk(self) -> None:
         async def main(fleet: Fleet) -> None:
             await fleet.add_replica(lambda replica: break_stream_after(1, 2), version="v1")
