Read the store's answers part by part: an odd item costs itself only

Operators saw: with one entry of another writer among the replicas that the JSON decoder refuses, gateways kept the replicas of before (new ones never came, gone ones stayed), and a gateway that started then was never ready.

Cause: a list or a page of changes was decoded as a whole, and each field of its objects was required. The decoder raises for a value nested about a thousand levels deep (our own check for half of that), for an integer of more than 4,300 digits and for one byte that is no UTF-8; the parser raised for an object without metadata, name or revision. `"revision": 1e999` raised OverflowError, which was not caught, in the task that follows the list. A name with a lone surrogate was read, and no message to a gateway could carry it. An item with its name or metadata twice took the name of another replica.

Change: the answer is decoded at once, as before. If the decoder refuses it, the items of its list are decoded one by one, and an item that is refused member by member, so that its name is known if it can be; the end of a refused value is found by its brackets, without recursion. Values are checked against bounds (200 levels, 64 bits, finite, UTF-8) level by level, without recursion too. An object whose value is out of bounds has none, so it names no replica from then on, and its removal removes the replica; one without a readable name is left out. Each is logged once a change, 20 lines an answer at most.

The messages between nodes are as before.

--- a/src/bramleylead/platform/_decode.py
+++ b/src/bramleylead/platform/_decode.py
@@ -21,10 +21,14 @@
 MAX_PORT_DIGITS = 5
 MAX_SLOTS = 1_000_000
 MAX_SHOWN_CHARS = 60
+MAX_REASON_CHARS = 400
 
 
 class UnreadableError(ValueError):
-    """The value of a platform object is invalid."""
+    """The value of a platform object is invalid; the text is short, whatever the value is."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason[:MAX_REASON_CHARS])
 
 
 def read_configuration(plain: Any) -> Configuration:
@@ -32,6 +36,8 @@
 
     :raises UnreadableError: if it is invalid.
     """
+    if plain is None:
+        raise UnreadableError("configuration: no value that can be read")
     try:
         limits = plain["limits"]
         services = [_parse_service(item) for item in plain["services"]]
@@ -55,6 +61,8 @@
 
     :raises UnreadableError: if it does not describe a usable replica.
     """
+    if plain is None:
+        raise UnreadableError(f"replica {name}: no value that can be read")
     try:
         state = plain["state"]
         service, address, data_centre = plain["service"], plain["address"], plain["zone"]
--- a/src/bramleylead/standins/_platform_store.py
+++ b/src/bramleylead/standins/_platform_store.py
@@ -22,6 +22,7 @@
 FIRST_REVISION = 1
 
 Plain = dict[str, Any]
+RAW_TOKEN = "raw object"
 
 
 class _Event(NamedTuple):
@@ -41,6 +42,7 @@
 
     def __init__(self) -> None:
         self._objects: dict[str, dict[str, Plain]] = {}
+        self._raw: dict[str, bytes] = {}
         self._events: list[_Event] = []
         self._changed = anyio.Event()
         self._revision = FIRST_REVISION
@@ -60,13 +62,27 @@
         if self.silent:
             await anyio.sleep_forever()
         headers = [("content-type", JSON_TYPE)]
-        await exchange.respond(status, json.dumps(answer).encode(), headers)
+        await exchange.respond(status, self._encode(answer), headers)
 
     def put(self, kind: str, name: str, value: Any) -> Plain:
         """Create or replace an object, as its own writer would."""
-        found = self._objects.setdefault(kind, {}).get(name) or _fresh(name)
+        found = self._objects.setdefault(kind, {}).get(name, {})
+        if "metadata" not in found:
+            found = _fresh(name)
         return self._record(kind, {**found, "specification": value})
 
+    def put_raw(self, kind: str, name: str, item: bytes) -> None:
+        """Create or replace an object that is sent as these bytes, whatever they are."""
+        self.replace_unseen(kind, name, item)
+        self._tell(_Event(self._revision, kind, self._objects[kind][name], False))
+
+    def replace_unseen(self, kind: str, name: str, item: bytes) -> None:
+        """Create or replace an object by bytes, as :meth:`put_raw`, but tell no watch."""
+        self._revision += 1
+        token = f"{RAW_TOKEN} {self._revision}"
+        self._raw[token] = item
+        self._objects.setdefault(kind, {})[name] = {RAW_TOKEN: token}
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
         found = self._objects[kind].pop(name)
@@ -126,6 +142,12 @@
         ]
         return 200, {"events": events, "as-of": self._revision}
 
+    def _encode(self, answer: Plain) -> bytes:
+        text = json.dumps(answer).encode()
+        for token, item in self._raw.items():
+            text = text.replace(json.dumps({RAW_TOKEN: token}).encode(), item)
+        return text
+
     def _after(self, kind: str, revision: int) -> list[_Event]:
         return [event for event in self._events if event.kind == kind and event.revision > revision]
 
--- a/testing/fuzz/test_decoders.py
+++ b/testing/fuzz/test_decoders.py
@@ -4,6 +4,7 @@
 
 import json
 import unittest
+from contextlib import suppress
 
 import msgpack
 from hypothesis import given
@@ -17,6 +18,7 @@
 from bramleylead.connection._events import EventReader
 from bramleylead.connection._events import EventTooLargeError
 from bramleylead.connection._frames import _parse_frame
+from bramleylead.json_input import find_excess
 from bramleylead.ledger import _messages as ledger_messages
 from bramleylead.ledger._members import LedgerMember
 from bramleylead.ledger._members import LedgerView
@@ -27,8 +29,11 @@
 from bramleylead.platform._decode import UnreadableError
 from bramleylead.platform._decode import read_configuration
 from bramleylead.platform._decode import read_replica
-from bramleylead.platform._objects import _is_portable
-from bramleylead.platform._objects import _to_page
+from bramleylead.platform._json_parts import decode_parts
+from bramleylead.platform._object_reader import ObjectReader
+from testing.platform._odd_items import NAMELESS_ITEMS
+from testing.platform._odd_items import ODD_ITEMS
+from testing.platform._odd_items import odd_item
 from testing.platform.test_decode import ENTRY
 from testing.platform.test_decode import ROUTE
 from testing.platform.test_decode import configuration_with
@@ -57,6 +62,18 @@
 BYTES = st.one_of(
     st.binary(max_size=200), JSON_VALUES.map(str).map(lambda t: t.encode("utf-8", "replace"))
 )
+MAX_ITEM_BYTES = 6_000
+ODD_BYTES = [
+    item for item in (*ODD_ITEMS.values(), *NAMELESS_ITEMS.values()) if len(item) <= MAX_ITEM_BYTES
+]
+ITEM_BYTES = st.builds(
+    lambda value, text, cut: odd_item("i", value=json.dumps([value, text]).encode()).replace(
+        b":", cut, 1
+    ),
+    JSON_VALUES,
+    st.text(),
+    st.sampled_from([b":", b"", b"::", b" :\n", b"\xff", b":1e999,", b":[],"]),
+)
 HEADER_VALUES = st.one_of(
     st.text(alphabet=st.characters(max_codepoint=255), max_size=40),
     st.sampled_from(
@@ -94,7 +111,7 @@
 
 def encode_if_portable(value) -> bool:
     """Encode a value if the store's client would pass it on; return whether it would."""
-    if _is_portable(value):
+    if not find_excess(value):
         msgpack.packb(value)
         return True
     return False
@@ -138,13 +155,31 @@
                 "as-of": 1,
             }
         )
-        (found,) = _to_page(json.loads(text)).objects
+        (found,) = ObjectReader().read_page("servers", text.encode()).objects
         if found.value is not None:
             msgpack.packb(found.value)
-        self.assertEqual(
-            found.value is not None,
-            value is not None and _is_portable(json.loads(text)["items"][0]["specification"]),
-        )
+        decoded = decode_parts(text.encode(), levels=0)
+        carried = isinstance(decoded, dict) and not find_excess(decoded)
+        self.assertEqual(found.value is not None, value is not None and carried)
+
+    @EXAMPLES
+    @given(st.lists(st.one_of(st.sampled_from(ODD_BYTES), ITEM_BYTES), max_size=6))
+    def test_a_page_with_items_of_any_bytes(self, items) -> None:
+        """An item with whole brackets and strings costs no other item."""
+        good = odd_item("good")
+        body = b'{"as-of": 1, "items": [%s], "has-more": false}' % b",".join([good, *items, good])
+        page = ObjectReader().read_page("servers", body)
+        self.assertEqual([page.objects[0].name, page.objects[-1].name], ["good", "good"])
+        for found in page.objects:
+            msgpack.packb(list(found))
+
+    @EXAMPLES
+    @given(BYTES)
+    def test_an_answer_of_any_bytes(self, body: bytes) -> None:
+        reader = ObjectReader()
+        for read in (reader.read_page, reader.read_changes, reader.read_object):
+            with suppress(KeyError, TypeError, ValueError):
+                read("servers", body)
 
     @EXAMPLES
     @given(st.dictionaries(st.sampled_from(CALL_HEADERS), HEADER_VALUES))
--- a/testing/gateway/test_foreign_entries.py
+++ b/testing/gateway/test_foreign_entries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -13,14 +14,26 @@
 from bramleylead.connection import TcpNetwork
 from bramleylead.gateway._connection_pool import ConnectionPool
 from bramleylead.gateway._directory import Directory
+from bramleylead.gateway._followers import ConfigurationFollower
 from bramleylead.gateway._followers import ReplicaFollower
 from bramleylead.gateway._path_monitor import SILENCE_S
 from bramleylead.gateway._path_monitor import PathMonitor
 from bramleylead.placement._replica_paths import ReplicaPaths
+from bramleylead.platform._follow import follow
 from bramleylead.platform._objects import PlatformObject
+from bramleylead.platform._objects import PlatformStore
 from bramleylead.platform._types import Replica
+from bramleylead.standins._platform_store import PlatformStoreStandIn
+from bramleylead.standins._serving import serve_app
 from testing.gateway._site import REQUEST_ID_HEADER
+from testing.gateway.test_follow import wait_until
+from testing.platform._odd_items import NAMELESS_ITEMS
+from testing.platform._odd_items import ODD_ITEMS
+from testing.platform._odd_items import named
+from testing.platform._odd_items import odd_item
 from testing.platform.test_decode import ENTRY
+from testing.platform.test_decode import ROUTE
+from testing.platform.test_decode import configuration_with
 
 FOREIGN_PORTS = ("73807395", "65536", "0", "99999999999999999999")
 
@@ -64,6 +77,31 @@
     ]
 
 
+def odd_items(prefix: str) -> list[tuple[str, bytes]]:
+    """Return the odd items whose names can be read, each under a name of its own."""
+    names = [f"{prefix}-{number}" for number in range(len(ODD_ITEMS))]
+    return [(name, named(item, name)) for name, item in zip(names, ODD_ITEMS.values(), strict=True)]
+
+
+def put_odd_items(store: PlatformStoreStandIn, prefix: str) -> None:
+    """Put all odd items in the list of replicas, as another writer would."""
+    for name, item in odd_items(prefix):
+        store.put_raw("servers", name, item)
+    for number, item in enumerate(NAMELESS_ITEMS.values()):
+        store.put_raw("servers", f"{prefix}-nameless-{number}", item)
+
+
+def put_replicas(store: PlatformStoreStandIn, prefix: str) -> None:
+    """Put a replica under the name of each odd item."""
+    for name, _ in odd_items(prefix):
+        store.put("servers", name, ENTRY)
+
+
+def version_of(directory: Directory) -> int:
+    """Return the version in force; 0 if there is none."""
+    return 0 if directory.configuration is None else directory.configuration.version
+
+
 class ForeignEntryTest(unittest.TestCase):
     def run_with_silent_replica(
         self,
@@ -123,3 +161,80 @@
         follower = ReplicaFollower(directory)
         follower.replace_all(objects_with(ENTRY), as_of=2)
         self.assertEqual(directory.replica_names(), {"i-1"})
+
+
+class OddItemTest(unittest.TestCase):
+    """A value that can't be decoded made the whole list and all changes with it unreadable."""
+
+    def run_with_store(
+        self, main: Callable[[PlatformStoreStandIn, Directory], Awaitable[None]]
+    ) -> None:
+        """Run a test with a gateway that starts while the store has odd items and a replica."""
+
+        async def run() -> None:
+            store, directory = PlatformStoreStandIn(), Directory()
+            store.put("servers", "i-1", ENTRY)
+            put_odd_items(store, "before")
+            store.put("config", "main", configuration_with(ROUTE))
+            store.put_raw("config", "backup", odd_item("backup", value=b"9" * 4_901))
+            async with (
+                serve_app(store.app, "127.0.0.1:0") as address,
+                PlatformStore(address) as source,
+                anyio.create_task_group() as tasks,
+            ):
+                for follower in (ConfigurationFollower(directory), ReplicaFollower(directory)):
+                    tasks.start_soon(follow, source, follower, random.Random(1))
+                await wait_until(lambda: directory.is_complete)
+                await main(store, directory)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
+    def test_a_gateway_that_starts_beside_odd_items_knows_the_others(self) -> None:
+        async def main(store: PlatformStoreStandIn, directory: Directory) -> None:
+            replica = directory.find("i-1")
+            assert replica is not None
+            self.assertEqual(replica.address, ENTRY["address"])
+            self.assertEqual(directory.replica_names(), {"i-1"})
+
+        self.run_with_store(main)
+
+    def test_changes_beside_odd_items_are_applied(self) -> None:
+        async def main(store: PlatformStoreStandIn, directory: Directory) -> None:
+            put_odd_items(store, "later")
+            store.put("servers", "i-4", ENTRY)
+            store.remove("servers", "i-1")
+            await wait_until(lambda: directory.replica_names() == {"i-4"})
+
+        self.run_with_store(main)
+
+    def test_replicas_whose_entries_become_odd_are_used_no_more(self) -> None:
+        async def main(store: PlatformStoreStandIn, directory: Directory) -> None:
+            put_replicas(store, "later")
+            await wait_until(lambda: len(directory.replica_names()) == 1 + len(ODD_ITEMS))
+            put_odd_items(store, "later")
+            await wait_until(lambda: directory.replica_names() == {"i-1"})
+
+        self.run_with_store(main)
+
+    def test_removals_that_show_odd_items_remove_the_replicas(self) -> None:
+        async def main(store: PlatformStoreStandIn, directory: Directory) -> None:
+            put_replicas(store, "later")
+            await wait_until(lambda: len(directory.replica_names()) == 1 + len(ODD_ITEMS))
+            for name, item in odd_items("later"):
+                store.replace_unseen("servers", name, item)
+                store.remove("servers", name)
+            await wait_until(lambda: directory.replica_names() == {"i-1"})
+
+        self.run_with_store(main)
+
+    def test_an_odd_configuration_leaves_the_former_one_in_force(self) -> None:
+        async def main(store: PlatformStoreStandIn, directory: Directory) -> None:
+            store.put_raw("config", "main", odd_item("main", value=b"[" * 700 + b"]" * 700))
+            store.put("servers", "i-5", ENTRY)
+            await wait_until(lambda: "i-5" in directory.replica_names())
+            self.assertEqual(version_of(directory), 7)
+            store.put("config", "main", {**configuration_with(ROUTE), "version": 8})
+            await wait_until(lambda: version_of(directory) == 8)
+
+        self.run_with_store(main)
--- a/testing/platform/test_decode.py
+++ b/testing/platform/test_decode.py
@@ -74,6 +74,11 @@
         ).routes
         self.assertEqual(route.shares, (Share("s", 90.0), Share("t", 10.0)))
 
+    def test_why_a_value_is_unreadable_is_said_in_few_characters(self) -> None:
+        with self.assertRaises(UnreadableError) as raised:
+            read_replica("i-1", {**ENTRY, "state": "x" * 1_000_000})
+        self.assertLess(len(str(raised.exception)), 500)
+
     def test_an_invalid_configuration_is_rejected(self) -> None:
         invalid = [
             None,
