Take a list that can't be continued for a failure, not for complete

Seen by gateways: replicas on the pages after one whose objects have no readable name were taken for gone. A page whose last name stood on a page before was asked for again without end and without a pause, each time at the store's price.

Cause: the list ended at a page without objects, although the store said that more follow; and any last name was continued from.

Odd items at the end of a page cost nothing: the list continues from the last name that can be read.

--- a/src/bramleylead/platform/_follow.py
+++ b/src/bramleylead/platform/_follow.py
@@ -159,7 +159,7 @@
     That is the revision of the first page: an object of it may change while the others are read.
     Changes that a later page shows already are then applied once more, which has no effect.
     """
-    objects: list[PlatformObject] = []
+    objects: dict[str, PlatformObject] = {}
     as_of: int | None = None
     after = ""
     while True:
@@ -167,11 +167,15 @@
         if isinstance(listed, Err):
             return listed
         page = listed.ok_value
-        objects += page.objects
+        known = len(objects)
+        objects.update((found.name, found) for found in page.objects)
         as_of = page.as_of if as_of is None else as_of
-        if not page.more or not page.objects:
-            follower.replace_all(objects, as_of=as_of)
+        if not page.more:
+            follower.replace_all(list(objects.values()), as_of=as_of)
             return Ok(as_of)
+        if len(objects) == known:
+            detail = f"{follower.kind}: the page after {after!r} has no other name to continue from"
+            return Err(StoreError(StoreErrorKind.UNKNOWN, detail))
         after = page.objects[-1].name
 
 
--- a/src/bramleylead/standins/_platform_store.py
+++ b/src/bramleylead/standins/_platform_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import Any
 from typing import NamedTuple
 from typing import final
@@ -22,7 +23,8 @@
 FIRST_REVISION = 1
 
 Plain = dict[str, Any]
-RAW_TOKEN = "raw object"
+RAW_KEY = "raw object"
+RAW_OBJECT = re.compile(rb'{"raw object": ([0-9]+)}')
 
 
 class _Event(NamedTuple):
@@ -42,7 +44,7 @@
 
     def __init__(self) -> None:
         self._objects: dict[str, dict[str, Plain]] = {}
-        self._raw: dict[str, bytes] = {}
+        self._raw: dict[int, bytes] = {}
         self._events: list[_Event] = []
         self._changed = anyio.Event()
         self._revision = FIRST_REVISION
@@ -79,9 +81,8 @@
     def replace_unseen(self, kind: str, name: str, item: bytes) -> None:
         """Create or replace an object by bytes, as :meth:`put_raw`, but tell no watch."""
         self._revision += 1
-        token = f"{RAW_TOKEN} {self._revision}"
-        self._raw[token] = item
-        self._objects.setdefault(kind, {})[name] = {RAW_TOKEN: token}
+        self._raw[self._revision] = item
+        self._objects.setdefault(kind, {})[name] = {RAW_KEY: self._revision}
 
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
@@ -144,9 +145,7 @@
 
     def _encode(self, answer: Plain) -> bytes:
         text = json.dumps(answer).encode()
-        for token, item in self._raw.items():
-            text = text.replace(json.dumps({RAW_TOKEN: token}).encode(), item)
-        return text
+        return RAW_OBJECT.sub(lambda found: self._raw[int(found[1])], text)
 
     def _after(self, kind: str, revision: int) -> list[_Event]:
         return [event for event in self._events if event.kind == kind and event.revision > revision]
--- a/testing/gateway/test_foreign_entries.py
+++ b/testing/gateway/test_foreign_entries.py
@@ -10,6 +10,8 @@
 import anyio
 from anyio.abc import ByteStream
 from anyio.abc import TaskStatus
+from result import Ok
+from result import Result
 
 from bramleylead.connection import TcpNetwork
 from bramleylead.gateway._connection_pool import ConnectionPool
@@ -20,9 +22,13 @@
 from bramleylead.gateway._path_monitor import PathMonitor
 from bramleylead.placement._replica_paths import ReplicaPaths
 from bramleylead.platform._follow import follow
+from bramleylead.platform._objects import ObjectPage
 from bramleylead.platform._objects import PlatformObject
 from bramleylead.platform._objects import PlatformStore
+from bramleylead.platform._store import StoreError
 from bramleylead.platform._types import Replica
+from bramleylead.standins import run_virtual
+from bramleylead.standins._platform_store import PAGE_OBJECTS
 from bramleylead.standins._platform_store import PlatformStoreStandIn
 from bramleylead.standins._serving import serve_app
 from testing.gateway._site import REQUEST_ID_HEADER
@@ -35,6 +41,8 @@
 from testing.platform.test_decode import ROUTE
 from testing.platform.test_decode import configuration_with
 
+FAILED_LISTS_S = 1.0
+MOST_CALLS = 30
 FOREIGN_PORTS = ("73807395", "65536", "0", "99999999999999999999")
 
 
@@ -97,6 +105,12 @@
         store.put("servers", name, ENTRY)
 
 
+def list_again(store: PlatformStoreStandIn) -> None:
+    """Forget the history, and wake the watches, so that all objects are listed again."""
+    store.compact()
+    store.put("config", "other", {})
+
+
 def version_of(directory: Directory) -> int:
     """Return the version in force; 0 if there is none."""
     return 0 if directory.configuration is None else directory.configuration.version
@@ -238,3 +252,45 @@
             await wait_until(lambda: version_of(directory) == 8)
 
         self.run_with_store(main)
+
+    def test_odd_items_at_the_end_of_a_page_hide_no_later_page(self) -> None:
+        async def main(store: PlatformStoreStandIn, directory: Directory) -> None:
+            for number in range(PAGE_OBJECTS):
+                store.put("servers", f"j-{number:03}", ENTRY)
+            for number, item in enumerate(NAMELESS_ITEMS.values()):
+                store.put_raw("servers", f"j-{PAGE_OBJECTS // 2}-{number}", item)
+            store.put("servers", "k", ENTRY)
+            list_again(store)
+            listed = 2 + PAGE_OBJECTS
+            await wait_until(lambda: len(directory.replica_names()) == listed)
+
+        self.run_with_store(main)
+
+    def test_a_list_that_can_not_be_continued_is_no_complete_list(self) -> None:
+        async def main(store: PlatformStoreStandIn, directory: Directory) -> None:
+            store.put("servers", "z", ENTRY)
+            await wait_until(lambda: "z" in directory.replica_names())
+            for number in range(2 * PAGE_OBJECTS):
+                store.replace_unseen("servers", f"n-{number}", NAMELESS_ITEMS["no name"])
+            list_again(store)
+            await anyio.sleep(FAILED_LISTS_S)
+            self.assertEqual(directory.replica_names(), {"i-1", "z"})
+
+        self.run_with_store(main)
+
+    def test_a_list_whose_pages_repeat_is_not_read_without_end(self) -> None:
+        class RepeatingSource:
+            calls = 0
+
+            async def list(self, kind: str, *, after: str = "") -> Result[ObjectPage, StoreError]:
+                self.calls += 1
+                await anyio.sleep(0.001)
+                return Ok(ObjectPage((PlatformObject("i-1", ENTRY, None, 1, False),), True, 1))
+
+        async def main() -> int:
+            source = RepeatingSource()
+            with anyio.move_on_after(FAILED_LISTS_S):
+                await follow(source, ReplicaFollower(Directory()), random.Random(1))
+            return source.calls
+
+        self.assertLess(run_virtual(main, seed=1), MOST_CALLS)
