Test objects at each bound on their way from the store to the directory

The bounds of those that carry a value were searched by bisection (CPython 3.11, arm64; at the top of the stack, and 500 frames deeper): json.loads and json.dumps 989 and 489 levels, repr 991 and 491, comparison 993 and 493, msgpack's packer and unpacker 1024, pydantic's JSON parser 200, pydantic's Any no bound. So 200 levels, counted without recursion, pass all of them at any depth of the stack.

--- a/src/bramleylead/json_input.py
+++ b/src/bramleylead/json_input.py
@@ -43,20 +43,21 @@
     The value is walked level by level: its depth has no bound yet.
     """
     level = [value]
-    for _ in range(MAX_DEPTH + 1):
+    depth = 0
+    while level:
         inner: list[Any] = []
         for item in level:
-            if isinstance(item, dict):
-                inner += item
-                inner += item.values()
-            elif isinstance(item, list):
+            if isinstance(item, dict | list):
+                if depth == MAX_DEPTH:
+                    return f"nested over {MAX_DEPTH} levels deep"
                 inner += item
+                if isinstance(item, dict):
+                    inner += item.values()
             elif not _is_scalar_within_bounds(item):
                 return _describe(item)
-        if not inner:
-            return ""
         level = inner
-    return f"nested over {MAX_DEPTH} levels deep"
+        depth += 1
+    return ""
 
 
 def _is_scalar_within_bounds(value: Any) -> bool:
