Refuse a member list in the store that can't be the ledger's own

A node that reads the member list while no member answers it (at its start, as a spare, when it leaves) adopted what another writer had put there: a list without members and with a later epoch made it forget its members, at its disk too; from epoch 2^64 - 1 no later one can be sent; an epoch of 1e300, "8" or 8.5 was taken for a whole number.

Change: a stored list has an integer epoch from 1 to 2^53 and members, each once; else it is unread (member_list_unread) and nodes keep what they know. What a node's own disk holds, and what nodes send each other, is read as before, so that nothing that an earlier build stored ends a start. An odd list isn't overwritten: whether a later list preceded it can't be known. Until its writer puts a good one back, no member is replaced (member_list_unchanged).

--- a/src/bramleylead/ledger/_member_list.py
+++ b/src/bramleylead/ledger/_member_list.py
@@ -19,6 +19,8 @@
 
 MEMBER_LIST_KIND = "ledger"
 MEMBER_LIST_NAME = "members"
+MAX_EPOCH = 2**53
+"""Far below what a message can carry, so that later epochs can be sent too."""
 
 
 @final
@@ -73,6 +75,11 @@
 
 def _parse_view(found: PlatformObject) -> Result[LedgerView, str]:
     try:
-        return Ok(view_from_plain(found.value))
+        view = view_from_plain(found.value)
     except ValueError as error:
         return Err(str(error))
+    if type(found.value["epoch"]) is not int or not 1 <= view.epoch <= MAX_EPOCH:
+        return Err(f"the epoch must be an integer from 1 to {MAX_EPOCH}")
+    if not view.members or len({member.node for member in view.members}) != len(view.members):
+        return Err("there must be members, each of them once")
+    return Ok(view)
