Make an answer of the object API that can't be decoded its call's failure

Seen by callers of HttpStore: RecursionError, or OverflowError for an infinite version, out of a call whose failures are Err values; a task that reads the store ended by it.

Cause: only KeyError, TypeError and ValueError were caught.

Evidence, on the former code: "RecursionError: maximum recursion depth exceeded while decoding a JSON array", "OverflowError: cannot convert float infinity to integer", "FAILED (errors=2)".

Change: the body is decoded by decode_json, whose only error is a ValueError and whose values have bounds.

--- a/src/bramleylead/platform/_http_client.py
+++ b/src/bramleylead/platform/_http_client.py
@@ -23,6 +23,7 @@
 from bramleylead.connection._http_client import HttpClient
 from bramleylead.connection._http_client import HttpFailure
 from bramleylead.connection._http_client import HttpResponse
+from bramleylead.json_input import decode_json
 from bramleylead.platform._store import ANY_VERSION
 from bramleylead.platform._store import Change
 from bramleylead.platform._store import StoredObject
@@ -152,7 +153,7 @@
     if isinstance(answer, Err):
         return answer
     try:
-        return Ok(parse(json.loads(answer.ok_value.body)))
+        return Ok(parse(decode_json(answer.ok_value.body)))
     except (KeyError, TypeError, ValueError) as error:
         detail = f"malformed answer: {type(error).__name__}: {error}"
         return Err(StoreError(malformed, detail))
--- a/testing/platform/test_stores.py
+++ b/testing/platform/test_stores.py
@@ -170,6 +170,14 @@
 
         return anyio.run(main)
 
+    def test_an_answer_that_can_not_be_decoded_is_the_failure_of_its_call(self) -> None:
+        deep = b"[" * 100_000 + b"]" * 100_000
+        for body in (deep, b"9" * 4_901, b'{"version": 1e999}', b'{"version": "\xff"}'):
+            head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+            with self.subTest(body[:20]):
+                kinds = (StoreErrorKind.UNAVAILABLE, StoreErrorKind.UNKNOWN)
+                self.assertEqual(self._error_kinds(head + body), kinds)
+
     def test_a_lost_reply_to_a_write_is_unknown(self) -> None:
         kinds = StoreErrorKind
         answers = (
