Make a backend's answer that can't be decoded the failure of its call

Seen by callers: an unexpected error instead of an answer with an error kind, for an engine or a service whose answer is nested about a thousand levels deep; an answer with an integer over 64 bits or an infinite number was accepted, though no message between nodes carries it.

Evidence, on the former code: "RecursionError" three times (event of a stream, answer of a service, its error), "'Ok' object has no attribute 'err_value'" twice, "FAILED (errors=5)".

Change: these bodies are decoded by decode_json. Such a call is lost, as with any other malformed answer: it may have run.

--- a/src/bramleylead/backends/_http_engine.py
+++ b/src/bramleylead/backends/_http_engine.py
@@ -29,6 +29,7 @@
 from bramleylead.backends._types import Order
 from bramleylead.connection._http_client import HttpClient
 from bramleylead.connection._http_client import HttpResponse
+from bramleylead.json_input import decode_json
 
 CONTROL_TIMEOUT_S = 2.0
 KV_TIMEOUT_S = 60.0
@@ -136,7 +137,7 @@
         if isinstance(response, Err):
             return response
         try:
-            return Ok(parse(json.loads(response.ok_value.body)))
+            return Ok(parse(decode_json(response.ok_value.body)))
         except (KeyError, TypeError, ValueError) as error:
             return Err(malformed_response_error(self._name, error))
 
--- a/src/bramleylead/backends/_http_errors.py
+++ b/src/bramleylead/backends/_http_errors.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import json
-
 from bramleylead.backends._types import BackendError
 from bramleylead.backends._types import BackendErrorKind
 from bramleylead.connection._http_client import HttpFailure
 from bramleylead.connection._http_client import HttpResponse
+from bramleylead.json_input import decode_json
 
 RAN_HEADER = "x-ran"
 NOT_RUN = "not run"
@@ -50,7 +49,7 @@
 
 def _error_object(body: bytes) -> dict[str, str]:
     try:
-        error = json.loads(body)["error"]
+        error = decode_json(body)["error"]
         return {key: value for key, value in error.items() if isinstance(value, str)}
     except (AttributeError, KeyError, TypeError, ValueError):
         return {}
--- a/src/bramleylead/backends/_http_service.py
+++ b/src/bramleylead/backends/_http_service.py
@@ -17,6 +17,7 @@
 from bramleylead.backends._types import BackendError
 from bramleylead.backends._types import ServiceCall
 from bramleylead.connection._http_client import HttpClient
+from bramleylead.json_input import decode_json
 
 
 @final
@@ -42,6 +43,6 @@
         if response.ok_value.status != 200:
             return Err(error_from_response(self._name, response.ok_value))
         try:
-            return Ok(json.loads(response.ok_value.body)["value"])
+            return Ok(decode_json(response.ok_value.body)["value"])
         except (KeyError, TypeError, ValueError) as error:
             return Err(malformed_response_error(self._name, error))
--- a/src/bramleylead/backends/_http_stream.py
+++ b/src/bramleylead/backends/_http_stream.py
@@ -24,6 +24,7 @@
 from bramleylead.connection._http_client import HttpClient
 from bramleylead.connection._http_client import HttpResponse
 from bramleylead.connection._http_client import HttpStream
+from bramleylead.json_input import decode_json
 
 CHAT_PATH = "/v1/chat/completions"
 CANCEL_PATH = "/v1/calls/cancel"
@@ -181,7 +182,7 @@
             events = [event for event in self._reader.feed_data(part) if event != DONE]
             if events:
                 self._pending_chunks.append(
-                    _merge_chunks([_parse_chunk(json.loads(event)) for event in events])
+                    _merge_chunks([_parse_chunk(decode_json(event)) for event in events])
                 )
         except (AttributeError, IndexError, KeyError, TypeError, ValueError) as error:
             return malformed_response_error(self._name, error)
--- a/testing/backends/test_http.py
+++ b/testing/backends/test_http.py
@@ -107,6 +107,8 @@
     return (head + body).encode()
 
 
+UNDECODABLE = ("[" * 50_000 + "]" * 50_000, "9" * 4_901, str(2**64), "1e999")
+"""JSON that can't be decoded, or that no message between nodes can carry."""
 FAST_TOOL = ToolModel(duration_s=0.0, spread_s=0.0)
 
 
@@ -241,7 +243,7 @@
         return with_raw_server(handler, body)
 
     def test_a_call_with_a_malformed_event_is_lost(self) -> None:
-        for event in ("{", "[]", '{"choices": []}', '{"choices":[{"delta":{}}]}'):
+        for event in ("{", "[]", '{"choices": []}', '{"choices":[{"delta":{}}]}', *UNDECODABLE):
             with self.subTest(event):
                 kind = self._error_kind_of(reply("200 OK", f"data: {event}\n\n"))
                 self.assertEqual(kind, BackendErrorKind.LOST)
@@ -309,6 +311,8 @@
             (reply("200 OK", "not json"), kinds.LOST),
             (reply("200 OK", "[]"), kinds.LOST),
             (b"HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\n{", kinds.LOST),
+            *((reply("200 OK", f'{{"value":{odd}}}'), kinds.LOST) for odd in UNDECODABLE),
+            *((reply("500 Oops", f'{{"error":{odd}}}'), kinds.LOST) for odd in UNDECODABLE),
         )
         for answer, kind in cases:
             with self.subTest(answer):
