Count a log line that can't be decoded, in `bramleylead explain`

Such a line is one that could not be read now, and an operator's command that gets such an answer says that it is no JSON.

--- a/src/bramleylead/cli/_operator.py
+++ b/src/bramleylead/cli/_operator.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import os
 from pathlib import Path
 from typing import Any
@@ -17,6 +16,7 @@
 from result import Result
 
 from bramleylead.cli._exit import ExitCode
+from bramleylead.json_input import decode_json
 
 KEY_VARIABLE = "BRAMLEYLEAD_OPERATOR_KEY"
 REQUEST_TIMEOUT_S = 10.0
@@ -98,7 +98,7 @@
 
 def _read_answer(address: str, response: httpcore.Response) -> Result[dict[str, Any], Trouble]:
     try:
-        document = json.loads(response.content)
+        document = decode_json(response.content)
     except ValueError:
         line = f"{address}: status {response.status}: the answer is no JSON"
         return Err(Trouble(ExitCode.UNREACHABLE, line))
--- a/src/bramleylead/cli/_story.py
+++ b/src/bramleylead/cli/_story.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from collections import Counter
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -10,6 +9,8 @@
 from typing import Any
 from typing import NamedTuple
 
+from bramleylead.json_input import decode_json
+
 BELIEFS = frozenset(
     {
         "configuration_in_force",
@@ -155,7 +156,7 @@
     if begin < 0:
         return None
     try:
-        fields = json.loads(raw[begin:])
+        fields = decode_json(raw[begin:])
         at_s = datetime.fromisoformat(fields["timestamp"]).timestamp()
         return Line(at_s, str(fields.get("node", "?")), str(fields["event"]), fields)
     except (ValueError, KeyError, TypeError):
--- a/testing/cli/test_story.py
+++ b/testing/cli/test_story.py
@@ -50,6 +50,11 @@
         damaged = [OWN[0], OWN[1][: len(OWN[1]) // 2] + "\n", OWN[2]]
         self.assertIn("log0: 1 lines could not be read", story(damaged))
 
+    def test_lines_that_can_t_be_decoded_are_counted(self) -> None:
+        deep = OWN[0].replace('"p1"', "[" * 50_000 + "]" * 50_000)
+        digits = OWN[0].replace('"p1"', "9" * 4_901)
+        self.assertIn("log0: 2 lines could not be read", story([*OWN, deep, digits]))
+
     def test_what_stands_before_a_line_is_passed_over(self) -> None:
         self.assertIn("refused", story([f"  0.27 g1 {text}" for text in OWN]))
 
