Refuse a body with a number that no message between nodes carries

Seen by callers: a tool call with an argument of 2**64 or 1e999 was accepted by the node that got it, and could not be sent or recorded then.

Evidence, on the former code (testing/request/test_http_bad_input.py): "KeyError: 'error'" for both, an answer of 200 where 400 is expected. Deep nesting, lone surrogates and too many digits were refused before.

Change: the syntax check before the model looks at each number.

--- a/src/bramleylead/validation.py
+++ b/src/bramleylead/validation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import types
 import typing
 from collections.abc import Sequence
@@ -20,7 +21,11 @@
 from result import Ok
 from result import Result
 
+from bramleylead.json_input import MAX_INTEGER
+from bramleylead.json_input import MIN_INTEGER
+
 SHOWN_VALUE_CHARACTERS = 60
+MAX_INTEGER_DIGITS = 20
 SECRET_WORDS = ("key", "secret", "token_value", "password")
 HIDDEN = "(hidden)"
 
@@ -71,9 +76,19 @@
     pass
 
 
+class _NumberError(ValueError):
+    pass
+
+
 def _check_syntax(text: str | bytes) -> Fault | None:
     try:
-        json.loads(text, object_pairs_hook=_unique_keys, parse_constant=_refuse_constant)
+        json.loads(
+            text,
+            object_pairs_hook=_unique_keys,
+            parse_constant=_refuse_constant,
+            parse_int=_check_integer,
+            parse_float=_check_float,
+        )
     except json.JSONDecodeError as error:
         place = f"line {error.lineno} column {error.colno}"
         return Fault(place, error.msg, "must be one JSON document")
@@ -83,6 +98,8 @@
         return Fault("(document)", "nested too deeply", "must be one JSON document")
     except _DuplicateKeyError as error:
         return Fault("(document)", str(error), "each key may occur once in an object")
+    except _NumberError as error:
+        return Fault("(document)", str(error), "must be a number of 64 bits")
     except ValueError as error:
         return Fault("(document)", str(error), "must be one JSON document")
     return None
@@ -97,6 +114,20 @@
     raise _DuplicateKeyError(f"key {show_value(repeated)} occurs twice")
 
 
+def _check_integer(digits: str) -> int:
+    """Return an integer that a message between nodes can carry."""
+    if len(digits) > MAX_INTEGER_DIGITS or not MIN_INTEGER <= int(digits) <= MAX_INTEGER:
+        raise _NumberError(digits[:SHOWN_VALUE_CHARACTERS])
+    return int(digits)
+
+
+def _check_float(text: str) -> float:
+    number = float(text)
+    if not math.isfinite(number):
+        raise _NumberError(text[:SHOWN_VALUE_CHARACTERS])
+    return number
+
+
 def _refuse_constant(name: str) -> Any:
     raise ValueError(f"{name} is no JSON number")
 
--- a/testing/request/test_http_bad_input.py
+++ b/testing/request/test_http_bad_input.py
@@ -59,6 +59,13 @@
     def test_deeply_nested_json_is_refused(self) -> None:
         self.assert_refused(self.post(b"[" * 15_000), ErrorKind.MALFORMED)
 
+    def test_a_value_that_no_message_between_nodes_carries_is_refused(self) -> None:
+        for value in (str(2**64), "9" * 4_901, "1e999", "[" * 300 + "]" * 300, '"\\ud800"'):
+            with self.subTest(value[:20]):
+                body = f'{{"candidate": {value}}}'.encode()
+                response = self.post(body, "/v1/programs/p-1/tools/issue")
+                self.assert_refused(response, ErrorKind.MALFORMED, "body: ")
+
     def test_type_errors_name_the_path_the_value_and_what_is_allowed(self) -> None:
         body = {"model": 7, "messages": [{"role": "king", "content": "hi"}], "stream": "yes"}
         response = self.post(body)
