Take a budget's object that can't be read for a store without an answer

Seen by callers: an unexpected error (500) for each call that needs a budget whose object in the store is empty, too deep or without its fields.

Evidence, on the former code: "json.decoder.JSONDecodeError: Expecting value: line 1 column 1", "FAILED (errors=1)". Now the call fails with STORE_UNAVAILABLE, which names the object, as for any other read that fails.

--- a/src/bramleylead/process/budgets/_budget.py
+++ b/src/bramleylead/process/budgets/_budget.py
@@ -11,6 +11,7 @@
 
 import json
 from collections.abc import Callable
+from typing import Any
 from typing import NamedTuple
 from typing import TypedDict
 from typing import final
@@ -23,7 +24,9 @@
 
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.json_input import decode_json
 from bramleylead.platform import ObjectStore
+from bramleylead.platform import StoredObject
 from bramleylead.platform import StoreErrorKind
 from bramleylead.process.journal._entries import GrantAdded
 from bramleylead.process.journal._entries import GrantForfeited
@@ -326,8 +329,7 @@
         self.store_calls += 1
         found = await self._store.get(_object_key(budget))
         if isinstance(found, Ok):
-            shares = json.loads(found.ok_value.value)["shares"]
-            return Ok(_BudgetObject(found.ok_value.version, shares))
+            return _parse_object(budget, found.ok_value)
         if found.err_value.kind is StoreErrorKind.NOT_FOUND:
             return Ok(_BudgetObject(0, {}))
         return Err(Failure(ErrorKind.STORE_UNAVAILABLE, found.err_value.detail))
@@ -340,6 +342,24 @@
     return f"budgets/{budget}"
 
 
+def _parse_object(budget: str, found: StoredObject) -> Result[_BudgetObject, Failure]:
+    try:
+        shares = decode_json(found.value)["shares"]
+        parsed = {number: _parse_share(share) for number, share in shares.items()}
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        detail = f"{_object_key(budget)}: unreadable: {type(error).__name__}: {error}"
+        return Err(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
+    return Ok(_BudgetObject(found.version, parsed))
+
+
+def _parse_share(plain: dict[str, Any]) -> Share:
+    return Share(
+        granted=int(plain["granted"]),
+        returned=int(plain["returned"]),
+        incarnation=int(plain["incarnation"]),
+    )
+
+
 def _partition_share(budget_object: _BudgetObject, partition: int) -> Share:
     found = budget_object.shares.get(str(partition))
     if found is None:
--- a/testing/process/budgets/test_budget.py
+++ b/testing/process/budgets/test_budget.py
@@ -61,6 +61,19 @@
 
 
 class SpendTest(unittest.TestCase):
+    def test_a_budget_object_that_can_not_be_decoded_is_no_budget_to_spend(self) -> None:
+        share = b'{"shares": {"0": %s}}'
+        bodies = (b"", b"[]", b"[" * 50_000, b'{"shares": []}', share % b"7", share % b'{"x": 1}')
+
+        async def body(bench: Bench) -> Any:
+            _set_limit(bench, 100)
+            for odd in bodies:
+                await bench.store.put("budgets/fees", odd)
+                reserved = await _escrow(bench).reserve(LocalLog(0), "fees", 10)
+                self.assertEqual(reserved.err_value.kind, ErrorKind.STORE_UNAVAILABLE, odd[:30])
+
+        run_with_owner(body)
+
     def test_partitions_together_spend_at_most_the_limit(self) -> None:
         async def body(bench: Bench) -> Any:
             _set_limit(bench, 100)
