Take a ticket's body that can't be decoded for an invalid ticket

Seen by operators: an unexpected error (500) for a body nested about a thousand levels deep. On the former code: "RecursionError", "FAILED (errors=1)".

--- a/src/bramleylead/process/tickets/_ticket_admin.py
+++ b/src/bramleylead/process/tickets/_ticket_admin.py
@@ -18,6 +18,7 @@
 from bramleylead.errors import Failure
 from bramleylead.fleet._members import Member
 from bramleylead.fleet._members import MemberState
+from bramleylead.json_input import decode_json
 from bramleylead.process.membership._membership import Membership
 from bramleylead.process.tickets._applied_tickets import digest_of
 from bramleylead.process.tickets._ticket_messages import NumberAsked
@@ -180,7 +181,7 @@
 
 def _number_in(body: bytes) -> int | None:
     try:
-        fields = json.loads(body)
+        fields = decode_json(body)
     except ValueError:
         return None
     number = fields.get("number") if isinstance(fields, dict) else None
@@ -189,7 +190,7 @@
 
 def _conflict(number: int, winner: bytes) -> Failure:
     try:
-        author = str(json.loads(winner).get("author", ""))
+        author = str(decode_json(winner).get("author", ""))
     except (ValueError, AttributeError):
         author = "an unreadable body"
     detail = f"ticket {number} is held by {author}, digest {digest_of(winner)}"
--- a/testing/process/tickets/test_tickets.py
+++ b/testing/process/tickets/test_tickets.py
@@ -61,6 +61,17 @@
         for seed in SEEDS:
             run_virtual(lambda seed=seed: body(seed), seed=seed)
 
+    def test_a_body_that_can_not_be_decoded_is_an_invalid_ticket(self) -> None:
+        async def body() -> None:
+            fleet = TicketFleet(seed=1)
+            async with running(fleet, 3):
+                await until(fleet.all_current, limit_s=5)
+                for odd in (b"[" * 50_000 + b"]" * 50_000, b"9" * 4_901, b'{"number": 1e999}'):
+                    answer = await fleet.ticket_admins["n1"].submit_ticket(odd)
+                    self.assertEqual(answer.err_value.kind, ErrorKind.TICKET_INVALID)
+
+        run_virtual(body, seed=1)
+
     def test_of_two_racing_submissions_one_wins_and_the_other_gets_its_author(self) -> None:
         async def body(seed: int) -> None:
             fleet = TicketFleet(seed=seed)
