--- a/src/bramleylead/cli/commands/check.py
+++ b/src/bramleylead/cli/commands/check.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import sys
 from pathlib import Path
 
@@ -12,6 +11,7 @@
 
 from bramleylead.cli._exit import ExitCode
 from bramleylead.cli._registry import command
+from bramleylead.json_input import decode_json
 from bramleylead.node_settings import NodeSettings
 from bramleylead.process._settings_file import check_together
 from bramleylead.process._settings_file import load_settings
@@ -61,7 +61,7 @@
     if kind != "auto":
         return kind == "ticket"
     try:
-        document = json.loads(path.read_bytes())
+        document = decode_json(path.read_bytes())
     except (OSError, ValueError):
         return False
     return isinstance(document, dict) and "number" in document and "node" not in document
--- a/testing/cli/test_main.py
+++ b/testing/cli/test_main.py
@@ -84,6 +84,14 @@
         self.assertEqual(len(checked.err.splitlines()), 3)
         self.assertIn(f"{ticket}: branches.prairie.budget", checked.err)
 
+    def test_a_file_that_can_not_be_decoded_is_invalid(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder, "deep.json")
+            file.write_text("[" * 50_000 + "]" * 50_000)
+            checked = run("check", str(file))
+        self.assertEqual(checked.code, ExitCode.INVALID)
+        self.assertIn("nested too deeply", checked.err)
+
     def test_settings_that_clash(self) -> None:
         files = [self.write(f"n{index}.json", GOOD) for index in (1, 2)]
         checked = run("check", *files)
