--- a/src/bramleylead/json_input.py
+++ b/src/bramleylead/json_input.py
@@ -14,6 +14,8 @@
 """Objects and arrays within each other."""
 MIN_INTEGER = -(2**63)
 MAX_INTEGER = 2**64 - 1
+CONTAINERS = (dict, list)
+NUMBERS = (int, float)
 
 
 class JsonInputError(ValueError):
@@ -47,33 +49,30 @@
     while level:
         inner: list[Any] = []
         for item in level:
-            if isinstance(item, dict | list):
+            if isinstance(item, str):
+                if not item.isascii() and not _is_utf8(item):
+                    return "text that UTF-8 can't encode"
+            elif isinstance(item, CONTAINERS):
                 if depth == MAX_DEPTH:
                     return f"nested over {MAX_DEPTH} levels deep"
                 inner += item
                 if isinstance(item, dict):
                     inner += item.values()
-            elif not _is_scalar_within_bounds(item):
+            elif item is not None and not _is_number_within_bounds(item):
                 return _describe(item)
         level = inner
         depth += 1
     return ""
 
 
-def _is_scalar_within_bounds(value: Any) -> bool:
-    if isinstance(value, str):
-        return value.isascii() or _is_utf8(value)
+def _is_number_within_bounds(value: Any) -> bool:
     if isinstance(value, int):
         return MIN_INTEGER <= value <= MAX_INTEGER
-    if isinstance(value, float):
-        return math.isfinite(value)
-    return value is None
+    return isinstance(value, float) and math.isfinite(value)
 
 
 def _describe(value: Any) -> str:
-    if isinstance(value, str):
-        return "text that UTF-8 can't encode"
-    if isinstance(value, int | float):
+    if isinstance(value, NUMBERS):
         return "a number that isn't finite, or an integer over 64 bits"
     return str(value)
 
