--- a/src/bramleylead/platform/_json_parts.py
+++ b/src/bramleylead/platform/_json_parts.py
@@ -20,7 +20,7 @@
 _SPACE = re.compile(r"[ \t\n\r]*+")
 _SCALAR = re.compile(r"[^\s,\]}]++")
 _STRING_OR_BRACKETS = re.compile(
-    r'"(?:[^"\\]++|\\.)*+"|(?P<opening>[\[{]++)|(?P<closing>[\]}]++)', re.DOTALL
+    r'"(?:[^"\\]++|\\.)*+"?+|(?P<opening>[\[{]++)|(?P<closing>[\]}]++)', re.DOTALL
 )
 
 
--- a/testing/platform/test_object_reader.py
+++ b/testing/platform/test_object_reader.py
@@ -14,6 +14,7 @@
 from testing.platform._odd_items import ODD_ITEMS
 from testing.platform._odd_items import odd_item
 
+ESCAPES = 200_000
 GOOD = odd_item("i-1")
 
 
@@ -61,6 +62,8 @@
 
     def test_an_answer_that_is_no_list_is_malformed(self) -> None:
         bodies = (b"", b"[]", b"{}", page_of(GOOD)[:-1], page_of(GOOD)[:-30], page_of(b'{"a'))
+        # Each quote of a string without an end was taken for the begin of another one.
+        bodies = (*bodies, b'{"items": [{' + b'"' + b'\\"' * ESCAPES)
         as_of = (b"1e999", b"9" * 4_901, b"null", b"-1", b"[" * 700 + b"]" * 700)
         for body in (*bodies, *(page_of().replace(b": 9", b": " + odd) for odd in as_of)):
             with self.subTest(body[:40]), self.assertRaises((KeyError, TypeError, ValueError)):
