Take no limit on descriptors for a high one

Where the limit is "unlimited", a server would have closed idle connections beyond four.

Cause: getrlimit gives -1 then, which was taken for a number.

Failure before the change: test_no_limit_counts_as_a_high_one: AssertionError: 4 not greater than 100000

Change: no limit counts as 1,048,576 descriptors.

--- a/src/bramleylead/connection/_room.py
+++ b/src/bramleylead/connection/_room.py
@@ -23,6 +23,8 @@
 NODES_SHARE = 0.125
 MONITORING_SHARE = 0.03
 MIN_CONNECTIONS = 4
+UNLIMITED_DESCRIPTORS = 1_048_576
+"""What counts as the limit if there is none."""
 MAX_TRIES = 16
 LOG_INTERVAL_S = 10.0
 
@@ -53,6 +55,8 @@
 def descriptor_share(share: float) -> int:
     """Return how many connections a share of the process's descriptors is."""
     limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if limit == resource.RLIM_INFINITY:
+        limit = UNLIMITED_DESCRIPTORS
     reserved = min(RESERVED_DESCRIPTORS, int(limit * MAX_RESERVED_SHARE))
     return max(MIN_CONNECTIONS, int(share * (limit - reserved)))
 
--- a/testing/connection/test_room.py
+++ b/testing/connection/test_room.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import resource
 import socket
 import unittest
 import unittest.mock
@@ -21,7 +22,9 @@
 from bramleylead.connection import _accept
 from bramleylead.connection._listener import open_listener
 from bramleylead.connection._listener import split_address
+from bramleylead.connection._room import CALLERS_SHARE
 from bramleylead.connection._room import MIN_CONNECTIONS
+from bramleylead.connection._room import descriptor_share
 from bramleylead.http._server import HttpServer
 from testing.connection.test_accept import REQUEST
 from testing.connection.test_accept import FailingListener
@@ -123,6 +126,20 @@
             self.run_server(body)
 
 
+class ShareTest(unittest.TestCase):
+    def share_at(self, limit: int) -> int:
+        limits = (limit, limit)
+        with unittest.mock.patch.object(resource, "getrlimit", return_value=limits):
+            return descriptor_share(CALLERS_SHARE)
+
+    def test_a_share_leaves_descriptors_for_the_process_itself(self) -> None:
+        self.assertEqual([self.share_at(limit) for limit in (4, 120, 4_100)], [4, 45, 1_950])
+
+    # Guards against a server that closes all connections but four, as if -1 were a small limit.
+    def test_no_limit_counts_as_a_high_one(self) -> None:
+        self.assertGreater(self.share_at(resource.RLIM_INFINITY), 100_000)
+
+
 class NodesRoomTest(unittest.TestCase):
     def test_a_node_is_served_while_connections_without_a_handshake_are_held(self) -> None:
         async def main() -> None:
