--- a/src/bramleylead/_signals.py
+++ b/src/bramleylead/_signals.py
@@ -1,7 +1,7 @@
 """Keeps the signals of a process that serves, from its first moment to its last.
 
 A signal that finds no handler ends a process. Handlers are therefore set before any library is
-imported, which is why this module imports so little, and stay until the interpreter has ended.
+imported, which is why this module imports so little, and stay until the process ends.
 """
 
 from __future__ import annotations
@@ -30,7 +30,7 @@
     def __init__(self, numbers: tuple[signal.Signals, ...]) -> None:
         self._numbers = numbers
         self._waiting: deque[signal.Signals] = deque()
-        self._at_exit: dict[signal.Signals, object] = {}
+        self._former: dict[signal.Signals, object] = {}
         self._depth = 0
 
     @property
@@ -41,7 +41,7 @@
     def __enter__(self) -> SignalInbox:
         if self._depth == 0:
             for number in self._numbers:
-                self._at_exit[number] = signal.signal(number, self._keep)
+                self._former[number] = signal.signal(number, self._keep)
         self._depth += 1
         return self
 
@@ -49,7 +49,7 @@
         self._depth -= 1
         if self._depth:
             return
-        for number, handler in self._at_exit.items():
+        for number, handler in self._former.items():
             signal.signal(number, signal.SIG_DFL if handler is None else handler)
         self._waiting.clear()
 
@@ -57,14 +57,6 @@
         """Return the signal that has waited longest."""
         return self._waiting.popleft() if self._waiting else None
 
-    def ignore_after_exit(self) -> None:
-        """Ignore the signals once the context ends, instead of restoring the former handlers.
-
-        The interpreter restores the default handlers of all signals but those that are ignored,
-        some time before the process ends.
-        """
-        self._at_exit = dict.fromkeys(self._numbers, signal.SIG_IGN)
-
     def _keep(self, number: int, frame: object) -> None:
         received = signal.Signals(number)
         if received not in self._waiting:
--- a/testing/cli/test_signals.py
+++ b/testing/cli/test_signals.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import random
 import re
 import signal
@@ -18,6 +19,7 @@
 from typing import NamedTuple
 
 from bramleylead.connection._free_ports import find_free_port
+from bramleylead.ledger._last_run import FILE_NAME
 
 HOST = "127.0.0.1"
 LIMIT_S = 60.0
@@ -208,3 +210,15 @@
             life = Started("ledger", Path(folder), "-m", "bramleylead").live(stop)
         self.assertEqual(life.code, 0, life.events)
         self.assertEqual(life.events[-2:], ["ledger_stopped", "process_ended"])
+
+    # Guards against a stopped ledger node that only SIGKILL ends: its exit waited for threads.
+    def test_an_exit_does_not_wait_for_a_disk_that_gives_no_answer(self) -> None:
+        def stop(started: Started) -> None:
+            started.wait_until(lambda: "ledger_serving" in started.text)
+            started.process.terminate()
+
+        with tempfile.TemporaryDirectory() as folder:
+            (Path(folder) / "disk").mkdir()
+            os.mkfifo(Path(folder) / "disk" / FILE_NAME)
+            life = Started("ledger", Path(folder), "-m", "bramleylead").live(stop)
+        self.assertEqual((life.code, life.events[-1]), (0, "process_ended"), life.events)
