Run without a log if there is no standard output

Operators saw a process that was started with its standard output closed end at once, code 1.

Cause: the interpreter then has no stream for it, and the log's output asked None for its descriptor.

Change: the log goes to the null device, which also keeps the closed descriptor from becoming a socket's.

--- a/src/bramleylead/cli/_site_process.py
+++ b/src/bramleylead/cli/_site_process.py
@@ -7,8 +7,11 @@
 import sys
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
+from contextlib import contextmanager
 from functools import partial
 from pathlib import Path
+from typing import TextIO
 from typing import TypeVar
 
 import anyio
@@ -72,6 +75,16 @@
     return ExitCode.OK
 
 
+@contextmanager
+def _standard_output() -> Iterator[TextIO]:
+    """Yield the standard output, or the null device if the process was started without one."""
+    if sys.stdout is not None:
+        yield sys.stdout
+        return
+    with Path(os.devnull).open("w") as stream:
+        yield stream
+
+
 def _report(line: str) -> None:
     print(line, file=sys.stderr, flush=True)
 
@@ -79,7 +92,7 @@
 def _run_role(
     name: str, run: RunRole[_S], settings: _S, file: Path, signals: SignalInbox
 ) -> ExitCode:
-    with LogWriter(sys.stdout) as writer:
+    with _standard_output() as stream, LogWriter(stream) as writer:
         metrics = SiteMetrics()
         metrics.describe_log(writer.gauges)
         configure_buffered_logs(writer, node=settings.node, count_line=metrics.count_line)
--- a/testing/cli/test_site_process.py
+++ b/testing/cli/test_site_process.py
@@ -58,6 +58,11 @@
         self.addCleanup(structlog.contextvars.clear_contextvars)
 
     def run_process(self, body: Callable[[], Awaitable[Any]]) -> Ended:
+        with contextlib.redirect_stdout(io.StringIO()) as out:
+            code = self.run_command(body)
+        return Ended(code, [json.loads(line) for line in out.getvalue().splitlines()])
+
+    def run_command(self, body: Callable[[], Awaitable[Any]]) -> int:
         async def run(*_: Any) -> Any:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(body)
@@ -66,9 +71,7 @@
         values = flags.FlagValues()
         define_settings_flag(values)
         values(["ledger", f"--settings={self.file}"])
-        with contextlib.redirect_stdout(io.StringIO()) as out:
-            code = run_site_process("ledger", LedgerSettings, run, values)
-        return Ended(code, [json.loads(line) for line in out.getvalue().splitlines()])
+        return run_site_process("ledger", LedgerSettings, run, values)
 
     # Guards against ends without a trace: no line told a stop, a refusal and a fault apart.
     def test_the_last_line_says_how_the_process_ended(self) -> None:
@@ -92,3 +95,8 @@
         self.assertEqual(last["task"], "bramleylead.connection._tcp.TcpNetwork.connect")
         self.assertEqual(last["place"], "bramleylead.connection._tcp._target")
         self.assertIn("exception", last)
+
+    # Guards against an AttributeError at the start: the interpreter has no stream for a closed one.
+    def test_a_process_without_a_standard_output_runs(self) -> None:
+        with contextlib.redirect_stdout(None):
+            self.assertEqual(self.run_command(lambda: anyio.lowlevel.checkpoint()), 0)
