--- a/testing/cli/test_signals.py
+++ b/testing/cli/test_signals.py
@@ -7,6 +7,7 @@
 import random
 import re
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -59,8 +60,8 @@
 class Started:
     """A process without a store, and its log."""
 
-    def __init__(self, role: str, folder: Path, *command: str) -> None:
-        ports = [find_free_port(HOST) for _ in range(5)]
+    def __init__(self, role: str, folder: Path, *command: str, peer_port: int = 0) -> None:
+        ports = [peer_port or find_free_port(HOST), *(find_free_port(HOST) for _ in range(4))]
         settings: dict[str, Any] = {
             "node": role,
             "region": "r",
@@ -130,10 +131,11 @@
         return Life(code, [line["event"] for line in lines])
 
 
-def live(role: str, run: Callable[[Started], None], *command: str) -> Life:
+def live(role: str, run: Callable[[Started], None], *command: str, peer_port: int = 0) -> Life:
     """Start a process, do something to it, and return how it lived."""
+    words = command or ("-m", "bramleylead")
     with tempfile.TemporaryDirectory() as folder:
-        return Started(role, Path(folder), *(command or ("-m", "bramleylead"))).live(run)
+        return Started(role, Path(folder), *words, peer_port=peer_port).live(run)
 
 
 class SignalsTest(unittest.TestCase):
@@ -199,6 +201,16 @@
 
         self.check(run)
 
+    # Guards against a start that waits for a port in use and hears no signal.
+    def test_a_stop_is_clean_while_an_address_is_in_use(self) -> None:
+        def stop(started: Started) -> None:
+            started.wait_until(lambda: "address_unavailable" in started.text)
+            started.process.terminate()
+
+        with socket.create_server((HOST, 0)) as taken:
+            port = taken.getsockname()[1]
+            self.check(lambda role: live(role, stop, peer_port=port), "{role}_stopped")
+
     # Guards against a ledger node that only SIGKILL ends: it waited for its disk first.
     def test_a_stop_is_clean_while_the_disk_can_not_be_opened(self) -> None:
         def stop(started: Started) -> None:
