Let the plan's test see the faults that are registered elsewhere; choose faults of a soak

test_every_kind_of_fault_is_drawn_and_done failed where nothing else had imported the module that registers the faults of processes: set(_acts) lacked seven kinds.

--- a/src/bramleylead/cli/commands/soak.py
+++ b/src/bramleylead/cli/commands/soak.py
@@ -14,6 +14,7 @@
 from bramleylead.trials._soak import PROFILES
 from bramleylead.trials._soak import print_result
 from bramleylead.trials._soak import soak
+from bramleylead.trials.site._plan import KINDS_BY_NAME
 from bramleylead.trials.site._soak import SoakSettings
 from bramleylead.trials.site._soak import print_report
 from bramleylead.trials.site._soak import soak_site
@@ -45,6 +46,13 @@
         lower_bound=0.05,
         flag_values=values,
     )
+    flags.DEFINE_enum(
+        "faults",
+        "all",
+        sorted(KINDS_BY_NAME),
+        "Which faults of processes come: those that aim at a process itself, the others, or all.",
+        flag_values=values,
+    )
     flags.DEFINE_string(
         "other_build",
         "",
@@ -64,7 +72,11 @@
     configure_logs("console", level=logging.WARNING if values.verbose else logging.CRITICAL)
     if values.profile == PROCESSES:
         settings = SoakSettings(
-            values.seed, values.minutes * 60.0, values.gap_s, values.other_build
+            values.seed,
+            values.minutes * 60.0,
+            values.gap_s,
+            values.other_build,
+            KINDS_BY_NAME[values.faults],
         )
         try:
             report = anyio.run(soak_site, settings)
--- a/src/bramleylead/trials/site/_plan.py
+++ b/src/bramleylead/trials/site/_plan.py
@@ -66,6 +66,11 @@
     FaultKind.ODD_ENTRY,
 )
 """What could end a process, or keep one from becoming ready, without work of its own."""
+KINDS_BY_NAME = {
+    "all": ALL_KINDS,
+    "process": PROCESS_KINDS,
+    "other": tuple(kind for kind in ALL_KINDS if kind not in PROCESS_KINDS),
+}
 
 
 class Fault(NamedTuple):
--- a/testing/trials/site/test_plan.py
+++ b/testing/trials/site/test_plan.py
@@ -5,6 +5,7 @@
 import itertools
 import unittest
 
+import bramleylead.trials.site._process_faults  # noqa: F401  (registers its faults)
 from bramleylead.trials.site._faults import _acts
 from bramleylead.trials.site._plan import LEDGER_LOSSES
 from bramleylead.trials.site._plan import LEDGER_REST_S
