Refuse requests that are ambiguous, or take away what a replica must be told

Cause: with both Transfer-Encoding and Content-Length the HTTP library goes by the chunks, and the gateway kept the connection open. A proxy before it that goes by the length takes what follows the last chunk for the body; the gateway took it for the next request. And each header that Connection names was dropped before a replica, the request's id and the program's budget among them.

Change: a request with two lengths is refused with 400; so is one whose Connection names a header for all recipients, which RFC 9110, 7.6.1 forbids. Both close the connection, so nothing behind them is read as a request. Every other interface closes the connection after a request with two lengths, as RFC 9112, 6.1 asks.

--- a/src/bramleylead/gateway/_app.py
+++ b/src/bramleylead/gateway/_app.py
@@ -30,6 +30,19 @@
 from bramleylead.platform._types import CallMetadata
 from bramleylead.platform._types import Route
 
+END_TO_END_HEADERS = frozenset(
+    {
+        names.REQUEST_ID,
+        names.PROGRAM_ID,
+        names.SESSION_ID,
+        names.TOKEN_BUDGET,
+        names.TOKEN_USAGE,
+        names.PROMPT_PREFIX,
+        names.PREVIOUS_TURN,
+    }
+)
+"""Headers that a caller may not declare as concerning its connection only."""
+
 log = structlog.get_logger()
 
 
@@ -65,7 +78,12 @@
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         exchange = Exchange(scope, receive, send)
-        exchange.close_after = self.closing
+        exchange.close_after = exchange.close_after or self.closing
+        if fault := _find_ambiguity(exchange):
+            exchange.close_after = True
+            writer = HttpResponseWriter(exchange, wire.read_identity(exchange.headers))
+            await writer.send_failure(Failure(ErrorKind.MALFORMED, fault))
+            return
         try:
             metadata = wire.read_call(exchange.headers)
         except wire.HeaderError as error:
@@ -229,6 +247,16 @@
     return app
 
 
+def _find_ambiguity(exchange: Exchange) -> str:
+    """Return why a replica could take a request for another one; empty if it could not."""
+    if exchange.has_two_lengths:
+        return "headers: either content-length or transfer-encoding is allowed, not both"
+    options = exchange.headers.get("connection", "").lower().split(",")
+    for name in sorted(END_TO_END_HEADERS & {option.strip() for option in options}):
+        return f"header connection: {name} concerns the replica, not the connection"
+    return ""
+
+
 async def _cancel_on_disconnect(
     exchange: Exchange, writer: HttpResponseWriter, scope: anyio.CancelScope
 ) -> None:
--- a/src/bramleylead/http/_exchange.py
+++ b/src/bramleylead/http/_exchange.py
@@ -24,6 +24,7 @@
 HeaderList = list[tuple[str, str]]
 
 MAX_HEADER_BYTES = 32_000
+LENGTH_HEADERS = {"content-length", "transfer-encoding"}
 LINGER_S = 2.0
 LINGER_BYTES = 16_000_000
 """After an early refusal, up to this much of the body is read and discarded. Otherwise closing the
@@ -37,7 +38,8 @@
     :param scope: the ASGI scope.
 
     ``started`` is set once the response has begun. ``close_after`` closes the connection after this
-    response.
+    response. ``has_two_lengths`` is set if the head gives the body's length in two ways: whoever
+    stands before this process may have taken what follows for a part of the body.
     """
 
     def __init__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -50,8 +52,9 @@
         self.header_bytes = sum(len(name) + len(value) for name, value in scope["headers"])
         query = parse_qs(scope.get("query_string", b"").decode("latin-1"))
         self.query = {name: values[-1] for name, values in query.items()}
+        self.has_two_lengths = LENGTH_HEADERS <= self.headers.keys()
         self.started = False
-        self.close_after = False
+        self.close_after = self.has_two_lengths
 
     async def read_body(self, *, max_bytes: int, timeout_s: float) -> Result[bytes, Failure]:
         """Read the whole body; fail if it is too large, too slow or truncated."""
