Refuse large frames of peers that have not shown the key

Anybody who reaches the port for nodes could make a gateway or ledger node exceed its memory limit (150 MB), so that it is ended.

Cause: frames of up to 4 MB were read and decoded before the handshake had shown that the other side has the cluster key. 4 MB of empty lists take 256 MB decoded, and one frame 4.4 s in which nothing else runs (tracing on).

Change: a frame of the handshake may have 4 KB; a longer one is refused by its length, before its body is read.

--- a/src/bramleylead/connection/_frames.py
+++ b/src/bramleylead/connection/_frames.py
@@ -141,18 +141,18 @@
         self._drained.set()
         self._drained = anyio.Event()
 
-    async def receive(self) -> Frame:
+    async def receive(self, *, max_bytes: int | None = None) -> Frame:
         """Read the next frame.
 
+        :param max_bytes: allows less than the maximum size of the stream.
         :raises MessageError: if the frame is oversized or malformed.
         :raises anyio.EndOfStream: if the peer closed.
         """
         header = await self._read_exactly(LENGTH_BYTES)
         length = int.from_bytes(header, "big")
-        if length > self._max_frame_bytes:
-            raise MessageError(
-                f"frame of {length} bytes; at most {self._max_frame_bytes} are allowed"
-            )
+        allowed = self._max_frame_bytes if max_bytes is None else max_bytes
+        if length > allowed:
+            raise MessageError(f"frame of {length} bytes; at most {allowed} are allowed")
         return _parse_frame(await self._read_exactly(length))
 
     async def _read_exactly(self, count: int) -> bytes:
--- a/src/bramleylead/connection/_handshake.py
+++ b/src/bramleylead/connection/_handshake.py
@@ -25,6 +25,8 @@
 PROTOCOL_VERSION = 2
 MIN_PROTOCOL_VERSION = 2
 NONCE_BYTES = 16
+MAX_HANDSHAKE_BYTES = 4_096
+"""Of one frame before the other side has shown that it has the key."""
 
 
 @message(1)
@@ -116,7 +118,7 @@
 
 
 async def _receive(frames: FrameStream, expected: type) -> Any:
-    frame = await frames.receive()
+    frame = await frames.receive(max_bytes=MAX_HANDSHAKE_BYTES)
     if frame.kind is not FrameKind.HELLO:
         raise MessageError(f"a connection must begin with a handshake, not {frame.kind.name}")
     item = from_plain(frame.body)
