End the validation of a message at its first invalid item

A message of another node with many invalid items stopped a process and exceeded its memory limit.

Cause: validation gathered the reason for each invalid item of a sequence, and then built all of them as maps, of which only the first is shown.

Change: the schema of each message ends at the first invalid item of a sequence.

--- a/src/bramleylead/connection/_codec.py
+++ b/src/bramleylead/connection/_codec.py
@@ -14,13 +14,15 @@
 import msgpack
 from pydantic import TypeAdapter
 from pydantic import ValidationError
+from pydantic_core import SchemaValidator
 
 MAX_FRAME_BYTES = 4_000_000
 
 _M = TypeVar("_M", bound=type)
 _classes_by_code: dict[int, type] = {}
 _codes_by_class: dict[type, int] = {}
-_adapters_by_code: dict[int, TypeAdapter[Any]] = {}
+_validators_by_code: dict[int, SchemaValidator] = {}
+FAIL_FAST_TYPES = ("tuple", "list")
 
 
 class MessageError(Exception):
@@ -63,9 +65,10 @@
         raise MessageError(f"unknown message code {code}")
     fields = plain[1 : 1 + len(cls._fields)]
     try:
-        return _adapter_for(code, cls).validate_python(fields)
+        return _validator_for(code, cls).validate_python(fields)
     except ValidationError as error:
-        raise MessageError(f"invalid {cls.__name__}: {error.errors()[0]['msg']}") from error
+        reasons = error.errors(include_url=False, include_context=False, include_input=False)
+        raise MessageError(f"invalid {cls.__name__}: {reasons[0]['msg']}") from error
 
 
 def encode(item: tuple[Any, ...]) -> bytes:
@@ -87,9 +90,24 @@
     return from_plain(plain)
 
 
-def _adapter_for(code: int, cls: type) -> TypeAdapter[Any]:
-    adapter = _adapters_by_code.get(code)
-    if adapter is None:
-        adapter = TypeAdapter(cls)
-        _adapters_by_code[code] = adapter
-    return adapter
+def _validator_for(code: int, cls: type) -> SchemaValidator:
+    validator = _validators_by_code.get(code)
+    if validator is None:
+        validator = SchemaValidator(_failing_fast(TypeAdapter(cls).core_schema))
+        _validators_by_code[code] = validator
+    return validator
+
+
+def _failing_fast(schema: Any) -> Any:
+    """Return a schema whose sequences end at their first invalid item.
+
+    Otherwise a message of 4 MB may have as many reasons as bytes, which take gigabytes.
+    """
+    if isinstance(schema, list):
+        return [_failing_fast(item) for item in schema]
+    if not isinstance(schema, dict):
+        return schema
+    changed = {name: _failing_fast(value) for name, value in schema.items()}
+    if changed.get("type") in FAIL_FAST_TYPES:
+        changed["fail_fast"] = True
+    return changed
