Throw the body of a refused request away as it arrives

A few callers with large bodies could make a gateway exceed its memory limit: up to 16 MB were held for each refused request, for two seconds.

Cause: the rest of a refused body is read, so that the caller can read the refusal; the code that reads a body to keep it did that too.

Change: such a body is counted, not kept. The bounds (16 MB, 2 s) are as before.

--- a/src/bramleylead/http/_exchange.py
+++ b/src/bramleylead/http/_exchange.py
@@ -52,7 +52,7 @@
         self.header_bytes = sum(len(name) + len(value) for name, value in scope["headers"])
         query = parse_qs(scope.get("query_string", b"").decode("latin-1"))
         self.query = {name: values[-1] for name, values in query.items()}
-        self.has_two_lengths = LENGTH_HEADERS <= self.headers.keys()
+        self.has_two_lengths = self.headers.keys() >= LENGTH_HEADERS
         self.started = False
         self.close_after = self.has_two_lengths
 
@@ -84,7 +84,7 @@
         await self.start(status, headers)
         await self.write(body)
         with anyio.move_on_after(LINGER_S):
-            await self._receive_body(LINGER_BYTES)
+            await self._discard_body(LINGER_BYTES)
         await self.write(b"", more=False)
 
     async def start(self, status: int, headers: HeaderList) -> None:
@@ -99,6 +99,13 @@
         """Send a chunk of the response body."""
         await self._send({"type": "http.response.body", "body": data, "more_body": more})
 
+    async def _discard_body(self, max_bytes: int) -> None:
+        discarded_bytes = 0
+        while not self._body_read and discarded_bytes <= max_bytes:
+            event = await self._receive()
+            discarded_bytes += len(event.get("body", b""))
+            self._body_read = not event.get("more_body", False)
+
     async def _receive_body(self, max_bytes: int) -> Result[bytes, Failure]:
         received = bytearray()
         while not self._body_read:
