Take an answer with a status over 599 for no answer

Operators saw request_failed with a trace, and callers a 500 of the gateway's own, when a replica answered with a status that doesn't exist.

Cause: the HTTP library accepts statuses up to 999 from a replica; the HTTP server has phrases for 100 to 599 only and raises KeyError.

The test before the change: "999 != 502".

Change: such a head is none that the protocol knows, so the request ends like one with an answer that can't be read: tried again if it may be, else 502.

--- a/src/bramleylead/gateway/_upstream.py
+++ b/src/bramleylead/gateway/_upstream.py
@@ -31,6 +31,7 @@
 """Discarding more costs more than a new connection."""
 MAX_STALE_RESPONSES = 8
 MAX_INFORMATIONAL_RESPONSES = 8
+MAX_STATUS = 599
 
 TRANSPORT_ERRORS = (
     anyio.EndOfStream,
@@ -213,6 +214,8 @@
                     (name.decode("latin-1"), value.decode("latin-1"))
                     for name, value in event.headers
                 ]
+                if event.status_code > MAX_STATUS:
+                    raise UpstreamError(f"status {event.status_code}: at most {MAX_STATUS} exists")
                 return ResponseHead(event.status_code, headers)
         raise UpstreamError("received only informational responses")
 
