--- a/src/bramleylead/trials/site/_callers.py
+++ b/src/bramleylead/trials/site/_callers.py
@@ -31,7 +31,9 @@
 """Less than a program's turns need: each program ends by its budget if nothing else ends it."""
 
 
-class _Got(NamedTuple):
+class Got(NamedTuple):
+    """What came of an answer; ``whole`` if its end came."""
+
     status: int
     body: bytes
     whole: bool
@@ -68,7 +70,7 @@
             request = await self._turn(program, chain, previous)
             if request is None:
                 return
-            chain += _given(request) + made_by(request)
+            chain += input_of(request) + made_by(request)
             previous = request
             self.turns += 1
             for kind in (CallKind.SAFE, CallKind.UNSAFE):
@@ -78,7 +80,7 @@
         """Send a turn until it is answered whole; return its id, or ``None`` if it never was."""
         for _ in range(TRIES):
             request = self._name("turn")
-            self._judge.expect_body(request, chain + _given(request))
+            self._judge.expect_body(request, chain + input_of(request))
             headers = {
                 names.PROGRAM_ID: program,
                 names.SESSION_ID: program,
@@ -86,7 +88,7 @@
                 names.TOKEN_USAGE: f"100,{TURN_TOKENS}",
                 names.PREVIOUS_TURN: previous,
             }
-            got = await self._ask("/turns/x", request, _given(request), headers)
+            got = await self._ask("/turns/x", request, input_of(request), headers)
             self._judge.handed(
                 program,
                 got.body.count(b"\n\n") * EVENT_TOKENS if got.status == 200 else 0,
@@ -112,11 +114,11 @@
                 return
             await anyio.sleep(RETRY_S)
 
-    async def _ask(self, path: str, request: str, body: bytes, more: dict[str, str]) -> _Got:
+    async def _ask(self, path: str, request: str, body: bytes, more: dict[str, str]) -> Got:
         gateways = self._gateways()
         if not gateways:
             await anyio.sleep(RETRY_S)
-            return _Got(0, b"", False)
+            return Got(0, b"", False)
         gateway = self._rng.choice(gateways)
         self._judge.asked(request, gateway.name, repeatable=path.startswith("/safe/"))
         headers = {
@@ -125,7 +127,7 @@
             names.DEADLINE_MS: str(int(DEADLINE_S * 1000)),
             **{name: value for name, value in more.items() if value},
         }
-        got = await _exchange(gateway.http, path, body, headers)
+        got = await send_once(gateway.http, path, body, headers)
         self._judge.answered(request, got.status, got.body, whole=got.whole)
         return got
 
@@ -134,7 +136,7 @@
         return f"{kind}-{self._serial}"
 
 
-async def _exchange(address: str, path: str, body: bytes, headers: dict[str, str]) -> _Got:
+async def send_once(address: str, path: str, body: bytes, headers: dict[str, str]) -> Got:
     """Send one request on a connection of its own and read what comes of its answer."""
     status, whole = 0, False
     parts: list[bytes] = []
@@ -144,11 +146,11 @@
                 "POST", path, body=body, headers=headers, timeout_s=DEADLINE_S + READ_SLACK_S
             ) as opened:
                 if opened.is_err():
-                    return _Got(0, b"", False)
+                    return Got(0, b"", False)
                 stream = opened.ok_value
                 status = stream.status
                 whole = await _read(stream, parts)
-    return _Got(status, b"".join(parts), whole)
+    return Got(status, b"".join(parts), whole)
 
 
 async def _read(stream: HttpStream, parts: list[bytes]) -> bool:
@@ -161,5 +163,6 @@
     return True
 
 
-def _given(request: str) -> bytes:
+def input_of(request: str) -> bytes:
+    """Return the new input of a turn."""
     return f"input of {request};".encode()
--- a/src/bramleylead/trials/site/_processes.py
+++ b/src/bramleylead/trials/site/_processes.py
@@ -26,6 +26,7 @@
 CLUSTER_KEY = "key between nodes of a soak"
 DESCRIPTORS = 120
 """The limit of each process, so that a soak can use it up."""
+KIB = 1024
 HANDLER_POLL_S = 0.005
 HANDLER_TIMEOUT_S = 40.0
 LAST_OUTPUT_CHARACTERS = 600
@@ -38,6 +39,7 @@
 
     :param builds: folders that hold the package; each start takes one of them. The package of this
         process if there are none.
+    :param descriptors: how many descriptors its process may have open.
     """
 
     def __init__(
@@ -49,11 +51,13 @@
         *,
         losses: int,
         builds: Sequence[Path] = (),
+        descriptors: int = DESCRIPTORS,
     ) -> None:
         self._folder = folder
         self._rng = rng
         self._builds = builds
         self._losses = losses
+        self._descriptors = descriptors
         self._process: Process | None = None
         self._ends_on_request = False
         self._log = folder / f"{name}.log"
@@ -90,6 +94,18 @@
             return None
         return self._process.returncode
 
+    @property
+    def log_file(self) -> Path:
+        """The file with the process's output."""
+        return self._log
+
+    def resident_bytes(self, *, peak: bool = False) -> int:
+        """Return the memory that the process has resident, or the most it ever had."""
+        assert self._process is not None
+        label = "VmHWM:" if peak else "VmRSS:"
+        lines = Path(f"/proc/{self._process.pid}/status").read_text().splitlines()
+        return next((int(line.split()[1]) * KIB for line in lines if line.startswith(label)), 0)
+
     def last_lines(self) -> str:
         """Return the end of the process's output."""
         return self._log.read_text(errors="replace")[-LAST_OUTPUT_CHARACTERS:]
@@ -114,7 +130,8 @@
                 words, stdin=None, stdout=log, stderr=log, env=environment
             )
         self._ends_on_request = False
-        resource.prlimit(self._process.pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+        limits = (self._descriptors, self._descriptors)
+        resource.prlimit(self._process.pid, resource.RLIMIT_NOFILE, limits)
 
     async def handles(self, number: signal.Signals) -> None:
         """Wait until a signal does not end the process by default.
