--- a/src/bramleylead/cli/_site_process.py
+++ b/src/bramleylead/cli/_site_process.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 from collections.abc import Awaitable
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import TypeVar
 
@@ -15,7 +17,13 @@
 
 from bramleylead._event_loop import new_event_loop
 from bramleylead._log_writer import LogWriter
+from bramleylead._signals import SignalInbox
+from bramleylead._signals import signals_of
 from bramleylead.cli._exit import ExitCode
+from bramleylead.cli._process_log import log_failed
+from bramleylead.cli._process_log import log_started
+from bramleylead.cli._process_log import log_stopped
+from bramleylead.cli._settings_reading import read_settings
 from bramleylead.logs import configure_buffered_logs
 from bramleylead.site_metrics import SiteMetrics
 from bramleylead.site_settings import SiteSettings
@@ -24,6 +32,8 @@
 SETTINGS_VARIABLE = "BRAMLEYLEAD_NODE_FILE"
 
 _S = TypeVar("_S", bound=SiteSettings)
+RunRole = Callable[[_S, Path, SiteMetrics, SignalInbox], Awaitable[signal.Signals]]
+"""Runs a role until a signal, and returns which one."""
 
 
 def define_settings_flag(values: flags.FlagValues) -> None:
@@ -36,32 +46,50 @@
     )
 
 
-def run_site_process(
-    name: str,
-    model: type[_S],
-    run: Callable[[_S, Path, SiteMetrics], Awaitable[None]],
-    values: flags.FlagValues,
-) -> int:
-    """Check the settings whole, then run until a signal."""
+def run_site_process(name: str, model: type[_S], run: RunRole[_S], values: flags.FlagValues) -> int:
+    """Check the settings whole, then run until a signal; the log's last line says how it ended."""
     file = values.settings or os.environ.get(SETTINGS_VARIABLE, "")
     if not file:
-        print(f"{name}: name a file by --settings or {SETTINGS_VARIABLE}", file=sys.stderr)
+        _report(f"{name}: name a file by --settings or {SETTINGS_VARIABLE}")
         return ExitCode.USAGE
-    try:
-        text = Path(file).read_bytes()
-    except OSError as error:
-        print(f"{name}: {file}: {error.strerror}", file=sys.stderr)
-        return ExitCode.INVALID
-    loaded = load_model(model, text)
-    if isinstance(loaded, Err):
-        for fault in loaded.err_value:
-            print(f"{file}: {fault}", file=sys.stderr)
+    with signals_of(name) as signals:
+        found = read_settings(Path(file), signals, report=_report)
+        if found.trouble is not None:
+            return _end_without_settings(file, found.trouble, signals.stop_signal)
+        loaded = load_model(model, found.text)
+        if isinstance(loaded, Err):
+            for fault in loaded.err_value:
+                _report(f"{file}: {fault}")
+            return ExitCode.INVALID
+        return _run_role(name, run, loaded.ok_value, Path(file), signals)
+
+
+def _end_without_settings(file: str, trouble: str, number: signal.Signals | None) -> ExitCode:
+    if number is None:
+        _report(f"{file}: {trouble}")
         return ExitCode.INVALID
-    settings = loaded.ok_value
+    _report(f"{file}: {trouble}: stopped by {number.name}")
+    return ExitCode.OK
+
+
+def _report(line: str) -> None:
+    print(line, file=sys.stderr, flush=True)
+
+
+def _run_role(
+    name: str, run: RunRole[_S], settings: _S, file: Path, signals: SignalInbox
+) -> ExitCode:
     with LogWriter(sys.stdout) as writer:
         metrics = SiteMetrics()
         metrics.describe_log(writer.gauges)
         configure_buffered_logs(writer, node=settings.node, count_line=metrics.count_line)
+        log_started(name, file)
+        if signals.stop_signal is not None:
+            return log_stopped(name, signals.stop_signal)
+        body = partial(run, settings, file, metrics, signals)
         options = {"loop_factory": new_event_loop}
-        anyio.run(run, settings, Path(file), metrics, backend="asyncio", backend_options=options)
-    return ExitCode.OK
+        try:
+            number = anyio.run(body, backend="asyncio", backend_options=options)
+        except Exception as error:
+            return log_failed(name, error)
+        return log_stopped(name, number)
--- a/src/bramleylead/connection/_tcp.py
+++ b/src/bramleylead/connection/_tcp.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -13,6 +14,9 @@
 from anyio.abc import SocketStream
 from anyio.abc import TaskStatus
 
+from bramleylead.connection._accept import Acceptor
+from bramleylead.connection._listener import split_address
+
 KEEPALIVE_PROBES = 2
 KEEPALIVE_INTERVAL_S = 1
 MAX_PORT = 65_535
@@ -25,9 +29,11 @@
     :param keepalive_idle_s: idle time, in whole seconds, before the kernel sends keepalive probes
         on streams opened here; a stream whose probes are not answered is closed. 0 keeps the
         kernel's defaults.
+    :param waits_for_address: whether :meth:`serve` waits for an address that is in use.
     """
 
-    def __init__(self, *, keepalive_idle_s: int = 0) -> None:
+    def __init__(self, *, keepalive_idle_s: int = 0, waits_for_address: bool = False) -> None:
+        self._waits_for_address = waits_for_address
         self._options = keepalive_options(keepalive_idle_s)
 
     async def connect(self, address: str) -> ByteStream:
@@ -53,25 +59,38 @@
         *,
         task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Accept TCP streams on ``host:port``; port 0 selects a free port."""
-        host, port = split_address(address)
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
-        bound_port = listener.extra(SocketAttribute.local_port)
+        """Accept TCP streams on ``host:port``; port 0 selects a free port.
+
+        :raises OSError: if the address can't be used.
+        """
 
-        async def accept(stream: SocketStream) -> None:
-            async with stream:
+        async def serve_connection(connection: socket.socket) -> None:
+            async with await _wrap(connection) as stream:
                 _set_nodelay(stream)
                 await handler(stream)
 
-        async with listener:
-            task_status.started(f"{host}:{bound_port}")
-            await listener.serve(accept)
+        acceptor = Acceptor(serve_connection, waits_for_address=self._waits_for_address)
+        bound = await acceptor.open(address)
+        try:
+            async with anyio.create_task_group() as connections:
+                task_status.started(bound)
+                await acceptor.run(connections.start_soon)
+        finally:
+            acceptor.close()
+
 
+async def _wrap(connection: socket.socket) -> SocketStream:
+    """Return an accepted connection as a stream, or close it.
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``host:port``; an IPv6 host must be in square brackets."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
+    :raises OSError: if it has been reset already.
+    """
+    try:
+        return await SocketStream.from_socket(connection)
+    except BaseException as error:
+        connection.close()
+        if isinstance(error, ValueError):
+            raise ConnectionResetError(errno.ECONNRESET, str(error)) from error
+        raise
 
 
 def _target(address: str) -> tuple[str, int]:
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -44,6 +44,8 @@
 from bramleylead.platform._types import ResponseMetadata
 
 MISDIRECTED_STATUS = 421
+PROMISING_STATUSES = frozenset({408, 429, 503})
+"""To callers these say that the request has not run and never will."""
 NO_RESPONSE_FAILURE_S = 1.0
 """A request abandoned after this long without a response head counts as a replica failure."""
 INITIAL_TURN_S = 0.35
@@ -134,9 +136,9 @@
                     self._record_unreached(call, replica, used.err_value)
                     yield NotRun(used.err_value, counts_as_attempt=False)
                     return
-                if not self._directory.is_usable(replica.name):
-                    # It announced that it leaves while the connection was being opened.
-                    yield NotRun(f"{replica.name} is leaving", counts_as_attempt=False)
+                if not self._directory.is_current(replica):
+                    # Its entry changed while the connection was being opened.
+                    yield NotRun(f"{replica.name} leaves or changed", counts_as_attempt=False)
                     return
                 async with self._send_on_connection(
                     call, replica, used.ok_value, body, resume_after
@@ -244,6 +246,9 @@
             return NotRun(
                 f"{replica.name} refused: {response.status}", counts_as_attempt=not misdirected
             )
+        if response.status in PROMISING_STATUSES:
+            # The replica has not said that it didn't run the request.
+            return UnknownOutcome(f"{replica.name}: {response.status} without a promise")
         if metadata.encoded or (response.status < 300 and not metadata.signed):
             return UnknownOutcome(
                 f"{replica.name}: {response.status}: unsigned or unexpectedly encoded response"
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -13,10 +13,15 @@
 
 import anyio
 import structlog
+from result import Err
 
+from bramleylead._signal_receiver import complete_unless_stopped
+from bramleylead._signal_receiver import serve_until_stopped
+from bramleylead._signals import SignalInbox
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import TcpNetwork
+from bramleylead.connection._room import MONITORING_SHARE
 from bramleylead.http._server import HttpServer
 from bramleylead.ledger._disk_loading import load_node
 from bramleylead.ledger._disk_loading import open_disk
@@ -41,6 +46,7 @@
 from bramleylead.site_metrics import SiteMetrics
 from bramleylead.site_settings import LedgerSettings
 from bramleylead.supervision import supervise
+from bramleylead.supervision import supervise_server
 
 EXPIRE_INTERVAL_S = 10.0
 RETIRE_RETRY_S = 0.3
@@ -82,14 +88,16 @@
             self.requested.set()
 
 
-async def run_ledger(settings: LedgerSettings, path: Path, metrics: SiteMetrics) -> None:
-    """Run a ledger node until SIGTERM or SIGINT.
+async def run_ledger(
+    settings: LedgerSettings, path: Path, metrics: SiteMetrics, signals: SignalInbox
+) -> signal.Signals:
+    """Run a ledger node until SIGTERM or SIGINT; return which one.
 
     :param path: the settings file, named in the log on SIGHUP.
-    :raises OSError: if the address can't be bound.
+    :raises OSError: if an address can't be used. A port that is in use is waited for.
     """
     rng = random.Random(settings.random_seed)
-    network = TcpNetwork(keepalive_idle_s=SILENT_AFTER_S)
+    network = TcpNetwork(keepalive_idle_s=SILENT_AFTER_S, waits_for_address=True)
     address = settings.peer_address
     server = PeerServer(node=settings.node, cluster_key=settings.cluster_key)
     async with (
@@ -98,7 +106,18 @@
         RunRecord(Path(settings.data_folder)) as run_record,
         anyio.create_task_group() as tasks,
     ):
-        disk = await open_disk(Path(settings.data_folder))
+        metrics_server = HttpServer(metrics.app, waits_for_address=True, share=MONITORING_SHARE)
+        tasks.start_soon(
+            supervise_server, "metrics", metrics_server.serve, settings.metrics_address
+        )
+        opened = await complete_unless_stopped(
+            signals, partial(open_disk, Path(settings.data_folder))
+        )
+        if isinstance(opened, Err):
+            log.info("ledger_stopped", node=settings.node)
+            tasks.cancel_scope.cancel()
+            return opened.err_value
+        disk = opened.ok_value
         await run_record.begin()
         node = LedgerNode(
             node=settings.node,
@@ -107,7 +126,6 @@
             peers=peers,
             data_centre=settings.data_centre,
         )
-        await load_node(node)
         node.register_handlers(server)
         shares = TrafficShares()
         load_sharing = LoadSharing(node, peers, shares)
@@ -137,11 +155,14 @@
             regions=settings.data_centres,
         )
         retirement = RetirementFollower(settings.node)
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            tasks.start_soon(node.run_writer)
+
+        async def start() -> None:
+            await load_node(node)
+            tasks.start_soon(supervise, "writer", node.run_writer)
+            await tasks.start(
+                supervise_server, "nodes", network.serve, address, server.serve_stream
+            )
             tasks.start_soon(supervise, "load_sharing", load_sharing.run)
-            await tasks.start(network.serve, address, server.serve_stream)
-            await tasks.start(HttpServer(metrics.app).serve, settings.metrics_address)
             tasks.start_soon(supervise, "expiry", partial(_run_expiry, node))
             tasks.start_soon(supervise, "store_probes", monitored_store.run)
             for kind in GATEWAY_KINDS:
@@ -153,15 +174,19 @@
             run = partial(_run_membership, membership, retirement, store, settings.node)
             tasks.start_soon(supervise, "membership", run)
             log.info("ledger_serving", node=settings.node, address=address, disk=disk.name)
-            async for signal_number in signals:
-                if signal_number is signal.SIGHUP:
-                    log.info("settings_changed", node=settings.node, file=str(path))
-                    continue
-                log.info("ledger_stopping", node=settings.node)
-                await server.drain(timeout_s=DRAIN_TIMEOUT_S)
-                break
+
+        number = await serve_until_stopped(
+            signals,
+            start,
+            on_settings_changed=lambda: log.info(
+                "settings_changed", node=settings.node, file=str(path)
+            ),
+        )
+        log.info("ledger_stopping", node=settings.node)
+        await server.drain(timeout_s=DRAIN_TIMEOUT_S)
         tasks.cancel_scope.cancel()
     log.info("ledger_stopped", node=settings.node)
+    return number
 
 
 async def _follow_as_member(
--- a/src/bramleylead/ledger/_writer.py
+++ b/src/bramleylead/ledger/_writer.py
@@ -74,10 +74,11 @@
             batch.done.set()
 
     async def _write_batch(self, batch: _Batch) -> None:
-        """Write a batch; whatever fails refuses this batch only, and nothing of it counts."""
+        """Write a batch; whatever fails refuses this batch only."""
         records = list(batch.records.values())
         try:
             await self._disk.write(records)
+            self._add(records)
         except OSError as error:
             batch.failed = error
             log.error("disk_write_failed", records=len(records), reason=str(error))
@@ -85,8 +86,6 @@
             reason = f"{type(error).__name__}: {error}"
             batch.failed = OSError(errno.EIO, reason)
             log.exception("disk_write_failed", records=len(records), reason=reason)
-        else:
-            self._add(records)
 
     def _add(self, records: list[Record]) -> None:
         self.batches += 1
