Bound the bytes of callers' bodies that a gateway holds at once

A gateway exceeded its memory limit (150 MB) when some sixty callers sent bodies of a permitted size at once, and could be ended for it.

Cause: each body is bounded by max-body-bytes, their sum was not, and each is held about two and a half times (read, serialised, in a buffer).

Change: bytes of bodies are counted as they arrive, beyond 16 KB of each; once 16 MB are held, the next large body is refused with 503 (overloaded, not run, come back after 0.5 s) and no longer counts. A body alone is always read, whatever the configuration permits. Gauge held_body_bytes.

--- a/src/bramleylead/gateway/_app.py
+++ b/src/bramleylead/gateway/_app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Any
+from typing import NamedTuple
 from typing import final
 
 import anyio
@@ -11,6 +12,8 @@
 
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.gateway._body_memory import BodyMemory
+from bramleylead.gateway._body_memory import HeldBody
 from bramleylead.gateway._call import Call
 from bramleylead.gateway._call import CompleteResponse
 from bramleylead.gateway._directory import Directory
@@ -28,6 +31,7 @@
 from bramleylead.platform import _wire as wire
 from bramleylead.platform._types import CallKind
 from bramleylead.platform._types import CallMetadata
+from bramleylead.platform._types import Configuration
 from bramleylead.platform._types import Route
 
 END_TO_END_HEADERS = frozenset(
@@ -50,6 +54,14 @@
     """Raised to close a caller's connection in the middle of a response."""
 
 
+class _Routed(NamedTuple):
+    """Where a request goes, by which configuration, and the count of its body."""
+
+    route: Route
+    configuration: Configuration
+    held: HeldBody
+
+
 @final
 class GatewayApp:
     """Serves requests from callers."""
@@ -58,9 +70,15 @@
         self._directory = directory
         self._plain = plain
         self._streams = streams
+        self._bodies = BodyMemory()
         self.closing = False
         self.in_flight = 0
 
+    @property
+    def held_body_bytes(self) -> int:
+        """The bytes of the bodies of requests under way that count towards their bound."""
+        return self._bodies.held_bytes
+
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
         assert scope["type"] == "http"
@@ -97,7 +115,6 @@
             raise ResponseAbortedError
 
     async def _handle(self, scope: Scope, exchange: Exchange, writer: HttpResponseWriter) -> None:
-        arrived_at = anyio.current_time()
         configuration = self._directory.configuration
         if configuration is None:
             detail = "no configuration is known yet"
@@ -111,10 +128,20 @@
             )
             await writer.send_failure(Failure(ErrorKind.UNKNOWN_TARGET, detail))
             return
+        with self._bodies.hold() as held:
+            await self._serve_route(scope, exchange, writer, _Routed(route, configuration, held))
+
+    async def _serve_route(
+        self, scope: Scope, exchange: Exchange, writer: HttpResponseWriter, routed: _Routed
+    ) -> None:
+        """Read the body and answer the call, while the body is counted."""
+        arrived_at = anyio.current_time()
+        route, configuration = routed.route, routed.configuration
         deadline = arrived_at + _timeout_for(route, writer.metadata)
-        limits = configuration.limits
         body = await exchange.read_body(
-            max_bytes=limits.max_body_bytes, timeout_s=deadline - arrived_at
+            max_bytes=configuration.limits.max_body_bytes,
+            timeout_s=deadline - arrived_at,
+            admit=routed.held.admit,
         )
         if isinstance(body, Err):
             await writer.send_failure(body.err_value)
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -249,6 +249,7 @@
             "ledger_epoch": self._ledger.view.epoch,
             "connections_opened": self._pool.opened,
             "requests_running": self.app.in_flight,
+            "held_body_bytes": self.app.held_body_bytes,
             "suspect_requests": len(self._crashes),
             "replica_paths_lost": self._paths.is_lost,
             "requests_relayed": self._relay_server.running,
--- a/src/bramleylead/http/_exchange.py
+++ b/src/bramleylead/http/_exchange.py
@@ -22,6 +22,7 @@
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 HeaderList = list[tuple[str, str]]
+Admit = Callable[[int], bool]
 
 MAX_HEADER_BYTES = 32_000
 LENGTH_HEADERS = {"content-length", "transfer-encoding"}
@@ -30,6 +31,14 @@
 """After an early refusal, up to this much of the body is read and discarded. Otherwise closing the
 connection would reset it before the caller has read the refusal."""
 
+BODIES_DETAIL = "body: too many large bodies are held: send it again later"
+BODIES_RETRY_S = 0.5
+
+
+def admit_all(count: int) -> bool:
+    """Admit each part of a body."""
+    return True
+
 
 @final
 class Exchange:
@@ -56,13 +65,18 @@
         self.started = False
         self.close_after = self.has_two_lengths
 
-    async def read_body(self, *, max_bytes: int, timeout_s: float) -> Result[bytes, Failure]:
-        """Read the whole body; fail if it is too large, too slow or truncated."""
+    async def read_body(
+        self, *, max_bytes: int, timeout_s: float, admit: Admit = admit_all
+    ) -> Result[bytes, Failure]:
+        """Read the whole body; fail if it is too large, too slow, truncated or not admitted.
+
+        :param admit: asked for each part, by its length, before it is kept.
+        """
         declared_length = self.headers.get("content-length", "0")
         if declared_length.isdigit() and int(declared_length) > max_bytes:
             return Err(_too_large_failure(int(declared_length), max_bytes))
         with anyio.move_on_after(timeout_s):
-            return await self._receive_body(max_bytes)
+            return await self._receive_body(max_bytes, admit)
         detail = f"body: incomplete after {timeout_s:g} s: send it faster"
         return Err(Failure(ErrorKind.DEADLINE_EXCEEDED, detail))
 
@@ -106,17 +120,20 @@
             discarded_bytes += len(event.get("body", b""))
             self._body_read = not event.get("more_body", False)
 
-    async def _receive_body(self, max_bytes: int) -> Result[bytes, Failure]:
+    async def _receive_body(self, max_bytes: int, admit: Admit) -> Result[bytes, Failure]:
         received = bytearray()
         while not self._body_read:
             event = await self._receive()
             if event["type"] == "http.disconnect":
                 self._body_read = True
                 return Err(Failure(ErrorKind.CANCELLED, "body: the caller closed the connection"))
-            received += event.get("body", b"")
+            part = event.get("body", b"")
             self._body_read = not event.get("more_body", False)
-            if len(received) > max_bytes:
-                return Err(_too_large_failure(len(received), max_bytes))
+            if len(received) + len(part) > max_bytes:
+                return Err(_too_large_failure(len(received) + len(part), max_bytes))
+            if not admit(len(part)):
+                return Err(Failure(ErrorKind.OVERLOADED, BODIES_DETAIL, BODIES_RETRY_S))
+            received += part
         return Ok(bytes(received))
 
 
--- a/src/bramleylead/trials/fuzz/_stand_ins.py
+++ b/src/bramleylead/trials/fuzz/_stand_ins.py
@@ -30,11 +30,15 @@
 
 @final
 class OddReplica:
-    """A replica that answers some requests with the bytes of a case, and the others well."""
+    """A replica that answers some requests with the bytes of a case, and the others well.
+
+    ``delay_s`` passes before each answer.
+    """
 
     def __init__(self, name: str) -> None:
         self._answers: dict[str, tuple[bytes, ...]] = {}
         self.name = name
+        self.delay_s = 0.0
         self.runs: list[Run] = []
 
     def script(self, request: str, parts: tuple[bytes, ...]) -> None:
@@ -45,6 +49,7 @@
         """Answer one request."""
         name = request.headers.get(names.REQUEST_ID, "")
         self.runs.append(Run(name, request.method, request.target, request.body))
+        await anyio.sleep(self.delay_s)
         if name in self._answers:
             return RawAnswer(self._answers[name], keep=False)
         lines = {
