--- a/src/bramleylead/standins/_platform_store.py
+++ b/src/bramleylead/standins/_platform_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import Any
 from typing import NamedTuple
 from typing import final
@@ -22,6 +23,8 @@
 FIRST_REVISION = 1
 
 Plain = dict[str, Any]
+RAW_KEY = "raw object"
+RAW_OBJECT = re.compile(rb'{"raw object": ([0-9]+)}')
 
 
 class _Event(NamedTuple):
@@ -41,6 +44,7 @@
 
     def __init__(self) -> None:
         self._objects: dict[str, dict[str, Plain]] = {}
+        self._raw: dict[int, bytes] = {}
         self._events: list[_Event] = []
         self._changed = anyio.Event()
         self._revision = FIRST_REVISION
@@ -60,13 +64,26 @@
         if self.silent:
             await anyio.sleep_forever()
         headers = [("content-type", JSON_TYPE)]
-        await exchange.respond(status, json.dumps(answer).encode(), headers)
+        await exchange.respond(status, self._encode(answer), headers)
 
     def put(self, kind: str, name: str, value: Any) -> Plain:
         """Create or replace an object, as its own writer would."""
-        found = self._objects.setdefault(kind, {}).get(name) or _fresh(name)
+        found = self._objects.setdefault(kind, {}).get(name, {})
+        if "metadata" not in found:
+            found = _fresh(name)
         return self._record(kind, {**found, "specification": value})
 
+    def put_raw(self, kind: str, name: str, item: bytes) -> None:
+        """Create or replace an object that is sent as these bytes, whatever they are."""
+        self.replace_unseen(kind, name, item)
+        self._tell(_Event(self._revision, kind, self._objects[kind][name], False))
+
+    def replace_unseen(self, kind: str, name: str, item: bytes) -> None:
+        """Create or replace an object by bytes, as :meth:`put_raw`, but tell no watch."""
+        self._revision += 1
+        self._raw[self._revision] = item
+        self._objects.setdefault(kind, {})[name] = {RAW_KEY: self._revision}
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
         found = self._objects[kind].pop(name)
@@ -126,6 +143,10 @@
         ]
         return 200, {"events": events, "as-of": self._revision}
 
+    def _encode(self, answer: Plain) -> bytes:
+        text = json.dumps(answer).encode()
+        return RAW_OBJECT.sub(lambda found: self._raw[int(found[1])], text)
+
     def _after(self, kind: str, revision: int) -> list[_Event]:
         return [event for event in self._events if event.kind == kind and event.revision > revision]
 
--- a/testing/cli/test_signals.py
+++ b/testing/cli/test_signals.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import json
+import os
 import random
 import re
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -18,6 +20,7 @@
 from typing import NamedTuple
 
 from bramleylead.connection._free_ports import find_free_port
+from bramleylead.ledger._last_run import FILE_NAME
 
 HOST = "127.0.0.1"
 LIMIT_S = 60.0
@@ -57,8 +60,8 @@
 class Started:
     """A process without a store, and its log."""
 
-    def __init__(self, role: str, folder: Path, *command: str) -> None:
-        ports = [find_free_port(HOST) for _ in range(5)]
+    def __init__(self, role: str, folder: Path, *command: str, peer_port: int = 0) -> None:
+        ports = [peer_port or find_free_port(HOST), *(find_free_port(HOST) for _ in range(4))]
         settings: dict[str, Any] = {
             "node": role,
             "region": "r",
@@ -128,10 +131,11 @@
         return Life(code, [line["event"] for line in lines])
 
 
-def live(role: str, run: Callable[[Started], None], *command: str) -> Life:
+def live(role: str, run: Callable[[Started], None], *command: str, peer_port: int = 0) -> Life:
     """Start a process, do something to it, and return how it lived."""
+    words = command or ("-m", "bramleylead")
     with tempfile.TemporaryDirectory() as folder:
-        return Started(role, Path(folder), *(command or ("-m", "bramleylead"))).live(run)
+        return Started(role, Path(folder), *words, peer_port=peer_port).live(run)
 
 
 class SignalsTest(unittest.TestCase):
@@ -197,6 +201,16 @@
 
         self.check(run)
 
+    # Guards against a start that waits for a port in use and hears no signal.
+    def test_a_stop_is_clean_while_an_address_is_in_use(self) -> None:
+        def stop(started: Started) -> None:
+            started.wait_until(lambda: "address_unavailable" in started.text)
+            started.process.terminate()
+
+        with socket.create_server((HOST, 0)) as taken:
+            port = taken.getsockname()[1]
+            self.check(lambda role: live(role, stop, peer_port=port), "{role}_stopped")
+
     # Guards against a ledger node that only SIGKILL ends: it waited for its disk first.
     def test_a_stop_is_clean_while_the_disk_can_not_be_opened(self) -> None:
         def stop(started: Started) -> None:
@@ -208,3 +222,15 @@
             life = Started("ledger", Path(folder), "-m", "bramleylead").live(stop)
         self.assertEqual(life.code, 0, life.events)
         self.assertEqual(life.events[-2:], ["ledger_stopped", "process_ended"])
+
+    # Guards against a stopped ledger node that only SIGKILL ends: its exit waited for threads.
+    def test_an_exit_does_not_wait_for_a_disk_that_gives_no_answer(self) -> None:
+        def stop(started: Started) -> None:
+            started.wait_until(lambda: "ledger_serving" in started.text)
+            started.process.terminate()
+
+        with tempfile.TemporaryDirectory() as folder:
+            (Path(folder) / "disk").mkdir()
+            os.mkfifo(Path(folder) / "disk" / FILE_NAME)
+            life = Started("ledger", Path(folder), "-m", "bramleylead").live(stop)
+        self.assertEqual((life.code, life.events[-1]), (0, "process_ended"), life.events)
