--- a/src/bramleylead/gateway/_upstream.py
+++ b/src/bramleylead/gateway/_upstream.py
@@ -32,6 +32,7 @@
 """Discarding more costs more than a new connection."""
 MAX_STALE_RESPONSES = 8
 MAX_INFORMATIONAL_RESPONSES = 8
+MAX_STATUS = 599
 
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d( |\r?$)", re.MULTILINE)
 BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
@@ -221,6 +222,8 @@
                     (name.decode("latin-1"), value.decode("latin-1"))
                     for name, value in event.headers
                 ]
+                if event.status_code > MAX_STATUS:
+                    raise UpstreamError(f"status {event.status_code}: at most {MAX_STATUS} exists")
                 return ResponseHead(event.status_code, headers)
         raise UpstreamError("received only informational responses")
 
