Keep the soak within what a deployment bears, and its own signals apart from exit codes

The time to catch up starts again once the store is back, so the rest of the ledger is prolonged by a fault of the store. The object of the process asks for its exit code before it sends a signal, and takes it from whoever waits. Signals are sent by process id now.

--- a/src/bramleylead/trials/site/_plan.py
+++ b/src/bramleylead/trials/site/_plan.py
@@ -53,8 +53,14 @@
 """One of these at a time: more is beyond what a deployment says that it bears."""
 FIRST_AT_S = 1.0
 LONGEST_FAULT_S = 3.0
+STORE_FAULTS = (
+    FaultKind.STORE_OUT,
+    FaultKind.STORE_SILENT,
+    FaultKind.STORE_FORGETS,
+    FaultKind.STORE_TURNS_AWAY,
+)
 LEDGER_REST_S = 6.0
-"""After a node of the ledger is back the others need this long to copy to it."""
+"""After a node of the ledger is back, and the store with it, it needs this long to be a member."""
 ALL_KINDS = tuple(FaultKind)
 PROCESS_KINDS = (
     FaultKind.SIGNALS_TO_GATEWAY,
@@ -97,7 +103,7 @@
     rng = random.Random(f"{seed}/faults")
     plan = []
     at_s = FIRST_AT_S
-    ledger_rests_until = 0.0
+    rest = _LedgerRest()
     while at_s < length_s:
         fault = Fault(
             round(at_s, 3),
@@ -106,9 +112,26 @@
             round(rng.uniform(0.3, LONGEST_FAULT_S), 3),
         )
         at_s += rng.expovariate(1 / gap_s)
-        if fault.kind in LEDGER_LOSSES:
-            if fault.at_s < ledger_rests_until:
-                continue
-            ledger_rests_until = fault.at_s + fault.for_s + LEDGER_REST_S
-        plan.append(fault)
+        if rest.allows(fault):
+            plan.append(fault)
     return plan
+
+
+class _LedgerRest:
+    """The time in which the ledger bears no further loss, and the store one fault at most."""
+
+    def __init__(self) -> None:
+        self._until_s = 0.0
+        self._is_prolonged = False
+
+    def allows(self, fault: Fault) -> bool:
+        """Return whether a fault may come; if so, note how long the ledger rests after it."""
+        is_resting = fault.at_s < self._until_s
+        is_loss = fault.kind in LEDGER_LOSSES
+        is_store_fault = fault.kind in STORE_FAULTS and is_resting
+        if (is_loss and is_resting) or (is_store_fault and self._is_prolonged):
+            return False
+        if is_loss or is_store_fault:
+            self._until_s = max(self._until_s, fault.at_s + fault.for_s + LEDGER_REST_S)
+            self._is_prolonged = is_store_fault
+        return True
--- a/src/bramleylead/trials/site/_process_faults.py
+++ b/src/bramleylead/trials/site/_process_faults.py
@@ -42,12 +42,14 @@
     node = _node(faults, fault)
     async with faults.alone(node.name):
         _unsettle(faults, node, fault.for_s)
+        await node.handles(signal.SIGHUP)
         await _hang_up(node, fault.for_s / 3)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_hang_up, node, fault.for_s)
             code = await node.stop()
-        if code != 0:
-            faults.site.judge.ended(node.name, f"stop under SIGHUP: code {code}")
+        if code:
+            detail = f"stop under SIGHUP: code {code}: {node.last_lines()}"
+            faults.site.judge.ended(node.name, detail)
         faults.site.judge.restarted(node.name)
         await node.start()
         await node.handles(signal.SIGHUP)
--- a/src/bramleylead/trials/site/_processes.py
+++ b/src/bramleylead/trials/site/_processes.py
@@ -11,6 +11,7 @@
 import sys
 from collections.abc import Sequence
 from contextlib import AsyncExitStack
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 from typing import final
@@ -152,15 +153,21 @@
         if self._process is not None:
             await self._process.wait()
 
-    async def stop(self) -> int:
-        """Ask the process to end, wait until it has, and return its exit code."""
-        assert self._process is not None
+    async def stop(self) -> int | None:
+        """Ask the process to end, wait until it has, and return its exit code.
+
+        The code is ``None`` if another fault killed the process meanwhile.
+        """
+        process = self._process
+        assert process is not None
         self._ends_on_request = True
-        if self._process.returncode is None:
-            self._process.send_signal(signal.SIGTERM)
+        if process.returncode is None:
+            process.send_signal(signal.SIGTERM)
         with anyio.move_on_after(GRACE_S):
-            return await self._process.wait()
-        await self.kill()
+            code = await process.wait()
+            return None if code == -signal.SIGKILL else code
+        process.kill()
+        await process.wait()
         return -signal.SIGKILL
 
     def freeze(self) -> None:
@@ -176,9 +183,13 @@
         shutil.rmtree(self._folder / self.name, ignore_errors=True)
 
     def send_signal(self, number: signal.Signals) -> None:
-        """Send a signal, if the process runs."""
+        """Send a signal, if the process runs.
+
+        Sent past the process's object, which would first take the exit code from whoever waits.
+        """
         if self._process is not None and self._process.returncode is None:
-            self._process.send_signal(number)
+            with suppress(ProcessLookupError):
+                os.kill(self._process.pid, number)
 
     def _handles(self, number: signal.Signals) -> bool:
         assert self._process is not None
