Copy records only from the disk that the member list names

Suspected while the reports on processes that end by themselves were read; no user reported it. A member that loses its disk between the probe and the copies answers again at its address, with no records and under another disk name. The probe compares the name, the copies didn't: an empty source counted as copied. Likewise, a source that restarted empty between its keys and its records sent no record, which was taken for "all of them have expired". A node could then join, and others be removed, while the only disk with an acknowledged turn belonged to a member that is down. Of the four members then, three lack the turn, which is the number at which a gateway concludes that it doesn't exist.

The copier now asks a source for its state (AskState, answered by all versions) when a page comes from a run that it doesn't know yet, or when records of the page were missing, and checks that the run of the page still answers and has the disk that the entry names. A disk's name doesn't change within a run, so pages of a known run need no further check and a copy costs no additional message in the steady state. No message has another form; an answer from the earlier build suffices.

--- a/src/bramleylead/ledger/_copying.py
+++ b/src/bramleylead/ledger/_copying.py
@@ -1,4 +1,8 @@
-"""Copies the records that other nodes of the ledger have and this one lacks."""
+"""Copies the records that other nodes of the ledger have and this one lacks.
+
+A node that has lost its disk answers at its former address, with no records. Its answers count only
+once its state shows that the run that sent them has the disk of its entry in the member list.
+"""
 
 from __future__ import annotations
 
@@ -18,6 +22,8 @@
 from bramleylead.ledger._members import LedgerMember
 from bramleylead.ledger._messages import AskKeys
 from bramleylead.ledger._messages import AskRecords
+from bramleylead.ledger._messages import AskState
+from bramleylead.ledger._messages import NodeState
 from bramleylead.ledger._messages import Records
 from bramleylead.ledger._records import LedgerState
 from bramleylead.ledger._records import Record
@@ -31,10 +37,11 @@
 
 
 class _Cursor(NamedTuple):
-    """How far another node's records have been copied."""
+    """How far another node's records have been copied, in which run and from which disk."""
 
     run: str
     last: int
+    disk: str = ""
 
 
 @final
@@ -90,14 +97,35 @@
             copied = await self._copy_keys(member, page.keys)
             if isinstance(copied, Err):
                 return copied
-            cursor = _Cursor(page.run_id, page.last)
+            is_known = (cursor.run, cursor.disk) == (page.run_id, member.disk)
+            if not is_known or not copied.ok_value:
+                checked = await self._check_disk(member, page.run_id)
+                if isinstance(checked, Err):
+                    return checked
+            cursor = _Cursor(page.run_id, page.last, member.disk)
             self._cursors[member.node] = cursor
             more = page.more
         return Ok(None)
 
+    async def _check_disk(self, member: LedgerMember, run_id: str) -> Result[None, Failure]:
+        """Check that a node still has the disk of its entry, and has not restarted meanwhile."""
+        answer = await self._request(member, AskState())
+        if isinstance(answer, Err):
+            return answer
+        state = answer.ok_value
+        if not isinstance(state, NodeState) or state.run_id != run_id:
+            detail = f"{member.node} restarted while its records were copied"
+            return Err(Failure(ErrorKind.NOT_DURABLE, detail))
+        if state.disk != member.disk:
+            detail = f"{member.node} has the disk {state.disk} instead of {member.disk}"
+            return Err(Failure(ErrorKind.NOT_DURABLE, detail))
+        return Ok(None)
+
     async def _copy_keys(
         self, member: LedgerMember, keys: tuple[str, ...]
-    ) -> Result[None, Failure]:
+    ) -> Result[bool, Failure]:
+        """Copy the records that this node lacks; return whether the other node had all of them."""
+        had_all = True
         missing = self._missing(keys)
         while missing:
             answer = await self._ask_records(member, missing)
@@ -110,9 +138,10 @@
             except OSError as error:
                 detail = f"{self._node}: disk write failed: {error}"
                 return Err(Failure(ErrorKind.NOT_DURABLE, detail))
+            had_all = had_all and bool(records)
             # Without a record the other node has dropped all of them as expired.
             missing = self._missing(missing) if records else missing[asked:]
-        return Ok(None)
+        return Ok(had_all)
 
     def _missing(self, keys: tuple[str, ...]) -> tuple[str, ...]:
         return tuple(key for key in keys if self._state.get(key) is None)
