--- a/src/bramleylead/connection/_accept.py
+++ b/src/bramleylead/connection/_accept.py
@@ -12,6 +12,7 @@
 import anyio
 import structlog
 
+from bramleylead.connection._error_log import ErrorLog
 from bramleylead.connection._listener import bound_address
 from bramleylead.connection._listener import error_name
 from bramleylead.connection._listener import open_listener
@@ -22,7 +23,6 @@
 """Accepted sockets take descriptors beyond the share of their server until they are counted."""
 FIRST_PAUSE_S = 0.01
 MAX_PAUSE_S = 0.5
-LOG_INTERVAL_S = 10.0
 BROKEN_LISTENER = frozenset({errno.EBADF, errno.EINVAL, errno.ENOTSOCK, errno.EOPNOTSUPP})
 """Errors that no later call on the same socket is free of."""
 SHORTAGES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
@@ -69,8 +69,7 @@
         self._pauses = retry_delays(FIRST_PAUSE_S, MAX_PAUSE_S)
         self._listener: socket.socket | None = None
         self._address = ""
-        self._last_logged: dict[str, float] = {}
-        self._unlogged: dict[str, int] = {}
+        self._errors = ErrorLog("accept_failed")
 
     async def open(self, address: str) -> str:
         """Listen on ``host:port`` and return the bound address; port 0 selects a free port.
@@ -149,12 +148,4 @@
             log.exception("connection_failed", address=self._address, reason=reason)
 
     def _note(self, error: OSError) -> None:
-        """Log an error of the system, each kind at most once in ``LOG_INTERVAL_S``."""
-        kind = error_name(error)
-        self._unlogged[kind] = self._unlogged.get(kind, 0) + 1
-        now = anyio.current_time()
-        if now - self._last_logged.get(kind, -LOG_INTERVAL_S) < LOG_INTERVAL_S:
-            return
-        self._last_logged[kind] = now
-        failures = self._unlogged.pop(kind)
-        log.warning("accept_failed", address=self._address, kind=kind, failures=failures)
+        self._errors.record(error_name(error), address=self._address)
--- a/testing/connection/test_accept.py
+++ b/testing/connection/test_accept.py
@@ -17,6 +17,7 @@
 
 from bramleylead.connection import TcpNetwork
 from bramleylead.connection import _accept
+from bramleylead.connection import _error_log
 from bramleylead.connection._free_ports import find_free_port
 from bramleylead.connection._listener import open_listener
 from bramleylead.connection._listener import split_address
@@ -118,7 +119,7 @@
         with (
             unittest.mock.patch.object(_accept, "open_listener", open_failing),
             unittest.mock.patch.object(_accept, "MAX_PAUSE_S", 0.01),
-            unittest.mock.patch.object(_accept, "LOG_INTERVAL_S", LIMIT_S),
+            unittest.mock.patch.object(_error_log, "LOG_INTERVAL_S", LIMIT_S),
         ):
             lines = run_servers(body)
         self.assertEqual(len([line for line in lines if line["event"] == "accept_failed"]), 2)
