Don't blame replicas for a shortage of descriptors or ports here

A gateway that had no descriptor, memory or port left for a connection (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL) took the replica for crashed: it was put aside for 5 s, and after two of them the gateway suspected that its paths were lost. Requests were refused at once, although idle connections to other replicas held descriptors. Another gateway that asked was told that the replica can't be reached from here either.

Evidence, the new tests on the code before:

replica_put_aside aside_s=5.0 failing=1.0 reason="10.0.1.1:80: can't connect: OSError: [Errno 24] Too many open files" (likewise two others) not_blamed_and_..._refused_as_not_run: known_replicas() not empty, 4 errors a_descriptor_that_is_free_shortly_after_is_waited_for: 503 != 200 an_idle_connection_to_another_replica_gives_its_descriptor: False is not true other_gateways_are_told_nothing: refusal=None instead of RelayRefusal.BUSY Ran 5 tests, FAILED (errors=8; the fifth lacks the new module)

A failure to connect is now typed (ConnectFailure) and tells whether this machine caused it; anyio hides the number in the cause, which is looked up there. Then neither the health of the replica nor the paths record anything. For descriptors and memory the idle connection that expires first is closed and the attempt is repeated, within the time that an attempt to connect had before (0.4 s); a port is not waited for, since it stays taken for a minute. The request then goes to another replica, or is refused as not run with a time to come back, as before. No message has another form.

After: the five tests pass, one of them with a real lowered limit. Also passed: connection_pool 7, stranded_gateways 7, relayed_requests 19, foreign_entries 11, plain_calls 19, system_errors 4, limited_replicas 4, crashing_requests 10.

--- a/src/bramleylead/gateway/_connection_pool.py
+++ b/src/bramleylead/gateway/_connection_pool.py
@@ -18,6 +18,8 @@
 from bramleylead.gateway._relay_messages import Reach
 from bramleylead.gateway._replica_connection import ConnectionUse
 from bramleylead.gateway._replica_connection import owned
+from bramleylead.gateway._replica_streams import ConnectFailure
+from bramleylead.gateway._replica_streams import ReplicaStreams
 from bramleylead.gateway._upstream import UpstreamConnection
 from bramleylead.placement._replica_paths import ReplicaPaths
 from bramleylead.platform._types import Replica
@@ -52,7 +54,7 @@
     """
 
     def __init__(self, network: Network, *, id_header: str, paths: ReplicaPaths) -> None:
-        self._network = network
+        self._streams = ReplicaStreams(network, make_room=self._close_idle)
         self._id_header = id_header
         self._paths = paths
         self._idle: dict[str, list[UpstreamConnection]] = {}
@@ -73,7 +75,7 @@
     @asynccontextmanager
     async def use(
         self, replica: Replica, *, idempotent: bool, may_reuse: bool
-    ) -> AsyncIterator[Result[ConnectionUse[UpstreamConnection], str]]:
+    ) -> AsyncIterator[Result[ConnectionUse[UpstreamConnection], ConnectFailure]]:
         """Use a connection for one request; on exit it is kept for the next one or closed.
 
         An ``Err`` means that nothing was sent. The parameters are those of :meth:`acquire`.
@@ -84,7 +86,7 @@
 
     async def acquire(
         self, replica: Replica, *, idempotent: bool, may_reuse: bool = True
-    ) -> Result[UpstreamConnection, str]:
+    ) -> Result[UpstreamConnection, ConnectFailure]:
         """Return an idle connection or open one; an ``Err`` means that nothing was sent.
 
         :param idempotent: whether the request may be sent again if nothing passes any more.
@@ -120,11 +122,16 @@
             return True
         return await self.probe(replica, timeout_s=CHECK_TIMEOUT_S) is Reach.REFUSED
 
-    async def probe(self, replica: Replica, *, timeout_s: float = PROBE_TIMEOUT_S) -> Reach:
-        """Open a connection, which is kept for the next request, and return what that showed."""
+    async def probe(self, replica: Replica, *, timeout_s: float = PROBE_TIMEOUT_S) -> Reach | None:
+        """Open a connection, which is kept for the next request, and return what that showed.
+
+        Nothing, if this machine could not make a connection.
+        """
         opened = await self._connect(replica, timeout_s=timeout_s)
         if isinstance(opened, Err):
-            return Reach.REFUSED if replica.name in self._refused_at else Reach.SILENT
+            if opened.err_value.is_local:
+                return None
+            return Reach.REFUSED if opened.err_value.is_refusal else Reach.SILENT
         opened.ok_value.reuse_until = anyio.current_time() + DEFAULT_KEEP_ALIVE_S
         # The replica may have been removed while the connection was being opened.
         self._idle.setdefault(replica.name, []).append(opened.ok_value)
@@ -197,37 +204,42 @@
 
     async def _connect(
         self, replica: Replica, *, timeout_s: float = CONNECT_TIMEOUT_S
-    ) -> Result[UpstreamConnection, str]:
+    ) -> Result[UpstreamConnection, ConnectFailure]:
         self._idle.setdefault(replica.name, [])
         self._refused_at.pop(replica.name, None)
-        try:
-            with anyio.fail_after(timeout_s):
-                stream = await self._network.connect(replica.address)
-        except (OSError, TimeoutError) as error:
-            if _is_refusal(error):
-                self._refused_at[replica.name] = anyio.current_time()
-            self._paths.record_unreached(replica.name, now=anyio.current_time())
-            return Err(f"{replica.address}: can't connect: {_describe(error)}")
+        opened = await self._streams.open(replica.address, timeout_s=timeout_s)
+        if isinstance(opened, Err):
+            self._record_failure(replica, opened.err_value)
+            return opened
         self.opened += 1
         self._paths.record_reached(replica.name, now=anyio.current_time())
         connection = UpstreamConnection(
-            stream,
+            opened.ok_value,
             address=replica.address,
             id_header=self._id_header,
             on_received=self._record_heard,
         )
         return Ok(connection)
 
+    def _record_failure(self, replica: Replica, failure: ConnectFailure) -> None:
+        """Record what a failure to connect tells of a replica and of the path to it."""
+        if failure.is_local:
+            return
+        if failure.is_refusal:
+            self._refused_at[replica.name] = anyio.current_time()
+        self._paths.record_unreached(replica.name, now=anyio.current_time())
+
+    async def _close_idle(self) -> None:
+        """Close the idle connection that expires first, to whichever replica."""
+        idle = min(filter(None, self._idle.values()), key=_first_expiry, default=None)
+        if idle is not None:
+            connection = min(idle, key=lambda each: each.reuse_until)
+            idle.remove(connection)
+            await connection.aclose()
+
     def _record_heard(self) -> None:
         self._paths.record_heard(now=anyio.current_time())
 
 
-def _is_refusal(error: OSError) -> bool:
-    """Return whether a connection was refused; anyio gives the cause of a single failed attempt."""
-    return any(isinstance(found, ConnectionRefusedError) for found in (error, error.__cause__))
-
-
-def _describe(error: OSError) -> str:
-    """Name an error by its cause, which anyio hides behind "All connection attempts failed"."""
-    cause = error.__cause__ or error
-    return f"{type(cause).__name__}: {cause}"
+def _first_expiry(idle: list[UpstreamConnection]) -> float:
+    return min(connection.reuse_until for connection in idle)
--- a/src/bramleylead/gateway/_relay_server.py
+++ b/src/bramleylead/gateway/_relay_server.py
@@ -83,7 +83,11 @@
         if isinstance(replica, RelayRefusal):
             await reply.send(ReplicaChecked(Reach.SILENT, replica))
             return
-        await reply.send(ReplicaChecked(await self._connections.probe(replica)))
+        reach = await self._connections.probe(replica)
+        if reach is None:
+            await reply.send(ReplicaChecked(Reach.SILENT, RelayRefusal.BUSY))
+            return
+        await reply.send(ReplicaChecked(reach))
 
     async def _relay(self, request: RelayRequest, reply: Reply) -> None:
         self.running += 1
@@ -106,7 +110,9 @@
             replica, idempotent=request.idempotent, may_reuse=request.idempotent
         ) as used:
             if isinstance(used, Err):
-                await self._refuse(request, reply, RelayRefusal.UNREACHED)
+                is_local = used.err_value.is_local
+                reason = RelayRefusal.BUSY if is_local else RelayRefusal.UNREACHED
+                await self._refuse(request, reply, reason)
             elif not self._directory.is_current(replica):
                 await self._refuse(request, reply, RelayRefusal.NOT_LISTED)
             else:
--- a/src/bramleylead/gateway/_replica_connection.py
+++ b/src/bramleylead/gateway/_replica_connection.py
@@ -18,6 +18,8 @@
 from result import Ok
 from result import Result
 
+from bramleylead.gateway._replica_streams import ConnectFailure
+
 SMALL_REQUEST_BYTES = 16_384
 
 Headers = list[tuple[str, str]]
@@ -124,8 +126,8 @@
 
 @asynccontextmanager
 async def owned(
-    acquired: Result[_C, str], release: Callable[[ConnectionUse[_C]], Awaitable[None]]
-) -> AsyncIterator[Result[ConnectionUse[_C], str]]:
+    acquired: Result[_C, ConnectFailure], release: Callable[[ConnectionUse[_C]], Awaitable[None]]
+) -> AsyncIterator[Result[ConnectionUse[_C], ConnectFailure]]:
     """Use a connection, if one was acquired, and release it on exit in every case."""
     if isinstance(acquired, Err):
         yield acquired
--- a/src/bramleylead/gateway/_replica_connections.py
+++ b/src/bramleylead/gateway/_replica_connections.py
@@ -20,6 +20,7 @@
 from bramleylead.gateway._replica_connection import ConnectionUse
 from bramleylead.gateway._replica_connection import ReplicaConnection
 from bramleylead.gateway._replica_connection import owned
+from bramleylead.gateway._replica_streams import ConnectFailure
 from bramleylead.gateway._upstream import UpstreamConnection
 from bramleylead.placement._replica_paths import ReplicaPaths
 from bramleylead.platform._types import Replica
@@ -42,7 +43,7 @@
     @asynccontextmanager
     async def use(
         self, replica: Replica, *, idempotent: bool, deadline: float
-    ) -> AsyncIterator[Result[ConnectionUse[ReplicaConnection], str]]:
+    ) -> AsyncIterator[Result[ConnectionUse[ReplicaConnection], ConnectFailure]]:
         """Use a connection for one request; on exit it is kept for the next one or closed.
 
         An ``Err`` means that nothing was sent. The parameters are those of :meth:`acquire`.
@@ -53,7 +54,7 @@
 
     async def acquire(
         self, replica: Replica, *, idempotent: bool, deadline: float
-    ) -> Result[ReplicaConnection, str]:
+    ) -> Result[ReplicaConnection, ConnectFailure]:
         """Return a connection; an ``Err`` means that nothing was sent.
 
         :param idempotent: whether the request may be sent to another replica if this one falls
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -133,8 +133,10 @@
                 replica, idempotent=call.route.idempotent, deadline=call.deadline
             ) as used:
                 if isinstance(used, Err):
-                    self._record_unreached(call, replica, used.err_value)
-                    yield NotRun(used.err_value, counts_as_attempt=False)
+                    failure = used.err_value
+                    if not failure.is_local:
+                        self._record_unreached(call, replica, failure.detail)
+                    yield NotRun(failure.detail, counts_as_attempt=False)
                     return
                 if not self._directory.is_current(replica):
                     # Its entry changed while the connection was being opened.
