Close a connection at once whose socket options are refused

Found by reading. TcpNetwork.connect sets options once the stream is open; an error of setsockopt left the stream to garbage collection. The descriptor stayed taken and the other side kept the connection as long as the error was referred to, for instance by its traceback.

Evidence, the new test on the code before, which holds the error:

test_a_connection_whose_options_are_refused_is_closed_at_once TimeoutError Ran 4 tests in 2.697s FAILED (errors=1)

The stream is closed before the error is raised. After: 4 tests pass in 0.265 s.

--- a/src/bramleylead/connection/_tcp.py
+++ b/src/bramleylead/connection/_tcp.py
@@ -46,10 +46,11 @@
             stream = await anyio.connect_tcp(host, port)
         except ValueError as error:
             raise OSError(f"invalid host in {address!r}: {error}") from error
-        _set_nodelay(stream)
-        raw_socket = stream.extra(SocketAttribute.raw_socket)
-        for level, option, value in self._options:
-            raw_socket.setsockopt(level, option, value)
+        try:
+            self._set_options(stream)
+        except OSError:
+            await anyio.aclose_forcefully(stream)
+            raise
         return stream
 
     async def serve(
@@ -78,6 +79,12 @@
         finally:
             acceptor.close()
 
+    def _set_options(self, stream: SocketStream) -> None:
+        _set_nodelay(stream)
+        raw_socket = stream.extra(SocketAttribute.raw_socket)
+        for level, option, value in self._options:
+            raw_socket.setsockopt(level, option, value)
+
 
 async def _wrap(connection: socket.socket) -> SocketStream:
     """Return an accepted connection as a stream, or close it.
--- a/testing/connection/test_tcp_options.py
+++ b/testing/connection/test_tcp_options.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 import unittest
+from contextlib import suppress
 from typing import NamedTuple
 
 import anyio
@@ -20,6 +22,8 @@
 SILENCE_OF_A_SOUND_PEER_S = 2.0
 STORE_KNOWN_LOST_S = 5.0
 CALLER_KNOWN_LOST_S = 30.0
+CLOSED_WITHIN_S = 2.0
+UNKNOWN_OPTION = 9_999
 
 
 class LossTimes(NamedTuple):
@@ -75,6 +79,32 @@
 
         anyio.run(main)
 
+    # Guards against a descriptor that stays taken until the error is collected as garbage.
+    def test_a_connection_whose_options_are_refused_is_closed_at_once(self) -> None:
+        ended = anyio.Event()
+
+        async def wait_for_end(stream: anyio.abc.ByteStream) -> None:
+            with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                await stream.receive()
+            ended.set()
+
+        async def main() -> None:
+            network = TcpNetwork()
+            network._options = [(socket.IPPROTO_TCP, UNKNOWN_OPTION, 1)]
+            async with anyio.create_task_group() as tasks:
+                address = await tasks.start(network.serve, "127.0.0.1:0", wait_for_end)
+                errors: list[OSError] = []
+                try:
+                    await network.connect(address)
+                except OSError as error:
+                    errors.append(error)
+                self.assertEqual([error.errno for error in errors], [errno.ENOPROTOOPT])
+                with anyio.fail_after(CLOSED_WITHIN_S):
+                    await ended.wait()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
     def test_a_connection_to_the_store(self) -> None:
         async def main() -> None:
             server = HttpServer(answer_empty)
