Refuse a header of the platform that is given twice

A replica could run a request under another id, budget or former turn than the gateway went by.

Cause: the gateway takes the last of several values and forwards all of them; which one a replica takes is open.

Evidence: the test before the change: "200 != 400 : Bramleylead-Request-Id".

Change: the headers that must reach the replica as the gateway read them are refused with 400 if they come twice, as those are that Connection names. Other headers may repeat. Requests without a repeated header pay one comparison.

--- a/src/bramleylead/gateway/_app.py
+++ b/src/bramleylead/gateway/_app.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from collections.abc import Sequence
 from typing import Any
 from typing import NamedTuple
 from typing import final
@@ -45,7 +47,7 @@
         names.PREVIOUS_TURN,
     }
 )
-"""Headers that a caller may not declare as concerning its connection only."""
+"""Headers that a caller gives once, and not as concerning its connection only."""
 
 log = structlog.get_logger()
 
@@ -97,7 +99,7 @@
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         exchange = Exchange(scope, receive, send)
         exchange.close_after = exchange.close_after or self.closing
-        if fault := _find_ambiguity(exchange):
+        if fault := _find_ambiguity(exchange, scope["headers"]):
             exchange.close_after = True
             writer = HttpResponseWriter(exchange, wire.read_identity(exchange.headers))
             await writer.send_failure(Failure(ErrorKind.MALFORMED, fault))
@@ -274,13 +276,17 @@
     return app
 
 
-def _find_ambiguity(exchange: Exchange) -> str:
+def _find_ambiguity(exchange: Exchange, raw_headers: Sequence[tuple[bytes, bytes]]) -> str:
     """Return why a replica could take a request for another one; empty if it could not."""
     if exchange.has_two_lengths:
         return "headers: either content-length or transfer-encoding is allowed, not both"
     options = exchange.headers.get("connection", "").lower().split(",")
     for name in sorted(END_TO_END_HEADERS & {option.strip() for option in options}):
         return f"header connection: {name} concerns the replica, not the connection"
+    if len(raw_headers) != len(exchange.headers):
+        received = Counter(name.decode("latin-1").lower() for name, _ in raw_headers)
+        for name in sorted(name for name in END_TO_END_HEADERS if received[name] > 1):
+            return f"header {name}: must be given once"
     return ""
 
 
--- a/testing/gateway/test_ambiguous_requests.py
+++ b/testing/gateway/test_ambiguous_requests.py
@@ -67,3 +67,16 @@
             self.assertEqual(site.replicas["a"].received, [])
 
         run_with_site(main, SAFE)
+
+    # Guards against a replica that goes by another one of two values than its gateway.
+    def test_a_header_of_the_platform_that_is_given_twice_is_refused(self) -> None:
+        async def main(site: Site) -> None:
+            await site.add_replica("a", respond_with(lambda got: full_response(got, b"done")))
+            for name in ("Bramleylead-Request-Id", "bramleylead-token-Budget"):
+                refused = await site.request("/safe/a", headers={name: "7", name.lower(): "8"})
+                self.assertEqual(refused.status, 400, name)
+            served = await site.request("/safe/a", headers={"Cookie": "a", "cookie": "b"})
+            self.assertEqual(served.status, 200)
+            self.assertEqual(len(site.replicas["a"].received), 1)
+
+        run_with_site(main, SAFE)
