Start though the standard error refuses a line

Callers saw no gateway, operators exit code 1 without a line: a process whose standard error is a closed pipe or a full device ended if its settings file was just being replaced at its start.

Cause: the line that says that the file is read again raised BrokenPipeError or OSError 28, so that the retry, made for this moment, never came.

Change: a line that standard error refuses is lost.

--- a/src/bramleylead/cli/_site_process.py
+++ b/src/bramleylead/cli/_site_process.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 from contextlib import contextmanager
+from contextlib import suppress
 from functools import partial
 from pathlib import Path
 from typing import TextIO
@@ -86,7 +87,9 @@
 
 
 def _report(line: str) -> None:
-    print(line, file=sys.stderr, flush=True)
+    """Write a line to standard error, if that takes it."""
+    with suppress(OSError):
+        print(line, file=sys.stderr, flush=True)
 
 
 def _run_role(
--- a/testing/cli/test_site_process.py
+++ b/testing/cli/test_site_process.py
@@ -8,6 +8,7 @@
 import json
 import signal
 import tempfile
+import threading
 import unittest
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -20,6 +21,7 @@
 import structlog
 from absl import flags
 
+from bramleylead.cli._settings_reading import RETRY_S
 from bramleylead.cli._site_process import define_settings_flag
 from bramleylead.cli._site_process import run_site_process
 from bramleylead.connection import TcpNetwork
@@ -96,6 +98,21 @@
         self.assertEqual(last["place"], "bramleylead.connection._tcp._target")
         self.assertIn("exception", last)
 
+    # Guards against a start that ends since nobody reads why its settings are read again.
+    def test_a_standard_error_that_refuses_lines_ends_no_start(self) -> None:
+        self.file.write_text("")
+
+        class BrokenPipe(io.StringIO):
+            def write(self, text: str) -> int:
+                raise BrokenPipeError
+
+        replaced = threading.Timer(RETRY_S / 2, lambda: self.file.write_text(json.dumps(SETTINGS)))
+        replaced.start()
+        with contextlib.redirect_stderr(BrokenPipe()):
+            ended = self.run_process(lambda: anyio.lowlevel.checkpoint())
+        replaced.join()
+        self.assertEqual(ended.code, 0)
+
     # Guards against an AttributeError at the start: the interpreter has no stream for a closed one.
     def test_a_process_without_a_standard_output_runs(self) -> None:
         with contextlib.redirect_stdout(None):
