End a ledger node that waits for its disk's answer, at SIGTERM

Operators would have seen a ledger node that ignores SIGTERM, and stays until SIGKILL, while its disk doesn't answer at the start.

Cause: a signal to stop cancels the start, but the thread that opens or reads the disk was waited for.

Evidence: a pipe without a writer in the place of `disk`: running 3 s after SIGTERM and 3 s after SIGINT.

Change: opening and loading are left to their threads when they are cancelled. They are cancelled only by a stop, nothing has been acknowledged by then, each file that they replace is old or new at any moment, and the process ends by os._exit. Writes are waited for as before: two views must not be written at once.

--- a/src/bramleylead/ledger/_disk.py
+++ b/src/bramleylead/ledger/_disk.py
@@ -102,8 +102,8 @@
         return self._name
 
     async def load(self) -> tuple[LedgerView, list[Record]]:
-        """Read the view and all intact records."""
-        return await run_in_thread(self._load)
+        """Read the view and all intact records; the disk can't be used if this is cancelled."""
+        return await run_in_thread(self._load, abandon_on_cancel=True)
 
     async def write(self, records: list[Record]) -> None:
         """Append records and sync them."""
--- a/src/bramleylead/ledger/_disk_loading.py
+++ b/src/bramleylead/ledger/_disk_loading.py
@@ -34,7 +34,7 @@
 
 async def open_disk(folder: Path) -> FileDisk:
     """Return the disk in a folder, once the system lets it be opened."""
-    return await retry_disk(lambda: run_in_thread(FileDisk, folder))
+    return await retry_disk(lambda: run_in_thread(FileDisk, folder, abandon_on_cancel=True))
 
 
 async def load_node(node: LedgerNode) -> None:
--- a/src/bramleylead/ledger/_files.py
+++ b/src/bramleylead/ledger/_files.py
@@ -19,13 +19,18 @@
 log = structlog.get_logger()
 
 
-async def run_in_thread(function: Callable[..., _T], *arguments: object) -> _T:
+async def run_in_thread(
+    function: Callable[..., _T], *arguments: object, abandon_on_cancel: bool = False
+) -> _T:
     """Run a function on a thread that may wait for the disk.
 
+    :param abandon_on_cancel: whether a cancelled call leaves the thread to itself; else it waits.
     :raises OSError: if it does, or if the system has no thread or memory for it.
     """
     try:
-        return await anyio.to_thread.run_sync(function, *arguments)
+        return await anyio.to_thread.run_sync(
+            function, *arguments, abandon_on_cancel=abandon_on_cancel
+        )
     except MemoryError as error:
         raise OSError(errno.ENOMEM, os.strerror(errno.ENOMEM)) from error
     except RuntimeError as error:
--- a/testing/ledger/test_disk_loading.py
+++ b/testing/ledger/test_disk_loading.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import errno
+import os
+import signal
 import tempfile
 import unittest
 from pathlib import Path
@@ -84,3 +86,19 @@
             self.assertEqual(process.wait_for_line("disk_unreadable")["kind"], "EEXIST")
             process.folder.unlink()
             self.assertEqual(process.wait_for_line("ledger_serving")["node"], "s")
+
+    # Guards against a node that only SIGKILL ends, since it waits for an answer of its disk.
+    def test_a_signal_ends_a_node_whose_disk_gives_no_answer(self) -> None:
+        for name in ("disk", "view.json"):
+            with (
+                self.subTest(name),
+                tempfile.TemporaryDirectory() as parent,
+                LedgerProcess(Path(parent)) as process,
+            ):
+                anyio.run(open_disk, process.folder)
+                (process.folder / name).unlink(missing_ok=True)
+                # To open a pipe without a writer takes until one comes.
+                os.mkfifo(process.folder / name)
+                process.start()
+                self.assertEqual(process.wait_for_line("disk_unreadable")["kind"], "SILENT")
+                self.assertEqual(process.end(signal.SIGTERM), 0)
