Check the ledger's quorum and changes of members with a model

The model visits every order of events of a few nodes: joins, retirements, removals of silent members, lost disks, silence, and a store that takes no change, for one to three records, with losses of 1 and 2. It uses the counts of LedgerView itself (acks_needed, absences_needed, with_member, without; syncs_before_join, syncs_before_removal and may_remove_silent are moved there from Membership, unchanged). The order of the steps of a synchronisation, and a node's second check of the epoch, are modelled, not driven. It checks that no lookup at any epoch counts enough members that lack an acknowledged record, over the whole time since the acknowledgement, and that no such number of members can answer with a sum.

By hand: python -m testing.ledger.quorum_deep, which prints the steps to a violation.

It bites: six broken rules are found (members that count as complete before they have copied, one pass of copies instead of two, no second check of the epoch, a join after one member has synchronised, a lookup that ignores the epoch before, and the next one).

--- a/src/bramleylead/ledger/_members.py
+++ b/src/bramleylead/ledger/_members.py
@@ -76,6 +76,23 @@
             holders = min(holders, _acks_needed(count - 1, losses))
         return count - holders + 1
 
+    def syncs_before_join(self) -> int:
+        """Return how many members must synchronise before a node is added."""
+        return self.acks_needed(0)
+
+    def syncs_before_removal(self, losses: int) -> int:
+        """Return how many of the others must synchronise before a member is removed.
+
+        Each entry committed in this epoch is held by at least one of any so many of them.
+
+        :param losses: how many members may lose their disks at once.
+        """
+        return max(1, len(self.members) - self.acks_needed(losses) + 1)
+
+    def may_remove_silent(self, losses: int) -> bool:
+        """Return whether enough members remain without a silent one."""
+        return len(self.members) - 1 >= losses + 2
+
 
 def _acks_needed(member_count: int, losses: int) -> int:
     return max(member_count // 2 + 1, losses + 1)
--- a/src/bramleylead/ledger/_membership.py
+++ b/src/bramleylead/ledger/_membership.py
@@ -192,7 +192,7 @@
         view = self._node.view
         live = self._live_members()
         silent = [member for member in self._other_members(view) if member not in live]
-        enough = len(view.members) - 1 >= self._losses + 2
+        enough = view.may_remove_silent(self._losses)
         remover = min([self._node.own_entry, *live]).node
         if silent and enough and remover == self._node.own_entry.node:
             log.info("member_silent", peer=silent[0].node, limit_s=DEAD_AFTER_S, epoch=view.epoch)
@@ -285,7 +285,7 @@
     async def _add_self(self, view: LedgerView) -> None:
         others = view.members
         synchronised = await self._synchroniser.synchronise(
-            view, others, required=view.acks_needed(0)
+            view, others, required=view.syncs_before_join()
         )
         if isinstance(synchronised, Err):
             log.info("join_waits", epoch=view.epoch, reason=synchronised.err_value.detail)
@@ -301,8 +301,7 @@
         """Remove a member once the others hold all committed entries."""
         view = self._node.view
         others = tuple(member for member in view.members if member.node != node)
-        # Each committed entry is held by at least one of any ``required`` of the others.
-        required = max(1, len(view.members) - view.acks_needed(self._losses) + 1)
+        required = view.syncs_before_removal(self._losses)
         synchronised = await self._synchroniser.synchronise(view, others, required=required)
         if isinstance(synchronised, Err):
             log.info("removal_waits", member=node, reason=synchronised.err_value.detail)
--- /dev/null
+++ b/testing/ledger/quorum_deep.py
@@ -0,0 +1,40 @@
+"""Explores larger state spaces of the quorum model, by hand.
+
+``python -m testing.ledger.quorum_deep``, with ``--proposed`` by the rules that the model proposes.
+"""
+
+from __future__ import annotations
+
+import sys
+
+from testing.ledger.quorum_model import Limits
+from testing.ledger.quorum_model import Rules
+from testing.ledger.quorum_model import explore
+
+DEEP = (
+    Limits(wipes=1),
+    Limits(members=2, changes=3),
+    Limits(nodes=5),
+    Limits(members=3, nodes=5, losses=2),
+    Limits(members=2, records=3),
+    Limits(members=4, leaves=2),
+    Limits(members=4, leaves=2, wipes=1),
+    Limits(members=4, nodes=5, losses=2),
+)
+
+
+def main() -> None:
+    """Print what each exploration finds, with the steps to a violation."""
+    rules = Rules()
+    if "--proposed" in sys.argv:
+        rules = Rules(removal_covers_former_epochs=True, disk_checked_after_sync=True)
+    for limits in DEEP:
+        explored = explore(rules, limits)
+        found = explored.violation or "sound"
+        print(f"{explored.state_count} states, {limits}: {found}", flush=True)
+        for state in explored.path:
+            print(f"  {state}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/testing/ledger/quorum_model.py
@@ -0,0 +1,346 @@
+"""A small model of the ledger's quorum and changes of members, for exhaustive state exploration.
+
+All steps may occur in any order. A node that takes no step is silent, frozen, cut off or killed,
+and comes back when it takes one; a change that takes none is one whose store is away. The counts
+are those of ``LedgerView``. ``Rules`` can switch off single mechanisms.
+
+What can only put a record on more disks, or make a node refuse an epoch earlier, is left out:
+copies in the background, retries of an entry, changes given up half-way, and more members that
+synchronise than are required. Each record's fate is independent of the others.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from functools import cache
+from itertools import combinations
+from typing import NamedTuple
+
+from bramleylead.ledger._members import LedgerMember
+from bramleylead.ledger._members import LedgerView
+
+TURN_UNKNOWN = "an acknowledged turn is reported as unknown"
+SUM_TOO_SMALL = "a sum lacks an acknowledged settlement"
+
+
+class Rules(NamedTuple):
+    """Switches for mechanisms; the last three are proposals, which the ledger does not have.
+
+    :param removal_covers_former_epochs: before a removal as many members synchronise as must lack
+        an entry that does not exist; one that leaves by itself is among them.
+    :param disk_checked_after_sync: a change ends if a member that synchronised lost its disk.
+    :param one_holder_joins: where all members must acknowledge an entry, one that synchronises
+        suffices for a join.
+    """
+
+    second_epoch_check: bool = True
+    members_copy: bool = True
+    second_pass: bool = True
+    full_sync_before_join: bool = True
+    absences_of_former_epochs: bool = True
+    removal_covers_former_epochs: bool = False
+    disk_checked_after_sync: bool = False
+    one_holder_joins: bool = False
+
+
+class Limits(NamedTuple):
+    """Bounds on the explored state space.
+
+    :param losses: how many members may lose their disks at once, as configured.
+    :param wipes: how many disks are lost.
+    """
+
+    members: int = 3
+    nodes: int = 4
+    losses: int = 1
+    changes: int = 2
+    records: int = 1
+    wipes: int = 0
+    leaves: int = 1
+
+
+class Node(NamedTuple):
+    """One node and its disk; ``disk`` counts the disks that it lost."""
+
+    epoch: int
+    records: frozenset[int] = frozenset()
+    disk: int = 0
+
+
+class Entry(NamedTuple):
+    """One record, as its gateway writes it.
+
+    :param epoch: at which it is sent, 0 before.
+    :param writing: the nodes that have begun to write it; empty while they check the epoch again.
+    :param absent: for each epoch, the nodes that said since the acknowledgement that they lack it.
+    """
+
+    epoch: int = 0
+    writing: frozenset[int] = frozenset()
+    acks: frozenset[int] = frozenset()
+    is_acked: bool = False
+    absent: tuple[frozenset[int], ...] = ()
+
+
+class Change(NamedTuple):
+    """A change of members under way.
+
+    :param initiator: the node that makes it; it ends if this node loses its disk.
+    :param live: the members that synchronise.
+    :param step: how many of their catch-ups are done.
+    """
+
+    initiator: int
+    subject: int
+    joins: bool
+    live: tuple[int, ...]
+    step: int = 0
+    is_copied: bool = False
+
+
+class State(NamedTuple):
+    """A state of the model; ``views`` holds the views of all epochs, the latest is stored."""
+
+    views: tuple[LedgerView, ...]
+    nodes: tuple[Node, ...]
+    entries: tuple[Entry, ...]
+    change: Change | None = None
+    wipes: int = 0
+    leaves: int = 0
+    violation: str = ""
+
+
+class Explored(NamedTuple):
+    """How many states were visited, and the steps to the first violation, if any."""
+
+    state_count: int
+    violation: str
+    path: tuple[State, ...]
+
+
+def explore(rules: Rules, limits: Limits) -> Explored:
+    """Visit every reachable state; without a violation, all of them have been visited."""
+    start = _initial_state(limits)
+    before: dict[State, State | None] = {start: None}
+    waiting = [start]
+    while waiting:
+        state = waiting.pop()
+        for after in _successors(state, rules, limits):
+            checked = _observe(after, rules, limits)
+            if checked in before:
+                continue
+            before[checked] = state
+            if checked.violation:
+                return Explored(len(before), checked.violation, _path(checked, before))
+            waiting.append(checked)
+    return Explored(len(before), "", ())
+
+
+def _path(state: State, before: dict[State, State | None]) -> tuple[State, ...]:
+    path = []
+    at: State | None = state
+    while at is not None:
+        path.append(at)
+        at = before[at]
+    return tuple(reversed(path))
+
+
+def _initial_state(limits: Limits) -> State:
+    first = LedgerView(1, tuple(_listed(at, 0) for at in range(limits.members)))
+    nodes = tuple(Node(1) for _ in range(limits.nodes))
+    return State((first,), nodes, (Entry(),) * limits.records)
+
+
+@cache
+def _listed(at: int, disk: int) -> LedgerMember:
+    return LedgerMember(str(at), "", str(disk))
+
+
+def _members(state: State, epoch: int) -> list[int]:
+    """Return the nodes of a view that still have the listed disk."""
+    listed = state.views[epoch - 1].members
+    return [at for at, node in enumerate(state.nodes) if _listed(at, node.disk) in listed]
+
+
+def _successors(state: State, rules: Rules, limits: Limits) -> Iterator[State]:
+    for number, entry in enumerate(state.entries):
+        if not entry.is_acked:
+            yield from _step_entry(state, number, entry, rules, limits)
+    for at in range(len(state.nodes)):
+        yield from _step_adopt(state, at)
+        yield from _step_wipe(state, at, rules, limits)
+    if state.change is not None:
+        yield from _step_change(state, state.change, rules)
+    elif len(state.views) <= limits.changes:
+        yield from _start_join(state, rules, limits)
+        yield from _start_removal(state, rules, limits)
+
+
+def _with_node(state: State, at: int, node: Node) -> State:
+    return state._replace(nodes=(*state.nodes[:at], node, *state.nodes[at + 1 :]))
+
+
+def _with_entry(state: State, number: int, entry: Entry) -> State:
+    entries = (*state.entries[:number], entry, *state.entries[number + 1 :])
+    return state._replace(entries=entries)
+
+
+def _step_entry(
+    state: State, number: int, entry: Entry, rules: Rules, limits: Limits
+) -> Iterator[State]:
+    views = [state.views[entry.epoch - 1]] if entry.epoch else state.views
+    for view in views:
+        if len(view.members) > limits.losses:
+            yield from _step_write(state, number, entry._replace(epoch=view.epoch), rules, limits)
+
+
+def _step_write(
+    state: State, number: int, entry: Entry, rules: Rules, limits: Limits
+) -> Iterator[State]:
+    may_write = {
+        at
+        for at in _members(state, entry.epoch)
+        if state.nodes[at].epoch == entry.epoch and at not in entry.writing | entry.acks
+    }
+    if rules.second_epoch_check:
+        written = may_write
+    else:
+        written = entry.writing
+        for at in may_write:
+            yield _with_entry(state, number, entry._replace(writing=entry.writing | {at}))
+    for at in written:
+        node = state.nodes[at]
+        acks = entry.acks | {at}
+        kept = entry._replace(writing=entry.writing - {at}, acks=acks)
+        if len(acks) >= state.views[entry.epoch - 1].acks_needed(limits.losses):
+            kept = Entry(is_acked=True)
+        on_disk = _with_node(state, at, node._replace(records=node.records | {number}))
+        yield _with_entry(on_disk, number, kept)
+
+
+def _step_adopt(state: State, at: int) -> Iterator[State]:
+    node = state.nodes[at]
+    for view in state.views[node.epoch :]:
+        if _listed(at, node.disk) in view.members:
+            yield _with_node(state, at, node._replace(epoch=view.epoch))
+
+
+def _step_wipe(state: State, at: int, rules: Rules, limits: Limits) -> Iterator[State]:
+    node = state.nodes[at]
+    if state.wipes >= limits.wipes or at not in _members(state, len(state.views)):
+        return
+    wiped = _with_node(state, at, Node(0, disk=node.disk + 1))
+    entries = tuple(each._replace(writing=each.writing - {at}) for each in state.entries)
+    change = state.change
+    if change is not None and (
+        change.initiator == at or (rules.disk_checked_after_sync and at in change.live)
+    ):
+        change = None
+    yield wiped._replace(entries=entries, change=change, wipes=state.wipes + 1)
+
+
+def _start_join(state: State, rules: Rules, limits: Limits) -> Iterator[State]:
+    view = state.views[-1]
+    required = view.syncs_before_join() if rules.full_sync_before_join else 1
+    if rules.one_holder_joins and view.acks_needed(limits.losses) == len(view.members):
+        required = 1
+    for joiner in range(len(state.nodes)):
+        if view.member(str(joiner)) is None:
+            for live in _live_sets(_members(state, view.epoch), required):
+                yield state._replace(change=Change(joiner, joiner, joins=True, live=live))
+
+
+def _start_removal(state: State, rules: Rules, limits: Limits) -> Iterator[State]:
+    view = state.views[-1]
+    members = _members(state, view.epoch)
+    for member in view.members:
+        subject = int(member.node)
+        others = [at for at in members if at != subject]
+        required = view.syncs_before_removal(limits.losses)
+        if rules.removal_covers_former_epochs:
+            required = max(required, view.absences_needed(limits.losses))
+        for live in _live_sets(others, required):
+            if subject not in members:
+                yield state._replace(change=Change(subject, subject, joins=False, live=live))
+            elif view.may_remove_silent(limits.losses):
+                yield state._replace(change=Change(live[0], subject, joins=False, live=live))
+        if subject in members and state.leaves < limits.leaves:
+            for live in _leaving_live_sets(view, subject, others, rules, limits):
+                change = Change(subject, subject, joins=False, live=live)
+                yield state._replace(change=change, leaves=state.leaves + 1)
+
+
+def _leaving_live_sets(
+    view: LedgerView, subject: int, others: list[int], rules: Rules, limits: Limits
+) -> Iterator[tuple[int, ...]]:
+    required = view.syncs_before_removal(limits.losses)
+    if not rules.removal_covers_former_epochs:
+        yield from _live_sets(others, required)
+        return
+    required = max(required, view.absences_needed(limits.losses) - 1)
+    for live in _live_sets(others, required):
+        yield (*live, subject)
+
+
+def _live_sets(members: list[int], required: int) -> Iterator[tuple[int, ...]]:
+    yield from combinations(members, required)
+
+
+def _step_change(state: State, change: Change, rules: Rules) -> Iterator[State]:
+    passes = 2 if rules.second_pass else 1
+    view = state.views[-1]
+    if change.step < passes * len(change.live):
+        at = change.live[change.step % len(change.live)]
+        copied = _copy(state, at, change.live) if rules.members_copy else state
+        node = copied.nodes[at]
+        caught_up = _with_node(copied, at, node._replace(epoch=max(node.epoch, view.epoch)))
+        yield caught_up._replace(change=change._replace(step=change.step + 1))
+    elif change.joins and not change.is_copied:
+        copied = _copy(state, change.subject, change.live)
+        yield copied._replace(change=change._replace(is_copied=True))
+    else:
+        subject = _listed(change.subject, state.nodes[change.subject].disk)
+        after = view.with_member(subject) if change.joins else view.without(subject.node)
+        yield state._replace(views=(*state.views, after), change=None)
+
+
+def _copy(state: State, at: int, sources: tuple[int, ...]) -> State:
+    node = state.nodes[at]
+    records = node.records.union(*(state.nodes[source].records for source in sources))
+    return _with_node(state, at, node._replace(records=records))
+
+
+def _observe(state: State, rules: Rules, limits: Limits) -> State:
+    """Add which members now lack acknowledged records, and whether that may mislead a caller."""
+    entries = []
+    violation = ""
+    for number, entry in enumerate(state.entries):
+        if entry.is_acked:
+            entry = entry._replace(absent=_absent(state, number, entry))
+            violation = violation or _violation(state, entry, rules, limits)
+        entries.append(entry)
+    return state._replace(entries=tuple(entries), violation=violation)
+
+
+def _absent(state: State, number: int, entry: Entry) -> tuple[frozenset[int], ...]:
+    absent = list(entry.absent)
+    absent += [frozenset()] * (len(state.views) - len(absent))
+    for at, node in enumerate(state.nodes):
+        if not node.epoch or number in node.records:
+            continue
+        if _listed(at, node.disk) in state.views[node.epoch - 1].members:
+            absent[node.epoch - 1] |= {at}
+    return tuple(absent)
+
+
+def _violation(state: State, entry: Entry, rules: Rules, limits: Limits) -> str:
+    for view, absent in zip(state.views, entry.absent, strict=True):
+        acks = view.acks_needed(limits.losses)
+        needed = view.absences_needed(limits.losses)
+        if not rules.absences_of_former_epochs:
+            needed = len(view.members) - acks + 1
+        if len(absent) >= needed:
+            return TURN_UNKNOWN
+        if len(absent) >= acks:
+            return SUM_TOO_SMALL
+    return ""
--- /dev/null
+++ b/testing/ledger/test_quorum_model.py
@@ -0,0 +1,82 @@
+"""Exhaustive exploration of a small model of the ledger's quorum, and of broken variants."""
+
+from __future__ import annotations
+
+import unittest
+
+from testing.ledger.quorum_model import TURN_UNKNOWN
+from testing.ledger.quorum_model import Limits
+from testing.ledger.quorum_model import Rules
+from testing.ledger.quorum_model import explore
+
+SPARE_JOINS = Limits()
+TWO_LEAVE = Limits(nodes=3, leaves=2)
+TWO_JOIN = Limits(members=2)
+DISK_LOST = Limits(members=2, nodes=3, wipes=1)
+TWO_RECORDS = Limits(members=2, nodes=3, records=2)
+THREE_RECORDS_ONE_CHANGE = Limits(members=2, nodes=3, records=3, changes=1)
+TWO_LOSSES_ONE_CHANGE = Limits(members=4, nodes=5, losses=2, changes=1, wipes=1)
+
+ALL_CHECKS = Rules(removal_covers_former_epochs=True, disk_checked_after_sync=True)
+
+
+class QuorumTest(unittest.TestCase):
+    def assert_sound(self, rules: Rules, limits: Limits) -> None:
+        explored = explore(rules, limits)
+        print(f"quorum model: {explored.state_count} states, {limits}")
+        self.assertEqual(explored.violation, "")
+        self.assertGreater(explored.state_count, 1000)
+
+    def test_no_order_of_events_hides_an_acknowledged_entry(self) -> None:
+        for limits in (
+            TWO_LEAVE,
+            TWO_JOIN,
+            DISK_LOST,
+            TWO_RECORDS,
+            THREE_RECORDS_ONE_CHANGE,
+            TWO_LOSSES_ONE_CHANGE,
+        ):
+            with self.subTest(limits=limits):
+                self.assert_sound(Rules(), limits)
+
+    # Guards against an entry that was committed while a node joined, and that the members which
+    # synchronise before the next removal lack.
+    def test_a_removal_right_after_a_join_hides_no_entry(self) -> None:
+        self.assert_sound(Rules(), SPARE_JOINS)
+
+    # Guards against a member that lost its disk after it was asked whether it takes part.
+    def test_a_disk_lost_during_a_join_hides_no_entry(self) -> None:
+        rules = Rules(removal_covers_former_epochs=True)
+        self.assert_sound(rules, SPARE_JOINS._replace(wipes=1, leaves=0))
+
+    def test_with_the_proposed_checks_no_entry_is_hidden(self) -> None:
+        for limits in (SPARE_JOINS, SPARE_JOINS._replace(wipes=1, leaves=0)):
+            with self.subTest(limits=limits):
+                self.assert_sound(ALL_CHECKS, limits)
+
+
+class BrokenQuorumTest(unittest.TestCase):
+    def assert_found(self, rules: Rules, limits: Limits = SPARE_JOINS) -> None:
+        self.assertEqual(explore(rules, limits).violation, TURN_UNKNOWN)
+
+    def test_detects_a_member_that_does_not_check_the_epoch_again_after_a_write(self) -> None:
+        self.assert_found(ALL_CHECKS._replace(second_epoch_check=False))
+
+    def test_detects_members_that_count_as_complete_before_they_have_copied(self) -> None:
+        self.assert_found(ALL_CHECKS._replace(members_copy=False))
+
+    def test_detects_a_single_pass_of_copies(self) -> None:
+        self.assert_found(ALL_CHECKS._replace(second_pass=False))
+
+    def test_detects_a_join_after_one_member_has_synchronised(self) -> None:
+        self.assert_found(ALL_CHECKS._replace(full_sync_before_join=False))
+
+    def test_detects_a_lookup_that_ignores_entries_of_the_epoch_before(self) -> None:
+        self.assert_found(ALL_CHECKS._replace(absences_of_former_epochs=False))
+
+    def test_detects_a_join_by_one_holder_where_all_must_acknowledge(self) -> None:
+        self.assert_found(ALL_CHECKS._replace(one_holder_joins=True))
+
+
+if __name__ == "__main__":
+    unittest.main()
