Go on serving though the address of the metrics can't be used

Seen in review: with 203.0.113.7 as its metrics address a gateway ended with code 7 after 31 s, also while it served callers.

Cause: metrics were served like the port for callers, whose address must be right.

Failure before: test_an_unusable_address_of_the_metrics_ends_neither_role: AssertionError: gateway ended with code 7. After: passes, both roles stop with code 0.

--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -184,9 +184,8 @@
         :raises OSError: if an address can't be used.
         """
         self._start_background_tasks()
-        self._tasks.start_soon(
-            supervise_server, "metrics", self._metrics.serve, self._settings.metrics_address
-        )
+        serve_metrics = partial(self._metrics.serve, self._settings.metrics_address)
+        self._tasks.start_soon(supervise, "metrics", serve_metrics)
         async with anyio.create_task_group() as starting:
             starting.start_soon(self._serve_callers)
             starting.start_soon(
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -107,9 +107,8 @@
         anyio.create_task_group() as tasks,
     ):
         metrics_server = HttpServer(metrics.app, waits_for_address=True, share=MONITORING_SHARE)
-        tasks.start_soon(
-            supervise_server, "metrics", metrics_server.serve, settings.metrics_address
-        )
+        serve_metrics = partial(metrics_server.serve, settings.metrics_address)
+        tasks.start_soon(supervise, "metrics", serve_metrics)
         opened = await complete_unless_stopped(
             signals, partial(open_disk, Path(settings.data_folder))
         )
--- a/testing/gateway/test_processes.py
+++ b/testing/gateway/test_processes.py
@@ -55,6 +55,7 @@
         self._store_address = store_address
         self._stack = stack
         self.processes: dict[str, Process] = {}
+        self.command = ["-m", "bramleylead"]
         self.http = f"{HOST}:{find_free_port(HOST)}"
         self.ready = f"{HOST}:{find_free_port(HOST)}"
         self.metrics = f"{HOST}:{find_free_port(HOST)}"
@@ -79,7 +80,7 @@
         file.write_text(json.dumps(settings))
         log = (self._folder / f"{name}.log").open("wb")
         self._stack.callback(log.close)
-        command = [sys.executable, "-m", "bramleylead", role, f"--settings={file}"]
+        command = [sys.executable, *self.command, role, f"--settings={file}"]
         process = await anyio.open_process(command, stdout=log, stderr=log)
         self._stack.push_async_callback(_kill, process)
         self.processes[name] = process
--- a/testing/gateway/test_system_errors.py
+++ b/testing/gateway/test_system_errors.py
@@ -29,6 +29,13 @@
 MORE_CONNECTIONS = 200
 CALLERS = 20
 RECONNECT_S = 1.0
+OTHER_MACHINE = "192.0.2.1:9464"
+RUN_WITH_SHORT_WAIT = """
+import runpy
+from bramleylead.connection import _listener
+_listener.UNUSABLE_AFTER_S = 0.2
+runpy.run_module("bramleylead", run_name="__main__", alter_sys=True)
+"""
 
 
 @contextmanager
@@ -120,6 +127,26 @@
 
         anyio.run(main)
 
+    # Guards against a process that ends, while it serves, for an address that only reports use.
+    def test_an_unusable_address_of_the_metrics_ends_neither_role(self) -> None:
+        async def main() -> None:
+            async with AsyncExitStack() as stack:
+                folder = stack.enter_context(tempfile.TemporaryDirectory())
+                site = Site(Path(folder), NO_STORE, stack)
+                site.command = ["-c", RUN_WITH_SHORT_WAIT]
+                site.metrics = OTHER_MACHINE
+                await site.start_gateway()
+                await site.start("l", "ledger", data_folder=folder, metrics_address=OTHER_MACHINE)
+                for name in ("gateway", "l"):
+                    await wait_for_line(site, name, "address_unusable")
+                    await wait_for_line(site, name, "task_failed")
+                for process in site.processes.values():
+                    process.send_signal(signal.SIGTERM)
+                    with anyio.fail_after(TIMEOUT_S):
+                        self.assertEqual(await process.wait(), 0)
+
+        anyio.run(main)
+
     # Guards against a process that ends since accept has no descriptor left.
     def test_idle_connections_at_any_port_do_not_end_a_gateway_or_a_ledger_node(self) -> None:
         async def main() -> None:
