Say every 30 s that an address is still waited for

Seen in review: a process whose port is in use for good is never ready, and said why in one old line.

The test of passing errors fails on the code before (as many lines as errors, whatever the time); it asks now for a line at most every 30 s and at least every 31 s of a wait, beside the kinds in their order as before.

--- a/src/bramleylead/connection/_listener.py
+++ b/src/bramleylead/connection/_listener.py
@@ -18,6 +18,7 @@
 BACKLOG_CONNECTIONS = 1024
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 0.5
+LOG_INTERVAL_S = 30.0
 UNUSABLE_AFTER_S = 30.0
 """How long an error that only other settings or rights cure is retried: an interface may come up
 after the process."""
@@ -76,6 +77,7 @@
     delays = retry_delays(FIRST_RETRY_S, MAX_RETRY_S)
     started = anyio.current_time()
     kind = ""
+    logged_s = 0.0
     while True:
         try:
             listener = await open_listener(address, prepare)
@@ -87,8 +89,9 @@
                     "address_unusable", address=address, kind=error_name(error), waited_s=waited_s
                 )
                 raise
-            if error_name(error) != kind:
+            if error_name(error) != kind or waited_s >= logged_s + LOG_INTERVAL_S:
                 kind = error_name(error)
+                logged_s = waited_s
                 log.warning("address_unavailable", address=address, kind=kind, waited_s=waited_s)
         else:
             if kind:
--- a/testing/connection/test_listener.py
+++ b/testing/connection/test_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import itertools
 import socket
 import struct
 import unittest
@@ -17,6 +18,7 @@
 from bramleylead.connection import TcpNetwork
 from bramleylead.connection import _listener
 from bramleylead.connection._free_ports import find_free_port
+from bramleylead.connection._listener import LOG_INTERVAL_S
 from bramleylead.connection._listener import UNUSABLE_AFTER_S
 from bramleylead.connection._listener import split_address
 from bramleylead.connection._listener import wait_for_listener
@@ -87,8 +89,16 @@
 
         with capture_logs() as lines:
             run_virtual(main, seed=1)
-        kinds = [line["kind"] for line in lines if line["event"] == "address_unavailable"]
+        waits = [line for line in lines if line["event"] == "address_unavailable"]
+        kinds = [kind for kind, _ in itertools.groupby(line["kind"] for line in waits)]
         self.assertEqual(kinds, [errno.errorcode[number] for number in numbers])
+        # Guards against a process that is never ready and said why once, long ago.
+        for before, after in itertools.pairwise(waits):
+            waited_s = after["waited_s"] - before["waited_s"]
+            self.assertLess(waited_s, LOG_INTERVAL_S + 1.0)
+            if before["kind"] == after["kind"]:
+                self.assertGreaterEqual(waited_s, LOG_INTERVAL_S)
+        self.assertGreater(len(waits), len(numbers))
         self.assertEqual(lines[-1]["event"], "address_bound")
 
     def test_an_address_of_another_machine_is_given_up_with_a_reason(self) -> None:
