--- a/testing/gateway/test_bounds.py
+++ b/testing/gateway/test_bounds.py
@@ -25,7 +25,7 @@
 from bramleylead.ledger._mirror import Mirrored
 from bramleylead.ledger._mirror import MirroredKind
 from bramleylead.ledger._mirror import to_object_change
-from bramleylead.ledger._run import RetirementFollower
+from bramleylead.ledger._retirement import RetirementFollower
 from bramleylead.platform._object_reader import ObjectReader
 from bramleylead.standins import run_virtual
 from testing.platform.test_decode import ENTRY
