Make room for what a damaged disk sets aside a second time

Seen in review: with a folder in the place of the disk's name, and another one set aside before, a ledger node tried its disk again for ever; with a segment's folder it took another disk name at each start.

Cause: a rename neither replaces a folder that holds something, nor a file by a folder.

Failure before: test_what_was_set_aside_before_makes_room, 5 failures and 2 errors of 10 cases (IsADirectoryError; another disk name at the next start). After: passes, with the modules of disks and power losses (22 tests).

--- a/src/bramleylead/ledger/_files.py
+++ b/src/bramleylead/ledger/_files.py
@@ -4,6 +4,7 @@
 
 import errno
 import os
+import shutil
 from collections.abc import Callable
 from pathlib import Path
 from typing import TypeVar
@@ -71,8 +72,11 @@
 
 def set_aside(path: Path) -> None:
     """Rename what can't be used, in place of what was set aside before; it may be missing."""
+    aside = path.with_name(path.name + UNUSABLE_SUFFIX)
     try:
-        path.rename(path.with_name(path.name + UNUSABLE_SUFFIX))
+        if path.is_dir() or aside.is_dir():
+            _remove(aside)
+        path.rename(aside)
         sync_folder(path.parent)
     except FileNotFoundError:
         return
@@ -82,6 +86,14 @@
         log.warning("file_set_aside", file=path.name)
 
 
+def _remove(path: Path) -> None:
+    """Remove a file, or a folder with all that it holds; it may be missing."""
+    if path.is_dir():
+        shutil.rmtree(path)
+    else:
+        path.unlink(missing_ok=True)
+
+
 def sync_folder(folder: Path) -> None:
     """Make the names of files in a folder survive a power loss."""
     handle = os.open(folder, os.O_RDONLY)
--- a/testing/ledger/test_disk.py
+++ b/testing/ledger/test_disk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import itertools
 import tempfile
 import unittest
 from pathlib import Path
@@ -133,6 +134,28 @@
                 (self.folder / name / "file").touch()
                 self.assert_counts_as_lost()
 
+    # Guards against a node that never starts again, as nothing could be set aside a second time.
+    def test_what_was_set_aside_before_makes_room(self) -> None:
+        for name in ("disk", "view.json", "0000000007.segment"):
+            for aside_is_folder, is_folder in itertools.product((False, True), repeat=2):
+                if name.endswith(".segment") and not is_folder:
+                    continue
+                with self.subTest(name=name, aside_is_folder=aside_is_folder, is_folder=is_folder):
+                    self.setUp()
+                    self.put(f"{name}.unusable", is_folder=aside_is_folder)
+                    self.put(name, is_folder=is_folder)
+                    self.assert_counts_as_lost()
+
+    def put(self, name: str, *, is_folder: bool) -> None:
+        """Put a file that is no JSON, or a folder with a file, in the place of a name."""
+        path = self.folder / name
+        path.unlink(missing_ok=True)
+        if is_folder:
+            path.mkdir()
+            (path / "file").touch()
+        else:
+            path.write_bytes(b"damaged")
+
     def test_files_with_other_names_are_ignored(self) -> None:
         for name in ("x.segment", ".segment", "1e3.segment", "a \udcff.segment", "other"):
             (self.folder / name).touch()
