--- a/src/bramleylead/connection/_accept.py
+++ b/src/bramleylead/connection/_accept.py
@@ -49,7 +49,7 @@
     :param waits_for_address: whether :meth:`open` waits for an address that is in use.
     :param prepare: sets options of the listener before it is bound.
     :param watch: calls a function whenever a socket is readable, until that raises an error.
-    :param make_room: closes an idle connection, when the system has no room for another one.
+    :param close_idle: closes an idle connection, when the system has no room for another one.
     """
 
     def __init__(
@@ -59,13 +59,13 @@
         waits_for_address: bool,
         prepare: Callable[[socket.socket], None] | None = None,
         watch: Watch = watch_readable,
-        make_room: Callable[[], object] = lambda: None,
+        close_idle: Callable[[], object] = lambda: None,
     ) -> None:
         self._serve = serve
         self._waits_for_address = waits_for_address
         self._prepare = prepare
         self._watch = watch
-        self._make_room = make_room
+        self._close_idle = close_idle
         self._pauses = retry_delays(FIRST_PAUSE_S, MAX_PAUSE_S)
         self._listener: socket.socket | None = None
         self._address = ""
@@ -120,7 +120,7 @@
                     raise
                 self._note(error)
                 if error.errno in SHORTAGES:
-                    self._make_room()
+                    self._close_idle()
                 await anyio.sleep(next(self._pauses))
 
     def _accept_pending(self, listener: socket.socket, start_task: StartTask) -> None:
--- a/src/bramleylead/connection/_room.py
+++ b/src/bramleylead/connection/_connection_limit.py
@@ -45,7 +45,7 @@
 
 
 class Closable(Protocol):
-    """A connection that can be closed to make room."""
+    """A connection that can be closed for another one."""
 
     def close_if_idle(self) -> bool:
         """Close the connection unless data waits on it; return whether it was closed."""
@@ -62,7 +62,7 @@
 
 
 @final
-class ConnectionRoom:
+class ConnectionLimit:
     """The connections of one server by their use, in each the longest idle first.
 
     :param share: of the process's descriptors that are not reserved.
@@ -78,14 +78,14 @@
     def __len__(self) -> int:
         return len(self._uses)
 
-    def enter(self, connection: Closable) -> None:
+    def add(self, connection: Closable) -> None:
         """Add a new connection; close an idle one if there are too many."""
         if len(self._uses) >= self.limit:
-            self.make_room()
+            self.close_idle()
         self._uses[connection] = Use.NEW
         self._by_use[Use.NEW][connection] = None
 
-    def move(self, connection: Closable, use: Use) -> None:
+    def mark(self, connection: Closable, use: Use) -> None:
         """Note what a connection is used for from now on."""
         former = self._uses.get(connection)
         if former is None or former is use:
@@ -94,18 +94,18 @@
         self._by_use[use][connection] = None
         self._uses[connection] = use
 
-    def leave(self, connection: Closable) -> None:
+    def remove(self, connection: Closable) -> None:
         """Remove a connection that has ended."""
         use = self._uses.pop(connection, None)
         if use is not None:
             del self._by_use[use][connection]
 
-    def make_room(self) -> bool:
+    def close_idle(self) -> bool:
         """Close the connection that has been idle for longest; return whether there was one."""
         for use in (Use.NEW, Use.KEPT, Use.BEGUN):
             for connection in list(itertools.islice(self._by_use[use], MAX_TRIES)):
                 if connection.close_if_idle():
-                    self.leave(connection)
+                    self.remove(connection)
                     self._note_closed()
                     return True
         return False
--- a/src/bramleylead/connection/_server.py
+++ b/src/bramleylead/connection/_server.py
@@ -14,12 +14,12 @@
 
 from bramleylead.connection._codec import MessageError
 from bramleylead.connection._codec import from_plain
+from bramleylead.connection._connection_limit import NODES_SHARE
+from bramleylead.connection._connection_limit import descriptor_share
 from bramleylead.connection._frames import Frame
 from bramleylead.connection._frames import FrameKind
 from bramleylead.connection._frames import FrameStream
 from bramleylead.connection._handshake import server_handshake
-from bramleylead.connection._room import NODES_SHARE
-from bramleylead.connection._room import descriptor_share
 from bramleylead.connection._rpc import Reply
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
--- a/src/bramleylead/gateway/_connection_pool.py
+++ b/src/bramleylead/gateway/_connection_pool.py
@@ -54,7 +54,7 @@
     """
 
     def __init__(self, network: Network, *, id_header: str, paths: ReplicaPaths) -> None:
-        self._streams = ReplicaStreams(network, make_room=self._close_idle)
+        self._streams = ReplicaStreams(network, close_idle=self._close_idle)
         self._id_header = id_header
         self._paths = paths
         self._idle: dict[str, list[UpstreamConnection]] = {}
--- a/src/bramleylead/gateway/_replica_streams.py
+++ b/src/bramleylead/gateway/_replica_streams.py
@@ -46,12 +46,12 @@
 class ReplicaStreams:
     """Opens streams to replicas.
 
-    :param make_room: closes an idle connection, if there is one.
+    :param close_idle: closes an idle connection, if there is one.
     """
 
-    def __init__(self, network: Network, *, make_room: Callable[[], Awaitable[None]]) -> None:
+    def __init__(self, network: Network, *, close_idle: Callable[[], Awaitable[None]]) -> None:
         self._network = network
-        self._make_room = make_room
+        self._close_idle = close_idle
         self._shortages = ErrorLog("connect_shortage")
 
     async def open(self, address: str, *, timeout_s: float) -> Result[ByteStream, ConnectFailure]:
@@ -72,7 +72,7 @@
             is_passing = all(cause.errno in PASSING_SHORTAGES for cause in causes)
             if not is_passing or anyio.current_time() + pause_s >= deadline:
                 return Err(failure)
-            await self._make_room()
+            await self._close_idle()
             await anyio.sleep(pause_s)
 
 
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -19,7 +19,7 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import TcpNetwork
-from bramleylead.connection._room import MONITORING_SHARE
+from bramleylead.connection._connection_limit import MONITORING_SHARE
 from bramleylead.gateway._app import GatewayApp
 from bramleylead.gateway._app import readiness_app
 from bramleylead.gateway._budgets import Budgets
@@ -254,8 +254,8 @@
             "requests_relayed": self._relay_server.running,
             "unreached_replicas": len(self._paths.unreached(now=anyio.current_time())),
             "ready": self.is_ready(),
-            "callers_connected": len(self._http.room),
-            "idle_connections_closed": self._http.room.closed,
+            "callers_connected": len(self._http.connection_limit),
+            "idle_connections_closed": self._http.connection_limit.closed,
             "unproven_connections_closed": self._peer_server.closed_unproven,
             **object_ages(self._objects, (names.CONFIGURATION_KIND, names.REPLICA_KIND)),
         }
--- a/src/bramleylead/http/_protocol.py
+++ b/src/bramleylead/http/_protocol.py
@@ -14,8 +14,8 @@
 from uvicorn.protocols.http.h11_impl import H11Protocol
 from uvicorn.server import ServerState
 
-from bramleylead.connection._room import ConnectionRoom
-from bramleylead.connection._room import Use
+from bramleylead.connection._connection_limit import ConnectionLimit
+from bramleylead.connection._connection_limit import Use
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.http._exchange import Receive
@@ -57,19 +57,19 @@
         config: uvicorn.Config,
         server_state: ServerState,
         app_state: dict[str, Any],
-        room: ConnectionRoom,
+        connection_limit: ConnectionLimit,
     ) -> None:
         super().__init__(config, server_state, app_state)
-        self._room = room
+        self._connection_limit = connection_limit
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         super().connection_made(transport)
-        self._room.enter(self)
+        self._connection_limit.add(self)
         self._wrapped_app, self.app = self.app, self._run_app
         self._start_header_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._room.leave(self)
+        self._connection_limit.remove(self)
         self._cancel_header_timer()
         is_sent = exc is None and not self._aborted and not self._request_in_progress()
         if self._resets_on_close and is_sent:
@@ -89,9 +89,9 @@
         super().data_received(data)
         if self._request_in_progress():
             self._cancel_header_timer()
-            self._room.move(self, Use.REQUEST)
+            self._connection_limit.mark(self, Use.REQUEST)
         elif self._received_any:
-            self._room.move(self, Use.BEGUN)
+            self._connection_limit.mark(self, Use.BEGUN)
 
     async def _run_app(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Run the application; reset the connection if its end would make a response look whole.
@@ -139,7 +139,7 @@
         self._received_any = False
         super().on_response_complete()
         if not self._request_in_progress():
-            self._room.move(self, Use.KEPT)
+            self._connection_limit.mark(self, Use.KEPT)
         if self._stopping:
             self.transport.close()
 
--- a/src/bramleylead/http/_server.py
+++ b/src/bramleylead/http/_server.py
@@ -20,8 +20,8 @@
 
 from bramleylead.connection._accept import Acceptor
 from bramleylead.connection._accept import Serve
-from bramleylead.connection._room import CALLERS_SHARE
-from bramleylead.connection._room import ConnectionRoom
+from bramleylead.connection._connection_limit import CALLERS_SHARE
+from bramleylead.connection._connection_limit import ConnectionLimit
 from bramleylead.http._protocol import MAX_HEADER_BYTES
 from bramleylead.http._protocol import HttpProtocol
 
@@ -63,8 +63,8 @@
             timeout_keep_alive=HTTP_KEEP_ALIVE_S,
             h11_max_incomplete_event_size=MAX_HEADER_BYTES,
         )
-        self.room = ConnectionRoom(share)
-        self._server = _Server(config, self.room, waits_for_address=waits_for_address)
+        self.connection_limit = ConnectionLimit(share)
+        self._server = _Server(config, self.connection_limit, waits_for_address=waits_for_address)
         self._opening: anyio.CancelScope | None = None
         self._is_stopped = False
         self.closed = anyio.Event()
@@ -125,17 +125,17 @@
     """uvicorn without signal handlers and polling, and with this project's way to accept."""
 
     def __init__(
-        self, config: uvicorn.Config, room: ConnectionRoom, *, waits_for_address: bool
+        self, config: uvicorn.Config, connection_limit: ConnectionLimit, *, waits_for_address: bool
     ) -> None:
         super().__init__(config)
-        self._room = room
+        self._connection_limit = connection_limit
         self._exit_requested = anyio.Event()
         self.acceptor = Acceptor(
             self._connect,
             waits_for_address=waits_for_address,
             prepare=_set_tcp_timeouts,
             watch=_watch_readable,
-            make_room=room.make_room,
+            close_idle=connection_limit.close_idle,
         )
         self.servers = []
         self._connecting: set[asyncio.Future[None]] = set()
@@ -191,7 +191,9 @@
             raise
 
     def _new_protocol(self) -> HttpProtocol:
-        return HttpProtocol(self.config, self.server_state, self.lifespan.state, self._room)
+        return HttpProtocol(
+            self.config, self.server_state, self.lifespan.state, self._connection_limit
+        )
 
 
 async def _watch_readable(watched: socket.socket, on_readable: Callable[[], None]) -> None:
--- a/src/bramleylead/ledger/_run.py
+++ b/src/bramleylead/ledger/_run.py
@@ -16,7 +16,7 @@
 from bramleylead._signals import SignalInbox
 from bramleylead.connection import PeerClient
 from bramleylead.connection import TcpNetwork
-from bramleylead.connection._room import MONITORING_SHARE
+from bramleylead.connection._connection_limit import MONITORING_SHARE
 from bramleylead.http._server import HttpServer
 from bramleylead.ledger._disk_loading import open_disk
 from bramleylead.ledger._last_run import RunRecord
--- a/testing/connection/test_room.py
+++ b/testing/connection/test_connection_limit.py
@@ -20,11 +20,11 @@
 from bramleylead.connection import Reply
 from bramleylead.connection import TcpNetwork
 from bramleylead.connection import _accept
+from bramleylead.connection._connection_limit import CALLERS_SHARE
+from bramleylead.connection._connection_limit import MIN_CONNECTIONS
+from bramleylead.connection._connection_limit import descriptor_share
 from bramleylead.connection._listener import open_listener
 from bramleylead.connection._listener import split_address
-from bramleylead.connection._room import CALLERS_SHARE
-from bramleylead.connection._room import MIN_CONNECTIONS
-from bramleylead.connection._room import descriptor_share
 from bramleylead.http._server import HttpServer
 from testing.connection.test_accept import REQUEST
 from testing.connection.test_accept import FailingListener
@@ -40,7 +40,7 @@
     await reply.send(request)
 
 
-class HttpRoomTest(unittest.TestCase):
+class HttpConnectionLimitTest(unittest.TestCase):
     def run_server(self, body: Any, app: Any = answer_empty) -> None:
         async def main() -> None:
             server = HttpServer(app, share=0.0)
@@ -140,7 +140,7 @@
         self.assertGreater(self.share_at(resource.RLIM_INFINITY), 100_000)
 
 
-class NodesRoomTest(unittest.TestCase):
+class NodesConnectionLimitTest(unittest.TestCase):
     def test_a_node_is_served_while_connections_without_a_handshake_are_held(self) -> None:
         async def main() -> None:
             server = PeerServer(node="b", cluster_key=KEY, max_unproven=MIN_CONNECTIONS)
--- a/testing/gateway/test_connect_shortages.py
+++ b/testing/gateway/test_connect_shortages.py
@@ -129,11 +129,11 @@
 
 class RealNetworkTest(unittest.TestCase):
     def test_a_real_shortage_of_descriptors_is_recognised(self) -> None:
-        async def make_room() -> None:
+        async def close_idle() -> None:
             """Close nothing."""
 
         async def main() -> None:
-            streams = ReplicaStreams(TcpNetwork(), make_room=make_room)
+            streams = ReplicaStreams(TcpNetwork(), close_idle=close_idle)
             soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
             free = os.dup(0)
             os.close(free)
