Start a process of the soak only where none runs

Its log shows the former process serving on: kill_all had started it, and the fault that was waiting to start it again started a second one, which met the first at its port. Such pairs went unnoticed before, as nobody looked at the end of a process, and left the first one running unobserved.

--- a/src/bramleylead/trials/site/_processes.py
+++ b/src/bramleylead/trials/site/_processes.py
@@ -119,7 +119,9 @@
         await self.start()
 
     async def start(self) -> None:
-        """Start a process, with the settings as they are."""
+        """Start a process, with the settings as they are, unless one runs: faults may overlap."""
+        if self.is_running:
+            return
         file = self._folder / f"{self.name}.json"
         file.write_text(json.dumps(self._settings()))
         words = [sys.executable, "-m", "bramleylead", self.role, f"--settings={file}"]
