Identify customers by key, pass on their name, and keep their turns apart

Cause: with tenants in the configuration, gateways passed the callers' keys on to replicas and answered any key, and a turn could be continued by whoever knew its ID.

Change: Customers of a configuration are checked and indexed by digests of their keys; a request gets 401 (503 while a newer version may have the key), its replica the customer's name. The ID of a turn's spending entry tells its customer, since nodes of earlier versions refuse a turn's record with another field.

--- a/src/bramleylead/gateway/_app.py
+++ b/src/bramleylead/gateway/_app.py
@@ -12,8 +12,10 @@
 import structlog
 from result import Err
 
+from bramleylead.customers import Customer
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.gateway._authentication import authenticate
 from bramleylead.gateway._body_memory import BodyMemory
 from bramleylead.gateway._body_memory import HeldBody
 from bramleylead.gateway._call import Call
@@ -45,6 +47,7 @@
         names.TOKEN_USAGE,
         names.PROMPT_PREFIX,
         names.PREVIOUS_TURN,
+        names.CREDENTIAL,
     }
 )
 """Headers that a caller gives once, and not as concerning its connection only."""
@@ -57,10 +60,11 @@
 
 
 class _Routed(NamedTuple):
-    """Where a request goes, by which configuration, and the count of its body."""
+    """Where a request goes, by which configuration, whose it is, and the count of its body."""
 
     route: Route
     configuration: Configuration
+    customer: Customer | None
     held: HeldBody
 
 
@@ -130,8 +134,16 @@
             )
             await writer.send_failure(Failure(ErrorKind.UNKNOWN_TARGET, detail))
             return
+        key = exchange.headers.get(names.CREDENTIAL, "")
+        customer = authenticate(
+            key, route, configuration, age_s=self._directory.configuration_age_s
+        )
+        if isinstance(customer, Err):
+            await writer.send_failure(customer.err_value)
+            return
         with self._bodies.hold() as held:
-            await self._serve_route(scope, exchange, writer, _Routed(route, configuration, held))
+            routed = _Routed(route, configuration, customer.ok_value, held)
+            await self._serve_route(scope, exchange, writer, routed)
 
     async def _serve_route(
         self, scope: Scope, exchange: Exchange, writer: HttpResponseWriter, routed: _Routed
@@ -161,6 +173,7 @@
             arrived_at=arrived_at,
             deadline=deadline,
             fingerprint=fingerprint_of(exchange.method, target, headers, body.ok_value),
+            customer=routed.customer,
         )
         await self._run_call(call, exchange, writer)
 
@@ -171,6 +184,7 @@
             "request_accepted",
             request=metadata.request_id,
             program=metadata.program,
+            customer=call.turn_owner,
             route=call.route.name,
             configuration=call.configuration.version,
             left_s=round(call.remaining_s, 3),
--- a/src/bramleylead/gateway/_budgets.py
+++ b/src/bramleylead/gateway/_budgets.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import secrets
 from typing import NamedTuple
 from typing import final
 
@@ -17,6 +16,8 @@
 from bramleylead.errors import Failure
 from bramleylead.ledger._client import LedgerClient
 from bramleylead.ledger._client import Reservation
+from bramleylead.ledger._entries import new_entry
+from bramleylead.ledger._entries import request_of
 from bramleylead.ledger._records import Spending
 from bramleylead.placement._admission import Progress
 from bramleylead.placement._crash_table import CrashEvidence
@@ -27,7 +28,6 @@
 from bramleylead.platform._types import Software
 from bramleylead.supervision import contain
 
-RESERVATION_ID_BYTES = 4
 SETTLE_RETRY_DELAYS_S = (0.3, 0.6, 1.2, 2.4, 4.8)
 """Until a turn is settled, its maximum counts as spent, so failed settlements are retried."""
 
@@ -77,6 +77,7 @@
         resumable: bool = False,
         software: Software = NO_SOFTWARE,
         replaces: str = "",
+        customer: str = "",
     ) -> Result[BudgetReservation, Failure]:
         """Reserve a turn's maximum.
 
@@ -85,14 +86,17 @@
             without a budget.
         :param software: the software that the turn is going to be offered to.
         :param replaces: the entry of a reservation of the same turn, which doesn't count.
+        :param customer: whose turn it is; empty without customers.
 
         Fails with ``BUDGET_EXHAUSTED`` if the turn's maximum exceeds the rest of the budget.
         """
         if metadata.budget_tokens is None:
             if not resumable:
                 return Ok(NO_RESERVATION)
-            return Ok(await self._record_stream(metadata, crashes, software))
-        spending = _new_spending(metadata, metadata.program, metadata.max_output_tokens, software)
+            return Ok(await self._record_stream(metadata, crashes, software, customer))
+        entry = new_entry(metadata.request_id, customer)
+        most = metadata.max_output_tokens
+        spending = Spending(metadata.program, entry, most, settled=False, software=software)
         fits = False
         try:
             reserved = await self._write(metadata, spending, crashes)
@@ -116,11 +120,16 @@
         return Err(Failure(ErrorKind.BUDGET_EXHAUSTED, detail))
 
     async def _record_stream(
-        self, metadata: CallMetadata, crashes: tuple[CrashEvidence, ...], software: Software
+        self,
+        metadata: CallMetadata,
+        crashes: tuple[CrashEvidence, ...],
+        software: Software,
+        customer: str,
     ) -> BudgetReservation:
         """Record a stream without a budget; it is served even if that fails."""
         key = f"stream/{metadata.program or metadata.resumed_request or metadata.request_id}"
-        spending = _new_spending(metadata, key, 0, software)
+        entry = new_entry(metadata.request_id, customer)
+        spending = Spending(key, entry, 0, settled=False, software=software)
         written = await self._write(metadata, spending, crashes)
         if isinstance(written, Err):
             return NO_RESERVATION
@@ -188,13 +197,6 @@
     return Progress(turns=len(others) - refusals, refusals=refusals)
 
 
-def _new_spending(
-    metadata: CallMetadata, program: str, tokens: int, software: Software
-) -> Spending:
-    entry = f"{metadata.request_id}.{secrets.token_hex(RESERVATION_ID_BYTES)}"
-    return Spending(program, entry, tokens, settled=False, software=software)
-
-
 def _software_of(spendings: dict[str, Spending], request_id: str) -> Software | None:
     """Return the software that began a request's stream; ``None`` if that is not certain.
 
@@ -205,7 +207,7 @@
     offered = {
         spending.software
         for entry, spending in spendings.items()
-        if entry.rpartition(".")[0] == request_id and (spending.tokens or not spending.settled)
+        if request_of(entry) == request_id and (spending.tokens or not spending.settled)
     }
     if len(offered) != 1 or NO_SOFTWARE in offered:
         return None
--- a/src/bramleylead/gateway/_call.py
+++ b/src/bramleylead/gateway/_call.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from bramleylead.customers import Customer
 from bramleylead.gateway._fingerprint import Fingerprint
 from bramleylead.gateway._replica_connection import ResponseHead
 from bramleylead.platform._types import CallMetadata
@@ -22,6 +23,7 @@
 
     :param deadline: the event loop's time by which the caller must have its final response.
     :param fingerprint: the same for each attempt of the same caller with the same body.
+    :param customer: whose key the caller has; ``None`` on public routes and without customers.
     """
 
     method: str
@@ -34,12 +36,30 @@
     arrived_at: float
     deadline: float
     fingerprint: Fingerprint
+    customer: Customer | None = None
 
     @property
     def resumes_stream(self) -> bool:
         """Whether the caller resumes a stream that broke off after some events."""
         return self.route.resumable and bool(self.metadata.resume_after)
 
+    @property
+    def priority(self) -> int:
+        """How urgent the request is; 0 is the most urgent."""
+        if self.customer is None or self.customer.priority is None:
+            return self.route.priority
+        return self.customer.priority
+
+    @property
+    def turn_owner(self) -> str | None:
+        """Whose turns the request may continue: a customer's, or if empty those of no customer.
+
+        ``None`` if the configuration has no customers, so that turns belong to nobody.
+        """
+        if not self.configuration.customers.all:
+            return None
+        return "" if self.customer is None else self.customer.name
+
     @property
     def remaining_s(self) -> float:
         """Seconds until the deadline."""
--- a/src/bramleylead/gateway/_directory.py
+++ b/src/bramleylead/gateway/_directory.py
@@ -68,12 +68,15 @@
     @property
     def replica_list_age_s(self) -> float:
         """Seconds since the time up to which all changes of the replicas are known."""
-        if self._source is None:
-            return float("inf")
-        return anyio.current_time() - self._source.confirmed_at(names.REPLICA_KIND)
+        return self._age_s(names.REPLICA_KIND)
+
+    @property
+    def configuration_age_s(self) -> float:
+        """Seconds since the time up to which all versions of the configuration are known."""
+        return self._age_s(names.CONFIGURATION_KIND)
 
     def set_source(self, source: ConfirmingSource) -> None:
-        """Set the source that the replicas are read from, which tells the age of the list."""
+        """Set the source that all is read from, which tells the age of what is known."""
         self._source = source
 
     def replicas(self, service: str) -> Sequence[Replica]:
@@ -138,6 +141,7 @@
             version=configuration.version,
             former=None if current is None else current.version,
             routes=len(configuration.routes),
+            customers=len(configuration.customers.all),
             source=source,
         )
         self._notify_changed()
@@ -206,6 +210,11 @@
             if now >= missing.used_until:
                 self._drop_replica(name, "lapsed")
 
+    def _age_s(self, kind: str) -> float:
+        if self._source is None:
+            return float("inf")
+        return anyio.current_time() - self._source.confirmed_at(kind)
+
     def _drop_replica(self, name: str, reason: str) -> None:
         self._missing.pop(name, None)
         self._announced_leaving.discard(name)
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -103,7 +103,7 @@
         return check_admission(
             self.choice.service_load(call, service, turn_s=self._mean_turn_s),
             progress,
-            less_urgent_priorities=sum(other > call.route.priority for other in priorities),
+            less_urgent_priorities=sum(other > call.priority for other in priorities),
             turn_s=self._mean_turn_s,
             rng=self._rng,
         )
@@ -206,6 +206,7 @@
                 replica=replica.name,
                 resume_after=resume_after,
                 body_bytes=len(body),
+                customer="" if call.customer is None else call.customer.name,
             ),
             call.metadata.request_id,
         )
--- a/src/bramleylead/gateway/_stream_software.py
+++ b/src/bramleylead/gateway/_stream_software.py
@@ -100,6 +100,7 @@
             resumable=True,
             software=software,
             replaces=stream.reservation.entry,
+            customer=stream.call.turn_owner or "",
         )
         if isinstance(reserved, Err):
             return reserved
--- a/src/bramleylead/gateway/_stream_state.py
+++ b/src/bramleylead/gateway/_stream_state.py
@@ -17,6 +17,7 @@
 from bramleylead.gateway._permit_waits import RETRY_AFTER_S
 from bramleylead.gateway._plain_calls import MAX_UNREACHED_REPLICAS
 from bramleylead.gateway._replica_connection import ResponseHead
+from bramleylead.ledger._entries import new_entry
 from bramleylead.ledger._records import KeptTurn
 from bramleylead.platform._types import NO_SOFTWARE
 from bramleylead.platform._types import Software
@@ -150,13 +151,20 @@
             turn=call.metadata.request_id,
             previous=call.metadata.previous_turn,
             program=call.metadata.program,
-            entry=self.reservation.entry,
+            entry=self._entry(),
             tokens=self.tokens,
             keep_s=call.route.turn_retention_s,
             new_input=call.body,
             event_data=bytes(self.output),
         )
 
+    def _entry(self) -> str:
+        """Return the entry of this turn, which also tells its customer, if it has one."""
+        customer = self.call.turn_owner
+        if self.reservation.entry or not customer:
+            return self.reservation.entry
+        return new_entry(self.call.metadata.request_id, customer)
+
 
 def _follows(event_id: str, previous_id: str) -> bool:
     """Return whether an event may come after another one; one without an id always may."""
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -79,7 +79,10 @@
             body = call.body
             if call.route.retains_turns and call.metadata.previous_turn:
                 history = await self._history.find_history(
-                    call.metadata.request_id, call.metadata.previous_turn
+                    call.metadata.request_id,
+                    call.metadata.previous_turn,
+                    program=call.metadata.program,
+                    owner=call.turn_owner,
                 )
                 if isinstance(history, Err):
                     return history
@@ -96,6 +99,7 @@
             crashes=self._guard.evidence(call),
             resumable=call.route.resumable,
             software=self._software.to_record(call, service),
+            customer=call.turn_owner or "",
         )
         if isinstance(reserved, Err):
             return reserved
--- a/src/bramleylead/platform/_decode.py
+++ b/src/bramleylead/platform/_decode.py
@@ -3,8 +3,13 @@
 from __future__ import annotations
 
 import ipaddress
+import math
 from typing import Any
 
+from bramleylead.customers import Customer
+from bramleylead.customers import CustomerKeys
+from bramleylead.customers import Quota
+from bramleylead.customers import index_customers
 from bramleylead.platform._types import CallKind
 from bramleylead.platform._types import Configuration
 from bramleylead.platform._types import EngineSpec
@@ -51,6 +56,7 @@
                 header_timeout_s=limits["header-timeout-ms"] / MS_PER_S,
                 idle_timeout_s=limits["idle-timeout-ms"] / MS_PER_S,
             ),
+            customers=index_customers(map(_parse_customer, plain.get("tenants") or ())),
         )
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise UnreadableError(f"configuration: {type(error).__name__}: {error}") from error
@@ -123,6 +129,7 @@
         turn_retention_s=float(plain.get("retention-s", 0.0)),
         resumable=bool(plain.get("resumable", False)),
         sticky=bool(plain.get("sticky", False)),
+        public=bool(plain.get("public", False)),
     )
 
 
@@ -136,3 +143,29 @@
             tokens_per_event=int(engine.get("event-tokens", 1)),
         )
     return Service(plain["name"], int(plain["max-connections"]), spec)
+
+
+def _parse_customer(plain: dict[str, Any]) -> CustomerKeys:
+    """Parse a customer; no error shows a key.
+
+    :raises ValueError: if a name, key, priority or quota makes no sense.
+    """
+    name, keys = plain["name"], plain.get("api-keys", [])
+    if not isinstance(name, str):
+        raise ValueError(f"customer: name must be text, not {type(name).__name__}")
+    if not isinstance(keys, list) or not all(isinstance(key, str) for key in keys):
+        raise ValueError(f"customer {name}: api-keys must be a list of texts")
+    priority = plain.get("priority")
+    if priority is not None and (type(priority) is not int or priority < 0):
+        raise ValueError(f"customer {name}: priority must be a whole number from 0")
+    return CustomerKeys(Customer(name, priority, _parse_quota(name, plain)), tuple(keys))
+
+
+def _parse_quota(customer: str, plain: dict[str, Any]) -> Quota | None:
+    """Parse a customer's quota; without a rate there is no limit."""
+    rate, burst = plain.get("rate-per-s") or 0, plain.get("burst") or 0
+    for field, number in (("rate-per-s", rate), ("burst", burst)):
+        is_number = type(number) in (int, float) and math.isfinite(number)
+        if not is_number or number < 0:
+            raise ValueError(f"customer {customer}: {field} must be a finite number from 0")
+    return Quota(float(rate), float(burst)) if rate else None
--- a/src/bramleylead/platform/_names.py
+++ b/src/bramleylead/platform/_names.py
@@ -17,6 +17,8 @@
 NOT_RUN = "bramleylead-not-run"
 LAST_EVENT_ID = "last-event-id"
 RESUMES = "resumes"
+CREDENTIAL = "bramleylead-credential"
+TENANT = "bramleylead-tenant"
 AFFINITY_KEY = "bramleylead-affinity-key"
 SERVER_LEAVING = "server-leaving"
 SERVER_LIMIT = "server-limit"
@@ -43,6 +45,8 @@
         DEADLINE_MS,
         EXPECT_INSTANCE,
         LAST_EVENT_ID,
+        CREDENTIAL,
+        TENANT,
         "bramleylead-expect-version",
         "bramleylead-hold",
         "bramleylead-kv-backup",
@@ -51,7 +55,7 @@
         "kv-from",
     }
 )
-"""Set by the gateway only; headers of these names from a caller are dropped."""
+"""Not passed on from a caller: set by the gateway only, or meant for the gateway."""
 
 READY_PATH = "/api/readiness"
 OBJECTS_PATH = "/api/objects"
--- a/src/bramleylead/platform/_types.py
+++ b/src/bramleylead/platform/_types.py
@@ -5,6 +5,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from bramleylead.customers import Customers
+
 
 class CallKind(StrEnum):
     """Kinds of requests, by whether and how they may be repeated."""
@@ -32,6 +34,7 @@
     :param turn_retention_s: how long a stored turn must remain available.
     :param resumable: whether a broken stream may be continued at another replica.
     :param sticky: whether a replica works faster on what it has handled recently.
+    :param public: whether callers need no key, also if the configuration has customers.
     """
 
     name: str
@@ -47,6 +50,7 @@
     turn_retention_s: float
     resumable: bool
     sticky: bool = False
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -100,6 +104,7 @@
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: Limits
+    customers: Customers = Customers()
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest prefix that matches a path."""
--- a/src/bramleylead/platform/_wire.py
+++ b/src/bramleylead/platform/_wire.py
@@ -58,7 +58,13 @@
 
 
 def request_headers(
-    received: Headers, *, remaining_s: float, replica: str, resume_after: str, body_bytes: int
+    received: Headers,
+    *,
+    remaining_s: float,
+    replica: str,
+    resume_after: str,
+    body_bytes: int,
+    customer: str = "",
 ) -> Headers:
     """Return the headers of a request to be sent to a replica.
 
@@ -66,6 +72,7 @@
     :param remaining_s: the time remaining for the replica.
     :param replica: the only replica that may run the request.
     :param resume_after: the last event that the caller received; empty to start from the first.
+    :param customer: the name of the customer who has the caller's key; empty without one.
     """
     connection_options = _connection_options(received)
     end_to_end = [
@@ -79,6 +86,8 @@
     headers = [("host", host), *end_to_end]
     headers.append((names.DEADLINE_MS, str(max(1, int(remaining_s * MS_PER_S)))))
     headers.append((names.EXPECT_INSTANCE, replica))
+    if customer:
+        headers.append((names.TENANT, customer))
     if resume_after:
         headers.append((names.LAST_EVENT_ID, resume_after))
     if body_bytes or any(name in ("content-length", "transfer-encoding") for name, _ in received):
