--- a/testing/platform/test_decode.py
+++ b/testing/platform/test_decode.py
@@ -5,6 +5,8 @@
 import unittest
 from typing import Any
 
+from bramleylead.customers import Customer
+from bramleylead.customers import Quota
 from bramleylead.platform import _wire as wire
 from bramleylead.platform._decode import UnreadableError
 from bramleylead.platform._decode import read_configuration
@@ -52,6 +54,42 @@
     return {"version": 7, "routes": list(routes), "services": [SERVICE], "limits": LIMITS}
 
 
+class CustomersTest(unittest.TestCase):
+    def test_customers_are_parsed_with_priority_and_quota(self) -> None:
+        plain = configuration_with(ROUTE, {**ROUTE, "name": "open", "public": True})
+        plain["tenants"] = [
+            {"name": "ann", "api-keys": ["k1"], "priority": 1, "rate-per-s": 8, "burst": 2.5},
+            {"name": "ben", "api-keys": ["k2", "k3"], "rate-per-s": 0, "burst": 3},
+        ]
+        read = read_configuration(plain)
+        self.assertEqual(read.customers.all, (Customer("ann", 1, Quota(8.0, 2.5)), Customer("ben")))
+        self.assertEqual(read.customers.find("k3"), Customer("ben"))
+        self.assertEqual([route.public for route in read.routes], [False, True])
+        self.assertEqual(read_configuration(configuration_with(ROUTE)).customers.all, ())
+
+    # Guards against a configuration that lets nobody in, or everybody, and against keys in logs.
+    def test_customers_that_make_no_sense_are_refused_without_showing_a_key(self) -> None:
+        for change in (
+            {"name": 7},
+            {"name": ""},
+            {"api-keys": "secret"},
+            {"api-keys": ["secret", 7]},
+            {"api-keys": ["secret", ""]},
+            {"api-keys": ["secret\n"]},
+            {"priority": -1},
+            {"priority": True},
+            {"rate-per-s": -1},
+            {"rate-per-s": "secret"},
+            {"rate-per-s": float("inf")},
+            {"rate-per-s": 1, "burst": float("nan")},
+        ):
+            plain = configuration_with(ROUTE)
+            plain["tenants"] = [{"name": "ann", "api-keys": ["secret"], **change}]
+            with self.subTest(change=change), self.assertRaises(UnreadableError) as caught:
+                read_configuration(plain)
+            self.assertNotIn("secret", str(caught.exception))
+
+
 class ConfigurationTest(unittest.TestCase):
     def test_a_route_is_parsed(self) -> None:
         read = read_configuration(configuration_with(ROUTE))
