Read load headers with more than three figures

Some replicas add how long work takes now, in percent of the usual time. A header with a fourth figure was dropped as a whole, and with it the running and waiting requests.

The first three figures now count whatever follows them. The fourth becomes Load.slowdown; one that is no positive number is ignored, as are later ones. The new test fails on the code before (no such field; the header is None). testing.platform.test_decode and testing.fuzz.test_decoders: 23 pass.

--- a/src/bramleylead/platform/_types.py
+++ b/src/bramleylead/platform/_types.py
@@ -189,11 +189,16 @@
 
 
 class Load(NamedTuple):
-    """The load that a replica reports with a response."""
+    """The load that a replica reports with a response.
+
+    :param slowdown: how long work takes there now, relative to the usual time; ``None`` if the
+        replica doesn't report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 class ResponseMetadata(NamedTuple):
--- a/src/bramleylead/platform/_wire.py
+++ b/src/bramleylead/platform/_wire.py
@@ -18,6 +18,8 @@
 """Messages between nodes carry 64 bits, and a float counts exactly up to 2**53."""
 MAX_DIGITS = 15
 MAX_SHOWN_CHARS = 40
+USUAL_SLOWDOWN = 100
+"""What replicas report while work takes its usual time."""
 
 log = structlog.get_logger()
 
@@ -196,13 +198,25 @@
 
 
 def _parse_load(text: str) -> Load | None:
-    numbers = [part.strip() for part in text.split(",")]
-    if len(numbers) != 3 or not all(map(_is_digits, numbers)):
+    """Parse a replica's load; ``None`` unless its first three figures are valid.
+
+    Later versions of replicas may add figures, which are ignored.
+    """
+    figures = [part.strip() for part in text.split(",", 4)]
+    numbers = figures[:3]
+    if len(numbers) < 3 or not all(map(_is_digits, numbers)):
         return None
     if any(len(number) > MAX_DIGITS for number in numbers):
         return None
     running, waiting, slots = map(int, numbers)
-    return Load(running, waiting, slots)
+    return Load(running, waiting, slots, _parse_slowdown(figures[3]) if figures[3:] else None)
+
+
+def _parse_slowdown(text: str) -> float | None:
+    """Parse how long work takes in percent of the usual time; ``None`` if that is no figure."""
+    if not _is_digits(text) or len(text) > MAX_DIGITS:
+        return None
+    return int(text) / USUAL_SLOWDOWN if int(text) else None
 
 
 def _parse_rate(headers: Mapping[str, str]) -> float | None:
--- a/testing/platform/test_decode.py
+++ b/testing/platform/test_decode.py
@@ -170,6 +170,23 @@
         self.assertEqual((facts.load, facts.keep_alive_s), (Load(3, 1, 8), 15.0))
         self.assertIsNone(wire.read_answer({"bramleylead-server-load": "many"}).load)
 
+    # Guards against dropping the whole header for the sake of a figure that isn't known.
+    def test_further_figures_of_a_load_header_never_drop_the_first_three(self) -> None:
+        expected = {
+            "3,1,8,250": Load(3, 1, 8, 2.5),
+            "3, 1, 8, 40, 7, x": Load(3, 1, 8, 0.4),
+            "3,1,8,": Load(3, 1, 8),
+            "3,1,8,fast,9": Load(3, 1, 8),
+            "3,1,8,0": Load(3, 1, 8),
+            "3,1,8,-5": Load(3, 1, 8),
+            f"3,1,8,{'9' * 400}": Load(3, 1, 8),
+            "3,1": None,
+            "3,x,8,100": None,
+        }
+        for text, load in expected.items():
+            with self.subTest(text=text):
+                self.assertEqual(wire.read_answer({"bramleylead-server-load": text}).load, load)
+
     def test_hop_by_hop_headers_are_not_forwarded(self) -> None:
         received = [
             ("connection", "close, x-hop"),
