--- a/src/bramleylead/trials/site/_processes.py
+++ b/src/bramleylead/trials/site/_processes.py
@@ -9,6 +9,7 @@
 import shutil
 import signal
 import sys
+import time
 from collections.abc import Sequence
 from contextlib import AsyncExitStack
 from contextlib import suppress
@@ -28,6 +29,8 @@
 DESCRIPTORS = 120
 """The limit of each process, so that a soak can use it up."""
 KIB = 1024
+CPUCLOCK_SCHED = 2
+"""Linux: the clock of a process's time in the scheduler, beside its inverted id in a clock's id."""
 HANDLER_POLL_S = 0.005
 HANDLER_TIMEOUT_S = 40.0
 LAST_OUTPUT_CHARACTERS = 600
@@ -41,6 +44,7 @@
     :param builds: folders that hold the package; each start takes one of them. The package of this
         process if there are none.
     :param descriptors: how many descriptors its process may have open.
+    :param command: what the interpreter runs; the role and its settings follow.
     """
 
     def __init__(
@@ -53,7 +57,9 @@
         losses: int,
         builds: Sequence[Path] = (),
         descriptors: int = DESCRIPTORS,
+        command: Sequence[str] = ("-m", "bramleylead"),
     ) -> None:
+        self._command = command
         self._folder = folder
         self._rng = rng
         self._builds = builds
@@ -83,6 +89,16 @@
         ports = self._ports if self.role == "gateway" else [self._ports[0], self._ports[3]]
         return [f"{HOST}:{port}" for port in ports]
 
+    @property
+    def metrics(self) -> str:
+        """Where metrics are read."""
+        return f"{HOST}:{self._ports[3]}"
+
+    @property
+    def settings_file(self) -> Path:
+        """The file with the settings of the last start."""
+        return self._folder / f"{self.name}.json"
+
     @property
     def is_running(self) -> bool:
         """Whether its process has not ended."""
@@ -100,6 +116,11 @@
         """The file with the process's output."""
         return self._log
 
+    def processor_s(self) -> float:
+        """Return the processor time that the process has taken, on all its threads."""
+        assert self._process is not None
+        return time.clock_gettime(~self._process.pid << 3 | CPUCLOCK_SCHED)
+
     def resident_bytes(self, *, peak: bool = False) -> int:
         """Return the memory that the process has resident, or the most it ever had."""
         assert self._process is not None
@@ -122,9 +143,9 @@
         """Start a process, with the settings as they are, unless one runs: faults may overlap."""
         if self.is_running:
             return
-        file = self._folder / f"{self.name}.json"
+        file = self.settings_file
         file.write_text(json.dumps(self._settings()))
-        words = [sys.executable, "-m", "bramleylead", self.role, f"--settings={file}"]
+        words = [sys.executable, *self._command, self.role, f"--settings={file}"]
         environment = dict(os.environ)
         if self._builds:
             environment["PYTHONPATH"] = str(self._rng.choice(self._builds))
