Check settings and messages of the roles with msgspec instead of pydantic

Cause: importing pydantic, building its models and a schema for each message was the largest part of a role's start that is not this package. Change: the codec converts messages by msgspec, which stops at the first fault as before and takes no base64 text for bytes; settings of the two roles are msgspec structs, each field of which is checked by itself on a fault, so that all faults are still reported. The checks of a JSON document move to json_documents.py, which needs no pydantic.

--- a/src/bramleylead/bench/_processor.py
+++ b/src/bramleylead/bench/_processor.py
@@ -42,8 +42,7 @@
     "interpreter": "pass",
     "imports": "import bramleylead.cli._main, bramleylead.cli.commands.{role}",
     "settings": "import bramleylead.cli._main, bramleylead.cli.commands.{role}; "
-    "from bramleylead.validation import load_model; import bramleylead.site_settings as s; "
-    "load_model(s.{model}, open({file!r}).read())",
+    "import bramleylead.site_settings as s; s.load_settings(s.{model}, open({file!r}).read())",
 }
 """Each step contains the one before."""
 PROFILED = """
@@ -101,6 +100,7 @@
             if number == 0:
                 await _print_running(site, values)
     for role in ROLES:
+        _print(f"start.{role}.ready", statistics.median(ready[role]))
         for step, code in START_STEPS.items():
             model = f"{role.capitalize()}Settings"
             code = code.format(role=role, model=model, file=str(files[role]))
@@ -108,7 +108,6 @@
                 _child_s(code, _builds(values)) for _ in range(values.starts)
             )
             _print(f"start.{role}.{step}", cost_s)
-        _print(f"start.{role}.ready", statistics.median(ready[role]))
 
 
 async def _print_running(site: BenchSite, values: flags.FlagValues) -> None:
--- a/src/bramleylead/cli/_settings_reading.py
+++ b/src/bramleylead/cli/_settings_reading.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from bramleylead._signals import SignalInbox
-from bramleylead.validation import check_document
+from bramleylead.json_documents import check_document
 
 RETRY_S = 0.2
 MAX_RETRIES = 10
--- a/src/bramleylead/cli/_site_process.py
+++ b/src/bramleylead/cli/_site_process.py
@@ -31,7 +31,7 @@
 from bramleylead.logs import configure_buffered_logs
 from bramleylead.site_metrics import SiteMetrics
 from bramleylead.site_settings import SiteSettings
-from bramleylead.validation import load_model
+from bramleylead.site_settings import load_settings
 
 SETTINGS_VARIABLE = "BRAMLEYLEAD_NODE_FILE"
 
@@ -60,7 +60,7 @@
         found = read_settings(Path(file), signals, report=_report)
         if found.trouble is not None:
             return _end_without_settings(file, found.trouble, signals.stop_signal)
-        loaded = load_model(model, found.text)
+        loaded = load_settings(model, found.text)
         if isinstance(loaded, Err):
             for fault in loaded.err_value:
                 _report(f"{file}: {fault}")
--- a/src/bramleylead/cli/commands/check.py
+++ b/src/bramleylead/cli/commands/check.py
@@ -11,11 +11,11 @@
 
 from bramleylead.cli._exit import ExitCode
 from bramleylead.cli._registry import command
+from bramleylead.json_documents import Fault
 from bramleylead.json_input import decode_json
 from bramleylead.node_settings import NodeSettings
 from bramleylead.process._settings_file import check_together
 from bramleylead.process._settings_file import load_settings
-from bramleylead.validation import Fault
 from bramleylead.version import Config
 from bramleylead.version import Ticket
 from bramleylead.version import apply_ticket
--- a/src/bramleylead/connection/_codec.py
+++ b/src/bramleylead/connection/_codec.py
@@ -12,17 +12,15 @@
 from typing import TypeVar
 
 import msgpack
-from pydantic import TypeAdapter
-from pydantic import ValidationError
-from pydantic_core import SchemaValidator
+import msgspec
 
 MAX_FRAME_BYTES = 4_000_000
 
 _M = TypeVar("_M", bound=type)
 _classes_by_code: dict[int, type] = {}
 _codes_by_class: dict[type, int] = {}
-_validators_by_code: dict[int, SchemaValidator] = {}
-FAIL_FAST_TYPES = ("tuple", "list")
+MSGPACK_TYPES = (bytes,)
+"""What msgpack carries beyond JSON; without it msgspec would take base64 text for bytes."""
 
 
 class MessageError(Exception):
@@ -65,10 +63,10 @@
         raise MessageError(f"unknown message code {code}")
     fields = plain[1 : 1 + len(cls._fields)]
     try:
-        return _validator_for(code, cls).validate_python(fields)
-    except ValidationError as error:
-        reasons = error.errors(include_url=False, include_context=False, include_input=False)
-        raise MessageError(f"invalid {cls.__name__}: {reasons[0]['msg']}") from error
+        # Ends at the first fault, so that a message of 4 MB can't have as many reasons as bytes.
+        return msgspec.convert(fields, cls, builtin_types=MSGPACK_TYPES)
+    except msgspec.ValidationError as error:
+        raise MessageError(f"invalid {cls.__name__}: {error}") from error
 
 
 def encode(item: tuple[Any, ...]) -> bytes:
@@ -88,26 +86,3 @@
     except (ValueError, msgpack.UnpackException) as error:
         raise MessageError(f"not msgpack: {error}") from error
     return from_plain(plain)
-
-
-def _validator_for(code: int, cls: type) -> SchemaValidator:
-    validator = _validators_by_code.get(code)
-    if validator is None:
-        validator = SchemaValidator(_failing_fast(TypeAdapter(cls).core_schema))
-        _validators_by_code[code] = validator
-    return validator
-
-
-def _failing_fast(schema: Any) -> Any:
-    """Return a schema whose sequences end at their first invalid item.
-
-    Otherwise a message of 4 MB may have as many reasons as bytes, which take gigabytes.
-    """
-    if isinstance(schema, list):
-        return [_failing_fast(item) for item in schema]
-    if not isinstance(schema, dict):
-        return schema
-    changed = {name: _failing_fast(value) for name, value in schema.items()}
-    if changed.get("type") in FAIL_FAST_TYPES:
-        changed["fail_fast"] = True
-    return changed
--- a/src/bramleylead/ledger/_last_run.py
+++ b/src/bramleylead/ledger/_last_run.py
@@ -19,10 +19,8 @@
 
 import anyio
 import anyio.to_thread
+import msgspec
 import structlog
-from pydantic import BaseModel
-from pydantic import ConfigDict
-from pydantic import ValidationError
 
 import bramleylead
 from bramleylead.ledger._files import read_file
@@ -40,15 +38,13 @@
 log = structlog.get_logger()
 
 
-class Run(BaseModel):
+class Run(msgspec.Struct, frozen=True, kw_only=True):
     """What is known of one run.
 
     :param started_at: seconds since 1970.
     :param ran_s: how long it ran, once it has ended.
     """
 
-    model_config = ConfigDict(frozen=True, extra="ignore")
-
     run: str
     version: str
     started_at: float
@@ -85,7 +81,7 @@
             "reason": "" if error is None else _describe(error),
             "ran_s": round(anyio.current_time() - self._began_at, 3),
         }
-        await self._write(self._run.model_copy(update=ended), timeout_s=END_TIMEOUT_S)
+        await self._write(msgspec.structs.replace(self._run, **ended), timeout_s=END_TIMEOUT_S)
 
     async def begin(self) -> None:
         """Log how the run before ended, and record that this one runs; needs the folder."""
@@ -98,7 +94,7 @@
         await self._write(self._run, timeout_s=BEGIN_TIMEOUT_S)
 
     async def _write(self, run: Run, *, timeout_s: float) -> None:
-        data = run.model_dump_json().encode()
+        data = msgspec.json.encode(run)
         await _within(timeout_s, lambda: _in_thread(replace_file, self._path, data))
 
 
@@ -123,8 +119,8 @@
     if content is None:
         return None
     try:
-        return Run.model_validate_json(content)
-    except ValidationError:
+        return msgspec.json.decode(content, type=Run)
+    except (msgspec.DecodeError, UnicodeDecodeError):
         return Run(run="", version="", started_at=0.0)
 
 
--- a/src/bramleylead/process/_settings_file.py
+++ b/src/bramleylead/process/_settings_file.py
@@ -10,12 +10,12 @@
 from result import Ok
 from result import Result
 
+from bramleylead.json_documents import Fault
+from bramleylead.json_documents import show_value
 from bramleylead.node_settings import NodeSettings
 from bramleylead.node_settings import StoreSettings
 from bramleylead.request import key_matches
-from bramleylead.validation import Fault
 from bramleylead.validation import load_model
-from bramleylead.validation import show_value
 from bramleylead.version._addresses import address_fault
 
 Faults = tuple[Fault, ...]
--- a/src/bramleylead/validation.py
+++ b/src/bramleylead/validation.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-import json
-import math
 import types
 import typing
 from collections.abc import Sequence
 from typing import Annotated
 from typing import Any
-from typing import NamedTuple
 from typing import TypeVar
 
 from pydantic import BaseModel
@@ -21,16 +18,14 @@
 from result import Ok
 from result import Result
 
-from bramleylead.json_input import MAX_INTEGER
-from bramleylead.json_input import MIN_INTEGER
+from bramleylead.json_documents import ADDRESS_PATTERN
+from bramleylead.json_documents import NAME_PATTERN
+from bramleylead.json_documents import Fault
+from bramleylead.json_documents import check_syntax
+from bramleylead.json_documents import show_field
 
-SHOWN_VALUE_CHARACTERS = 60
-MAX_INTEGER_DIGITS = 20
-SECRET_WORDS = ("key", "secret", "token_value", "password")
-HIDDEN = "(hidden)"
-
-Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
-Address = Annotated[str, Field(pattern=r"^[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}$")]
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+Address = Annotated[str, Field(pattern=ADDRESS_PATTERN)]
 
 _Model = TypeVar("_Model", bound=BaseModel)
 
@@ -41,20 +36,9 @@
     model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
 
 
-class Fault(NamedTuple):
-    """One thing that is wrong in a file or a body."""
-
-    path: str
-    value: str
-    allowed: str
-
-    def __str__(self) -> str:
-        return f"{self.path}: {self.value}: {self.allowed}"
-
-
 def load_model(model: type[_Model], text: str | bytes) -> Result[_Model, tuple[Fault, ...]]:
     """Read JSON into a model; an ``Err`` holds every fault found."""
-    syntax = _check_syntax(text)
+    syntax = check_syntax(text)
     if syntax is not None:
         return Err((syntax,))
     try:
@@ -64,101 +48,12 @@
         return Err(tuple(_to_fault(model, detail) for detail in details))
 
 
-def check_document(text: str | bytes) -> Fault | None:
-    """Return the fault of a text that is not one JSON document, such as one that is cut off."""
-    try:
-        json.loads(text)
-    except (json.JSONDecodeError, UnicodeDecodeError) as error:
-        return _document_fault(error)
-    except (RecursionError, ValueError):
-        pass
-    return None
-
-
-def show_value(value: Any) -> str:
-    """Return a value as short JSON."""
-    text = json.dumps(value, ensure_ascii=False, default=str)
-    if len(text) <= SHOWN_VALUE_CHARACTERS:
-        return text
-    return text[: SHOWN_VALUE_CHARACTERS - 3] + "..."
-
-
-class _DuplicateKeyError(ValueError):
-    pass
-
-
-class _NumberError(ValueError):
-    pass
-
-
-def _check_syntax(text: str | bytes) -> Fault | None:
-    try:
-        json.loads(
-            text,
-            object_pairs_hook=_unique_keys,
-            parse_constant=_refuse_constant,
-            parse_int=_check_integer,
-            parse_float=_check_float,
-        )
-    except (json.JSONDecodeError, UnicodeDecodeError) as error:
-        return _document_fault(error)
-    except RecursionError:
-        return Fault("(document)", "nested too deeply", "must be one JSON document")
-    except _DuplicateKeyError as error:
-        return Fault("(document)", str(error), "each key may occur once in an object")
-    except _NumberError as error:
-        return Fault("(document)", str(error), "must be a number of 64 bits")
-    except ValueError as error:
-        return Fault("(document)", str(error), "must be one JSON document")
-    return None
-
-
-def _document_fault(error: json.JSONDecodeError | UnicodeDecodeError) -> Fault:
-    if isinstance(error, UnicodeDecodeError):
-        return Fault(f"byte {error.start}", "not UTF-8", "must be UTF-8")
-    place = f"line {error.lineno} column {error.colno}"
-    return Fault(place, error.msg, "must be one JSON document")
-
-
-def _unique_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
-    found = dict(pairs)
-    if len(found) == len(pairs):
-        return found
-    names = [name for name, _ in pairs]
-    repeated = next(name for name in names if names.count(name) > 1)
-    raise _DuplicateKeyError(f"key {show_value(repeated)} occurs twice")
-
-
-def _check_integer(digits: str) -> int:
-    """Return an integer that a message between nodes can carry."""
-    if len(digits) > MAX_INTEGER_DIGITS or not MIN_INTEGER <= int(digits) <= MAX_INTEGER:
-        raise _NumberError(digits[:SHOWN_VALUE_CHARACTERS])
-    return int(digits)
-
-
-def _check_float(text: str) -> float:
-    number = float(text)
-    if not math.isfinite(number):
-        raise _NumberError(text[:SHOWN_VALUE_CHARACTERS])
-    return number
-
-
-def _refuse_constant(name: str) -> Any:
-    raise ValueError(f"{name} is no JSON number")
-
-
 def _to_fault(model: type[BaseModel], detail: ErrorDetails) -> Fault:
     location = detail["loc"]
     path = ".".join(str(part) for part in location) or "(document)"
-    return Fault(path, _shown(location, detail), _allowed(model, detail))
-
-
-def _shown(location: Sequence[int | str], detail: ErrorDetails) -> str:
-    if detail["type"] == "missing":
-        return "missing"
-    if location and any(word in str(location[-1]).lower() for word in SECRET_WORDS):
-        return HIDDEN
-    return show_value(detail["input"])
+    missing = detail["type"] == "missing"
+    value = "missing" if missing else show_field(location, detail["input"])
+    return Fault(path, value, _allowed(model, detail))
 
 
 def _allowed(model: type[BaseModel], detail: ErrorDetails) -> str:
--- a/src/bramleylead/version/_validation.py
+++ b/src/bramleylead/version/_validation.py
@@ -13,9 +13,9 @@
 from result import Ok
 from result import Result
 
-from bramleylead.validation import Fault
+from bramleylead.json_documents import Fault
+from bramleylead.json_documents import show_value
 from bramleylead.validation import load_model
-from bramleylead.validation import show_value
 from bramleylead.version._addresses import address_fault
 from bramleylead.version._config import Config
 from bramleylead.version._config import apply_ticket
--- a/testing/test_deploy.py
+++ b/testing/test_deploy.py
@@ -12,7 +12,7 @@
 
 from bramleylead.site_settings import GatewaySettings
 from bramleylead.site_settings import LedgerSettings
-from bramleylead.validation import load_model
+from bramleylead.site_settings import load_settings
 
 ROOT = Path(__file__).resolve().parent.parent
 VALUES = {
@@ -52,7 +52,7 @@
     def test_the_templates_make_settings_that_are_accepted(self) -> None:
         for name, model in (("gateway.json", GatewaySettings), ("ledger.json", LedgerSettings)):
             with self.subTest(name):
-                self.assertIsInstance(load_model(model, filled(name)), Ok)
+                self.assertIsInstance(load_settings(model, filled(name)), Ok)
 
     def test_each_role_runs_a_command_with_its_template(self) -> None:
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
