Count the requests of customers with a quota, and grant permits near the limit

Cause: a quota holds for all gateways together, and none of them knows what the others admit.

Change: gateways report counts with AskMirror; ledger nodes share totals and answer with each customer's use.

--- a/src/bramleylead/errors.py
+++ b/src/bramleylead/errors.py
@@ -33,6 +33,7 @@
     CRASHES_ENDPOINTS = "crashes_endpoints"
     STREAM_NOT_RESUMABLE = "stream_not_resumable"
     BUDGET_EXHAUSTED = "budget_exhausted"
+    QUOTA_EXCEEDED = "quota_exceeded"
     OVERLOADED = "overloaded"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     OWNER_UNAVAILABLE = "owner_unavailable"
@@ -84,6 +85,7 @@
     ),
     ErrorKind.LIMIT_REACHED: Answer(422, Ran.NOT_RUN, None, "end the program"),
     ErrorKind.BUDGET_EXHAUSTED: Answer(402, Ran.NOT_RUN, None, "ask the operator for a budget"),
+    ErrorKind.QUOTA_EXCEEDED: Answer(429, Ran.NOT_RUN, 1.0, "send fewer requests"),
     ErrorKind.STREAM_NOT_RESUMABLE: Answer(503, Ran.NOT_RUN, 1.0, "begin the stream again"),
     ErrorKind.CRASHES_ENDPOINTS: Answer(
         503, Ran.NOT_RUN, 10.0, "don't repeat the request: endpoints crashed that ran it"
--- a/src/bramleylead/gateway/_directory.py
+++ b/src/bramleylead/gateway/_directory.py
@@ -75,6 +75,12 @@
         """Seconds since the time up to which all versions of the configuration are known."""
         return self._age_s(names.CONFIGURATION_KIND)
 
+    def may_have_quotas(self) -> bool:
+        """Return whether a customer has a quota, or no configuration is known yet."""
+        if self._configuration is None:
+            return True
+        return any(customer.quota is not None for customer in self._configuration.customers.all)
+
     def set_source(self, source: ConfirmingSource) -> None:
         """Set the source that all is read from, which tells the age of what is known."""
         self._source = source
--- a/src/bramleylead/gateway/_plain_calls.py
+++ b/src/bramleylead/gateway/_plain_calls.py
@@ -18,6 +18,7 @@
 from bramleylead.gateway._call import Outcome
 from bramleylead.gateway._call import UnknownOutcome
 from bramleylead.gateway._crash_guard import CrashGuard
+from bramleylead.gateway._customer_quotas import CustomerQuotas
 from bramleylead.gateway._permit_waits import RETRY_AFTER_S
 from bramleylead.gateway._response_body import StartedResponse
 from bramleylead.gateway._response_body import read_complete
@@ -34,9 +35,10 @@
 class PlainCalls:
     """Answers requests to plain services."""
 
-    def __init__(self, sender: Sender, guard: CrashGuard) -> None:
+    def __init__(self, sender: Sender, guard: CrashGuard, quotas: CustomerQuotas) -> None:
         self._sender = sender
         self._guard = guard
+        self._quotas = quotas
 
     async def answer(self, call: Call) -> Result[CompleteResponse, Failure]:
         """Return a replica's complete response, or a failure, by the caller's deadline."""
@@ -46,7 +48,14 @@
             return Err(refusal)
         attempts = _Attempts(call)
         with anyio.move_on_after(max(0.0, call.remaining_s)):
-            return await self._try_replicas(call, attempts)
+            admitted = await self._quotas.admit(call, under_way=bool(call.metadata.program))
+            if isinstance(admitted, Err):
+                return admitted
+            try:
+                return await self._try_replicas(call, attempts)
+            finally:
+                if not attempts.may_have_run:
+                    self._quotas.give_back(admitted.ok_value)
         return attempts.timeout_result()
 
     async def _try_replicas(
@@ -92,6 +101,11 @@
         self.tried_replicas: set[str] = set()
         self.retry_after_s = RETRY_AFTER_S
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a replica may have run the request, or may be running it."""
+        return self._may_have_run or self._in_flight
+
     @property
     def can_retry(self) -> bool:
         """Whether the request may be sent to another replica."""
@@ -144,7 +158,7 @@
         """Return the result after the deadline has passed."""
         if self._error_response is not None:
             return Ok(self._error_response)
-        if self._may_have_run or self._in_flight:
+        if self.may_have_run:
             return Err(
                 Failure(ErrorKind.OUTCOME_UNKNOWN, "no response within the request's deadline")
             )
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -25,6 +25,7 @@
 from bramleylead.gateway._budgets import Budgets
 from bramleylead.gateway._connection_pool import ConnectionPool
 from bramleylead.gateway._crash_guard import CrashGuard
+from bramleylead.gateway._customer_quotas import CustomerQuotas
 from bramleylead.gateway._directory import Directory
 from bramleylead.gateway._followers import ConfigurationFollower
 from bramleylead.gateway._followers import ReplicaFollower
@@ -106,6 +107,14 @@
         self.directory = Directory()
         self._limits = RateLimits(rng)
         self._crashes = CrashTable(settings.node)
+        self._quotas = CustomerQuotas(
+            peers,
+            ledger,
+            gateway=settings.node,
+            has_quotas=self.directory.may_have_quotas,
+            tasks=tasks,
+            rng=rng,
+        )
         self._store = MonitoredStore(store)
         self._objects = MirroredStore(
             self._store,
@@ -117,6 +126,7 @@
             relay_offer=lambda: self._relay_server.current_offer(),
             traffic=self._limits,
             crashes=self._crashes,
+            usage=self._quotas,
             patience_s=START_PATIENCE_S if settings.ledger_seeds else 0.0,
         )
         self.directory.set_source(self._objects)
@@ -142,8 +152,10 @@
             self._paths,
             rng,
         )
-        streams = StreamCalls(sender, Budgets(ledger, tasks), TurnHistory(ledger), guard)
-        self.app = GatewayApp(self.directory, PlainCalls(sender, guard), streams)
+        budgets = Budgets(ledger, tasks)
+        streams = StreamCalls(sender, budgets, TurnHistory(ledger), guard, self._quotas)
+        plain = PlainCalls(sender, guard, self._quotas)
+        self.app = GatewayApp(self.directory, plain, streams)
         self._relay_server = RelayServer(
             self.directory,
             self._pool,
@@ -257,6 +269,7 @@
             "callers_connected": len(self._http.connection_limit),
             "idle_connections_closed": self._http.connection_limit.closed,
             "unproven_connections_closed": self._peer_server.closed_unproven,
+            **self._quotas.gauges(),
             **object_ages(self._objects, (names.CONFIGURATION_KIND, names.REPLICA_KIND)),
         }
 
--- a/src/bramleylead/gateway/_stream_state.py
+++ b/src/bramleylead/gateway/_stream_state.py
@@ -14,6 +14,8 @@
 from bramleylead.gateway._budgets import BudgetReservation
 from bramleylead.gateway._call import Call
 from bramleylead.gateway._call import CompleteResponse
+from bramleylead.gateway._customer_quotas import NOT_COUNTED
+from bramleylead.gateway._customer_quotas import Admission
 from bramleylead.gateway._permit_waits import RETRY_AFTER_S
 from bramleylead.gateway._plain_calls import MAX_UNREACHED_REPLICAS
 from bramleylead.gateway._replica_connection import ResponseHead
@@ -64,12 +66,14 @@
     :param reservation: the reservation to settle.
     :param service: the service that is to run it.
     :param begun_by: the software that began it, if a caller resumes it.
+    :param admission: how it counts towards its customer's quota.
     """
 
     body: bytes
     reservation: BudgetReservation
     service: str
     begun_by: Software | None = None
+    admission: Admission = NOT_COUNTED
 
 
 @final
@@ -83,6 +87,7 @@
         self.reservation = prepared.reservation
         self.service = prepared.service
         self.begun_by = prepared.begun_by
+        self.admission = prepared.admission
         self.started_at = anyio.current_time()
         self.retry_after_s = RETRY_AFTER_S
         self.started = False
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -23,6 +23,8 @@
 from bramleylead.gateway._call import NotRun
 from bramleylead.gateway._call import UnknownOutcome
 from bramleylead.gateway._crash_guard import CrashGuard
+from bramleylead.gateway._customer_quotas import Admission
+from bramleylead.gateway._customer_quotas import CustomerQuotas
 from bramleylead.gateway._permit_waits import RETRY_AFTER_S
 from bramleylead.gateway._replica_connection import UpstreamError
 from bramleylead.gateway._response_body import StartedResponse
@@ -55,10 +57,16 @@
     """Answers requests on streaming routes."""
 
     def __init__(
-        self, sender: Sender, budgets: Budgets, history: TurnHistory, guard: CrashGuard
+        self,
+        sender: Sender,
+        budgets: Budgets,
+        history: TurnHistory,
+        guard: CrashGuard,
+        quotas: CustomerQuotas,
     ) -> None:
         self._sender = sender
         self._guard = guard
+        self._quotas = quotas
         self._budgets = budgets
         self._history = history
         self._software = StreamSoftware(sender.choice, budgets)
@@ -110,10 +118,29 @@
         if failure is not None:
             self._budgets.settle(call.metadata, reservation, 0)
             return Err(failure)
+        admitted = await self._admit(call, reservation)
+        if isinstance(admitted, Err):
+            return admitted
         begun_by = reservation.begun_by if call.resumes_stream else None
         if begun_by is not None:
             service = begun_by.service
-        return Ok(PreparedRequest(body, reservation, service, begun_by))
+        return Ok(PreparedRequest(body, reservation, service, begun_by, admitted.ok_value))
+
+    async def _admit(
+        self, call: Call, reservation: BudgetReservation
+    ) -> Result[Admission, Failure]:
+        """Check the customer's quota; the reservation of a turn that is not sent is settled."""
+        progress = reservation.progress
+        under_way = bool(call.metadata.previous_turn) or (
+            progress is not None and progress.turns > 0
+        )
+        admitted: Result[Admission, Failure] | None = None
+        try:
+            admitted = await self._quotas.admit(call, under_way=under_way)
+        finally:
+            if not isinstance(admitted, Ok):
+                self._budgets.settle(call.metadata, reservation, 0)
+        return admitted
 
     def _check_reserved(
         self, call: Call, service: str, reservation: BudgetReservation
@@ -142,6 +169,8 @@
                 with anyio.CancelScope(shield=True):
                     await self._give_up(stream)
         finally:
+            if not stream.may_have_run:
+                self._quotas.give_back(stream.admission)
             if not turn_saved:
                 self._budgets.settle(stream.call.metadata, stream.reservation, stream.tokens)
 
--- /dev/null
+++ b/src/bramleylead/ledger/_customer_usage.py
@@ -0,0 +1,194 @@
+"""How many requests each customer with a quota has lately made, over all gateways.
+
+Each gateway reports its counts to one ledger node, with the messages by which it reads the
+platform's objects. Nodes tell each other their totals, and from which gateways they hear. All of
+this is soft state.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import NamedTuple
+from typing import final
+
+from bramleylead.placement._quotas import REPORTED_SHARE
+from bramleylead.placement._quotas import WINDOW_S
+from bramleylead.placement._quotas import KnownUse
+
+HEARD_WITHIN_S = 2.5
+KNOWN_WITHIN_S = 30.0
+
+
+class CustomerCount(NamedTuple):
+    """The requests of a customer in the last window, at one gateway or at those of one node.
+
+    :param free: those admitted without a permit of a quota owner.
+    :param drawn: those admitted with one.
+    :param allowed: the most that its quota allows in a window.
+    """
+
+    customer: str
+    free: float
+    drawn: float
+    allowed: float
+
+
+class CustomerUse(NamedTuple):
+    """The requests of a customer in the last window, over all gateways."""
+
+    customer: str
+    requests: float
+
+
+class HeardGateway(NamedTuple):
+    """A gateway that reports to a node, and how long ago it last did."""
+
+    gateway: str
+    age_s: float
+
+
+class _Report(NamedTuple):
+    counts: tuple[CustomerCount, ...]
+    reported_at: float
+
+    def weight(self, now: float) -> float:
+        """Return the part of the counted requests that is still within the last window."""
+        return max(0.0, 1.0 - (now - self.reported_at) / WINDOW_S)
+
+
+@final
+class CustomerUsage:
+    """The counts that were reported to one node, and those that were reported to others.
+
+    :param now: when the node started.
+    """
+
+    def __init__(self, *, now: float) -> None:
+        self._started_at = now
+        self._gateways: dict[str, _Report] = {}
+        self._members: dict[str, _Report] = {}
+        self._heard_at: dict[str, float] = {}
+        self._serving: set[str] = set()
+
+    @property
+    def serving_members(self) -> tuple[str, ...]:
+        """The other nodes that are known to run a build that grants permits."""
+        return tuple(sorted(self._serving))
+
+    @property
+    def is_used(self) -> bool:
+        """Whether any gateway has lately reported a customer's requests."""
+        reports = (*self._gateways.values(), *self._members.values())
+        return any(report.counts for report in reports)
+
+    @property
+    def started_at(self) -> float:
+        """When the node started; it knows nothing of the time before."""
+        return self._started_at
+
+    def record_gateway(
+        self, gateway: str, counts: tuple[CustomerCount, ...], *, now: float
+    ) -> None:
+        """Record what a gateway reports to this node."""
+        self._gateways[gateway] = _Report(counts, now)
+        self._heard_at[gateway] = now
+
+    def record_member(
+        self,
+        member: str,
+        counts: tuple[CustomerCount, ...],
+        gateways: Iterable[HeardGateway],
+        *,
+        now: float,
+    ) -> None:
+        """Record another node's totals, and the gateways that report to it."""
+        self._serving.add(member)
+        self._members[member] = _Report(counts, now)
+        for gateway, age_s in gateways:
+            heard_at = now - max(0.0, age_s)
+            own = self._gateways.get(gateway)
+            if own is not None and own.reported_at < heard_at:
+                # It reports to the other node now, which counts its requests.
+                del self._gateways[gateway]
+            self._heard_at[gateway] = max(heard_at, self._heard_at.get(gateway, heard_at))
+
+    def own_totals(self, *, now: float) -> tuple[CustomerCount, ...]:
+        """Return the totals of what gateways have reported to this node."""
+        self._forget(now)
+        return tuple(
+            CustomerCount(customer, *total)
+            for customer, total in sorted(_totals(self._gateways, now).items())
+        )
+
+    def own_gateways(self, *, now: float) -> tuple[HeardGateway, ...]:
+        """Return the gateways that report to this node."""
+        return tuple(
+            HeardGateway(gateway, round(now - report.reported_at, 3))
+            for gateway, report in sorted(self._gateways.items())
+        )
+
+    def known_use(self, customer: str, *, now: float) -> KnownUse:
+        """Return a customer's requests of the last window, over all gateways."""
+        free = drawn = 0.0
+        for reports in (self._gateways, self._members):
+            for report in reports.values():
+                weight = report.weight(now)
+                for count in report.counts if weight else ():
+                    if count.customer == customer:
+                        free += weight * count.free
+                        drawn += weight * count.drawn
+        return KnownUse(free, drawn)
+
+    def high_use(self, *, now: float) -> tuple[CustomerUse, ...]:
+        """Return the use of every customer above a quarter of its allowance."""
+        totals = _totals(self._gateways, now)
+        for customer, other in _totals(self._members, now).items():
+            totals[customer] = _sum(totals.get(customer), other)
+        return tuple(
+            CustomerUse(customer, round(total.free + total.drawn, 2))
+            for customer, total in sorted(totals.items())
+            if total.free + total.drawn > REPORTED_SHARE * total.allowed
+        )
+
+    def known_gateways(self, *, now: float) -> int:
+        """Return how many gateways have been heard from at all nodes, for some time back."""
+        self._forget(now)
+        return len(self._heard_at)
+
+    def heard_share(self, *, now: float) -> float:
+        """Return the part of the known gateways that has lately been heard from."""
+        known = self.known_gateways(now=now)
+        heard = sum(now - at <= HEARD_WITHIN_S for at in self._heard_at.values())
+        return heard / known if known else 1.0
+
+    def _forget(self, now: float) -> None:
+        for reports in (self._gateways, self._members):
+            for name in [name for name, report in reports.items() if not report.weight(now)]:
+                del reports[name]
+        for name in [name for name, at in self._heard_at.items() if now - at > KNOWN_WITHIN_S]:
+            del self._heard_at[name]
+
+
+class _Total(NamedTuple):
+    free: float
+    drawn: float
+    allowed: float
+
+
+def _totals(reports: Mapping[str, _Report], now: float) -> dict[str, _Total]:
+    totals: dict[str, _Total] = {}
+    for report in reports.values():
+        weight = report.weight(now)
+        for customer, free, drawn, allowed in report.counts:
+            counted = _Total(weight * free, weight * drawn, allowed)
+            totals[customer] = _sum(totals.get(customer), counted)
+    return totals
+
+
+def _sum(total: _Total | None, other: _Total) -> _Total:
+    if total is None:
+        return other
+    return _Total(
+        total.free + other.free, total.drawn + other.drawn, min(total.allowed, other.allowed)
+    )
--- a/src/bramleylead/ledger/_load_sharing.py
+++ b/src/bramleylead/ledger/_load_sharing.py
@@ -13,6 +13,7 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import Reply
+from bramleylead.ledger._customer_usage import CustomerUsage
 from bramleylead.ledger._members import LedgerMember
 from bramleylead.ledger._messages import KnownCrashes
 from bramleylead.ledger._messages import ReportCrash
@@ -31,8 +32,15 @@
 class LoadSharing:
     """Keeps the members' tables of load reports alike; each gateway reports to some of them."""
 
-    def __init__(self, node: LedgerNode, peers: PeerClient, shares: TrafficShares) -> None:
+    def __init__(
+        self,
+        node: LedgerNode,
+        peers: PeerClient,
+        shares: TrafficShares,
+        usage: CustomerUsage | None = None,
+    ) -> None:
         self._node = node
+        self._usage = usage or CustomerUsage(now=anyio.current_time())
         self._peers = peers
         self._shares = shares
         self._shared_at = float("-inf")
@@ -52,10 +60,19 @@
             crashes = self._node.crashes.take_unshared(now=now)
             is_due = bool(loads or crashes) or now - self._shared_at >= MAX_SHARE_INTERVAL_S
             demand_per_s = self._shares.own_demand_per_s()
-            if not is_due or not self._node.is_member or not (loads or crashes or demand_per_s):
+            has_news = bool(loads or crashes or demand_per_s or self._usage.is_used)
+            if not is_due or not self._node.is_member or not has_news:
                 continue
             self._shared_at = now
-            message = ShareLoads(loads, self._node.own_entry.node, demand_per_s, crashes)
+            message = ShareLoads(
+                loads,
+                self._node.own_entry.node,
+                demand_per_s,
+                crashes,
+                usage=self._usage.own_totals(now=now),
+                gateways=self._usage.own_gateways(now=now),
+                grants_permits=True,
+            )
             async with anyio.create_task_group() as tasks:
                 for member in self._node.view.members:
                     if member != self._node.own_entry:
@@ -81,4 +98,8 @@
         self._node.crashes.merge_all(request.crashes, now=anyio.current_time())
         if request.member:
             self._shares.record_member(request.member, request.demand_per_s)
+        if request.grants_permits:
+            self._usage.record_member(
+                request.member, request.usage, request.gateways, now=anyio.current_time()
+            )
         await reply.send(Done())
--- a/src/bramleylead/ledger/_messages.py
+++ b/src/bramleylead/ledger/_messages.py
@@ -5,6 +5,8 @@
 from typing import NamedTuple
 
 from bramleylead.connection import message
+from bramleylead.ledger._customer_usage import CustomerCount
+from bramleylead.ledger._customer_usage import HeardGateway
 from bramleylead.ledger._members import LedgerView
 from bramleylead.ledger._records import KeptTurn
 from bramleylead.ledger._records import Spending
@@ -183,12 +185,18 @@
     :param member: the sending node.
     :param demand_per_s: the requests a second of all gateways that report to it.
     :param crashes: the crashes that were reported, and the requests that were cleared of them.
+    :param usage: the requests of customers with a quota, at all gateways that report to it.
+    :param gateways: the gateways that report to it.
+    :param grants_permits: whether it can be a quota owner; nodes of earlier versions can't.
     """
 
     loads: tuple[GatewayLoad, ...]
     member: str = ""
     demand_per_s: float = 0.0
     crashes: tuple[CrashEvidence, ...] = ()
+    usage: tuple[CustomerCount, ...] = ()
+    gateways: tuple[HeardGateway, ...] = ()
+    grants_permits: bool = False
 
 
 @message(183)
@@ -213,3 +221,40 @@
     """What the node knows of the reported request, from this report and others."""
 
     crashes: tuple[CrashEvidence, ...]
+
+
+@message(205)
+class DrawPermits(NamedTuple):
+    """Asks a customer's quota owner for permits; answered by :class:`Permits`.
+
+    :param rate_per_s: the customer's quota, as the gateway's configuration has it.
+    :param count: the permits asked for.
+    :param under_way: how many of them are for programs in progress.
+    :param recent: the customer's requests of the last 5 s at this gateway.
+    :param unreported: those of them that were admitted without a permit and that no other node
+        can know yet.
+    :param returned: permits drawn before that were not used.
+    """
+
+    customer: str
+    rate_per_s: float
+    burst: float
+    count: int
+    under_way: int
+    gateway: str
+    recent: int = 0
+    unreported: int = 0
+    returned: int = 0
+
+
+@message(206)
+class Permits(NamedTuple):
+    """The permits granted, each for one request within 0.5 s.
+
+    :param retry_after_s: when the next one is expected; 0 if all were granted.
+    :param contended: whether the customer is near its limit.
+    """
+
+    granted: int
+    retry_after_s: float
+    contended: bool = True
--- a/src/bramleylead/ledger/_mirror.py
+++ b/src/bramleylead/ledger/_mirror.py
@@ -21,6 +21,9 @@
 from bramleylead.connection import message
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
+from bramleylead.ledger._customer_usage import CustomerCount
+from bramleylead.ledger._customer_usage import CustomerUsage
+from bramleylead.ledger._customer_usage import CustomerUse
 from bramleylead.ledger._relay_table import RelayGateway
 from bramleylead.ledger._relay_table import RelayTable
 from bramleylead.ledger._traffic_shares import TrafficShares
@@ -51,6 +54,8 @@
     :param demand_per_s: the requests a second that this gateway gets.
     :param relay_address: where this gateway takes the requests of others; empty if it takes none.
     :param data_centre: the gateway's.
+    :param usage: the requests of customers with a quota at this gateway.
+    :param reports_usage: whether the gateway counts these requests, even if there are none.
     """
 
     kind: str
@@ -61,6 +66,8 @@
     demand_per_s: float = 0.0
     relay_address: str = ""
     data_centre: str = ""
+    usage: tuple[CustomerCount, ...] = ()
+    reports_usage: bool = False
 
 
 @message(180)
@@ -87,6 +94,9 @@
     :param waited_s: seconds for which the node held the request.
     :param traffic_share: the part of the fleet's traffic that the gateway has; 0 if unknown.
     :param crashes: the requests that crash replicas, as far as this has lately become known.
+    :param customers: the use of every customer above a quarter of its allowance.
+    :param gateways: how many gateways are known at all nodes; 0 if the node doesn't count them.
+    :param quota_owners: the nodes that can be quota owners.
     """
 
     full_list: bool
@@ -98,6 +108,9 @@
     waited_s: float = 0.0
     traffic_share: float = 0.0
     crashes: tuple[CrashEvidence, ...] = ()
+    customers: tuple[CustomerUse, ...] = ()
+    gateways: int = 0
+    quota_owners: tuple[str, ...] = ()
 
 
 class _Change(NamedTuple):
@@ -228,6 +241,8 @@
     :param crashes: the requests that crash replicas, of which gateways are told.
     :param relays: the gateways that take requests of others.
     :param ledger_epoch: returns the epoch to report with each answer.
+    :param usage: the requests of the customers; ``None`` if the node doesn't count them.
+    :param node: the name of this node.
     """
 
     def __init__(
@@ -239,7 +254,11 @@
         relays: RelayTable,
         *,
         ledger_epoch: Callable[[], int] = lambda: 0,
+        usage: CustomerUsage | None = None,
+        node: str = "",
     ) -> None:
+        self._usage = usage
+        self._node = node
         self._shares = shares
         self._crashes = crashes
         self._relays = relays
@@ -260,17 +279,29 @@
             self._shares.record_gateway(request.gateway, request.demand_per_s)
             offer = RelayGateway(request.gateway, request.relay_address, request.data_centre)
             self._relays.record(offer, now=anyio.current_time())
+            if self._usage is not None and request.reports_usage:
+                self._usage.record_gateway(request.gateway, request.usage, now=anyio.current_time())
         answer = await mirrored.answer(request)
         if isinstance(answer, Failure):
             await reply.fail(answer)
         else:
-            await reply.send(
-                answer._replace(
-                    ledger_epoch=self._ledger_epoch(),
-                    traffic_share=self._shares.share_of(request.gateway),
-                    crashes=self._crashes_for(request),
-                )
+            answer = answer._replace(
+                ledger_epoch=self._ledger_epoch(),
+                traffic_share=self._shares.share_of(request.gateway),
+                crashes=self._crashes_for(request),
             )
+            await reply.send(self._with_usage(answer, request))
+
+    def _with_usage(self, answer: Mirrored, request: AskMirror) -> Mirrored:
+        """Add what the gateway needs to apply quotas."""
+        if self._usage is None or not request.reports_usage:
+            return answer
+        now = anyio.current_time()
+        return answer._replace(
+            customers=self._usage.high_use(now=now),
+            gateways=self._usage.known_gateways(now=now),
+            quota_owners=(self._node, *self._usage.serving_members),
+        )
 
     def _crashes_for(self, request: AskMirror) -> tuple[CrashEvidence, ...]:
         now = anyio.current_time()
--- a/src/bramleylead/ledger/_mirrored_store.py
+++ b/src/bramleylead/ledger/_mirrored_store.py
@@ -22,6 +22,7 @@
 from result import Result
 
 from bramleylead.connection import PeerClient
+from bramleylead.ledger._customer_usage import CustomerCount
 from bramleylead.ledger._members import LedgerMember
 from bramleylead.ledger._members import LedgerView
 from bramleylead.ledger._mirror import NO_REVISION
@@ -85,6 +86,18 @@
         ...
 
 
+class UsageReporter(Protocol):
+    """What a gateway reports of its customers' requests, and what it gets to know of their use."""
+
+    def report(self) -> tuple[CustomerCount, ...] | None:
+        """Return the requests of the last 5 s; ``None`` if no customer has a quota."""
+        ...
+
+    def record_answer(self, mirrored: Mirrored, *, asked_at: float) -> None:
+        """Record what a node knows of the customers' use, and when it was asked."""
+        ...
+
+
 @final
 class MirroredStore:
     """The platform's objects as one gateway or spare node reads them.
@@ -94,6 +107,7 @@
     :param relay_offer: returns how this gateway offers to take the requests of others.
     :param traffic: this gateway's traffic.
     :param crashes: learns of the requests that crash replicas.
+    :param usage: reports the requests of the customers, and learns of their use.
     :param patience_s: after the start, the store is not queried for this time, since the nodes
         usually start at the same moment.
     :param on_store_failure: called with the seconds since the store last failed.
@@ -111,6 +125,7 @@
         relay_offer: Callable[[], RelayGateway] = lambda: NO_RELAY,
         traffic: TrafficReporter | None = None,
         crashes: CrashTable | None = None,
+        usage: UsageReporter | None = None,
         patience_s: float = 0.0,
     ) -> None:
         self._rng = rng
@@ -123,6 +138,7 @@
         self._relay_offer = relay_offer
         self._traffic = traffic
         self._crashes = crashes
+        self._usage = usage
         self._seen_revisions: dict[str, int] = {}
         self._failed_at: dict[str, float] = {}
         self._store_retry_at = anyio.current_time() + patience_s
@@ -191,9 +207,14 @@
         )
         if self._traffic is not None:
             request = request._replace(demand_per_s=self._traffic.demand_per_s)
+        counts = None if self._usage is None else self._usage.report()
+        if counts is not None:
+            request = request._replace(usage=counts, reports_usage=True)
         mirrored = await self._query_first([members[0]], request)
         if mirrored is None:
-            mirrored = await self._query_first(members[1:], request._replace(wait_s=0.0))
+            # Several nodes are queried, and each would count the customers' requests.
+            request = request._replace(wait_s=0.0, usage=(), reports_usage=False)
+            mirrored = await self._query_first(members[1:], request)
         if mirrored is not None and mirrored.ledger_epoch > self._ledger.view.epoch:
             await self._ledger.refresh()
         return mirrored
@@ -239,6 +260,8 @@
             self._traffic.record_share(mirrored.traffic_share)
         if self._crashes is not None:
             self._crashes.merge_all(mirrored.crashes, now=anyio.current_time())
+        if self._usage is not None and request.reports_usage:
+            self._usage.record_answer(mirrored, asked_at=started_at)
         since_failure_s = self._outages.record(member.node, mirrored.since_failure_s)
         if since_failure_s is not None:
             self._on_store_failure(since_failure_s)
--- a/src/bramleylead/ledger/_service.py
+++ b/src/bramleylead/ledger/_service.py
@@ -13,6 +13,7 @@
 from bramleylead.connection import Network
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
+from bramleylead.ledger._customer_usage import CustomerUsage
 from bramleylead.ledger._disk import Disk
 from bramleylead.ledger._disk_loading import load_node
 from bramleylead.ledger._load_sharing import LoadSharing
@@ -21,6 +22,7 @@
 from bramleylead.ledger._mirror import Mirror
 from bramleylead.ledger._node import LedgerNode
 from bramleylead.ledger._node_objects import NodeObjects
+from bramleylead.ledger._quota_owner import QuotaOwner
 from bramleylead.ledger._relay_table import RelayTable
 from bramleylead.ledger._retirement import RetirementFollower
 from bramleylead.ledger._retirement import run_membership
@@ -81,7 +83,9 @@
         )
         shares = TrafficShares()
         relays = RelayTable(rng)
-        self._load_sharing = LoadSharing(self._node, peers, shares)
+        usage = CustomerUsage(now=anyio.current_time())
+        self._quota_owner = QuotaOwner(usage, is_member=lambda: self._node.is_member)
+        self._load_sharing = LoadSharing(self._node, peers, shares, usage)
         self._monitored_store = MonitoredStore(store)
         self._objects = NodeObjects(self._node, self._monitored_store, peers, rng)
         self._mirror = Mirror(
@@ -91,6 +95,8 @@
             self._node.crashes,
             relays,
             ledger_epoch=lambda: self._node.view.epoch,
+            usage=usage,
+            node=settings.node,
         )
         self._membership = Membership(
             self._node,
@@ -101,7 +107,8 @@
             regions=settings.data_centres,
         )
         self._retirement = RetirementFollower(settings.node)
-        for component in (self._node, self._load_sharing, relays, self._mirror):
+        components = (self._node, self._load_sharing, relays, self._mirror, self._quota_owner)
+        for component in components:
             component.register_handlers(self._server)
         metrics.describe(self._gauges, self._node.dump)
 
@@ -133,7 +140,11 @@
         await self._server.drain(timeout_s=DRAIN_TIMEOUT_S)
 
     def _gauges(self) -> dict[str, float]:
-        return {**self._node.gauges(), **object_ages(self._objects, MIRRORED_KINDS)}
+        return {
+            **self._node.gauges(),
+            **self._quota_owner.gauges(),
+            **object_ages(self._objects, MIRRORED_KINDS),
+        }
 
     def _start_background_tasks(self) -> None:
         start = partial(self._tasks.start_soon, supervise)
--- a/testing/gateway/_site.py
+++ b/testing/gateway/_site.py
@@ -21,6 +21,7 @@
 from bramleylead.gateway._budgets import Budgets
 from bramleylead.gateway._connection_pool import ConnectionPool
 from bramleylead.gateway._crash_guard import CrashGuard
+from bramleylead.gateway._customer_quotas import CustomerQuotas
 from bramleylead.gateway._directory import Directory
 from bramleylead.gateway._load_reporter import LoadReporter
 from bramleylead.gateway._path_monitor import PathMonitor
@@ -295,8 +296,17 @@
         view = self.network.view(host)
         self.paths = ReplicaPaths()
         self.pool = ConnectionPool(view, id_header=REQUEST_ID_HEADER, paths=self.paths)
+        peers = peers or PeerClient(view, node=host, cluster_key=KEY)
+        self.quotas = CustomerQuotas(
+            peers,
+            ledger or NoMembers(),
+            gateway=host,
+            has_quotas=self.directory.may_have_quotas,
+            tasks=tasks,
+            rng=rng,
+        )
         relays = Relays(
-            peers or PeerClient(view, node=host, cluster_key=KEY),
+            peers,
             ledger or NoMembers(),
             node=host,
             data_centre="d",
@@ -344,8 +354,9 @@
         )
         budgets = Budgets(self.ledger, tasks)  # type: ignore[arg-type]
         history = TurnHistory(self.ledger)  # type: ignore[arg-type]
-        streams = StreamCalls(sender, budgets, history, guard)
-        self.app = GatewayApp(self.directory, PlainCalls(sender, guard), streams)
+        streams = StreamCalls(sender, budgets, history, guard, self.quotas)
+        plain = PlainCalls(sender, guard, self.quotas)
+        self.app = GatewayApp(self.directory, plain, streams)
 
     async def add_replica(
         self, name: str, script: Script, *, service: str = "svc", version: str = "v1"
