Tell gateways at once of a customer that begins to flood

Cause: in the replay a customer of 2 requests a second that floods through all 63 gateways had 44 requests in a span of 5 s, of 40 allowed: gateways that hadn't served it before took it for uncontended, and learned of its rise up to 0.8 s late.

Change: a new customer's state follows the last known use; a rise from half to three quarters of the allowance within a second ends the wait of AskMirror; a gateway that reaches no owner of a customer asks for each request.

--- a/src/bramleylead/gateway/_customer_quotas.py
+++ b/src/bramleylead/gateway/_customer_quotas.py
@@ -48,9 +48,12 @@
 PERMIT_LIFETIME_S = 0.5
 EXPECTED_S = 0.2
 """A draw also asks for the requests that are expected in this time."""
-MAX_KNOWN_AGE_S = 1.5
-"""A gateway whose knowledge of the customers' use is older asks for each request. It is refreshed
-every 0.8 s, or after 1.1 s if the node that was queried has failed."""
+MAX_KNOWN_AGE_S = 1.0
+"""A gateway whose knowledge of the customers' use is older asks for each request. Each of two
+kinds of objects is queried at least every 0.8 s, and refreshes it."""
+NO_OWNER_S = 1.0
+"""A gateway that has reached no owner of some customer is likely to be cut off from the ledger. For
+this time it asks for each request of any customer."""
 SHARED_AFTER_S = 0.3
 """Until a node has told the others what a gateway has reported to it."""
 AVOID_FAILED_OWNER_S = 1.0
@@ -198,6 +201,7 @@
         self._gateways = UNKNOWN_GATEWAYS
         self._owners: set[str] = set()
         self._failed_at: dict[str, float] = {}
+        self._no_owner_at = float("-inf")
         self._draws = 0
         self._failed_draws = 0
         self._permits_drawn = 0
@@ -286,6 +290,8 @@
         state = self._states.get(name)
         if state is None:
             state = self._states[name] = _CustomerState(quota, self._rng, now=now)
+            contended = is_contended(self._uses.get(name, 0.0), quota, before=False)
+            self._set_contended(name, state, contended, source="report")
         state.quota = quota
         state.used_at = now
         return state
@@ -294,6 +300,7 @@
         return (
             state.contended
             or now - self._known_at > MAX_KNOWN_AGE_S
+            or now - self._no_owner_at < NO_OWNER_S
             or exceeds_free(state.recent(now=now), state.quota)
         )
 
@@ -365,6 +372,7 @@
             reason = answer.err_value.detail if isinstance(answer, Err) else "unexpected answer"
             log.info("quota_owner_failed", customer=name, member=member.node, reason=reason)
         state.returned += returned
+        self._no_owner_at = anyio.current_time()
         return None
 
     def _owners_of(self, name: str) -> list[LedgerMember]:
--- a/src/bramleylead/ledger/_customer_usage.py
+++ b/src/bramleylead/ledger/_customer_usage.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -16,6 +17,11 @@
 from bramleylead.placement._quotas import WINDOW_S
 from bramleylead.placement._quotas import KnownUse
 
+RISEN_ABOVE_SHARE = 0.75
+RISEN_FROM_SHARE = 0.5
+RISE_S = 1.0
+"""A use that rises from one part of the allowance to the other in this time is a flood. Gateways
+are told at once; otherwise those that see little of it each learn of it after 0.8 s."""
 HEARD_WITHIN_S = 2.5
 KNOWN_WITHIN_S = 30.0
 
@@ -70,6 +76,7 @@
         self._members: dict[str, _Report] = {}
         self._heard_at: dict[str, float] = {}
         self._serving: set[str] = set()
+        self._shares: deque[tuple[float, dict[str, float]]] = deque()
 
     @property
     def serving_members(self) -> tuple[str, ...]:
@@ -142,13 +149,29 @@
 
     def high_use(self, *, now: float) -> tuple[CustomerUse, ...]:
         """Return the use of every customer above a quarter of its allowance."""
-        totals = _totals(self._gateways, now)
-        for customer, other in _totals(self._members, now).items():
-            totals[customer] = _sum(totals.get(customer), other)
         return tuple(
-            CustomerUse(customer, round(total.free + total.drawn, 2))
-            for customer, total in sorted(totals.items())
-            if total.free + total.drawn > REPORTED_SHARE * total.allowed
+            CustomerUse(customer, round(total.requests, 2))
+            for customer, total in sorted(self._all_totals(now).items())
+            if total.requests > REPORTED_SHARE * total.allowed
+        )
+
+    def has_risen(self, *, now: float) -> bool:
+        """Return whether a customer has begun to flood since about a second ago.
+
+        Compares with the values of earlier calls.
+        """
+        shares = {
+            customer: total.requests / total.allowed
+            for customer, total in self._all_totals(now).items()
+            if total.requests > REPORTED_SHARE * total.allowed
+        }
+        while self._shares and now - self._shares[0][0] > RISE_S:
+            self._shares.popleft()
+        before = self._shares[0][1] if self._shares else shares
+        self._shares.append((now, shares))
+        return any(
+            share > RISEN_ABOVE_SHARE and before.get(customer, 0.0) < RISEN_FROM_SHARE
+            for customer, share in shares.items()
         )
 
     def known_gateways(self, *, now: float) -> int:
@@ -162,6 +185,12 @@
         heard = sum(now - at <= HEARD_WITHIN_S for at in self._heard_at.values())
         return heard / known if known else 1.0
 
+    def _all_totals(self, now: float) -> dict[str, _Total]:
+        totals = _totals(self._gateways, now)
+        for customer, other in _totals(self._members, now).items():
+            totals[customer] = _sum(totals.get(customer), other)
+        return totals
+
     def _forget(self, now: float) -> None:
         for reports in (self._gateways, self._members):
             for name in [name for name, report in reports.items() if not report.weight(now)]:
@@ -175,6 +204,11 @@
     drawn: float
     allowed: float
 
+    @property
+    def requests(self) -> float:
+        """All requests of the last window."""
+        return self.free + self.drawn
+
 
 def _totals(reports: Mapping[str, _Report], now: float) -> dict[str, _Total]:
     totals: dict[str, _Total] = {}
--- a/src/bramleylead/ledger/_load_sharing.py
+++ b/src/bramleylead/ledger/_load_sharing.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import final
 
 import anyio
@@ -30,7 +31,11 @@
 
 @final
 class LoadSharing:
-    """Keeps the members' tables of load reports alike; each gateway reports to some of them."""
+    """Keeps the members' tables of load reports alike; each gateway reports to some of them.
+
+    :param usage: the requests of customers with a quota.
+    :param on_rise: called when one of them has begun to flood.
+    """
 
     def __init__(
         self,
@@ -38,8 +43,11 @@
         peers: PeerClient,
         shares: TrafficShares,
         usage: CustomerUsage | None = None,
+        *,
+        on_rise: Callable[[], None] = lambda: None,
     ) -> None:
         self._node = node
+        self._on_rise = on_rise
         self._usage = usage or CustomerUsage(now=anyio.current_time())
         self._peers = peers
         self._shares = shares
@@ -56,6 +64,8 @@
         while True:
             await anyio.sleep(SHARE_INTERVAL_S)
             now = anyio.current_time()
+            if self._usage.is_used and self._usage.has_risen(now=now):
+                self._on_rise()
             loads = self._node.fleet.take_unshared(now=now)
             crashes = self._node.crashes.take_unshared(now=now)
             is_due = bool(loads or crashes) or now - self._shared_at >= MAX_SHARE_INTERVAL_S
--- a/src/bramleylead/ledger/_mirror.py
+++ b/src/bramleylead/ledger/_mirror.py
@@ -134,6 +134,7 @@
         self._failing_since: float | None = None
         self._last_failure_at: float | None = None
         self._updated = anyio.Event()
+        self._announcements = 0
 
     @property
     def is_current(self) -> bool:
@@ -164,11 +165,21 @@
             self._failing_since = now
         self._notify_waiters()
 
+    def announce(self) -> None:
+        """Answer the requests that wait, though nothing has changed in the store."""
+        self._announcements += 1
+        self._notify_waiters()
+
     async def answer(self, request: AskMirror) -> Mirrored | Failure:
         """Return the changes since a revision, waiting until there are any."""
         started_at = anyio.current_time()
+        announcements = self._announcements
         with anyio.move_on_after(request.wait_s):
-            while self.is_current and not self._has_update(request):
+            while (
+                self.is_current
+                and not self._has_update(request)
+                and self._announcements == announcements
+            ):
                 with anyio.move_on_after(max(MIN_WAIT_S, MAX_NODE_AGE_S - self._age_s())):
                     await self._updated.wait()
         full_list = request.full_list or request.known_revision < self._history_from
@@ -269,6 +280,11 @@
         """Register the handler of the gateways' requests."""
         server.handle(AskMirror, self._ask)
 
+    def announce_use(self) -> None:
+        """Tell the gateways at once that the use of a customer has changed much."""
+        for mirrored in self.kinds.values():
+            mirrored.announce()
+
     async def _ask(self, request: AskMirror, reply: Reply) -> None:
         mirrored = self.kinds.get(request.kind)
         if mirrored is None:
--- a/src/bramleylead/ledger/_service.py
+++ b/src/bramleylead/ledger/_service.py
@@ -85,7 +85,9 @@
         relays = RelayTable(rng)
         usage = CustomerUsage(now=anyio.current_time())
         self._quota_owner = QuotaOwner(usage, is_member=lambda: self._node.is_member)
-        self._load_sharing = LoadSharing(self._node, peers, shares, usage)
+        self._load_sharing = LoadSharing(
+            self._node, peers, shares, usage, on_rise=lambda: self._mirror.announce_use()
+        )
         self._monitored_store = MonitoredStore(store)
         self._objects = NodeObjects(self._node, self._monitored_store, peers, rng)
         self._mirror = Mirror(
--- a/testing/placement/_quota_replay.py
+++ b/testing/placement/_quota_replay.py
@@ -49,7 +49,7 @@
 
     def __init__(self, name: str) -> None:
         self.name = name
-        self.alive = True
+        self.rise = anyio.Event()
         self.start()
 
     def start(self) -> None:
@@ -186,7 +186,9 @@
             await anyio.sleep(LATENCY_S)
             usage.record_gateway(gateway, counts or (), now=anyio.current_time())
             waited_s = self.rng.uniform(0.5, 1.0) * REPORT_WAIT_S
-            await anyio.sleep(waited_s)
+            with anyio.move_on_after(waited_s):
+                await node.rise.wait()
+            waited_s = anyio.current_time() - now - LATENCY_S
             if not node.alive or node.usage is not usage or gateway in self.cut_off:
                 continue
             at = anyio.current_time()
@@ -209,6 +211,9 @@
             now = anyio.current_time()
             alive = [node for node in self.nodes.values() if node.alive]
             for node in alive:
+                if node.usage.has_risen(now=now):
+                    node.rise.set()
+                    node.rise = anyio.Event()
                 totals = node.usage.own_totals(now=now)
                 heard = node.usage.own_gateways(now=now)
                 for other in alive:
