--- a/src/bramleylead/ledger/_load_sharing.py
+++ b/src/bramleylead/ledger/_load_sharing.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import final
 
 import anyio
@@ -13,6 +14,7 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import Reply
+from bramleylead.ledger._customer_usage import CustomerUsage
 from bramleylead.ledger._members import LedgerMember
 from bramleylead.ledger._messages import KnownCrashes
 from bramleylead.ledger._messages import ReportCrash
@@ -29,10 +31,24 @@
 
 @final
 class LoadSharing:
-    """Keeps the members' tables of load reports alike; each gateway reports to some of them."""
+    """Keeps the members' tables of load reports alike; each gateway reports to some of them.
 
-    def __init__(self, node: LedgerNode, peers: PeerClient, shares: TrafficShares) -> None:
+    :param usage: the requests of customers with a quota.
+    :param on_rise: called when one of them has begun to flood.
+    """
+
+    def __init__(
+        self,
+        node: LedgerNode,
+        peers: PeerClient,
+        shares: TrafficShares,
+        usage: CustomerUsage | None = None,
+        *,
+        on_rise: Callable[[], None] = lambda: None,
+    ) -> None:
         self._node = node
+        self._on_rise = on_rise
+        self._usage = usage or CustomerUsage(now=anyio.current_time())
         self._peers = peers
         self._shares = shares
         self._shared_at = float("-inf")
@@ -48,14 +64,25 @@
         while True:
             await anyio.sleep(SHARE_INTERVAL_S)
             now = anyio.current_time()
+            if self._usage.is_used and self._usage.has_risen(now=now):
+                self._on_rise()
             loads = self._node.fleet.take_unshared(now=now)
             crashes = self._node.crashes.take_unshared(now=now)
             is_due = bool(loads or crashes) or now - self._shared_at >= MAX_SHARE_INTERVAL_S
             demand_per_s = self._shares.own_demand_per_s()
-            if not is_due or not self._node.is_member or not (loads or crashes or demand_per_s):
+            has_news = bool(loads or crashes or demand_per_s or self._usage.is_used)
+            if not is_due or not self._node.is_member or not has_news:
                 continue
             self._shared_at = now
-            message = ShareLoads(loads, self._node.own_entry.node, demand_per_s, crashes)
+            message = ShareLoads(
+                loads,
+                self._node.own_entry.node,
+                demand_per_s,
+                crashes,
+                usage=self._usage.own_totals(now=now),
+                gateways=self._usage.own_gateways(now=now),
+                grants_permits=True,
+            )
             async with anyio.create_task_group() as tasks:
                 for member in self._node.view.members:
                     if member != self._node.own_entry:
@@ -81,4 +108,8 @@
         self._node.crashes.merge_all(request.crashes, now=anyio.current_time())
         if request.member:
             self._shares.record_member(request.member, request.demand_per_s)
+        if request.grants_permits:
+            self._usage.record_member(
+                request.member, request.usage, request.gateways, now=anyio.current_time()
+            )
         await reply.send(Done())
