Rank quota owners without the fleet's module, which needs pydantic

The deployed help's test shows it.

Change: gateways rank ledger nodes by a digest of customer and node; xxhash is not deployed.

Measured: testing.cli.test_deployed_help and test_deploy pass (the first failed before).

--- a/src/bramleylead/gateway/_customer_quotas.py
+++ b/src/bramleylead/gateway/_customer_quotas.py
@@ -27,7 +27,6 @@
 from bramleylead.customers import Quota
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
-from bramleylead.fleet._rendezvous import score
 from bramleylead.gateway._call import Call
 from bramleylead.ledger._customer_usage import CustomerCount
 from bramleylead.ledger._members import LedgerMember
@@ -42,6 +41,7 @@
 from bramleylead.placement._quotas import SlidingCount
 from bramleylead.placement._quotas import exceeds_free
 from bramleylead.placement._quotas import is_contended
+from bramleylead.placement._quotas import owner_rank
 from bramleylead.supervision import contain
 
 DRAW_TIMEOUT_S = 0.25
@@ -380,7 +380,7 @@
         now = anyio.current_time()
         ranking = sorted(
             (member for member in self._ledger.view.members if member.node in self._owners),
-            key=lambda member: (score(f"quota/{name}", member.node), member.node),
+            key=lambda member: owner_rank(name, member.node),
             reverse=True,
         )
         return [
--- a/src/bramleylead/placement/_quotas.py
+++ b/src/bramleylead/placement/_quotas.py
@@ -10,6 +10,7 @@
 import math
 import random
 from collections import deque
+from hashlib import blake2b
 from typing import NamedTuple
 from typing import final
 
@@ -40,6 +41,11 @@
 OWN_PERMIT_LIFETIME_S = 1.0
 
 
+def owner_rank(customer: str, node: str) -> bytes:
+    """Return the rank of a node for a customer; its quota owner is the node that ranks highest."""
+    return blake2b(f"{customer} {node}".encode()).digest()
+
+
 def with_margin(quota: Quota) -> float:
     """Return the requests that an owner lets pass in any window."""
     return quota.allowed(WINDOW_S) + margin_of(quota)
