ledger: check the members' disks after the copies of a join

Cause: a member that lost its disk after the joining node had copied from it still counted as one of the members that synchronised.

Change: after its copies a joining node asks each member that synchronised for its state again, and leaves the list alone if one does not answer with the disk of its entry.

--- a/src/bramleylead/ledger/_membership.py
+++ b/src/bramleylead/ledger/_membership.py
@@ -295,6 +295,10 @@
             if isinstance(copied, Err):
                 log.info("join_waits", epoch=view.epoch, reason=copied.err_value.detail)
                 return
+        checked = await self._synchroniser.check_disks(synchronised.ok_value)
+        if isinstance(checked, Err):
+            log.info("join_waits", epoch=view.epoch, reason=checked.err_value.detail)
+            return
         await self._change(view, view.with_member(self._node.own_entry))
 
     async def _remove_member(self, node: str) -> bool:
--- a/src/bramleylead/ledger/_synchronisation.py
+++ b/src/bramleylead/ledger/_synchronisation.py
@@ -66,6 +66,15 @@
                     return caught_up
         return Ok(live)
 
+    async def check_disks(self, members: list[LedgerMember]) -> Result[None, Failure]:
+        """Check that members still answer with the disks of their entries."""
+        live, _ = await self._probe(members)
+        missing = [member.node for member in members if member not in live]
+        if missing:
+            detail = f"{', '.join(missing)} did not confirm the disk after the copies"
+            return Err(Failure(ErrorKind.NOT_DURABLE, detail))
+        return Ok(None)
+
     async def _probe(self, members: Iterable[LedgerMember]) -> _Probed:
         live = []
         lost = []
--- a/testing/ledger/quorum_model.py
+++ b/testing/ledger/quorum_model.py
@@ -43,7 +43,7 @@
     leaver_is_source: bool = True
     removal_covers_former_epochs: bool = True
     sources_checked: bool = True
-    disk_checked_after_copies: bool = False
+    disk_checked_after_copies: bool = True
     one_holder_joins: bool = False
 
 
--- a/testing/ledger/test_membership.py
+++ b/testing/ledger/test_membership.py
@@ -8,6 +8,7 @@
 from result import Result
 
 from bramleylead.errors import ErrorKind
+from bramleylead.errors import Failure
 from bramleylead.ledger._members import NO_VIEW
 from bramleylead.ledger._members import LedgerMember
 from bramleylead.ledger._members import LedgerView
@@ -208,6 +209,42 @@
 
         run_with_ledger(main, count=4)
 
+    # Guards against a join that counts a member as a holder of the entries though it has lost its
+    # disk after it was copied from.
+    def test_no_node_joins_while_a_member_that_it_copied_from_has_lost_its_disk(self) -> None:
+        async def main(ledger: Ledger, tasks: anyio.abc.TaskGroup) -> None:
+            change = ledger.members.change
+            lost_at_join: list[set[str]] = []
+
+            async def note_and_change(before: LedgerView, after: LedgerView) -> Result[None, str]:
+                if after.member("s3") is not None and before.member("s3") is None:
+                    disks = {disk.name for disk in ledger.disks.values()}
+                    lost_at_join.append({member.disk for member in before.members} - disks)
+                return await change(before, after)
+
+            ledger.members.change = note_and_change  # type: ignore[method-assign]
+            ledger.target_size = 4
+            await ledger.start(3, tasks=tasks)
+            joining = ledger.nodes[3]
+            copy_from = joining.copy_from
+            former_disk = ledger.disks[1].name
+
+            async def copy_and_lose_disk(member: LedgerMember) -> Result[None, Failure]:
+                copied = await copy_from(member)
+                if member.disk == former_disk and ledger.disks[1].name == former_disk:
+                    ledger.kill(1)
+                    ledger.wipe(1)
+                    await ledger.start(1, tasks=tasks)
+                return copied
+
+            joining.copy_from = copy_and_lose_disk  # type: ignore[method-assign]
+            await ledger.wait_for_members(3)
+            self.assertNotEqual(ledger.disks[1].name, former_disk)
+            self.assertEqual(lost_at_join, [set()])
+            await ledger.wait_for_members(0, 1, 2, 3)
+
+        run_with_ledger(main)
+
     # Guards against a ledger that takes no entry any more: two members are left after a planned
     # retirement, one of them is replaced for good, and its successor can't join.
     def test_a_successor_joins_though_one_of_two_members_is_gone_for_good(self) -> None:
