ledger: count members that were copied from in the present epoch

Change: a node notes the members from which it has copied since both adopted its epoch. It holds what they acknowledged in earlier epochs, so they count before the removal of a silent member, down to the majority of the epoch; and where all members must acknowledge an entry, one that has copied from all others suffices for a join, which NodeState.settled (a new last field, false by default) says.

--- a/src/bramleylead/ledger/_members.py
+++ b/src/bramleylead/ledger/_members.py
@@ -76,8 +76,16 @@
             holders = min(holders, _acks_needed(count - 1, losses))
         return count - holders + 1
 
-    def syncs_before_join(self) -> int:
-        """Return how many members must synchronise before a node is added."""
+    def syncs_before_join(self, losses: int, *, has_settled: bool = False) -> int:
+        """Return how many members must synchronise before a node is added.
+
+        :param losses: how many members may lose their disks at once.
+        :param has_settled: whether one of them has copied from all others since they adopted this
+            epoch. It has the entries of earlier epochs, and where all members must acknowledge an
+            entry, those of this epoch too.
+        """
+        if has_settled and self.acks_needed(losses) == len(self.members):
+            return 1
         return self.acks_needed(0)
 
     def syncs_before_retirement(self, losses: int) -> int:
@@ -90,7 +98,7 @@
         """
         return max(1, len(self.members) - self.acks_needed(losses) + 1)
 
-    def syncs_before_removal(self, losses: int, *, lost: int = 0) -> int:
+    def syncs_before_removal(self, losses: int, *, lost: int = 0, copied: int = 0) -> int:
         """Return how many of the others must synchronise before a member is removed for good.
 
         The member is silent or has lost its disk, so that the others can't copy from it. Any so
@@ -99,12 +107,14 @@
         :param losses: how many members may lose their disks at once.
         :param lost: if the member has lost its disk, how many of the others are known to have lost
             theirs too. Each may be removed only by itself, so waiting for them would never end.
+        :param copied: from how many other members the one that removes has copied since they
+            adopted this epoch: it holds what they acknowledged in the epoch before.
         """
         least = self.syncs_before_retirement(losses)
         count = len(self.members)
         if count <= losses:
             return least
-        return max(least, min(self.absences_needed(losses), count - 1 - lost))
+        return max(least, min(self.absences_needed(losses) - copied, count - 1 - lost))
 
     def may_remove_silent(self, losses: int) -> bool:
         """Return whether enough members remain without a silent one."""
--- a/src/bramleylead/ledger/_membership.py
+++ b/src/bramleylead/ledger/_membership.py
@@ -24,6 +24,7 @@
 from bramleylead.ledger._members import LedgerMember
 from bramleylead.ledger._members import LedgerView
 from bramleylead.ledger._node import LedgerNode
+from bramleylead.ledger._synchronisation import Probed
 from bramleylead.ledger._synchronisation import Synchroniser
 
 MIN_MEMBERS = 3
@@ -130,7 +131,7 @@
             return False
         view = self._node.view
         synchronised = await self._synchroniser.synchronise(
-            view, view.members, required=lambda lost: len(view.members)
+            view, view.members, required=lambda probed: len(view.members)
         )
         return isinstance(synchronised, Ok)
 
@@ -283,9 +284,12 @@
         await self._remove_member(former.node)
 
     async def _add_self(self, view: LedgerView) -> None:
-        others = view.members
         synchronised = await self._synchroniser.synchronise(
-            view, others, required=lambda lost: view.syncs_before_join()
+            view,
+            view.members,
+            required=lambda probed: view.syncs_before_join(
+                self._losses, has_settled=probed.has_settled
+            ),
         )
         if isinstance(synchronised, Err):
             log.info("join_waits", epoch=view.epoch, reason=synchronised.err_value.detail)
@@ -295,7 +299,7 @@
             if isinstance(copied, Err):
                 log.info("join_waits", epoch=view.epoch, reason=copied.err_value.detail)
                 return
-        checked = await self._synchroniser.check_disks(synchronised.ok_value)
+        checked = await self._synchroniser.check_disks(view, synchronised.ok_value)
         if isinstance(checked, Err):
             log.info("join_waits", epoch=view.epoch, reason=checked.err_value.detail)
             return
@@ -308,12 +312,13 @@
         own = self._node.own_entry
         leaving = own if node == own.node and own in view.members else None
 
-        def required(lost: int) -> int:
+        def required(probed: Probed) -> int:
             if leaving is not None:
                 return view.syncs_before_retirement(self._losses)
-            if node != own.node:
-                return view.syncs_before_removal(self._losses)
-            return view.syncs_before_removal(self._losses, lost=lost)
+            if node == own.node:
+                return view.syncs_before_removal(self._losses, lost=probed.lost)
+            copied = self._node.settled.difference(member.node for member in probed.live)
+            return view.syncs_before_removal(self._losses, copied=len(copied))
 
         synchronised = await self._synchroniser.synchronise(
             view, others, required=required, leaving=leaving
--- a/src/bramleylead/ledger/_messages.py
+++ b/src/bramleylead/ledger/_messages.py
@@ -122,6 +122,7 @@
     :param run_id: identifies the node's process; record numbers are valid only within it.
     :param leaving: whether the node is about to leave and waits for a replacement.
     :param vacancies: how many members the node finds silent or about to leave.
+    :param settled: whether the node has copied from all other members since they adopted its view.
     """
 
     node: str
@@ -130,6 +131,7 @@
     view: LedgerView
     leaving: bool = False
     vacancies: int = 0
+    settled: bool = False
 
 
 @message(174)
--- a/src/bramleylead/ledger/_node.py
+++ b/src/bramleylead/ledger/_node.py
@@ -10,6 +10,7 @@
 import anyio
 import structlog
 from result import Err
+from result import Ok
 from result import Result
 
 from bramleylead.connection import Done
@@ -78,6 +79,8 @@
         self._copier = RecordCopier(node, self._state, self._writer, peers)
         self._view = NO_VIEW
         self._adopting = anyio.Lock()
+        self._seen: dict[str, tuple[str, int]] = {}
+        self._settled: set[str] = set()
         self.fleet = FleetTable()
         self.crashes = CrashTable()
         self.leaving = False
@@ -104,6 +107,14 @@
         """Whether this node is a member, with this address and disk."""
         return self.own_entry in self._view.members
 
+    @property
+    def settled(self) -> frozenset[str]:
+        """The members from which this node has copied since both adopted its view.
+
+        It holds all entries that they acknowledged in earlier epochs.
+        """
+        return frozenset(self._settled)
+
     def gauges(self) -> dict[str, float]:
         """Return the values of this node's metrics."""
         return {
@@ -185,6 +196,7 @@
             log.error("disk_write_failed", node=self._node, epoch=view.epoch, reason=str(error))
             return
         self._view = view
+        self._settled = set()
         self._copier.keep_only({member.node for member in view.members})
         self.view_changed.set()
         self.view_changed = anyio.Event()
@@ -205,12 +217,24 @@
         if isinstance(answer, Err) or not isinstance(answer.ok_value, NodeState):
             return None
         state = answer.ok_value
+        self._seen[member.node] = (state.disk, state.view.epoch)
         await self.adopt(state.view)
         return state
 
     async def copy_from(self, member: LedgerMember) -> Result[None, Failure]:
         """Copy all records that another node has and this one lacks."""
-        return await self._copier.copy_from(member)
+        epoch = self._view.epoch
+        if not self._is_seen_at(member, epoch):
+            await self.fetch_state(member)
+        has_adopted = self._is_seen_at(member, epoch)
+        copied = await self._copier.copy_from(member)
+        if isinstance(copied, Ok) and has_adopted and self._view.epoch == epoch:
+            self._settled.add(member.node)
+        return copied
+
+    def _is_seen_at(self, member: LedgerMember, epoch: int) -> bool:
+        disk, seen_epoch = self._seen.get(member.node, ("", 0))
+        return disk == member.disk and seen_epoch >= epoch
 
     async def _refuse_stale(self, epoch: int, reply: Reply) -> bool:
         """Refuse a request for another epoch, or any request if this node is not a member."""
@@ -266,8 +290,15 @@
         await reply.send(Chain(self._node, self._disk.name, self._view.epoch, tuple(page)))
 
     async def _ask_state(self, request: AskState, reply: Reply) -> None:
+        others = {member.node for member in self._view.members} - {self._node}
         state = NodeState(
-            self._node, self._disk.name, self._run_id, self._view, self.leaving, self.vacancies
+            self._node,
+            self._disk.name,
+            self._run_id,
+            self._view,
+            self.leaving,
+            self.vacancies,
+            settled=self.is_member and others <= self._settled,
         )
         await reply.send(state)
 
--- a/src/bramleylead/ledger/_synchronisation.py
+++ b/src/bramleylead/ledger/_synchronisation.py
@@ -23,11 +23,17 @@
 CATCH_UP_TIMEOUT_S = 5.0
 
 
-class _Probed(NamedTuple):
-    """The members that answered with the disk of their entry, and how many have another one."""
+class Probed(NamedTuple):
+    """What members answered before a change.
+
+    :param live: those that answered with the disk of their entry.
+    :param lost: how many answered with another disk.
+    :param has_settled: whether one of the live ones holds all entries of earlier epochs.
+    """
 
     live: list[LedgerMember]
     lost: int
+    has_settled: bool
 
 
 @final
@@ -43,17 +49,18 @@
         view: LedgerView,
         members: tuple[LedgerMember, ...],
         *,
-        required: Callable[[int], int],
+        required: Callable[[Probed], int],
         leaving: LedgerMember | None = None,
     ) -> Result[list[LedgerMember], Failure]:
         """Make the members that answer adopt the view and copy records from each other.
 
-        :param required: returns how many of them must do so if so many have lost their disks.
+        :param required: returns how many of them must do so, given what they answered.
         :param leaving: a member that has adopted the view, from which they copy too.
         """
-        live, lost = await self._probe(members)
-        if len(live) < required(lost):
-            detail = f"{len(live)} of {len(members)} members answered, {required(lost)} required"
+        probed = await self._probe(members, view.epoch)
+        live = probed.live
+        if len(live) < required(probed):
+            detail = f"{len(live)} of {len(members)} members answered, {required(probed)} required"
             return Err(Failure(ErrorKind.NOT_DURABLE, detail))
         sources = tuple(member.node for member in live)
         if leaving is not None:
@@ -66,18 +73,21 @@
                     return caught_up
         return Ok(live)
 
-    async def check_disks(self, members: list[LedgerMember]) -> Result[None, Failure]:
+    async def check_disks(
+        self, view: LedgerView, members: list[LedgerMember]
+    ) -> Result[None, Failure]:
         """Check that members still answer with the disks of their entries."""
-        live, _ = await self._probe(members)
-        missing = [member.node for member in members if member not in live]
+        probed = await self._probe(members, view.epoch)
+        missing = [member.node for member in members if member not in probed.live]
         if missing:
             detail = f"{', '.join(missing)} did not confirm the disk after the copies"
             return Err(Failure(ErrorKind.NOT_DURABLE, detail))
         return Ok(None)
 
-    async def _probe(self, members: Iterable[LedgerMember]) -> _Probed:
+    async def _probe(self, members: Iterable[LedgerMember], epoch: int) -> Probed:
         live = []
         lost = []
+        settled = []
 
         async def probe(member: LedgerMember) -> None:
             if member == self._node.own_entry:
@@ -88,13 +98,15 @@
                 return
             if state.disk == member.disk:
                 live.append(member)
+                if state.settled and state.view.epoch == epoch:
+                    settled.append(member)
             elif state.node == member.node:
                 lost.append(member)
 
         async with anyio.create_task_group() as tasks:
             for member in members:
                 tasks.start_soon(probe, member)
-        return _Probed(sorted(live), len(lost))
+        return Probed(sorted(live), len(lost), len(settled) > 0)
 
     async def catch_up(
         self, member: LedgerMember, view: LedgerView, sources: tuple[str, ...]
--- a/testing/ledger/quorum_deep.py
+++ b/testing/ledger/quorum_deep.py
@@ -5,11 +5,14 @@
 
 from __future__ import annotations
 
-from testing.ledger.quorum_model import Limits
-from testing.ledger.quorum_model import Rules
 from testing.ledger.quorum_model import explore
+from testing.ledger.quorum_state import Limits
+from testing.ledger.quorum_state import Rules
 
 DEEP = (
+    Limits(),
+    Limits(wipes=1, leaves=0),
+    Limits(members=2, changes=3, leaves=0),
     Limits(wipes=1),
     Limits(members=2, changes=3),
     Limits(nodes=5),
