--- a/testing/placement/test_quota_replay.py
+++ b/testing/placement/test_quota_replay.py
@@ -9,7 +9,7 @@
 import anyio
 
 from bramleylead.customers import Quota
-from bramleylead.fleet._rendezvous import score
+from bramleylead.placement._quotas import owner_rank
 from bramleylead.standins import run_virtual
 from testing.placement._quota_replay import WINDOW_S
 from testing.placement._quota_replay import Replay
@@ -38,7 +38,7 @@
 
 
 def _owner(replay: Replay, name: str) -> str:
-    return max(replay.nodes, key=lambda node: (score(f"quota/{name}", node), node))
+    return max(replay.nodes, key=lambda node: owner_rank(name, node))
 
 
 class QuotaReplayTest(unittest.TestCase):
