Keep turns in their data centre unless it lacks room, where speeds are reported

The cost of another data centre, 400 tokens, lies below the 900 within which replicas are equally good, so turns left it while its own replicas had room. If replicas report their speed, turns cost 6,000 to another data centre and 12,000 to another region. Otherwise, and for plain calls, nothing changes.

With the former costs the new test's replay gives 0.70 and 0.16, beyond its bounds.

--- a/src/bramleylead/placement/_replica_selector.py
+++ b/src/bramleylead/placement/_replica_selector.py
@@ -46,6 +46,10 @@
 exactly."""
 OTHER_DATA_CENTRE_COST_TOKENS = 400.0
 OTHER_REGION_COST_TOKENS = 5_000.0
+UNEVEN_DATA_CENTRE_COST_TOKENS = 6_000.0
+"""For turns, if replicas report their speed: their bytes across the border are expensive. With 400,
+replicas of other data centres took turns with equally loaded ones nearby."""
+UNEVEN_REGION_COST_TOKENS = 12_000.0
 SIMILAR_COST_TOKENS = 900.0
 """Replicas whose costs differ by less are equally good."""
 AFFINITY_COST_TOKENS = 2_000.0
@@ -142,11 +146,15 @@
         cost += self._caches.uncached_tokens(candidate.name, prompt)
         slowdown = self.slowdown(candidate.name)
         cost = cost * slowdown + OWN_TURN_COST_TOKENS * (slowdown - USUAL)
+        return cost + self._distance_cost(candidate, prompt)
+
+    def _distance_cost(self, candidate: Candidate, prompt: Prompt) -> float:
+        is_uneven = self.speed.is_reported and bool(prompt.parts)
         if not candidate.same_region:
-            return cost + OTHER_REGION_COST_TOKENS
+            return UNEVEN_REGION_COST_TOKENS if is_uneven else OTHER_REGION_COST_TOKENS
         if not candidate.same_data_centre:
-            return cost + OTHER_DATA_CENTRE_COST_TOKENS
-        return cost
+            return UNEVEN_DATA_CENTRE_COST_TOKENS if is_uneven else OTHER_DATA_CENTRE_COST_TOKENS
+        return 0.0
 
     def with_room(
         self, candidates: Sequence[Candidate], prompt: Prompt, *, under_way: bool
@@ -236,7 +244,7 @@
     def start_request(self, candidate: Candidate, prompt: Prompt) -> None:
         """Count a request sent to a replica, and assume that its prompt is cached there."""
         self.health.start_request(candidate.name)
-        self._count_start(candidate.name)
+        self._own_requests[candidate.name] = self._own_requests.get(candidate.name, 0) + 1
         if candidate.cache_tokens:
             self.held.start_request(candidate.name, prompt)
         self._caches.fill(candidate.name, prompt, max_tokens=candidate.cache_tokens)
@@ -276,9 +284,6 @@
             *self.held.known_replicas(),
         }
 
-    def _count_start(self, name: str) -> None:
-        self._own_requests[name] = self._own_requests.get(name, 0) + 1
-
     def _count_end(self, name: str) -> None:
         running = self._own_requests.get(name, 0) - 1
         if running > 0:
--- a/src/bramleylead/placement/_replica_speed.py
+++ b/src/bramleylead/placement/_replica_speed.py
@@ -94,6 +94,11 @@
         lasting = USUAL + (speed.lasting - USUAL) * 0.5 ** (age_s / RELAX_HALF_LIFE_S)
         return lasting + (speed.last - lasting) * 0.5 ** (age_s / LAST_FIGURE_HALF_LIFE_S)
 
+    @property
+    def is_reported(self) -> bool:
+        """Whether any replica reports its speed."""
+        return bool(self._speeds)
+
     def is_known(self, name: str) -> bool:
         """Return whether a replica reports its speed."""
         return name in self._speeds
--- a/testing/placement/test_replica_selector.py
+++ b/testing/placement/test_replica_selector.py
@@ -186,6 +186,16 @@
 
         run_with_selector(main)
 
+    def test_distance_costs_turns_more_only_if_replicas_report_their_speed(self) -> None:
+        async def main(selector: ReplicaSelector) -> None:
+            before = [selector.cost(FAR, prompt) for prompt in (LONG_PROMPT, EMPTY_PROMPT)]
+            selector.record_load("near", 0, 1.0)
+            after = [selector.cost(FAR, prompt) for prompt in (LONG_PROMPT, EMPTY_PROMPT)]
+            self.assertEqual(before, [18_000, 5_000])
+            self.assertEqual(after, [25_000, 5_000])
+
+        run_with_selector(main)
+
     def test_a_replica_without_room_for_a_request_is_no_candidate(self) -> None:
         async def main(selector: ReplicaSelector) -> None:
             large = Prompt((("own", 30_000),), tokens=30_000)
--- a/testing/placement/test_uneven_replicas.py
+++ b/testing/placement/test_uneven_replicas.py
@@ -5,6 +5,7 @@
 import unittest
 
 from bramleylead.standins import run_virtual
+from testing.placement._data_centres import DataCentreReplay
 from testing.placement._replay import Load
 from testing.placement._uneven_replay import Knowledge
 from testing.placement._uneven_replay import UnevenReplay
@@ -66,3 +67,25 @@
     def test_few_requests_are_sent_to_full_memory(self) -> None:
         # Not none: gateways that choose within 8 ms don't know of each other's choice.
         self.assertLess(self.overfull(checks_room=True), 0.3 * self.overfull(checks_room=False))
+
+
+class DataCentreTest(unittest.TestCase):
+    """The callers of six data centres vary by half, one after the other."""
+
+    def test_only_a_surplus_is_sent_to_another_data_centre(self) -> None:
+        replays = []
+        load = UNEVEN._replace(
+            seconds=6.5,
+            programs_per_s=0.6 / MEAN_SLOWDOWN * UNEVEN.capacity_programs_per_s,
+        )
+
+        async def main() -> None:
+            replays.append(DataCentreReplay(load, knowledge=Knowledge.FIGURES, changes_speed=True))
+            await replays[0].run()
+
+        run_virtual(main, seed=1)
+        replayed = replays[0]
+        # 0.70 and 0.16 with the distance costs of replicas that don't report their speed.
+        self.assertLess(replayed.data_centre_requests, 0.5 * replayed.arrivals)
+        self.assertLess(replayed.region_requests, 0.08 * replayed.arrivals)
+        self.assertGreater(replayed.on_time, 0.95 * replayed.finished)
