Refuse new programs of customers beyond their share first

Cause: while the replicas are full, programs start in order of arrival, so that a flood of one customer slows down all others; plain responses of callers that don't read are held whole, without a bound. Plain calls outside programs leave room for those of programs. Whole responses are held up to 6 MB.

--- a/src/bramleylead/gateway/_app.py
+++ b/src/bramleylead/gateway/_app.py
@@ -16,6 +16,7 @@
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
 from bramleylead.gateway._authentication import authenticate
+from bramleylead.gateway._body_memory import MAX_HELD_RESPONSE_BYTES
 from bramleylead.gateway._body_memory import BodyMemory
 from bramleylead.gateway._body_memory import HeldBody
 from bramleylead.gateway._call import Call
@@ -77,6 +78,7 @@
         self._plain = plain
         self._streams = streams
         self._bodies = BodyMemory()
+        self._responses = BodyMemory(max_bytes=MAX_HELD_RESPONSE_BYTES)
         self.closing = False
         self.in_flight = 0
 
@@ -85,6 +87,11 @@
         """The bytes of the bodies of requests under way that count towards their bound."""
         return self._bodies.held_bytes
 
+    @property
+    def held_response_bytes(self) -> int:
+        """The bytes of whole responses held for callers that count towards their bound."""
+        return self._responses.held_bytes
+
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
         assert scope["type"] == "http"
@@ -175,7 +182,9 @@
             fingerprint=fingerprint_of(exchange.method, target, headers, body.ok_value),
             customer=routed.customer,
         )
-        await self._run_call(call, exchange, writer)
+        with self._responses.hold() as response:
+            call = call._replace(admit_response=response.admit)
+            await self._run_call(call, exchange, writer)
 
     async def _run_call(self, call: Call, exchange: Exchange, writer: HttpResponseWriter) -> None:
         """Answer a call; cancel it if the caller disconnects."""
--- a/src/bramleylead/gateway/_body_memory.py
+++ b/src/bramleylead/gateway/_body_memory.py
@@ -1,4 +1,4 @@
-"""Bounds the bytes of all request bodies that a gateway holds at once."""
+"""Bounds the bytes of all bodies, of requests or of responses, that a gateway holds at once."""
 
 from __future__ import annotations
 
@@ -8,6 +8,9 @@
 
 MAX_HELD_BYTES = 16_000_000
 """A body is held about two and a half times: as it was read, as it is sent, and in a buffer."""
+MAX_HELD_RESPONSE_BYTES = 6_000_000
+"""A response is held up to two and a half times: as it was read, whole, and in the server's buffer
+until the caller reads it. Callers that don't read may so fill 16 MB."""
 FREE_BYTES = 16_384
 """Of each body; smaller ones are always read, so that a few large ones can't keep them out."""
 
--- a/src/bramleylead/gateway/_call.py
+++ b/src/bramleylead/gateway/_call.py
@@ -9,6 +9,8 @@
 from bramleylead.customers import Customer
 from bramleylead.gateway._fingerprint import Fingerprint
 from bramleylead.gateway._replica_connection import ResponseHead
+from bramleylead.http._exchange import Admit
+from bramleylead.http._exchange import admit_all
 from bramleylead.platform._types import CallMetadata
 from bramleylead.platform._types import Configuration
 from bramleylead.platform._types import Replica
@@ -24,6 +26,8 @@
     :param deadline: the event loop's time by which the caller must have its final response.
     :param fingerprint: the same for each attempt of the same caller with the same body.
     :param customer: whose key the caller has; ``None`` on public routes and without customers.
+    :param admit_response: asked for each part of a whole response, by its length, before it is
+        kept for the caller.
     """
 
     method: str
@@ -37,6 +41,7 @@
     deadline: float
     fingerprint: Fingerprint
     customer: Customer | None = None
+    admit_response: Admit = admit_all
 
     @property
     def resumes_stream(self) -> bool:
@@ -94,7 +99,8 @@
     """The request may have run, but no complete response was received.
 
     :param connection_lost: whether the connection to the replica ended before the response did.
-    :param path_lost: whether the cause is the path to the replica rather than the replica.
+    :param path_lost: whether the cause is the path to the replica or this gateway rather
+        than the replica.
     """
 
     detail: str
--- a/src/bramleylead/gateway/_plain_calls.py
+++ b/src/bramleylead/gateway/_plain_calls.py
@@ -53,6 +53,9 @@
         self, call: Call, attempts: _Attempts
     ) -> Result[CompleteResponse, Failure]:
         service = self._sender.choice.pick_service(call.route)
+        refusal = self._sender.admission.check_plain(call, service)
+        if refusal is not None:
+            return Err(Failure(ErrorKind.OVERLOADED, refusal.detail, refusal.retry_after_s))
         while attempts.can_retry and self._guard.refusal(call) is None:
             replica = await self._sender.choice.choose(call, service, attempts.tried_replicas)
             if replica is None:
@@ -75,7 +78,9 @@
     async def _attempt(self, call: Call, replica: Replica, attempts: _Attempts) -> Outcome:
         attempts.start()
         async with self._sender.send(call, replica, body=call.body) as result:
-            return await read_complete(result) if isinstance(result, StartedResponse) else result
+            if not isinstance(result, StartedResponse):
+                return result
+            return await read_complete(result, call.admit_response)
 
 
 class _Attempts:
--- a/src/bramleylead/gateway/_replica_choice.py
+++ b/src/bramleylead/gateway/_replica_choice.py
@@ -53,6 +53,11 @@
         self._data_centre = data_centre
         self._regions = regions
 
+    @property
+    def load_age_s(self) -> float | None:
+        """The age of the load of all other gateways; ``None`` if none is known."""
+        return self._selector.fleet_load_age_s
+
     def pick_service(self, route: Route) -> str:
         """Choose the service for a request at random, weighted by the route's shares."""
         if len(route.shares) == 1:
--- a/src/bramleylead/gateway/_response_body.py
+++ b/src/bramleylead/gateway/_response_body.py
@@ -13,10 +13,12 @@
 from bramleylead.gateway._replica_connection import ReplicaConnection
 from bramleylead.gateway._replica_connection import ResponseHead
 from bramleylead.gateway._replica_connection import UpstreamError
+from bramleylead.http._exchange import Admit
 from bramleylead.platform._types import Replica
 from bramleylead.platform._types import ResponseMetadata
 
 DISCARD_TIMEOUT_S = 0.3
+NOT_HELD_DETAIL = "the response is not held: too many bytes wait for callers that don't read"
 
 log = structlog.get_logger()
 
@@ -35,11 +37,19 @@
     return UnknownOutcome(f"{replica.name}: {error}", error.connection_lost, error.path_lost)
 
 
-async def read_complete(response: StartedResponse) -> Outcome:
-    """Read the complete body of a response."""
+async def read_complete(response: StartedResponse, admit: Admit) -> Outcome:
+    """Read the complete body of a response.
+
+    :param admit: asked for each part, by its length, before it is kept. If it is not admitted, the
+        request may have run, its response is lost, and the replica is not blamed.
+    """
     chunks = []
     try:
         while (part := await response.connection.read_chunk()) is not None:
+            if not admit(len(part)):
+                log.info("response_not_held", replica=response.replica.name)
+                detail = f"{response.replica.name}: {NOT_HELD_DETAIL}"
+                return UnknownOutcome(detail, path_lost=True)
             chunks.append(part)
     except UpstreamError as error:
         return unknown_outcome(response.replica, error)
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -249,6 +249,7 @@
             "connections_opened": self._pool.opened,
             "requests_running": self.app.in_flight,
             "held_body_bytes": self.app.held_body_bytes,
+            "held_response_bytes": self.app.held_response_bytes,
             "suspect_requests": len(self._crashes),
             "replica_paths_lost": self._paths.is_lost,
             "requests_relayed": self._relay_server.running,
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from contextlib import asynccontextmanager
 from typing import final
 
@@ -11,6 +12,7 @@
 import structlog
 from result import Err
 
+from bramleylead.gateway._admission_control import AdmissionControl
 from bramleylead.gateway._call import Call
 from bramleylead.gateway._call import CompleteResponse
 from bramleylead.gateway._call import NotRun
@@ -33,13 +35,12 @@
 from bramleylead.gateway._response_body import unknown_outcome
 from bramleylead.placement._admission import Progress
 from bramleylead.placement._admission import Refusal
-from bramleylead.placement._admission import check_admission
+from bramleylead.placement._customer_use import unknown_use
 from bramleylead.placement._fleet_table import FleetLoad
 from bramleylead.placement._rate_limits import RateLimits
 from bramleylead.placement._replica_paths import ReplicaPaths
 from bramleylead.placement._replica_selector import ReplicaSelector
 from bramleylead.platform import _wire as wire
-from bramleylead.platform._types import CallKind
 from bramleylead.platform._types import Replica
 from bramleylead.platform._types import ResponseMetadata
 
@@ -61,6 +62,7 @@
 
     :param reporter: is told where turns have run.
     :param paths: tells which replicas this gateway can reach.
+    :param use_of: returns the use of a customer over all gateways; 0 if unknown.
     """
 
     def __init__(
@@ -73,9 +75,10 @@
         choice: ReplicaChoice,
         paths: ReplicaPaths,
         rng: random.Random,
+        use_of: Callable[[str], float] = unknown_use,
     ) -> None:
-        self._rng = rng
         self.choice = choice
+        self.admission = AdmissionControl(choice, limits, rng, use_of)
         self._paths = paths
         self._directory = directory
         self._connections = connections
@@ -95,18 +98,7 @@
 
     def check_admission(self, call: Call, service: str, progress: Progress) -> Refusal | None:
         """Return a refusal if a turn should not start now."""
-        priorities = {
-            route.priority
-            for route in call.configuration.routes
-            if route.kind is CallKind.STREAM and any(s.service == service for s in route.shares)
-        }
-        return check_admission(
-            self.choice.service_load(call, service, turn_s=self._mean_turn_s),
-            progress,
-            less_urgent_priorities=sum(other > call.priority for other in priorities),
-            turn_s=self._mean_turn_s,
-            rng=self._rng,
-        )
+        return self.admission.check_turn(call, service, progress, turn_s=self._mean_turn_s)
 
     def record_turn(self, call: Call, replica: Replica, *, took_s: float) -> None:
         """Record that a replica has run a turn completely."""
@@ -125,6 +117,7 @@
         if not self._limits.take(replica.name):
             yield NotRun(f"{replica.name}: its limit allows no request", counts_as_attempt=False)
             return
+        self.admission.record_sent(call)
         self._selector.start_request(self.choice.candidate(call, replica), prompt_of(call))
         if call.metadata.budget_tokens is not None:
             self._reporter.report_placement()
--- a/src/bramleylead/gateway/_streams.py
+++ b/src/bramleylead/gateway/_streams.py
@@ -124,7 +124,7 @@
             return held_back
         if call.resumes_stream:
             return self._software.refusal(call, reservation.begun_by)
-        if reservation.progress is None or call.metadata.previous_turn:
+        if reservation.progress is None:
             return None
         refusal = self._sender.check_admission(call, service, reservation.progress)
         if refusal is None:
@@ -208,7 +208,7 @@
 
     async def _relay_error(self, stream: Stream, response: StartedResponse) -> _StreamEnd:
         """Relay a replica's error response, unless the stream has already started."""
-        outcome = await read_complete(response)
+        outcome = await read_complete(response, stream.call.admit_response)
         if not isinstance(outcome, CompleteResponse):
             return self._record_broken(stream, response.replica, outcome)
         if stream.started or (outcome.is_server_error and stream.can_retry):
--- a/src/bramleylead/placement/_rate_limits.py
+++ b/src/bramleylead/placement/_rate_limits.py
@@ -91,6 +91,11 @@
         self._decay_demand()
         return self._demand / DEMAND_HALF_LIFE_S
 
+    @property
+    def share(self) -> float:
+        """Part of the fleet's traffic that this gateway has, from 0 to 1, as last learned."""
+        return self._share
+
     def record_demand(self) -> None:
         """Count a request of a caller."""
         self._decay_demand()
--- a/src/bramleylead/placement/_replica_selector.py
+++ b/src/bramleylead/placement/_replica_selector.py
@@ -91,6 +91,12 @@
         self._fleet_as_of = float("-inf")
         self._caches: dict[str, OrderedDict[str, int]] = {}
 
+    @property
+    def fleet_load_age_s(self) -> float | None:
+        """The age of the load reported of all other gateways; ``None`` if none is known."""
+        age_s = anyio.current_time() - self._fleet_as_of
+        return None if age_s == float("inf") else age_s
+
     def choose(self, candidates: Sequence[Candidate], prompt: Prompt) -> Candidate | None:
         """Return a candidate of the lowest cost; those that are nearly as good take turns."""
         similar = self._cheapest(candidates, prompt)
--- a/testing/gateway/_site.py
+++ b/testing/gateway/_site.py
@@ -285,6 +285,7 @@
         self.host = host
         self.network = network or FakeNetwork({GATEWAY_IP: ("r", "d")})
         self.directory = Directory()
+        self.use: dict[str, float] = {}
         self.ledger = ledger or FakeLedger()
         self.replicas: dict[str, FakeReplica] = {}
         self.entries: dict[str, Replica] = {}
@@ -341,6 +342,7 @@
             choice,
             self.paths,
             rng,
+            use_of=lambda customer: self.use.get(customer, 0.0),
         )
         budgets = Budgets(self.ledger, tasks)  # type: ignore[arg-type]
         history = TurnHistory(self.ledger)  # type: ignore[arg-type]
--- a/testing/placement/_replay.py
+++ b/testing/placement/_replay.py
@@ -107,10 +107,18 @@
         self.reporter = LoadReporter(f"g{number}", self.selector)
         self.members = [replay.tables[number % 2], replay.tables[2]]
 
-    async def run_turn(self, prompt: Prompt, progress: Progress) -> float | None:
-        """Run one turn; return when to come back if it was refused."""
+    async def run_turn(
+        self,
+        prompt: Prompt,
+        progress: Progress,
+        check: Callable[[Progress], float | None] | None = None,
+    ) -> float | None:
+        """Run one turn; return when to come back if it was refused.
+
+        :param check: decides instead of the gateway itself whether the turn may start.
+        """
         await self._exchange(prompt)
-        refusal = self._check(progress)
+        refusal = (check or self._check)(progress)
         if refusal is not None:
             return refusal
         chosen = self.selector.choose(self._replay.candidates, prompt)
@@ -149,15 +157,22 @@
     def _check(self, progress: Progress) -> float | None:
         if self._replay.load.admits_all:
             return None
-        load = ServiceLoad(
-            sum(self.selector.running(name) for name in self._replay.engines),
-            sum(engine.slots for engine in self._replay.engines.values()),
-        )
         refusal = check_admission(
-            load, progress, less_urgent_priorities=0, turn_s=DECODE_S, rng=self._replay.rng
+            self.service_load(),
+            progress,
+            less_urgent_priorities=0,
+            turn_s=DECODE_S,
+            rng=self._replay.rng,
         )
         return None if refusal is None else refusal.retry_after_s
 
+    def service_load(self) -> ServiceLoad:
+        """Return the load of all replicas, as this gateway knows it."""
+        return ServiceLoad(
+            sum(self.selector.running(name) for name in self._replay.engines),
+            sum(engine.slots for engine in self._replay.engines.values()),
+        )
+
 
 class Replay:
     """One replay, and what it counts."""
