Give admission the use of customers; draw permits from seven tenths of an allowance

Cause: quotas and admission were built side by side, and the latter had no use of customers over all gateways. Usual traffic is above half of an allowance where a quota is 1.6 times the usual rate, so that three requests in four drew a permit.

Change: admission asks the gateway's quotas.

--- a/src/bramleylead/gateway/_admission_control.py
+++ b/src/bramleylead/gateway/_admission_control.py
@@ -9,6 +9,7 @@
 import anyio
 import structlog
 
+from bramleylead.customers import Customer
 from bramleylead.gateway._call import Call
 from bramleylead.gateway._replica_choice import ReplicaChoice
 from bramleylead.placement._admission import Progress
@@ -45,7 +46,7 @@
         choice: ReplicaChoice,
         limits: RateLimits,
         rng: random.Random,
-        use_of: Callable[[str], float] = unknown_use,
+        use_of: Callable[[Customer], float] = unknown_use,
     ) -> None:
         self._choice = choice
         self._limits = limits
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -151,6 +151,7 @@
             choice,
             self._paths,
             rng,
+            use_of=self._quotas.use_of,
         )
         budgets = Budgets(ledger, tasks)
         streams = StreamCalls(sender, budgets, TurnHistory(ledger), guard, self._quotas)
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -12,6 +12,7 @@
 import structlog
 from result import Err
 
+from bramleylead.customers import Customer
 from bramleylead.gateway._admission_control import AdmissionControl
 from bramleylead.gateway._call import Call
 from bramleylead.gateway._call import CompleteResponse
@@ -75,7 +76,7 @@
         choice: ReplicaChoice,
         paths: ReplicaPaths,
         rng: random.Random,
-        use_of: Callable[[str], float] = unknown_use,
+        use_of: Callable[[Customer], float] = unknown_use,
     ) -> None:
         self.choice = choice
         self.admission = AdmissionControl(choice, limits, rng, use_of)
--- a/src/bramleylead/placement/_customer_use.py
+++ b/src/bramleylead/placement/_customer_use.py
@@ -42,7 +42,7 @@
 MIN_TRAFFIC_SHARE = 1e-4
 
 
-def unknown_use(customer: str) -> float:
+def unknown_use(customer: Customer) -> float:
     """Return 0: nothing is known of the use of a customer over all gateways."""
     return 0.0
 
@@ -90,7 +90,7 @@
         those that its quota's rate allows; 0 if unknown.
     """
 
-    def __init__(self, use_of: Callable[[str], float] = unknown_use) -> None:
+    def __init__(self, use_of: Callable[[Customer], float] = unknown_use) -> None:
         self._use_of = use_of
         self._recent = ServedShares(tau_s=USE_WINDOW_S, over_factor=1.0)
         self._charged = ServedShares(tau_s=SURGE_WINDOW_S, over_factor=1.0)
@@ -120,7 +120,7 @@
         """
         recent = self._recent.served(customer.name, now)
         usual = self._usual.served(customer.name, now) * USE_WINDOW_S / USUAL_WINDOW_S
-        fleet = self._use_of(customer.name)
+        fleet = self._use_of(customer)
         total = self._recent.total(now) / max(traffic_share, MIN_TRAFFIC_SHARE)
         mean = total / max(customers, 1)
         here = max(mean, usual / USUAL_USE)
--- a/src/bramleylead/placement/_quotas.py
+++ b/src/bramleylead/placement/_quotas.py
@@ -19,9 +19,9 @@
 WINDOW_S = 5.0
 SLOT_S = 0.1
 """Resolution of a sliding count. A count includes the whole slot in which its window begins."""
-CONTENDED_SHARE = 0.5
+CONTENDED_SHARE = 0.7
 """Part of its allowance in use above which a customer is contended."""
-UNCONTENDED_SHARE = 0.3
+UNCONTENDED_SHARE = 0.45
 """Part below which it no longer is. Usual traffic is about 0.55 and varies; each change is logged
 by every gateway that serves the customer."""
 REPORTED_SHARE = 0.25
--- a/testing/gateway/_site.py
+++ b/testing/gateway/_site.py
@@ -352,7 +352,7 @@
             choice,
             self.paths,
             rng,
-            use_of=lambda customer: self.use.get(customer, 0.0),
+            use_of=lambda customer: self.use.get(customer.name, 0.0),
         )
         budgets = Budgets(self.ledger, tasks)  # type: ignore[arg-type]
         history = TurnHistory(self.ledger)  # type: ignore[arg-type]
--- a/testing/placement/_customer_replay.py
+++ b/testing/placement/_customer_replay.py
@@ -159,13 +159,13 @@
         rate = QUOTA_FACTOR * programs_per_s * self.load.turns
         return Customer(name, None, Quota(rate, BURST_S * rate))
 
-    def use_of(self, name: str) -> float:
+    def use_of(self, customer: Customer) -> float:
         """Return a customer's use of its quota over all gateways, as of a moment ago."""
-        quota = self.customers[name].quota
+        quota = customer.quota
         if quota is None:
             return 0.0
         now = anyio.current_time() - USE_REPORT_S
-        sent = self.sent.setdefault(name, deque())
+        sent = self.sent.setdefault(customer.name, deque())
         while sent and sent[0] < now - USE_WINDOW_S:
             sent.popleft()
         return sum(at <= now for at in sent) / (quota.rate_per_s * USE_WINDOW_S)
