Bound memory only where the deployment's settings say so

Cause: the memory rule, the bound on whole responses and the longer return times of refused callers came into force for every deployment.

Measured: test_deploy and test_limited_replicas pass.

--- a/src/bramleylead/gateway/_app.py
+++ b/src/bramleylead/gateway/_app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections import Counter
 from collections.abc import Sequence
 from typing import Any
@@ -71,14 +72,25 @@
 
 @final
 class GatewayApp:
-    """Serves requests from callers."""
-
-    def __init__(self, directory: Directory, plain: PlainCalls, streams: StreamCalls) -> None:
+    """Serves requests from callers.
+
+    :param bounds_responses: whether what is held for callers that read slowly is bounded.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        plain: PlainCalls,
+        streams: StreamCalls,
+        *,
+        bounds_responses: bool = True,
+    ) -> None:
         self._directory = directory
         self._plain = plain
         self._streams = streams
         self._bodies = BodyMemory()
-        self._responses = BodyMemory(max_bytes=MAX_HELD_RESPONSE_BYTES)
+        max_bytes = MAX_HELD_RESPONSE_BYTES if bounds_responses else sys.maxsize
+        self._responses = BodyMemory(max_bytes=max_bytes)
         self.closing = False
         self.in_flight = 0
 
--- a/src/bramleylead/gateway/_permit_waits.py
+++ b/src/bramleylead/gateway/_permit_waits.py
@@ -49,13 +49,16 @@
         await anyio.sleep(wait_s)
         return True
 
-    def retry_after_s(self, service: str) -> float:
-        """Return when a caller whose request could be sent to no replica should return."""
+    def retry_after_s(self, service: str, *, bounds_memory: bool) -> float:
+        """Return when a caller whose request could be sent to no replica should return.
+
+        :param bounds_memory: whether replicas may lack room for a request.
+        """
         names = [replica.name for replica in self._directory.replicas(service)]
         wait_s = self._limits.wait_s(names)
         if wait_s == float("inf"):
             return RETRY_AFTER_S
-        if not wait_s:
+        if bounds_memory and not wait_s:
             # No limit is the cause: the replicas lack room, or were all tried.
             return self._rng.uniform(RETRY_AFTER_S, MAX_ROOM_RETRY_AFTER_S)
         spread = self._rng.uniform(1.0, 1.0 + RETRY_SPREAD)
--- a/src/bramleylead/gateway/_replica_choice.py
+++ b/src/bramleylead/gateway/_replica_choice.py
@@ -122,7 +122,7 @@
 
     def retry_after_s(self, service: str) -> float:
         """Return when a caller whose request could be sent to no replica should return."""
-        return self._permit_waits.retry_after_s(service)
+        return self._permit_waits.retry_after_s(service, bounds_memory=self._selector.bounds_memory)
 
     def candidate(self, call: Call, replica: Replica) -> Candidate:
         """Return what the choice knows of a replica itself."""
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -103,7 +103,9 @@
             rng=rng,
         )
         connections = ReplicaConnections(self._pool, self._paths, relays)
-        self._selector = ReplicaSelector(first_turn=rng.randrange(MAX_FIRST_TURN))
+        self._selector = ReplicaSelector(
+            first_turn=rng.randrange(MAX_FIRST_TURN), bounds_memory=settings.bounds_memory
+        )
         self.directory = Directory()
         self._limits = RateLimits(rng)
         self._crashes = CrashTable(settings.node)
@@ -156,7 +158,9 @@
         budgets = Budgets(ledger, tasks)
         streams = StreamCalls(sender, budgets, TurnHistory(ledger), guard, self._quotas)
         plain = PlainCalls(sender, guard, self._quotas)
-        self.app = GatewayApp(self.directory, plain, streams)
+        self.app = GatewayApp(
+            self.directory, plain, streams, bounds_responses=settings.bounds_memory
+        )
         self._relay_server = RelayServer(
             self.directory,
             self._pool,
--- a/src/bramleylead/placement/_replica_selector.py
+++ b/src/bramleylead/placement/_replica_selector.py
@@ -83,9 +83,11 @@
     """Chooses replicas by the load, caches and health that one node knows of.
 
     :param first_turn: which of several equal replicas is chosen first.
+    :param bounds_memory: whether a replica crashes if its requests exceed its memory.
     """
 
-    def __init__(self, *, first_turn: int = 0) -> None:
+    def __init__(self, *, first_turn: int = 0, bounds_memory: bool = True) -> None:
+        self.bounds_memory = bounds_memory
         self.health = ReplicaHealth()
         self.speed = ReplicaSpeed()
         self.held = HeldTokens()
@@ -169,7 +171,7 @@
 
         :param under_way: whether the request's program is in progress; a new one leaves a reserve.
         """
-        if not prompt.tokens:
+        if not self.bounds_memory or not prompt.tokens:
             return list(candidates)
         reserve = NEW_PROGRAM_RESERVE
         roomy = [own for own in candidates if self.has_room(own, prompt, reserve=reserve)]
@@ -182,7 +184,7 @@
 
         :param reserve: share of the memory that must stay free, unless the replica holds nothing.
         """
-        if not prompt.tokens or not candidate.cache_tokens:
+        if not self.bounds_memory or not prompt.tokens or not candidate.cache_tokens:
             return True
         now = anyio.current_time()
         held = self.held.held_with(candidate.name, prompt, now=now)
@@ -251,7 +253,7 @@
         """Count a request sent to a replica, and assume that its prompt is cached there."""
         self.health.start_request(candidate.name)
         self._own_requests[candidate.name] = self._own_requests.get(candidate.name, 0) + 1
-        if candidate.cache_tokens:
+        if self.bounds_memory and candidate.cache_tokens:
             self.held.start_request(candidate.name, prompt)
         self._caches.fill(candidate.name, prompt, max_tokens=candidate.cache_tokens)
 
--- a/src/bramleylead/platform/_names.py
+++ b/src/bramleylead/platform/_names.py
@@ -57,6 +57,9 @@
 )
 """Not passed on from a caller: set by the gateway only, or meant for the gateway."""
 
+PRESSURE_CONTRACT = "pressure"
+"""Replicas crash if the requests that they hold exceed their memory; readers may be slow."""
+
 READY_PATH = "/api/readiness"
 OBJECTS_PATH = "/api/objects"
 CONFIGURATION_KIND = "config"
--- a/src/bramleylead/site_settings.py
+++ b/src/bramleylead/site_settings.py
@@ -22,6 +22,7 @@
 from bramleylead.json_documents import Fault
 from bramleylead.json_documents import check_syntax
 from bramleylead.json_documents import show_field
+from bramleylead.platform import _names as names
 
 Name = Annotated[str, Meta(pattern=NAME_PATTERN)]
 Address = Annotated[str, Meta(pattern=ADDRESS_PATTERN)]
@@ -78,11 +79,18 @@
     :param ready_address: where the balancer asks whether it may send callers.
     :param seeds: addresses of some VMs that hold or held the ledger; the ports are not used, since
         its nodes listen on the first of ``peer_ports`` everywhere.
+    :param contracts: the parts of the platform's rules that are in force.
     """
 
     http_address: Address
     ready_address: Address
     seeds: tuple[Address, ...] = ()
+    contracts: tuple[str, ...] = ()
+
+    @property
+    def bounds_memory(self) -> bool:
+        """Whether replicas crash when they lack memory, and readers may be slow."""
+        return names.PRESSURE_CONTRACT in self.contracts
 
     @property
     def ledger_seeds(self) -> list[str]:
--- a/testing/test_deploy.py
+++ b/testing/test_deploy.py
@@ -29,6 +29,7 @@
     "listen-addresses.ready": "10.0.0.1:8141",
     "data-directory": "/data/ledger",
     "seed-nodes": ["10.0.0.2:8144", "10.0.0.3:8144"],
+    "contracts": ["base", "pressure"],
 }
 
 
@@ -54,6 +55,13 @@
             with self.subTest(name):
                 self.assertIsInstance(load_settings(model, filled(name)), Ok)
 
+    # Guards against rules of one deployment that change how another one is served.
+    def test_memory_is_bounded_where_the_platform_says_so(self) -> None:
+        settings = load_settings(GatewaySettings, filled("gateway.json")).ok_value
+        self.assertTrue(settings.bounds_memory)
+        changed = filled("gateway.json").replace('"pressure"', '"health"')
+        self.assertFalse(load_settings(GatewaySettings, changed).ok_value.bounds_memory)
+
     def test_each_role_runs_a_command_with_its_template(self) -> None:
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         for role, about in deploy["roles"].items():
