Refuse a surge of a customer that has sent nothing without dividing by zero

Cause: found in review. Where programs of a customer have been admitted and none has sent a request yet, its known use is 0, and the time until it is back in its share divided by it: the request would have ended with 500.

Change: the delay is that of the load alone then.

Measured: the new test fails before with ZeroDivisionError, and passes.

--- a/src/bramleylead/placement/_admission.py
+++ b/src/bramleylead/placement/_admission.py
@@ -234,8 +234,13 @@
 
 
 def _back_in_share_s(use: Use, rng: random.Random) -> float:
-    """Return when a customer that sends nothing more is within its share again, spread."""
+    """Return when a customer that sends nothing more is within its share again, spread.
+
+    0 if only the programs that it starts are beyond its share, and not the requests that it sent.
+    """
     allowed = 1.0 + use.tolerance
+    if use.known <= allowed:
+        return 0.0
     expected_s = USE_WINDOW_S * (1.0 - allowed / use.known)
     spread = rng.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
     return min(MAX_OVER_SHARE_RETRY_AFTER_S, expected_s * spread)
--- a/testing/placement/test_customer_admission.py
+++ b/testing/placement/test_customer_admission.py
@@ -57,6 +57,13 @@
 
 
 class ShareTest(unittest.TestCase):
+    # Guards against a division by zero: programs of a customer start here that has sent nothing yet.
+    def test_a_surge_of_a_customer_whose_use_is_not_known_is_refused(self) -> None:
+        refusal = check(1.0, use=Use(surge=8.0, surge_tolerance=1.0))
+        self.assertIsNotNone(refusal)
+        self.assertEqual(refusal.reason, RefusalReason.OVER_SHARE)
+        self.assertGreaterEqual(refusal.retry_after_s, MIN_RETRY_AFTER_S)
+
     # Guards against other bounds for customers within their share than deployments have today.
     def test_a_customer_within_its_share_has_the_bounds_of_today(self) -> None:
         for load in (0.5, 0.99, 1.01, 1.12, 1.2, 1.4, 2.0):
