--- a/testing/placement/test_customer_admission.py
+++ b/testing/placement/test_customer_admission.py
@@ -57,7 +57,7 @@
 
 
 class ShareTest(unittest.TestCase):
-    # Guards against a division by zero: programs of a customer start here that has sent nothing yet.
+    # Guards against a division by zero: a customer starts programs here and has sent nothing yet.
     def test_a_surge_of_a_customer_whose_use_is_not_known_is_refused(self) -> None:
         refusal = check(1.0, use=Use(surge=8.0, surge_tolerance=1.0))
         self.assertIsNotNone(refusal)
