Compute the shared parts of a prompt once for all replicas

Cause: the room check computed them for each replica; with it a choice among 24 took 341 us of processor time (117 before the check).

Change: they are remembered for the latest prompts.

--- a/src/bramleylead/placement/_held_tokens.py
+++ b/src/bramleylead/placement/_held_tokens.py
@@ -27,6 +27,8 @@
 PART_MARK = "p"
 DIGEST_BYTES = 4
 MAX_DIGESTS = 4_096
+MAX_PROMPTS = 64
+"""Prompts whose parts are remembered: one is checked against the memory of every replica."""
 MAX_DIGITS = 15
 
 
@@ -125,14 +127,16 @@
     return max(0, prompt.tokens - shared)
 
 
-def _shared_parts(prompt: Prompt) -> list[str]:
+@lru_cache(maxsize=MAX_PROMPTS)
+def _shared_parts(prompt: Prompt) -> tuple[str, ...]:
     """Return the keys of the parts of a prompt that other requests may share.
 
     Requests without figures have none, so that they occupy nothing.
     """
     if not prompt.tokens:
-        return []
-    return [f"{_digest(part)}.{tokens}" for part, tokens in prompt.parts[:-1] if tokens > 0]
+        return ()
+    shared = [(part, tokens) for part, tokens in prompt.parts[:-1] if tokens > 0]
+    return tuple(f"{_digest(part)}.{tokens}" for part, tokens in shared)
 
 
 @lru_cache(maxsize=MAX_DIGESTS)
@@ -140,6 +144,7 @@
     return blake2b(part.encode(errors="replace"), digest_size=DIGEST_BYTES).hexdigest()
 
 
+@lru_cache(maxsize=MAX_DIGESTS)
 def _tokens_of(key: str) -> int:
     """Return the tokens of a shared part; 0 if another gateway sent an invalid key."""
     tokens = key.rpartition(".")[2]
