Create a node's components in a module of their own

Change: _node_components.py creates the components, in the same order and from the same random source; _node_dump.py collects what they know for the dump and the explanation of a call. The task group of a node is entered before the components are created instead of between two of them; none of them starts a task when it is created. The trial of a store outage reads the partitions under their new attribute.

--- a/src/bramleylead/process/_node.py
+++ b/src/bramleylead/process/_node.py
@@ -1,8 +1,7 @@
-"""A node: creates the components of a process, starts them in order, stops them in reverse."""
+"""A node: starts the components of a process in order and stops them in reverse."""
 
 from __future__ import annotations
 
-import math
 import random
 from collections.abc import AsyncIterator
 from collections.abc import Callable
@@ -17,7 +16,6 @@
 import structlog
 from anyio.abc import TaskGroup
 from result import Err
-from result import Ok
 from result import Result
 
 from bramleylead.backends import BackendFactory
@@ -30,19 +28,11 @@
 from bramleylead.node_settings import NodeSettings
 from bramleylead.platform import ObjectStore
 from bramleylead.process._gauges import GaugeRefresher
-from bramleylead.process._owner_dependencies import OwnerDependencies
+from bramleylead.process._node_components import NodeComponents
+from bramleylead.process._node_dump import dump_components
+from bramleylead.process._node_dump import explain_call
 from bramleylead.process._store_health import ObservedStore
-from bramleylead.process.budgets._budget import BudgetEscrow
-from bramleylead.process.calls._cache_sweep import CacheSweep
-from bramleylead.process.calls._garbage_collection import ProgramGarbageCollector
-from bramleylead.process.calls._owner import ProgramOwner
-from bramleylead.process.calls._router import ProgramRouter
 from bramleylead.process.journal._partition_log import PartitionLog
-from bramleylead.process.membership._membership import Membership
-from bramleylead.process.partitions._partition_hash import partition_of
-from bramleylead.process.partitions._partition_host import PartitionHost
-from bramleylead.process.tickets._ticket_admin import TicketAdmin
-from bramleylead.process.tickets._tickets import TicketLog
 from bramleylead.promises import Promise
 from bramleylead.promises import Promises
 from bramleylead.request import AddChild
@@ -58,13 +48,9 @@
 from bramleylead.request import TicketSummary
 from bramleylead.request import find_branch
 from bramleylead.request import key_matches
-from bramleylead.scheduling import NodeScheduler
-from bramleylead.scheduling import RetryBudget
 from bramleylead.supervision import supervise
 from bramleylead.supervision import supervise_server
 from bramleylead.version import Config
-from bramleylead.version import Ticket
-from bramleylead.version._validation import validate_ticket
 
 BOOT_ID_BITS = 64
 SETTLE_ATTEMPTS = 5
@@ -172,21 +158,21 @@
             return Err(Failure(ErrorKind.NOT_CURRENT, detail))
         if request.parent:
             child = AddChild(request.branch, request.parent, request.program)
-            added = await self._router.execute(child)
+            added = await self._components.router.execute(child)
             if isinstance(added, Err):
                 return added
             # A sub-agent continues its parent's work, so it is not scheduled as a new program.
             tokens_served = max(1.0, float(added.ok_value.tokens_used))
             request = request._replace(attained=tokens_served)
-        return await self._router.execute(request)
+        return await self._components.router.execute(request)
 
     async def read_program(self, request: ReadProgram) -> Result[ProgramView, Failure]:
         """Read a program's state."""
-        return await self._router.execute(request)
+        return await self._components.router.execute(request)
 
     async def end_program(self, request: EndProgram) -> Result[ProgramView, Failure]:
         """End a program and its sub-agents."""
-        return await self._router.execute(request)
+        return await self._components.router.execute(request)
 
     def call(self, request: CallRequest) -> Any:
         """Run a call or attach to a running one; leaving the context does not cancel the call."""
@@ -200,19 +186,19 @@
 
     async def submit_ticket(self, body: bytes) -> Result[TicketAccepted, Failure]:
         """Validate a ticket's JSON and accept it under its number, or reject it without effect."""
-        return await self._ticket_admin.submit_ticket(body)
+        return await self._components.ticket_admin.submit_ticket(body)
 
     async def ticket_status(self, number: int) -> Result[TicketStatus, Failure]:
         """Report the nodes on which an accepted ticket is in force."""
-        return await self._ticket_admin.ticket_status(number)
+        return await self._components.ticket_admin.ticket_status(number)
 
     async def list_tickets(self) -> Result[tuple[TicketSummary, ...], Failure]:
         """List the accepted tickets in number order."""
-        return await self._ticket_admin.list_tickets()
+        return await self._components.ticket_admin.list_tickets()
 
     async def show_ticket(self, number: int) -> Result[dict[str, Any], Failure]:
         """Return an accepted ticket's JSON."""
-        return await self._ticket_admin.show_ticket(number)
+        return await self._components.ticket_admin.show_ticket(number)
 
     def dump(self) -> dict[str, Any]:
         """Return the process's state as JSON-serializable values, without secrets."""
@@ -224,45 +210,13 @@
             "stopping": self._stopping,
             "ready": self.ready(),
             "entry_calls": self._entry_calls,
-            "tickets": self._dump_tickets(),
-            "members": [member._asdict() for member in self._membership.members()],
-            "partitions": self._partitions.dump(),
-            "calls": self._owner.dump(),
-            "budgets": self._escrow.dump(),
-            "scheduling": self._scheduler.dump(),
-            "releases": {
-                "asked": self._ender.releases,
-                "failed": self._ender.releases_failed,
-                "leaks_released": self._sweep.leaks_released,
-            },
+            **dump_components(self._components),
             "violations": [violation._asdict() for violation in self.promises.violations],
         }
 
     def explain(self, program: str, number: int) -> dict[str, Any]:
         """Return what this node knows about a call and its scheduling decisions."""
-        partition = partition_of(program, self.settings.partitions.count)
-        here = self._partitions.log(partition) is not None
-        decisions = self._scheduler.explain(f"{program}/{number}")
-        return {
-            "call": f"{program}/{number}",
-            "node": self.settings.node,
-            "partition": partition,
-            "owned_here": here,
-            "owner_address": self._partitions.owner_address(partition),
-            "record": self._owner.describe_call(program, number) if here else None,
-            "decisions": [decision._asdict() for decision in decisions],
-        }
-
-    def _dump_tickets(self) -> dict[str, Any]:
-        applied = self.tickets.applied
-        age_s = self.tickets.age_s
-        return {
-            "number": applied.number,
-            "current": self.tickets.is_current(),
-            "proof_age_s": round(age_s, 3) if math.isfinite(age_s) else None,
-            "waiting": applied.waiting,
-            "stuck": applied.stuck,
-        }
+        return explain_call(self._components, self.settings, program, number)
 
     async def stop(self) -> None:
         """Stop gracefully: leave the load balancer, hand over partitions, finish running calls."""
@@ -270,11 +224,11 @@
         log.info("node_stopping", node=self.settings.node)
         await anyio.sleep(LEAVE_PROPAGATION_S)
         self._stopping = True
-        await self._membership.leave()
+        await self._components.membership.leave()
         with anyio.move_on_after(self.settings.stop_grace_s) as grace:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._close_owner)
-                await self._partitions.leave()
+                await self._components.partitions.leave()
                 tasks.cancel_scope.cancel()
             await self._drain()
         self.promises.check(
@@ -291,11 +245,11 @@
         Until then, a partition that becomes idle is handed over without a refused call.
         """
         await anyio.sleep(IDLE_WAIT_S)
-        self._owner.stop_accepting_calls()
+        self._components.owner.stop_accepting_calls()
 
     async def _drain(self) -> None:
         """Wait until no call and no caller's answer is left on this node."""
-        await self._owner.wait_idle()
+        await self._components.owner.wait_idle()
         while self._entry_calls:  # noqa: ASYNC110 - no event signals the last caller
             await anyio.sleep(DRAIN_CHECK_INTERVAL_S)
 
@@ -303,23 +257,12 @@
         """Start the components in dependency order."""
         boot_id = f"{self._rng.getrandbits(BOOT_ID_BITS):016x}"
         await self._stack.enter_async_context(self._client)
-        self._membership = self._make_membership(boot_id)
-        self.tickets = self._make_tickets()
-        self._ticket_admin = TicketAdmin(
-            self.tickets, peers=self._client, membership=self._membership, validate=_validate
-        )
-        self._partitions = self._make_partitions(boot_id)
-        self._scheduler = self._make_scheduler()
-        self._escrow = BudgetEscrow(
-            self._store,
-            lambda: self.config,
-            self.promises,
-            node=self.settings.node,
-            partitions=self.settings.partitions.count,
-        )
         tasks = await self._stack.enter_async_context(anyio.create_task_group())
         self._stack.callback(tasks.cancel_scope.cancel)
-        self._make_owner(tasks)
+        self._tasks = tasks
+        components = self._make_components(boot_id, tasks)
+        self._components = components
+        self.tickets = components.tickets
         await tasks.start(
             supervise_server,
             "nodes",
@@ -327,12 +270,19 @@
             self.peer_address,
             self._server.serve_stream,
         )
-        for part in (self._membership, self.tickets, self._scheduler, self._partitions):
+        for part in (
+            components.membership,
+            components.tickets,
+            components.scheduler,
+            components.partitions,
+        ):
             await self._stack.enter_async_context(part)
-        gauges = GaugeRefresher(self.metrics, self._client, self._server, self._escrow, self._owned)
+        gauges = GaugeRefresher(
+            self.metrics, self._client, self._server, components.escrow, components.owned
+        )
         for name, loop in (
-            ("garbage_collection", self._ender.run),
-            ("cache_sweep", self._sweep.run),
+            ("garbage_collection", components.ender.run),
+            ("cache_sweep", components.sweep.run),
             ("grant_return", self._return_grants),
             ("gauges", gauges.run),
         ):
@@ -340,86 +290,29 @@
         self._ready = True
         log.info("node_started", node=self.settings.node, boot_id=boot_id)
 
-    def _make_membership(self, boot_id: str) -> Membership:
-        return Membership(
+    def _make_components(self, boot_id: str, tasks: TaskGroup) -> NodeComponents:
+        return NodeComponents(
             self.settings,
-            peers=self._client,
-            server=self._server,
-            store=self._store,
-            rng=random.Random(self._rng.getrandbits(64)),
-            metrics=self.metrics,
-            boot_id=boot_id,
-        )
-
-    def _make_tickets(self) -> TicketLog:
-        return TicketLog(
-            self.settings,
-            peers=self._client,
+            client=self._client,
             server=self._server,
             store=self._store,
-            membership=self._membership,
+            backends=self._backends,
             promises=self.promises,
             metrics=self.metrics,
-            rng=random.Random(self._rng.getrandbits(64)),
-        )
-
-    def _make_partitions(self, boot_id: str) -> PartitionHost:
-        return PartitionHost(
-            self.settings,
-            self._store,
-            self._client,
-            self._server,
-            self._membership,
-            self.promises,
-            self.metrics.registry,
             wall_clock=self._wall_clock,
+            rng=self._rng,
+            boot_id=boot_id,
+            tasks=tasks,
             on_owned=self._on_owned,
             on_lost=self._on_lost,
-            may_move=lambda partition: self._owner.is_idle(partition),
-            boot=boot_id,
         )
 
-    def _make_scheduler(self) -> NodeScheduler:
-        return NodeScheduler(
-            self.settings,
-            client=self._client,
-            server=self._server,
-            config=self.tickets,
-            members=self._membership,
-            backends=self._backends,
-            promises=self.promises,
-            metrics=self.metrics,
-        )
-
-    def _make_owner(self, tasks: TaskGroup) -> None:
-        parts = OwnerDependencies(
-            settings=self.settings,
-            directory=self._partitions,
-            tickets=self.tickets,
-            escrow=self._escrow,
-            scheduler=self._scheduler,
-            backends=self._backends,
-            retries=RetryBudget(),
-            promises=self.promises,
-            metrics=self.metrics,
-            wall_clock=self._wall_clock,
-        )
-        self._tasks = tasks
-        self._owner = ProgramOwner(parts, tasks)
-        self._router = ProgramRouter(
-            self.settings, self._partitions, self._owner, self._client, self.promises
-        )
-        self._router.register(self._server)
-        self._ender = ProgramGarbageCollector(parts, self._owner, self._router, self._owned)
-        self._sweep = CacheSweep(parts, self._membership, self._client)
-        self._sweep.register(self._server)
-
     @asynccontextmanager
     async def _answer(
         self, request: CallRequest | ResumeCall
     ) -> AsyncIterator[AsyncIterator[CallItem]]:
         self._entry_calls += 1
-        items = self._router.stream_answer(request)
+        items = self._components.router.stream_answer(request)
         try:
             yield items
         finally:
@@ -427,21 +320,18 @@
             with anyio.CancelScope(shield=True):
                 await items.aclose()
 
-    def _owned(self) -> list[PartitionLog]:
-        return [log for _, log in sorted(self._partitions.table.owned.items())]
-
     def _on_owned(self, partition: PartitionLog) -> None:
         self._tasks.start_soon(self._settle_interrupted, partition)
 
     def _on_lost(self, partition: int) -> None:
-        self._owner.cancel_partition_calls(partition)
+        self._components.owner.cancel_partition_calls(partition)
 
     async def _settle_interrupted(self, partition: PartitionLog) -> None:
         """Settle interrupted calls; the cleanup of ended programs handles those that fail here."""
         for _ in range(SETTLE_ATTEMPTS):
-            if self._partitions.log(partition.number) is not partition:
+            if self._components.partitions.log(partition.number) is not partition:
                 return
-            if await self._owner.finish_interrupted_calls(partition):
+            if await self._components.owner.finish_interrupted_calls(partition):
                 return
             await anyio.sleep(SETTLE_RETRY_S)
 
@@ -449,14 +339,5 @@
         """Periodically return the unused budget grants of owned partitions."""
         while True:
             await anyio.sleep(GRANT_RETURN_INTERVAL_S)
-            for partition in self._owned():
-                await self._escrow.return_idle_grants(partition)
-
-
-def _validate(body: bytes, config: Config) -> Result[Ticket, Failure]:
-    """Validate a ticket and report all its faults in one failure."""
-    checked = validate_ticket(body, config)
-    if isinstance(checked, Ok):
-        return checked
-    detail = "; ".join(str(fault) for fault in checked.err_value)
-    return Err(Failure(ErrorKind.TICKET_INVALID, detail))
+            for partition in self._components.owned():
+                await self._components.escrow.return_idle_grants(partition)
--- a/testing/trials/_store_outage.py
+++ b/testing/trials/_store_outage.py
@@ -163,7 +163,7 @@
     pairs: dict[tuple[str, str], list[int]] = {}
     for name, host in sorted(fleet.hosts.items()):
         assert host.node is not None
-        for number, owned in sorted(host.node._partitions.table.owned.items()):
+        for number, owned in sorted(host.node._components.partitions.table.owned.items()):
             if owned.record.second is not None:
                 pairs.setdefault((name, owned.record.second.node), []).append(number)
     owner, second = next(pair for pair, numbers in sorted(pairs.items()) if len(numbers) > 1)
