--- a/src/bramleylead/process/calls/_lookup.py
+++ b/src/bramleylead/process/calls/_lookup.py
@@ -92,6 +92,25 @@
             return Err(Failure(ErrorKind.UNKNOWN_TARGET, detail))
         return Ok(ProgramConfig(branch_config, kind_config))
 
+    def explain_unknown_program(self, failure: Failure, request: CallRequest) -> Failure:
+        """Return a more specific failure if the program may have been lost with both copies.
+
+        The program is unknown here, but the caller saw it in an earlier incarnation.
+        """
+        found = self.partition(request.program)
+        if failure.kind is not ErrorKind.UNKNOWN_PROGRAM or isinstance(found, Err):
+            return failure
+        incarnation = found.ok_value.state.incarnation
+        if not 0 < request.incarnation < incarnation:
+            return failure
+        detail = (
+            f"program {request.program} is unknown because both copies of its journal were lost; "
+            f"its partition's incarnation is now {incarnation}; open the program again"
+        )
+        if request.call_kind is CallKind.MODEL:
+            return Failure(ErrorKind.HISTORY_ROLLED_BACK, detail)
+        return Failure(ErrorKind.OUTCOME_UNKNOWN, detail)
+
     def target(self, program: ProgramState, request: CallRequest) -> CallTarget | Failure:
         """Return a call's target, if the program's kind may call it."""
         config = self.config(program.branch, program.kind)
--- a/src/bramleylead/process/calls/_owner.py
+++ b/src/bramleylead/process/calls/_owner.py
@@ -16,28 +16,20 @@
 from bramleylead.errors import Failure
 from bramleylead.process._owner_dependencies import OwnerDependencies
 from bramleylead.process.calls import _admission
+from bramleylead.process.calls._call_execution import CallExecution
 from bramleylead.process.calls._lookup import CallTarget
 from bramleylead.process.calls._lookup import ProgramLookup
-from bramleylead.process.calls._model_run import ModelRun
-from bramleylead.process.calls._outcome_entries import cancelled_entry
-from bramleylead.process.calls._outcome_entries import unknown_outcome_entry
-from bramleylead.process.calls._run import CallRun
+from bramleylead.process.calls._recorded_answers import RecordedAnswers
 from bramleylead.process.calls._running_call import RunningCall
-from bramleylead.process.calls._tool_run import ToolRun
 from bramleylead.process.calls._views import call_summary
 from bramleylead.process.calls._views import program_view
 from bramleylead.process.journal._entries import ChildOpened
 from bramleylead.process.journal._entries import ProgramEnded
 from bramleylead.process.journal._entries import ProgramOpened
 from bramleylead.process.journal._partition_log import PartitionLog
-from bramleylead.process.journal._state import CallStatus
 from bramleylead.process.journal._state import ProgramState
-from bramleylead.promises import Promise
 from bramleylead.request import AddChild
 from bramleylead.request import AnswerBuffer
-from bramleylead.request import AnswerChunk
-from bramleylead.request import AnswerEnd
-from bramleylead.request import AnswerStart
 from bramleylead.request import CallItem
 from bramleylead.request import CallKind
 from bramleylead.request import CallRequest
@@ -65,6 +57,8 @@
         self._running: dict[str, dict[int, RunningCall]] = {}
         self._idle_event = anyio.Event()
         self._stopping = False
+        self._execution = CallExecution(parts, on_stopped=self._remove_running)
+        self._recorded = RecordedAnswers(parts.wall_clock)
 
     @property
     def running_calls(self) -> int:
@@ -162,7 +156,7 @@
         """Run or join a call, or read it from the journal; yield its answer and its outcome."""
         found = await self._lookup.program(request.branch, request.program)
         if isinstance(found, Err):
-            yield self._explain_unknown_program(found.err_value, request)
+            yield self._lookup.explain_unknown_program(found.err_value, request)
             return
         log, program = found.ok_value
         target = self._lookup.target(program, request)
@@ -178,7 +172,7 @@
         if isinstance(decision, Failure):
             yield decision
         elif isinstance(decision, _admission.Recorded):
-            async for item in self._recorded_answer(log, program, decision.record.number, 0):
+            async for item in self._recorded.read(log, program, decision.record.number, 0):
                 yield item
         else:
             started = self._start_or_join(log, program, request, target, decision)
@@ -188,25 +182,6 @@
             async for item in started.read(0):
                 yield item
 
-    def _explain_unknown_program(self, failure: Failure, request: CallRequest) -> Failure:
-        """Return a more specific failure if the program may have been lost with both copies.
-
-        The program is unknown here, but the caller saw it in an earlier incarnation.
-        """
-        found = self._lookup.partition(request.program)
-        if failure.kind is not ErrorKind.UNKNOWN_PROGRAM or isinstance(found, Err):
-            return failure
-        incarnation = found.ok_value.state.incarnation
-        if not 0 < request.incarnation < incarnation:
-            return failure
-        detail = (
-            f"program {request.program} is unknown because both copies of its journal were lost; "
-            f"its partition's incarnation is now {incarnation}; open the program again"
-        )
-        if request.call_kind is CallKind.MODEL:
-            return Failure(ErrorKind.HISTORY_ROLLED_BACK, detail)
-        return Failure(ErrorKind.OUTCOME_UNKNOWN, detail)
-
     async def resume(self, request: ResumeCall) -> AsyncIterator[CallItem]:
         """Yield the answer of a running or finished call from an offset."""
         found = await self._lookup.program(request.branch, request.program)
@@ -228,7 +203,7 @@
             detail = f"offset {request.offset} is past the end: the answer has {length} characters"
             yield Failure(ErrorKind.MALFORMED, detail)
             return
-        async for item in self._recorded_answer(log, program, request.number, request.offset):
+        async for item in self._recorded.read(log, program, request.number, request.offset):
             yield item
 
     def cancel_partition_calls(self, partition: int) -> None:
@@ -243,18 +218,7 @@
 
         Returns whether all of these outcomes were journaled.
         """
-        for program in list(log.state.programs.values()):
-            for record in list(program.calls.values()):
-                interrupted = record.status is CallStatus.INTENDED and not record.repeatable
-                if interrupted and record.number not in self._running_digests(program.program):
-                    journaled = await log.append(
-                        unknown_outcome_entry(
-                            program, record.number, now_s=self._parts.wall_clock()
-                        )
-                    )
-                    if isinstance(journaled, Err):
-                        return False
-        return True
+        return await self._recorded.finish_interrupted(log, self._running_digests)
 
     async def wait_idle(self) -> None:
         """Wait until no call is running on this node."""
@@ -310,7 +274,7 @@
         if isinstance(call, Failure):
             return call
         self._running.setdefault(program.program, {})[call.number] = call
-        self._tasks.start_soon(self._run, call)
+        self._tasks.start_soon(self._execution.run, call)
         return call.buffer
 
     def _prepare(
@@ -352,53 +316,6 @@
             rerun=decision.rerun,
         )
 
-    async def _run(self, call: RunningCall) -> None:
-        run: CallRun
-        if call.request.call_kind is CallKind.MODEL:
-            run = ModelRun(self._parts, call)
-        else:
-            run = ToolRun(self._parts, call)
-        kind = {"kind": call.request.call_kind.value}
-        self._parts.metrics.calls_running.inc(kind)
-        end: AnswerEnd | Failure | None = None
-        try:
-            with call.scope:
-                end = await run.run()
-            if end is None:
-                end = await self._journal_cancellation(call)
-        finally:
-            self._parts.metrics.calls_running.dec(kind)
-            self._remove_running(call)
-            call.buffer.finish(end or Failure(ErrorKind.OWNER_LOST, f"{call.name} was interrupted"))
-        result = end.kind.value if isinstance(end, Failure) else "done"
-        self._parts.metrics.calls.inc({**kind, "result": result})
-        if isinstance(end, AnswerEnd):
-            self._check_answer_length(call, end)
-
-    def _check_answer_length(self, call: RunningCall, end: AnswerEnd) -> None:
-        journaled_answer = call.program.calls[call.number].answer
-        self._parts.promises.check(
-            Promise.WHOLE_ANSWER,
-            end.length == call.buffer.length == len(journaled_answer),
-            f"{call.name}: {call.buffer.length} characters sent, {len(journaled_answer)} journaled",
-        )
-
-    async def _journal_cancellation(self, call: RunningCall) -> Failure:
-        """Journal the outcome of a call cancelled on this node, if the node still owns it."""
-        owned = self._parts.directory.log(call.log.number) is call.log
-        if not owned:
-            return Failure(ErrorKind.OWNER_LOST, f"{call.name}: the partition has a new owner")
-        if call.intent_journaled:
-            await call.log.append(
-                cancelled_entry(
-                    call.program,
-                    call.number,
-                    endpoint=call.endpoint,
-                    now_s=self._parts.wall_clock(),
-                )
-            )
-        return Failure(ErrorKind.CANCELLED, f"{call.name}: its program was ended")
-
     def _remove_running(self, call: RunningCall) -> None:
         calls = self._running.get(call.program.program, {})
         if calls.get(call.number) is call:
@@ -409,39 +326,6 @@
             self._idle_event.set()
             self._idle_event = anyio.Event()
 
-    async def _recorded_answer(
-        self, log: PartitionLog, program: ProgramState, number: int, offset: int
-    ) -> AsyncIterator[CallItem]:
-        """Yield a journaled answer after the second copy has confirmed this owner."""
-        confirmed = await self._confirm_record(log, program, number)
-        if isinstance(confirmed, Err):
-            yield confirmed.err_value
-            return
-        record = program.calls[number]
-        if record.status is CallStatus.INTENDED:
-            detail = f"call {program.program}/{number} was interrupted by an owner change"
-            yield Failure(ErrorKind.OWNER_LOST, detail)
-            return
-        yield AnswerStart(number, program.incarnation)
-        if record.status is CallStatus.DONE and offset < len(record.answer):
-            yield AnswerChunk(offset, record.answer[offset:], record.output_tokens)
-        yield _admission.recorded_outcome(program, record, durable=confirmed.ok_value)
-
-    async def _confirm_record(
-        self, log: PartitionLog, program: ProgramState, number: int
-    ) -> Result[bool, Failure]:
-        """Have the second copy confirm this owner before a call record is returned.
-
-        An interrupted non-repeatable call first gets its unknown outcome journaled: a caller that
-        learns of this outcome continues with the next number, which must be free by then.
-        """
-        record = program.calls[number]
-        if record.status is CallStatus.INTENDED and not record.repeatable:
-            return await log.append(
-                unknown_outcome_entry(program, number, now_s=self._parts.wall_clock())
-            )
-        return await log.append()
-
     def _running_digests(self, program: str) -> dict[int, str]:
         return {number: call.digest for number, call in self._running.get(program, {}).items()}
 
