Move the plan and the observations out of a trial's caller

Change: _program_plan.py holds the plan of a program, _observations.py what its caller has seen; users import them from there.

Tests passed: testing.trials.test_demo, testing.test_promises, testing.bench.test_recovery. testing.trials.test_soak was stopped after 120 s without a result.

--- a/src/bramleylead/bench/_capacity_store.py
+++ b/src/bramleylead/bench/_capacity_store.py
@@ -13,12 +13,12 @@
 from bramleylead.platform import MemoryStore
 from bramleylead.standins import run_virtual
 from bramleylead.trials._caller import Caller
-from bramleylead.trials._caller import Plan
-from bramleylead.trials._caller import ProgramEnd
-from bramleylead.trials._caller import model_step
 from bramleylead.trials._deployments import ratsakool
 from bramleylead.trials._fleet import Fleet
 from bramleylead.trials._fleet import running_fleet
+from bramleylead.trials._observations import ProgramEnd
+from bramleylead.trials._program_plan import Plan
+from bramleylead.trials._program_plan import model_step
 
 COUNTED = ("get", "list", "watch", "vms", "put_now", "delete_now")
 WARM_UP_S = 40.0
--- a/src/bramleylead/bench/_recovery.py
+++ b/src/bramleylead/bench/_recovery.py
@@ -22,17 +22,17 @@
 from bramleylead.bench._recovery_faults import RecoveryFault
 from bramleylead.standins import run_virtual
 from bramleylead.trials._caller import Caller
-from bramleylead.trials._caller import Observed
-from bramleylead.trials._caller import Plan
-from bramleylead.trials._caller import ProgramEnd
-from bramleylead.trials._caller import Step
-from bramleylead.trials._caller import model_step
-from bramleylead.trials._caller import tool_step
 from bramleylead.trials._deployments import Deployment
 from bramleylead.trials._deployments import aspenhold
 from bramleylead.trials._deployments import ratsakool
 from bramleylead.trials._fleet import Fleet
 from bramleylead.trials._fleet import running_fleet
+from bramleylead.trials._observations import Observed
+from bramleylead.trials._observations import ProgramEnd
+from bramleylead.trials._program_plan import Plan
+from bramleylead.trials._program_plan import Step
+from bramleylead.trials._program_plan import model_step
+from bramleylead.trials._program_plan import tool_step
 from bramleylead.version import Tool
 
 WARM_UP_S = 40.0
--- a/src/bramleylead/trials/_caller.py
+++ b/src/bramleylead/trials/_caller.py
@@ -5,11 +5,7 @@
 import random
 from collections.abc import Awaitable
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
-from enum import StrEnum
 from typing import Any
-from typing import NamedTuple
 
 import anyio
 from result import Err
@@ -21,16 +17,19 @@
 from bramleylead.errors import Ran
 from bramleylead.promises import Promise
 from bramleylead.promises import Violation
-from bramleylead.request import AnswerChunk
 from bramleylead.request import AnswerEnd
-from bramleylead.request import AnswerStart
 from bramleylead.request import CallKind
 from bramleylead.request import CallRequest
 from bramleylead.request import EndProgram
 from bramleylead.request import OpenProgram
 from bramleylead.request import ReadProgram
 from bramleylead.standins import answer_to
-from bramleylead.trials._deployments import MODEL
+from bramleylead.trials._observations import Observed
+from bramleylead.trials._observations import ProgramEnd
+from bramleylead.trials._observations import Received
+from bramleylead.trials._observations import Waits
+from bramleylead.trials._program_plan import Plan
+from bramleylead.trials._program_plan import Step
 from bramleylead.trials._target import CallerHost
 from bramleylead.trials._target import CallerNode
 from bramleylead.trials._target import TrialFleet
@@ -48,64 +47,6 @@
 Ask = Callable[[CallerNode], Awaitable[Result[Any, Failure] | None]]
 
 
-class ProgramEnd(StrEnum):
-    """How a program ended for its caller; cut off if the trial ended first."""
-
-    CUT_OFF = "cut off"
-    FINISHED = "finished"
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
-
-
-class Step(NamedTuple):
-    """One planned call.
-
-    :param pause_s: how long the caller thinks, or its own tool works, before the call.
-    """
-
-    call_kind: CallKind
-    target: str
-    text: str
-    pause_s: float
-
-
-class Plan(NamedTuple):
-    """A program that a caller will run."""
-
-    program: str
-    branch: str
-    kind: str
-    steps: tuple[Step, ...]
-    parent: str = ""
-
-
-@dataclass(slots=True)
-class Observed:
-    """What one caller saw.
-
-    :param is_released: whether the program was ended, so that its caches are to be released.
-    :param refusals: calls that were answered "not run", by ``program/number`` and key.
-    :param call_s: for each call, its time over all tries.
-    :param call_waits_s: for each call, the longest wait for its next new character or its end.
-    """
-
-    plan: Plan
-    end: ProgramEnd = ProgramEnd.CUT_OFF
-    reason: str = ""
-    is_released: bool = False
-    started_s: float = 0.0
-    ended_s: float = 0.0
-    messages: list[tuple[str, str]] = field(default_factory=list)
-    rolled_back: bool = False
-    not_durable: bool = False
-    answered_tools: list[str] = field(default_factory=list)
-    not_run: list[str] = field(default_factory=list)
-    unknown: list[str] = field(default_factory=list)
-    call_s: list[float] = field(default_factory=list)
-    call_started_s: list[float] = field(default_factory=list)
-    call_waits_s: list[float] = field(default_factory=list)
-
-
 class _Broken(Exception):  # noqa: N818 - a connection that broke, not an error of the program
     """The caller's connection broke."""
 
@@ -118,7 +59,7 @@
         self._rng = rng
         self._incarnation = 0
         self._number = 1
-        self._waits = _Waits()
+        self._waits = Waits()
         self.seen = Observed(plan)
 
     async def run(self) -> Observed:
@@ -147,7 +88,7 @@
         for step in plan.steps:
             await anyio.sleep(step.pause_s)
             started = anyio.current_time()
-            self._waits = _Waits()
+            self._waits = Waits()
             failure = await self._run_step(step)
             self._waits.note_end()
             self.seen.call_s.append(anyio.current_time() - started)
@@ -212,7 +153,7 @@
         node = host.node
         if node is None:
             raise _Broken
-        received = _Received()
+        received = Received()
         outcome: list[AnswerEnd | Failure] = []
         async with anyio.create_task_group() as tasks:
 
@@ -387,45 +328,3 @@
 
     def _violate(self, promise: Promise, detail: str) -> None:
         self._fleet.violations.append(Violation(promise, f"{self.seen.plan.program}: {detail}"))
-
-
-class _Received:
-    """The characters that one try has brought."""
-
-    def __init__(self) -> None:
-        self.text = ""
-
-    def take(self, item: AnswerStart | AnswerChunk) -> None:
-        if isinstance(item, AnswerChunk):
-            self.text = self.text[: item.offset] + item.text
-
-
-class _Waits:
-    """How long a caller waited for new characters of one call, over all its tries."""
-
-    def __init__(self) -> None:
-        self.longest_s = 0.0
-        self._length = 0
-        self._last_s = anyio.current_time()
-
-    def note_length(self, length: int) -> None:
-        """Take in that so many characters are there; a later try may bring old ones again."""
-        if length > self._length:
-            self._length = length
-            self.note_end()
-
-    def note_end(self) -> None:
-        """Take in something new."""
-        now = anyio.current_time()
-        self.longest_s = max(self.longest_s, now - self._last_s)
-        self._last_s = now
-
-
-def model_step(text: str, pause_s: float) -> Step:
-    """Return a planned model call."""
-    return Step(CallKind.MODEL, MODEL, text, pause_s)
-
-
-def tool_step(target: str, text: str, pause_s: float) -> Step:
-    """Return a planned tool call."""
-    return Step(CallKind.TOOL, target, text, pause_s)
--- a/src/bramleylead/trials/_demo.py
+++ b/src/bramleylead/trials/_demo.py
@@ -17,14 +17,14 @@
 from bramleylead.standins import EngineModelSettings
 from bramleylead.standins import serve_objects
 from bramleylead.trials._caller import Caller
-from bramleylead.trials._caller import Observed
-from bramleylead.trials._caller import Plan
 from bramleylead.trials._example import load_example
 from bramleylead.trials._judge import judge_ledgers
 from bramleylead.trials._judge import judge_memory
 from bramleylead.trials._live import LiveFleet
 from bramleylead.trials._live import live_fleet
+from bramleylead.trials._observations import Observed
 from bramleylead.trials._plans import random_plan
+from bramleylead.trials._program_plan import Plan
 
 USERS = ("aspenhold", "ratsakool")
 NODES = 3
--- a/src/bramleylead/trials/_demo_table.py
+++ b/src/bramleylead/trials/_demo_table.py
@@ -7,9 +7,9 @@
 from typing import NamedTuple
 
 from bramleylead.promises import Violation
-from bramleylead.trials._caller import Observed
-from bramleylead.trials._caller import ProgramEnd
 from bramleylead.trials._demo import UserRun
+from bramleylead.trials._observations import Observed
+from bramleylead.trials._observations import ProgramEnd
 
 PROGRAM_NAME = r"[\w.-]+"
 MAX_EXPLAINED = 3
--- a/src/bramleylead/trials/_judge.py
+++ b/src/bramleylead/trials/_judge.py
@@ -11,8 +11,8 @@
 
 from bramleylead.promises import Promise
 from bramleylead.promises import Violation
-from bramleylead.trials._caller import Observed
 from bramleylead.trials._fleet import Fleet
+from bramleylead.trials._observations import Observed
 from bramleylead.trials._target import TrialFleet
 
 LEAVING_BOUND_S = 3.0
--- a/src/bramleylead/trials/_plans.py
+++ b/src/bramleylead/trials/_plans.py
@@ -5,11 +5,11 @@
 import random
 from collections.abc import Callable
 
-from bramleylead.trials._caller import Plan
-from bramleylead.trials._caller import Step
-from bramleylead.trials._caller import model_step
-from bramleylead.trials._caller import tool_step
 from bramleylead.trials._deployments import Deployment
+from bramleylead.trials._program_plan import Plan
+from bramleylead.trials._program_plan import Step
+from bramleylead.trials._program_plan import model_step
+from bramleylead.trials._program_plan import tool_step
 
 StepMaker = Callable[[random.Random], tuple[Step, ...]]
 SHORT_PAUSE_S = 2.0
--- a/src/bramleylead/trials/_soak.py
+++ b/src/bramleylead/trials/_soak.py
@@ -14,8 +14,6 @@
 from bramleylead.promises import Violation
 from bramleylead.standins import run_virtual
 from bramleylead.trials._caller import Caller
-from bramleylead.trials._caller import Observed
-from bramleylead.trials._caller import ProgramEnd
 from bramleylead.trials._deployments import Deployment
 from bramleylead.trials._deployments import aspenhold
 from bramleylead.trials._deployments import ratsakool
@@ -25,6 +23,8 @@
 from bramleylead.trials._fleet import running_fleet
 from bramleylead.trials._judge import TicketWatch
 from bramleylead.trials._judge import judge
+from bramleylead.trials._observations import Observed
+from bramleylead.trials._observations import ProgramEnd
 from bramleylead.trials._plans import random_plan
 from bramleylead.trials._plans import with_pauses
 
--- a/testing/test_promises.py
+++ b/testing/test_promises.py
@@ -27,10 +27,10 @@
 from bramleylead.request._answer_assembler import AnswerAssembler
 from bramleylead.standins import run_virtual
 from bramleylead.trials._caller import Caller
-from bramleylead.trials._caller import Plan
-from bramleylead.trials._caller import model_step
 from bramleylead.trials._deployments import aspenhold
 from bramleylead.trials._fleet import running_fleet
+from bramleylead.trials._program_plan import Plan
+from bramleylead.trials._program_plan import model_step
 from testing.process.support import Bench
 from testing.process.support import LocalLog
 from testing.process.support import run_with_owner
--- a/testing/trials/test_demo.py
+++ b/testing/trials/test_demo.py
@@ -12,11 +12,11 @@
 from bramleylead.promises import Violation
 from bramleylead.standins import run_virtual
 from bramleylead.trials._caller import Caller
-from bramleylead.trials._caller import Observed
-from bramleylead.trials._caller import Plan
 from bramleylead.trials._demo import UserRun
 from bramleylead.trials._demo_table import explanations
 from bramleylead.trials._demo_table import is_finished
+from bramleylead.trials._observations import Observed
+from bramleylead.trials._program_plan import Plan
 
 TIME_LIMIT_S = 5.0
 
