Split the policy bench's trial from its result, its programs and its reports

Change: _policy_result.py holds what a run has shown, _policy_program.py the state of programs and their owners, _engine_reports.py the reports of the fake engines.

--- a/src/bramleylead/bench/_policy.py
+++ b/src/bramleylead/bench/_policy.py
@@ -19,7 +19,7 @@
 from bramleylead.bench._policy_measures import PolicyFigure
 from bramleylead.bench._policy_measures import figures
 from bramleylead.bench._policy_measures import worst_branch_slowdown_p95
-from bramleylead.bench._policy_trial import TrialResult
+from bramleylead.bench._policy_result import TrialResult
 from bramleylead.bench._policy_trial import run_trial
 from bramleylead.bench._workload import WORKLOADS
 from bramleylead.bench._workload import Workload
--- a/src/bramleylead/bench/_policy_measures.py
+++ b/src/bramleylead/bench/_policy_measures.py
@@ -9,8 +9,8 @@
 from typing import NamedTuple
 
 from bramleylead.bench._cache_bound import recomputed_bound
-from bramleylead.bench._policy_trial import ProgramOutcome
-from bramleylead.bench._policy_trial import TrialResult
+from bramleylead.bench._policy_result import ProgramOutcome
+from bramleylead.bench._policy_result import TrialResult
 from bramleylead.bench._workload import Workload
 
 MS_PER_S = 1000.0
--- a/src/bramleylead/bench/_policy_trial.py
+++ b/src/bramleylead/bench/_policy_trial.py
@@ -4,10 +4,7 @@
 
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
-from dataclasses import field
 from typing import Any
-from typing import NamedTuple
 from typing import final
 
 import anyio
@@ -15,16 +12,17 @@
 from aioprometheus import Registry
 from anyio.abc import TaskGroup
 from result import Err
-from result import Ok
-from result import Result
 
-from bramleylead.backends import BackendError
-from bramleylead.backends import CachePage
-from bramleylead.backends import Engine
 from bramleylead.backends import GenerateCall
-from bramleylead.backends import LoadReport
 from bramleylead.backends import Message
 from bramleylead.bench._cache_bound import PrefixUse
+from bramleylead.bench._engine_reports import EngineBackends
+from bramleylead.bench._policy_program import FIRST_EXPECTED_OUTPUT
+from bramleylead.bench._policy_program import TrialOwner
+from bramleylead.bench._policy_program import TrialProgram
+from bramleylead.bench._policy_result import CallOutcome
+from bramleylead.bench._policy_result import ProgramOutcome
+from bramleylead.bench._policy_result import TrialResult
 from bramleylead.bench._workload import Arrival
 from bramleylead.bench._workload import Script
 from bramleylead.bench._workload import Turn
@@ -37,14 +35,12 @@
 from bramleylead.scheduling import Dispatcher
 from bramleylead.scheduling import PoolChooser
 from bramleylead.scheduling import PoolKey
-from bramleylead.scheduling import RetryBudget
 from bramleylead.scheduling import SlotFinished
 from bramleylead.scheduling import SlotRequest
 from bramleylead.scheduling import pools_of
 from bramleylead.scheduling._default_policy import DefaultParameters
 from bramleylead.scheduling._policy import policy_parameters
 from bramleylead.scheduling._reports import ReportReader
-from bramleylead.standins import EngineLedger
 from bramleylead.standins import FakeEngine
 from bramleylead.standins import run_virtual
 from bramleylead.standins._network import BETWEEN_REGIONS_S
@@ -57,114 +53,12 @@
 MAX_TOKENS = 512
 ATTEMPTS = 3
 TEXT_BYTES_PER_TOKEN = 5
-OUTPUT_WEIGHT = 0.1
-FIRST_EXPECTED_OUTPUT = 150.0
-
-
-@dataclass(slots=True)
-class ProgramOutcome:
-    """How one program went; times in seconds.
-
-    :param latency_s: from its arrival to its end, without the user's own pauses.
-    """
-
-    kind: str
-    branch: str
-    arrived_s: float
-    alone_s: float
-    latency_s: float = 0.0
-    ended_s: float = 0.0
-    ok: bool = False
-    failure: str = ""
-
-
-class CallOutcome(NamedTuple):
-    """Times of one answered call."""
-
-    at_s: float
-    first_token_s: float
-    gap_s: float
-
-
-@dataclass(slots=True)
-class TrialResult:
-    """Everything that one run has shown."""
-
-    programs: list[ProgramOutcome] = field(default_factory=list)
-    calls: list[CallOutcome] = field(default_factory=list)
-    uses: list[PrefixUse] = field(default_factory=list)
-    ledger: EngineLedger = field(default_factory=EngineLedger)
-    cross_region_bytes: int = 0
-    refused: int = 0
-    ended_s: float = 0.0
-    violations: int = 0
 
 
 class _GaveUp(Exception):  # noqa: N818 - the caller's decision, not an error of the product
     """The caller gives the program up."""
 
 
-@dataclass(slots=True, eq=False)
-class _Program:
-    """A program while it runs, as its owner knows it; sub-agents share their root's counters."""
-
-    script: Script
-    owner: _Owner
-    root: _Program | None
-    messages: tuple[Message, ...] = ()
-    caches: dict[str, int] = field(default_factory=dict)
-    prompt_tokens: int = 0
-    computed_tokens: int = 0
-    attained: float = 0.0
-    number: int = 0
-
-    @property
-    def top(self) -> _Program:
-        return self.root or self
-
-
-@final
-class _Owner:
-    """One node as the owner of programs."""
-
-    def __init__(self, name: str, region: str, chooser: PoolChooser) -> None:
-        self.name = name
-        self.region = region
-        self.chooser = chooser
-        self.retries = RetryBudget()
-        self.expected_output: dict[str, float] = {}
-
-    def learn_output(self, kind: str, tokens: int) -> None:
-        seen = self.expected_output.get(kind, FIRST_EXPECTED_OUTPUT)
-        self.expected_output[kind] = seen + OUTPUT_WEIGHT * (tokens - seen)
-
-
-@final
-class _Reports:
-    """The reports of the fake engines, as the product's reader asks for them."""
-
-    def __init__(self, engine: FakeEngine) -> None:
-        self._engine = engine
-
-    async def load(self) -> Result[LoadReport, BackendError]:
-        return Ok(self._engine.load())
-
-    async def cache_events(self, *, after: int) -> Result[CachePage, BackendError]:
-        return Ok(self._engine.cache_events(after))
-
-    async def cache_contents(self) -> Result[CachePage, BackendError]:
-        return Ok(self._engine.cache.contents())
-
-
-@final
-class _Backends:
-    def __init__(self, engines: dict[str, FakeEngine]) -> None:
-        self._engines = engines
-
-    def engine(self, name: str, endpoint: Endpoint) -> Engine:
-        return _Reports(self._engines[name])  # type: ignore[return-value]
-
-
 @final
 class Trial:
     """One policy under one load."""
@@ -218,12 +112,12 @@
             dispatcher = Dispatcher(str(key), self._settings, promises=self._promises)
             dispatcher.set_endpoints(endpoints)
             self.dispatchers[key] = dispatcher
-            backends: Any = _Backends(self._engines)
+            backends: Any = EngineBackends(self._engines)
             reader = ReportReader(dispatcher, backends)
             reader.set_endpoints(endpoints)
             background.start_soon(reader.run)
 
-    def _owner(self, number: int, seed: int) -> _Owner:
+    def _owner(self, number: int, seed: int) -> TrialOwner:
         regions = list(self._workload.regions)
         parameters = policy_parameters(self._settings)
         known = isinstance(parameters, DefaultParameters)
@@ -231,7 +125,7 @@
         rng = random.Random(f"{seed}/owner/{number}")
         chooser = PoolChooser(self._settings.policy, pools, rng=rng)
         chooser.set_pools(self._pools)
-        return _Owner(f"n{number}", regions[number % len(regions)], chooser)
+        return TrialOwner(f"n{number}", regions[number % len(regions)], chooser)
 
     async def _run_root(self, script: Script) -> None:
         now = anyio.current_time()
@@ -249,16 +143,16 @@
         thought_s = sum(turn.think_s for turn in script.turns)
         outcome.latency_s = outcome.ended_s - now - thought_s
 
-    async def _run_program(self, script: Script, root: _Program | None) -> None:
+    async def _run_program(self, script: Script, root: TrialProgram | None) -> None:
         hashed = xxhash.xxh64_intdigest(script.name.encode())
-        program = _Program(script, self._owners[hashed % OWNERS], root)
+        program = TrialProgram(script, self._owners[hashed % OWNERS], root)
         try:
             for turn in script.turns:
                 await self._run_turn(program, turn)
         finally:
             self._release(program)
 
-    async def _run_turn(self, program: _Program, turn: Turn) -> None:
+    async def _run_turn(self, program: TrialProgram, turn: Turn) -> None:
         await self._call(program, turn)
         if turn.sub_agents:
             async with anyio.create_task_group() as agents:
@@ -267,7 +161,7 @@
         if turn.tool_s + turn.think_s > 0:
             await anyio.sleep(turn.tool_s + turn.think_s)
 
-    async def _call(self, program: _Program, turn: Turn) -> None:
+    async def _call(self, program: TrialProgram, turn: Turn) -> None:
         program.number += 1
         name = f"{program.script.name}/{program.number}"
         content = f"[tokens={turn.new_tokens}][output={turn.output_tokens}]{name}"
@@ -284,7 +178,7 @@
                 raise _GaveUp(failure.detail)
             await anyio.sleep(max(0.1, failure.retry_after_s))
 
-    async def _attempt(self, program: _Program, name: str, started_s: float) -> Failure | None:
+    async def _attempt(self, program: TrialProgram, name: str, started_s: float) -> Failure | None:
         owner = program.owner
         request = self._request(program, name, started_s)
         if request.deadline_s <= 0:
@@ -308,7 +202,7 @@
             slot.finish(report)
         return None
 
-    def _request(self, program: _Program, name: str, started_s: float) -> SlotRequest:
+    def _request(self, program: TrialProgram, name: str, started_s: float) -> SlotRequest:
         script, owner = program.script, program.owner
         now = anyio.current_time()
         return SlotRequest(
@@ -331,7 +225,7 @@
         )
 
     async def _generate(
-        self, program: _Program, name: str, endpoint: str, called_s: float
+        self, program: TrialProgram, name: str, endpoint: str, called_s: float
     ) -> SlotFinished | None:
         engine = self._engines[endpoint]
         way_s = _delay_s(program.owner.region, self._regions[endpoint])
@@ -367,7 +261,7 @@
         )
 
     def _answered(
-        self, program: _Program, endpoint: str, text: str, tokens: int, cached: int
+        self, program: TrialProgram, endpoint: str, text: str, tokens: int, cached: int
     ) -> None:
         prompt = program.prompt_tokens
         if self._regions[endpoint] != program.owner.region:
@@ -382,7 +276,7 @@
         program.top.attained += prompt - cached + tokens
         program.owner.learn_output(program.script.kind, tokens)
 
-    def _release(self, program: _Program) -> None:
+    def _release(self, program: TrialProgram) -> None:
         for endpoint in program.caches:
             self._engines[endpoint].release(program.script.name)
 
