--- a/src/bramleylead/process/partitions/_partition.py
+++ b/src/bramleylead/process/partitions/_partition.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 from typing import final
 
@@ -16,8 +15,8 @@
 from bramleylead.process.journal._entries import Entry
 from bramleylead.process.journal._journal_copy import JournalCopy
 from bramleylead.process.journal._state import PartitionState
-from bramleylead.process.journal._state_codec import extend_digest
 from bramleylead.process.journal._state_codec import pack_entry
+from bramleylead.process.partitions._append_queue import AppendQueue
 from bramleylead.process.partitions._partition_context import CLOCK_RATE_MARGIN
 from bramleylead.process.partitions._partition_context import PartitionContext
 from bramleylead.process.partitions._partition_messages import Append
@@ -28,7 +27,6 @@
 from bramleylead.process.partitions._pending_append import allows_single_copy
 from bramleylead.promises import Promise
 
-BATCH_BYTES = 500_000
 APPEND_BYTES_LIMIT = 3_000_000
 SILENCE_LEASE_FRACTION = 0.75  # of the act lease; the pair is replaced before the lease expires
 SOLO_MARGIN_S = 3.0
@@ -75,9 +73,7 @@
         self.last_confirmed_s = NEVER_S
         self._paired_at_s = NEVER_S
         self._context = context
-        self._queue: deque[PendingAppend] = deque()
-        self._last_sent_sequence = copy.sequence
-        self._last_message_number = 0
+        self._queue = AppendQueue(number, copy)
         self._on_pair_broken = on_pair_broken
         self._on_ready = on_ready
         self._drained = anyio.Event()
@@ -132,19 +128,15 @@
         """Batch the unsent appends into messages and mark them as sent."""
         if self.mode is not ReplicationMode.PAIRED:
             return []
-        batches: list[Append] = []
-        unsent = [pending for pending in self._queue if not pending.first_sequence]
-        while unsent:
-            batches.append(self._next_batch(unsent))
-        return batches
+        return self._queue.batch_unsent(self.epoch)
 
     def handle_ack(self, epoch: int, sequence: int, digest: int, message_number: int) -> None:
         """Complete the appends that the second copy holds, up to a sequence and message number."""
         if self.mode not in (ReplicationMode.PAIRED, ReplicationMode.MOVING) or epoch != self.epoch:
             return
         requested_s = NEVER_S
-        while self._is_acked(sequence, message_number):
-            pending = self._queue.popleft()
+        while self._queue.is_acked(sequence, message_number):
+            pending = self._queue.pop()
             requested_s = pending.sent_at
             self._apply(pending)
             self._context.metrics.entries.add({"outcome": "both"}, len(pending.entries))
@@ -168,10 +160,10 @@
             return None
         if epoch != self.epoch or self.mode is ReplicationMode.LOST:
             return False
-        if self.mode is ReplicationMode.MOVING or not self._matches_journal(sequence, digest):
+        if self.mode is ReplicationMode.MOVING or not self._queue.matches_journal(sequence, digest):
             return False
         self._set_paired()
-        self.handle_ack(epoch, sequence, digest, self._last_message_number)
+        self.handle_ack(epoch, sequence, digest, self._queue.last_message_number)
         self.record_confirmation(epoch, requested_s)
         self._restart_sending()
         return True
@@ -223,8 +215,7 @@
         """Whether the second copy has not responded for too long."""
         settings = self._context.settings.partitions
         contact_s = max(self.last_confirmed_s, self._paired_at_s)
-        in_flight = bool(self._queue) and self._queue[0].first_sequence > 0
-        oldest_sent_s = self._queue[0].sent_at if in_flight else now
+        oldest_sent_s = self._queue.oldest_sent_s(now)
         late_append = now - max(oldest_sent_s, contact_s) > settings.append_timeout_s / 2
         return late_append or now - contact_s > settings.act_lease_s * SILENCE_LEASE_FRACTION
 
@@ -232,9 +223,7 @@
         """Serve without a second copy: accept only entries that allow a single copy."""
         if self.mode is ReplicationMode.REPAIRING:
             self.mode = ReplicationMode.SOLO
-        queued, self._queue = list(self._queue), deque()
-        self._last_sent_sequence = self.copy.sequence
-        for pending in queued:
+        for pending in self._queue.take_all():
             pending.first_sequence = 0
             self._admit(pending)
 
@@ -264,7 +253,7 @@
 
     async def wait_drained(self) -> bool:
         """Wait until all sent appends are acknowledged; ``False`` if one of them timed out."""
-        while self._queue and self._queue[0].first_sequence and self.mode is ReplicationMode.MOVING:
+        while self._queue.is_in_flight and self.mode is ReplicationMode.MOVING:
             await self._drained.wait()
         return self.mode is ReplicationMode.MOVING and not self.in_doubt
 
@@ -274,7 +263,7 @@
         if self.solo_entries:
             self._context.metrics.entries.add({"outcome": "solo_lost"}, self.solo_entries)
         while self._queue:
-            self._queue.popleft().finish(Err(self._not_owner()))
+            self._queue.pop().finish(Err(self._not_owner()))
         self._signal_drained()
 
     def _set_paired(self) -> None:
@@ -285,7 +274,7 @@
         if self.mode is ReplicationMode.LOST:
             pending.finish(Err(self._not_owner()))
         elif self.mode is not ReplicationMode.SOLO:
-            self._queue.append(pending)
+            self._queue.add(pending)
             self._on_ready(self)
         elif all(allows_single_copy(entry) for entry in pending.entries):
             self._apply(pending)
@@ -296,8 +285,7 @@
             pending.finish(Err(self._not_durable("no second copy, and the store is unavailable")))
 
     def _handle_timeout(self, pending: PendingAppend) -> None:
-        if pending in self._queue:
-            self._queue.remove(pending)
+        self._queue.discard(pending)
         self._context.metrics.entries.add({"outcome": "not_durable"}, len(pending.entries))
         pending.finish(Err(self._not_durable("the second copy did not acknowledge in time")))
         if pending.first_sequence:
@@ -310,55 +298,10 @@
         for entry, packed in zip(pending.entries, pending.packed, strict=True):
             self.copy.apply(entry, packed)
 
-    def _next_batch(self, unsent: list[PendingAppend]) -> Append:
-        """Remove appends from the list up to the batch size, and assign sequence numbers."""
-        self._last_message_number += 1
-        first_sequence = self._last_sent_sequence + 1
-        packed: list[bytes] = []
-        while unsent and sum(len(each) for each in packed) < BATCH_BYTES:
-            pending = unsent.pop(0)
-            pending.first_sequence = self._last_sent_sequence + 1
-            pending.message_number = self._last_message_number
-            pending.sent_at = anyio.current_time()
-            self._last_sent_sequence = pending.last_sequence
-            packed.extend(pending.packed)
-        flushed = self.copy.tail.flushed
-        return Append(
-            self.number,
-            self.epoch,
-            first_sequence,
-            flushed,
-            self._last_message_number,
-            tuple(packed),
-        )
-
-    def _is_acked(self, sequence: int, message_number: int) -> bool:
-        if not self._queue:
-            return False
-        pending = self._queue[0]
-        return (
-            0 < pending.first_sequence <= pending.last_sequence + 1 <= sequence + 1
-            and pending.message_number <= message_number
-        )
-
     def _restart_sending(self) -> None:
-        self._last_sent_sequence = self.copy.sequence
-        for pending in self._queue:
-            pending.first_sequence = 0
+        self._queue.restart()
         self._on_ready(self)
 
-    def _matches_journal(self, sequence: int, digest: int) -> bool:
-        end_sequence, end_digest = self.copy.sequence, self.copy.digest
-        for pending in self._queue:
-            if end_sequence >= sequence or not pending.first_sequence:
-                break
-            if pending.first_sequence != end_sequence + 1:
-                return False
-            for packed in pending.packed:
-                end_digest = extend_digest(end_digest, packed)
-            end_sequence = pending.last_sequence
-        return (end_sequence, end_digest) == (sequence, digest)
-
     def _check_digests(self, sequence: int, digest: int) -> None:
         if sequence != self.copy.sequence:
             return
