Move the pulls of tickets and the choice of watchers out of the ticket log

Change: _ticket_puller.py pulls tickets from peers, _watchers.py names the nodes that read the store. The watchers of another data centre, which nothing asked for, can't be asked for any more.

Tests passed: testing.process.tickets.test_tickets and test_currency.

--- a/src/bramleylead/process/tickets/_tickets.py
+++ b/src/bramleylead/process/tickets/_tickets.py
@@ -21,8 +21,6 @@
 from bramleylead.connection import PeerClient
 from bramleylead.connection import PeerServer
 from bramleylead.connection import Reply
-from bramleylead.fleet._members import Member
-from bramleylead.fleet._rendezvous import store_watchers
 from bramleylead.metrics import Metrics
 from bramleylead.node_settings import NodeSettings
 from bramleylead.process._store_health import ObservedStore
@@ -38,23 +36,23 @@
 from bramleylead.process.tickets._ticket_messages import PushTaken
 from bramleylead.process.tickets._ticket_messages import TicketsAsked
 from bramleylead.process.tickets._ticket_messages import TicketsGiven
+from bramleylead.process.tickets._ticket_puller import STALE_FRACTION
+from bramleylead.process.tickets._ticket_puller import TicketPuller
 from bramleylead.process.tickets._ticket_pusher import TicketPusher
 from bramleylead.process.tickets._ticket_store import TicketStore
 from bramleylead.process.tickets._ticket_store import dump_config
 from bramleylead.process.tickets._ticket_store import load_config
 from bramleylead.process.tickets._ticket_store import number_of
 from bramleylead.process.tickets._ticket_wakeup import TicketWakeup
+from bramleylead.process.tickets._watchers import Watchers
 from bramleylead.promises import Promises
 from bramleylead.version import Config
 
 MAX_ANSWER_BYTES = 500_000
 SNAPSHOT_INTERVAL_TICKETS = 50
-PULL_CHECK_INTERVAL_S = 0.25
-PULL_TIMEOUT_S = 0.5
 STORE_RETRY_S = 0.5
 SILENT_PEERS_WAIT_S = 10.0
 MAX_REMEMBERED_PUSHES = 64
-STALE_FRACTION = 0.5
 
 log = structlog.get_logger()
 
@@ -77,12 +75,10 @@
         relay: str = "tree",
     ) -> None:
         self._settings = settings.tickets
-        self._data_centre = settings.data_centre
-        self._peers = peers
         self._store = TicketStore(store, node=settings.node)
         self._membership = membership
         self._metrics = metrics
-        self._rng = rng
+        self._watchers = Watchers(settings, membership)
         self._applied = AppliedTickets(promises)
         self._currency = Currency()
         self._ticks = Ticks(first=rng.getrandbits(48))
@@ -92,9 +88,20 @@
         self._wakeup = TicketWakeup(self._store, self.learn, wait_s=self._settings.watch_s)
         self._pushes_seen: deque[int] = deque(maxlen=MAX_REMEMBERED_PUSHES)
         self._peer_number_tracker = PeerTicketNumbers()
+        self._puller = TicketPuller(
+            settings,
+            peers=peers,
+            membership=membership,
+            watchers=self._watchers,
+            applied=self._applied,
+            currency=self._currency,
+            peer_numbers=self._peer_number_tracker,
+            metrics=metrics,
+            rng=rng,
+            on_answer=self._take_answer,
+        )
         self._started_at = 0.0
         self._loaded = False
-        self._pull_requested = anyio.Event()
         self._tasks: TaskGroup | None = None
         membership.status_source = self._node_status
         membership.status_listeners.append(self._on_status)
@@ -107,7 +114,7 @@
         self._tasks = anyio.create_task_group()
         await self._tasks.__aenter__()
         self._tasks.start_soon(self._run_watch)
-        self._tasks.start_soon(self._run_pull)
+        self._tasks.start_soon(self._puller.run)
         return self
 
     async def __aexit__(
@@ -157,7 +164,7 @@
             "caught_up": self._peer_number_tracker.caught_up,
             "waiting": self._applied.waiting,
             "stuck": self._applied.stuck,
-            "watches_store": self._is_watcher(),
+            "watches_store": self._watchers.includes_self(),
         }
 
     async def wait_changed(self, after_number: int) -> None:
@@ -192,7 +199,7 @@
     async def _run_watch(self) -> None:
         await self._load()
         while True:
-            if not self._is_watcher():
+            if not self._watchers.includes_self():
                 await anyio.sleep(self._settings.watch_s)
             elif await self.refresh():
                 self._start_push()
@@ -232,16 +239,6 @@
                 self._loaded = True
                 return True
 
-    def _is_watcher(self) -> bool:
-        return self._membership.self_name in [member.node for member in self._watchers()]
-
-    def _watchers(self, data_centre: str = "") -> list[Member]:
-        return store_watchers(
-            self._membership.alive(),
-            data_centre or self._data_centre,
-            self._settings.watchers_per_data_centre,
-        )
-
     # Peers
 
     def _node_status(self) -> NodeStatus:
@@ -254,7 +251,7 @@
     def _record_peer_number(self, number: int) -> None:
         self._peer_number_tracker.record(number, applied=self._applied.number)
         if self._peer_number_tracker.highest > self._applied.number:
-            self._pull_requested.set()
+            self._puller.request()
 
     def _caught_up_since_start(self) -> bool:
         """Whether this node has, since it started, had all tickets that its peers reported.
@@ -269,43 +266,10 @@
         )
         return silent and anyio.current_time() - self._started_at > SILENT_PEERS_WAIT_S
 
-    async def _run_pull(self) -> None:
-        """Pull from a peer whenever the proof is getting old or a peer has a later ticket."""
-        while True:
-            with anyio.move_on_after(PULL_CHECK_INTERVAL_S):
-                await self._pull_requested.wait()
-            self._pull_requested = anyio.Event()
-            self._metrics.ticket_age_seconds.set({}, min(self._currency.age_s, 1e9))
-            if self._needs_pull():
-                await self._pull_from(self._pull_source())
-
-    def _needs_pull(self) -> bool:
-        stale_s = STALE_FRACTION * self._settings.current_within_s
-        stale = min(self._currency.age_s, self._currency.outage_age_s) > stale_s
-        return stale or self._peer_number_tracker.highest > self._applied.number
-
-    def _pull_source(self) -> Member | None:
-        own = self._membership.self_name
-        local_watchers = [member for member in self._watchers() if member.node != own]
-        others = [member for member in self._membership.alive() if member.node != own]
-        remote_members = [m for m in others if m.data_centre != self._data_centre]
-        choices = [group for group in (local_watchers, remote_members, others) if group]
-        return self._rng.choice(self._rng.choice(choices)) if choices else None
-
-    async def _pull_from(self, member: Member | None) -> None:
-        if member is None:
-            return
-        asked_at = anyio.current_time()
-        request = TicketsAsked(self._applied.number)
-        answer = await self._peers.request(
-            member.address, request, timeout_s=PULL_TIMEOUT_S, idempotent=True
-        )
-        if isinstance(answer, Err) or not isinstance(answer.ok_value, TicketsGiven):
-            return
-        response = answer.ok_value
+    def _take_answer(self, after: int, response: TicketsGiven, asked_at: float) -> None:
         if response.config:
             self._install(load_config(response.config) or Config())
-        self._learn_bodies(request.after, response.tickets)
+        self._learn_bodies(after, response.tickets)
         self._currency.apply_proof(response.proof, measured_at=asked_at)
         self._record_peer_number(response.number)
 
@@ -327,15 +291,11 @@
         self._peer_number_tracker.set_applied(number)
         if (
             number // SNAPSHOT_INTERVAL_TICKETS > before // SNAPSHOT_INTERVAL_TICKETS
-            and self._is_snapshot_writer()
+            and self._watchers.is_self_first()
         ):
             assert self._tasks is not None
             self._tasks.start_soon(self._store.write_snapshot, self._applied.config)
 
-    def _is_snapshot_writer(self) -> bool:
-        first = next(iter(self._watchers()), None)
-        return first is not None and first.node == self._membership.self_name
-
     def _start_push(self) -> None:
         assert self._tasks is not None
         self._tasks.start_soon(self._pusher.start_push)
@@ -361,7 +321,7 @@
         Otherwise all nodes below this one would wait for the next push.
         """
         if pushed.proof.number > self._applied.number:
-            await self._pull_from(self._membership.get(sender))
+            await self._puller.pull_from(self._membership.get(sender))
         await self._pusher.forward(pushed.push, pushed.root)
 
     async def _on_tickets_asked(self, request: TicketsAsked, reply: Reply) -> None:
