Move a budget's object in the store out of the escrow

Change: _budget_object.py holds the key, the format and the shares of a budget's object.

Tests passed: testing.process.budgets.test_budget.

--- a/src/bramleylead/process/budgets/_budget.py
+++ b/src/bramleylead/process/budgets/_budget.py
@@ -11,9 +11,6 @@
 
 import json
 from collections.abc import Callable
-from typing import Any
-from typing import NamedTuple
-from typing import TypedDict
 from typing import final
 
 import anyio
@@ -24,10 +21,13 @@
 
 from bramleylead.errors import ErrorKind
 from bramleylead.errors import Failure
-from bramleylead.json_input import decode_json
 from bramleylead.platform import ObjectStore
-from bramleylead.platform import StoredObject
 from bramleylead.platform import StoreErrorKind
+from bramleylead.process.budgets._budget_object import BudgetObject
+from bramleylead.process.budgets._budget_object import Share
+from bramleylead.process.budgets._budget_object import object_key
+from bramleylead.process.budgets._budget_object import parse_object
+from bramleylead.process.budgets._budget_object import partition_share
 from bramleylead.process.journal._entries import GrantAdded
 from bramleylead.process.journal._entries import GrantForfeited
 from bramleylead.process.journal._entries import GrantReturning
@@ -47,26 +47,6 @@
 log = structlog.get_logger()
 
 
-class Share(TypedDict):
-    """One partition's entry in a budget object: total units ever granted and ever returned."""
-
-    granted: int
-    returned: int
-    incarnation: int
-
-
-class _BudgetObject(NamedTuple):
-    """A budget object as read from the store; version 0 if it does not exist."""
-
-    version: int
-    shares: dict[str, Share]
-
-    @property
-    def outstanding(self) -> int:
-        """Units that are granted and not yet returned."""
-        return sum(share["granted"] - share["returned"] for share in self.shares.values())
-
-
 @final
 class BudgetEscrow:
     """Reserves budget units for calls in the partitions that this node owns.
@@ -195,7 +175,7 @@
         if isinstance(read, Err):
             return read
         budget_object = read.ok_value
-        share = _partition_share(budget_object, partition.number)
+        share = partition_share(budget_object, partition.number)
         journaled = await self._journal_grant(partition, budget, share, limit)
         if isinstance(journaled, Err):
             return journaled
@@ -238,11 +218,11 @@
             return (await partition.append(GrantAdded(budget, total, limit))).map(lambda _: None)
 
     def _with_grant(
-        self, budget_object: _BudgetObject, partition: PartitionLog, budget: str, missing: int
+        self, budget_object: BudgetObject, partition: PartitionLog, budget: str, missing: int
     ) -> Result[dict[str, Share], Failure]:
         """Add a grant, less what an earlier attempt granted in the store but did not journal."""
         limit = self._config().budgets[budget].limit
-        share = _partition_share(budget_object, partition.number)
+        share = partition_share(budget_object, partition.number)
         missing -= share["granted"] - partition.state.grant(budget).granted
         if missing <= 0:
             return Ok(budget_object.shares)
@@ -286,8 +266,8 @@
     async def _store_returns(self, partition: PartitionLog, budget: str) -> Result[None, Failure]:
         """Write the journaled returns to the store."""
 
-        def with_returns(budget_object: _BudgetObject) -> Result[dict[str, Share], Failure]:
-            share = _partition_share(budget_object, partition.number)
+        def with_returns(budget_object: BudgetObject) -> Result[dict[str, Share], Failure]:
+            share = partition_share(budget_object, partition.number)
             share["returned"] = max(share["returned"], partition.state.grant(budget).returned)
             share["incarnation"] = max(share["incarnation"], partition.state.incarnation)
             return Ok({**budget_object.shares, str(partition.number): share})
@@ -295,7 +275,7 @@
         return (await self._update(budget, with_returns)).map(lambda _: None)
 
     async def _update(
-        self, budget: str, change: Callable[[_BudgetObject], Result[dict[str, Share], Failure]]
+        self, budget: str, change: Callable[[BudgetObject], Result[dict[str, Share], Failure]]
     ) -> Result[dict[str, Share], Failure]:
         """Update the budget object by compare-and-set.
 
@@ -315,7 +295,7 @@
             body = json.dumps({"writer": self._node, "shares": changed.ok_value}).encode()
             self.store_calls += 1
             written = await self._store.put(
-                _object_key(budget), body, expected=budget_object.version
+                object_key(budget), body, expected=budget_object.version
             )
             if isinstance(written, Ok):
                 return changed
@@ -325,43 +305,14 @@
         detail = f"budget {budget}: could not write the change to the store"
         return Err(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
 
-    async def _read(self, budget: str) -> Result[_BudgetObject, Failure]:
+    async def _read(self, budget: str) -> Result[BudgetObject, Failure]:
         self.store_calls += 1
-        found = await self._store.get(_object_key(budget))
+        found = await self._store.get(object_key(budget))
         if isinstance(found, Ok):
-            return _parse_object(budget, found.ok_value)
+            return parse_object(budget, found.ok_value)
         if found.err_value.kind is StoreErrorKind.NOT_FOUND:
-            return Ok(_BudgetObject(0, {}))
+            return Ok(BudgetObject(0, {}))
         return Err(Failure(ErrorKind.STORE_UNAVAILABLE, found.err_value.detail))
 
     def _budget_lock(self, budget: str) -> anyio.Lock:
         return self._locks.setdefault(budget, anyio.Lock())
-
-
-def _object_key(budget: str) -> str:
-    return f"budgets/{budget}"
-
-
-def _parse_object(budget: str, found: StoredObject) -> Result[_BudgetObject, Failure]:
-    try:
-        shares = decode_json(found.value)["shares"]
-        parsed = {number: _parse_share(share) for number, share in shares.items()}
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        detail = f"{_object_key(budget)}: unreadable: {type(error).__name__}: {error}"
-        return Err(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
-    return Ok(_BudgetObject(found.version, parsed))
-
-
-def _parse_share(plain: dict[str, Any]) -> Share:
-    return Share(
-        granted=int(plain["granted"]),
-        returned=int(plain["returned"]),
-        incarnation=int(plain["incarnation"]),
-    )
-
-
-def _partition_share(budget_object: _BudgetObject, partition: int) -> Share:
-    found = budget_object.shares.get(str(partition))
-    if found is None:
-        return Share(granted=0, returned=0, incarnation=0)
-    return Share(**found)
