--- a/src/bramleylead/process/membership/_membership.py
+++ b/src/bramleylead/process/membership/_membership.py
@@ -42,6 +42,8 @@
 from bramleylead.process.membership._membership_messages import Probe
 from bramleylead.process.membership._membership_messages import ProbeAnswer
 from bramleylead.process.membership._membership_messages import update_of
+from bramleylead.process.membership._suspicions import PAUSE_FACTOR
+from bramleylead.process.membership._suspicions import Suspicions
 from bramleylead.process.membership._update_queue import UpdateQueue
 from bramleylead.process.membership._view_exchange import ViewExchange
 from bramleylead.process.membership._vm_list import VmList
@@ -50,7 +52,6 @@
 PUSH_DELAY_S = 0.02
 VIEW_TIMEOUT_FACTOR = 4
 ABSENT_PROBE_PROBABILITY = 0.2
-PAUSE_FACTOR = 3.0
 JOIN_PROBE_COUNT = 3
 JOIN_RETRY_S = 0.5
 
@@ -107,6 +108,13 @@
         self._last_received_at = float("-inf")
         self._push_requested = anyio.Event()
         self._indirect_probes = IndirectProbes(self._settings, self._probe, peers, server, rng)
+        self._suspicions = Suspicions(
+            self._table,
+            self._probe,
+            self._apply_update,
+            lambda: self._last_received_at,
+            suspect_s=self._settings.suspect_s,
+        )
         self._store_poll = StorePoll(store, peers, server)
         self._tasks: TaskGroup | None = None
         self.status_source: Callable[[], NodeStatus] = _default_status
@@ -290,7 +298,7 @@
         self._member_gauge.set({"state": "listed"}, len(self._table.not_dead()))
         self._queue_update(update)
         if update.state is MemberState.SUSPECT:
-            self._start_task(self._run_suspicion, update)
+            self._start_task(self._suspicions.run, update)
 
     def _queue_update(self, update: MemberUpdate) -> None:
         self._update_queue.add(update)
@@ -311,29 +319,6 @@
             for member in targets:
                 tasks.start_soon(self._probe, member.node, member.address)
 
-    async def _run_suspicion(self, suspicion: MemberUpdate) -> None:
-        """Declare a suspect dead unless it refutes the suspicion in time.
-
-        If this node was paused or received no message meanwhile, it waits again and probes first.
-        """
-        unreliable = False
-        while self._still_suspect(suspicion):
-            started = anyio.current_time()
-            await anyio.sleep(self._settings.suspect_s)
-            paused = anyio.current_time() - started > PAUSE_FACTOR * self._settings.suspect_s
-            if paused or self._last_received_at < started:
-                unreliable = True
-                continue
-            if unreliable and await self._probe(suspicion.node, suspicion.address):
-                return
-            unreliable = False
-            if self._still_suspect(suspicion):
-                self._apply_update(suspicion._replace(state=MemberState.DEAD))
-
-    def _still_suspect(self, suspicion: MemberUpdate) -> bool:
-        known = self._table.get(suspicion.node)
-        return known is not None and update_of(known) == suspicion
-
     # Joining
 
     async def _run_join(self) -> None:
