--- a/testing/placement/test_competing_customers.py
+++ b/testing/placement/test_competing_customers.py
@@ -15,8 +15,8 @@
 from testing.placement._customer_replay import Ended
 from testing.placement._customer_replay import Flood
 from testing.placement._customer_replay import replay
-from testing.placement._customer_replay import served
-from testing.placement._customer_replay import worst_tenth
+from testing.placement._customer_results import served
+from testing.placement._customer_results import worst_tenth
 
 FLOODER = "c0"
 BEGINS_S = 5.0
