Report a placement without a task and a call

Cause: a gateway tells two members of each placement, with a task, a cancel scope, a timer and a call for each, though nothing is done with the answer. Change: PeerClient.post sends a message over an existing connection and ignores the answer. Where there is no connection, a task connects and sends as before. A connection that carries only posts isn't kept by them, so that a silent one is replaced.

--- a/src/bramleylead/connection/_client.py
+++ b/src/bramleylead/connection/_client.py
@@ -71,6 +71,17 @@
         self._start_awaiting_reply()
         return call
 
+    def post(self, message: tuple[Any, ...]) -> None:
+        """Send a request whose answer is ignored when it arrives.
+
+        This is no use that keeps the connection open: nothing would tell that it has become silent.
+
+        :raises MessageError: if no frame can carry it.
+        """
+        self.frames.send_nowait(Frame(self.next_call, FrameKind.OPEN, to_plain(message)))
+        self.next_call += 1
+        self._start_awaiting_reply()
+
     def release(self, call: PeerCall) -> None:
         """Remove a call; send a cancel frame unless the server has already ended the call."""
         self.last_used_at = anyio.current_time()
@@ -174,6 +185,20 @@
             return await _request_over(connection, message, address)
         return no_answer(address, f"no answer within {timeout_s} s")
 
+    def post(self, address: str, message: tuple[Any, ...]) -> bool:
+        """Send one message over an existing connection and ignore the answer.
+
+        :returns: whether it was sent; :meth:`request` connects first, or tells why not.
+        """
+        connection = self._usable_connection(address)
+        if connection is None:
+            return False
+        try:
+            connection.post(message)
+        except MessageError:
+            return False
+        return True
+
     @asynccontextmanager
     async def stream(
         self, address: str, message: tuple[Any, ...]
--- a/src/bramleylead/ledger/_member_reports.py
+++ b/src/bramleylead/ledger/_member_reports.py
@@ -45,9 +45,14 @@
         self._tasks = tasks
 
     def report_placement(self, report: LoadReport) -> None:
-        """Tell that a turn was placed."""
+        """Tell that a turn was placed.
+
+        This happens with each turn, so a task is started only where it has to connect first.
+        """
+        message = ReportLoad(report)
         for member in self._members.by_distance()[:PLACEMENT_REPORTS]:
-            self._tasks.start_soon(contain, "report", self._send, member, ReportLoad(report))
+            if not self._peers.post(member.address, message):
+                self._tasks.start_soon(contain, "report", self._send, member, message)
 
     async def report_crash(self, evidence: tuple[CrashEvidence, ...]) -> list[CrashEvidence]:
         """Tell that a request was running when a replica crashed, or that it was answered.
--- a/testing/connection/test_rpc.py
+++ b/testing/connection/test_rpc.py
@@ -116,6 +116,25 @@
         self.assertEqual({failure.err_value.kind for failure in failures}, {ErrorKind.TOO_LARGE})
         self.assertEqual(answer, Ok(Echo("hello")))
 
+    # Guards against reports that are never sent, and against one that fails its turn.
+    def test_a_posted_message_arrives_without_a_call(self) -> None:
+        received: list[Echo] = []
+
+        async def record(request: Echo, reply: Reply) -> None:
+            received.append(request)
+            await reply.send(request)
+
+        async def body(network: FakeNetwork, server: PeerServer, client: PeerClient) -> Any:
+            await client.request(ADDRESS, Echo("first"), timeout_s=1)
+            server._handlers[Echo] = record
+            sent = client.post(ADDRESS, Echo("report")), client.post(ADDRESS, Echo("\ud800"))
+            return sent, await client.request(ADDRESS, Echo("again"), timeout_s=1)
+
+        sent, again = run_virtual(lambda: _run_with_pair(body), seed=1)
+        self.assertEqual(sent, (True, False))
+        self.assertEqual(again, Ok(Echo("again")))
+        self.assertEqual(received, [Echo("report"), Echo("again")])
+
     def test_a_wrong_cluster_key_gets_no_answer(self) -> None:
         async def body(network: FakeNetwork, server: PeerServer, client: PeerClient) -> Any:
             answer = await client.request(ADDRESS, Echo("hello"), timeout_s=1)
@@ -194,6 +213,20 @@
 
         self.assertEqual(run_virtual(lambda: _run_with_pair(body), seed=1), (0, True))
 
+    # Guards against reports that are lost for as long as a dead connection takes to break.
+    def test_a_silent_connection_that_carries_only_posts_is_replaced(self) -> None:
+        async def body(network: FakeNetwork, server: PeerServer, client: PeerClient) -> Any:
+            sent = [client.post(ADDRESS, Echo("unconnected"))]
+            await client.request(ADDRESS, Echo("first"), timeout_s=1)
+            network.silence("10.0.0.1", "10.0.0.2")
+            for _ in range(10):
+                sent.append(client.post(ADDRESS, Echo("report")))
+                await anyio.sleep(1)
+            return sent
+
+        sent = run_virtual(lambda: _run_with_pair(body), seed=1)
+        self.assertEqual((sent[:2], sent[-1]), ([False, True], False))
+
 
 class WindowTest(unittest.TestCase):
     def test_a_slow_reader_blocks_only_its_own_call(self) -> None:
