Make a task group only for requests with a long body

Cause: each request to a replica opened a task group, whose exit takes a pass of the event loop and two cancel scopes, for sending a long body in the background. Change: sending_tasks opens it only for bodies of more than 16 KiB. With its head, which is bounded, a shorter one fits in the transport's buffer.

--- a/src/bramleylead/gateway/_relay_server.py
+++ b/src/bramleylead/gateway/_relay_server.py
@@ -28,6 +28,7 @@
 from bramleylead.gateway._replica_connection import ResponseHead
 from bramleylead.gateway._replica_connection import UpstreamError
 from bramleylead.gateway._replica_connection import exchange_heads
+from bramleylead.gateway._replica_connection import sending_tasks
 from bramleylead.gateway._upstream import UpstreamConnection
 from bramleylead.ledger._relay_table import NO_RELAY
 from bramleylead.ledger._relay_table import RelayGateway
@@ -129,7 +130,7 @@
         head = RequestHead(
             request.method, request.target, list(request.headers), request.request_id
         )
-        async with anyio.create_task_group() as tasks:
+        async with sending_tasks(request.body) as tasks:
             try:
                 response = await exchange_heads(use.connection, head, request.body, tasks)
                 metadata = wire.read_answer(response.header_map())
@@ -140,7 +141,6 @@
                 self._log_relayed(request, reply, response)
             except UpstreamError as error:
                 await reply.send(RelayBroken(str(error), error.connection_lost, error.path_lost))
-            tasks.cancel_scope.cancel()
 
     def _log_relayed(self, request: RelayRequest, reply: Reply, response: ResponseHead) -> None:
         log.info(
--- a/src/bramleylead/gateway/_replica_connection.py
+++ b/src/bramleylead/gateway/_replica_connection.py
@@ -20,7 +20,8 @@
 
 from bramleylead.gateway._replica_streams import ConnectFailure
 
-SMALL_REQUEST_BYTES = 16_384
+SMALL_BODY_BYTES = 16_384
+"""With a head of at most 32,000 bytes it stays below the 64 KiB from which a transport waits."""
 
 Headers = list[tuple[str, str]]
 
@@ -140,13 +141,28 @@
             await release(use)
 
 
+@asynccontextmanager
+async def sending_tasks(body: bytes) -> AsyncIterator[TaskGroup | None]:
+    """Provide the task group that :func:`exchange_heads` needs to send a long body.
+
+    A short request fits in the transport's buffer, so it needs none.
+    """
+    if len(body) <= SMALL_BODY_BYTES:
+        yield None
+        return
+    async with anyio.create_task_group() as tasks:
+        yield tasks
+        tasks.cancel_scope.cancel()
+
+
 async def exchange_heads(
-    connection: ReplicaConnection, head: RequestHead, body: bytes, tasks: TaskGroup
+    connection: ReplicaConnection, head: RequestHead, body: bytes, tasks: TaskGroup | None
 ) -> ResponseHead:
     """Send a request and return the head of its response.
 
     A replica may respond before it has read a long body, so that is sent in the background.
 
+    :param tasks: from :func:`sending_tasks`.
     :raises UpstreamError: if no response was received.
     :raises NotSentError: if nothing was sent.
     """
@@ -154,7 +170,7 @@
         data = connection.start_request(head, body)
     except UpstreamError as error:
         raise NotSentError(str(error), unreached=False) from error
-    if len(data) <= SMALL_REQUEST_BYTES:
+    if tasks is None:
         await connection.send(data)
     else:
         tasks.start_soon(connection.send, data)
--- a/src/bramleylead/gateway/_sender.py
+++ b/src/bramleylead/gateway/_sender.py
@@ -10,6 +10,7 @@
 
 import anyio
 import structlog
+from anyio.abc import TaskGroup
 from result import Err
 
 from bramleylead.customers import Customer
@@ -30,6 +31,7 @@
 from bramleylead.gateway._replica_connection import ResponseHead
 from bramleylead.gateway._replica_connection import UpstreamError
 from bramleylead.gateway._replica_connection import exchange_heads
+from bramleylead.gateway._replica_connection import sending_tasks
 from bramleylead.gateway._replica_connections import ReplicaConnections
 from bramleylead.gateway._response_body import StartedResponse
 from bramleylead.gateway._response_body import discard_body
@@ -174,14 +176,13 @@
         result: StartedResponse | NotRun | UnknownOutcome | None = None
         started_at = anyio.current_time()
         try:
-            async with anyio.create_task_group() as tasks:
+            async with sending_tasks(body) as tasks:
                 result = await self._send_request(
                     call, replica, use.connection, body, resume_after, tasks
                 )
                 if isinstance(result, StartedResponse):
                     use.keep_alive_s = result.metadata.keep_alive_s
                 yield result
-                tasks.cancel_scope.cancel()
         finally:
             waited_s = anyio.current_time() - started_at
             if result is None and waited_s > NO_RESPONSE_FAILURE_S and not self._paths.is_lost:
@@ -195,7 +196,7 @@
         connection: ReplicaConnection,
         body: bytes,
         resume_after: str,
-        tasks: anyio.abc.TaskGroup,
+        tasks: TaskGroup | None,
     ) -> StartedResponse | NotRun | UnknownOutcome:
         head = RequestHead(
             call.method,
