Add counted log lines to the metrics when these are read

Cause: for each line of the log, the metrics library checked the labels' names and encoded them as JSON twice. Change: lines are counted by their labels in a dictionary, which is added to the metric when the page is read.

--- a/src/bramleylead/site_metrics.py
+++ b/src/bramleylead/site_metrics.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
@@ -33,6 +34,7 @@
 """Where a turn was found. Other sources name nodes or revisions, of which there is no end."""
 
 Gauges = Callable[[], Mapping[str, float]]
+Labels = tuple[tuple[str, str], ...]
 Dump = Callable[[], Mapping[str, Any]]
 
 
@@ -47,6 +49,7 @@
             "Lines of the log by event and reason, those not written among them.",
             registry=self.registry,
         )
+        self._uncounted: collections.Counter[Labels] = collections.Counter()
         self._answers = Histogram(
             "bramleylead_answer_seconds",
             "From a request's arrival to the end of its answer, by outcome.",
@@ -77,7 +80,7 @@
                 labels[field] = str(event[field])
         if event.get("source") in COUNTED_SOURCES:
             labels["source"] = event["source"]
-        self._lines.inc(labels)
+        self._uncounted[tuple(labels.items())] += 1
         if "took_s" in event:
             self._answers.observe({"event": event["event"]}, event["took_s"])
         return event
@@ -86,6 +89,7 @@
         """Serve the metrics page and the state dump."""
         exchange = Exchange(scope, receive, send)
         if exchange.path == METRICS_PATH:
+            self._add_lines()
             for name, value in {**self._log_gauges(), **self._gauges()}.items():
                 self._state.set({"name": name}, value)
             accept = exchange.headers.get("accept", "")
@@ -96,3 +100,9 @@
             await exchange.respond(200, body, [("content-type", JSON_TYPE)])
         else:
             await exchange.respond(404, b"", [])
+
+    def _add_lines(self) -> None:
+        """Add the lines counted since the last time; each addition checks its labels."""
+        counted, self._uncounted = self._uncounted, collections.Counter()
+        for labels, count in counted.items():
+            self._lines.add(dict(labels), count)
