Answer reports of load and requests for a node's state without a task

Cause: the server of calls between nodes started a task for each call, though the handlers of these two messages, the most frequent ones, never wait. Change: PeerServer.answer registers a function whose answer the task that reads the connection sends itself. Such a call counts, fails and is refused while draining as before. A peer that doesn't read its answers holds up only the reading of its own connection.

--- a/src/bramleylead/connection/_server.py
+++ b/src/bramleylead/connection/_server.py
@@ -32,6 +32,7 @@
 log = structlog.get_logger()
 
 Handler = Callable[[Any, Reply], Awaitable[None]]
+Answer = Callable[[Any], tuple[Any, ...]]
 
 
 @final
@@ -57,6 +58,7 @@
         self._max_unproven = max_unproven or descriptor_share(NODES_SHARE)
         self._unproven: dict[anyio.CancelScope, None] = {}
         self._handlers: dict[type, Handler] = {}
+        self._answers: dict[type, Answer] = {}
         self._running_calls = 0
         self._idle = anyio.Event()
         self._draining = False
@@ -74,6 +76,18 @@
             raise ValueError(f"{message_class.__name__} already has a handler")
         self._handlers[message_class] = handler
 
+    def answer(self, message_class: type, answer: Answer) -> None:
+        """Register a function that answers one message class at once, so that no task is needed.
+
+        :raises ValueError: if the class already has a handler.
+        """
+
+        async def send_answer(request: Any, reply: Reply) -> None:
+            await reply.send(answer(request))
+
+        self.handle(message_class, send_answer)
+        self._answers[message_class] = answer
+
     async def drain(self, *, timeout_s: float) -> bool:
         """Refuse new calls and wait for running ones; return whether all ended in time."""
         self._draining = True
@@ -112,7 +126,7 @@
             if frame.kind is FrameKind.PING:
                 frames.send_nowait(Frame(0, FrameKind.PONG, None))
             elif frame.kind is FrameKind.OPEN:
-                self._open_call(frame, connection)
+                await self._open_call(frame, connection)
             elif frame.kind is FrameKind.HELLO:
                 raise MessageError("received a second handshake")
             elif frame.call in connection.calls:
@@ -136,11 +150,14 @@
             self.closed_unproven += 1
         self._unproven[scope] = None
 
-    def _open_call(self, frame: Frame, connection: _Connection) -> None:
+    async def _open_call(self, frame: Frame, connection: _Connection) -> None:
         request = from_plain(frame.body)
         reply = Reply(frame.call, connection.frames, connection.peer)
         connection.calls[frame.call] = reply
-        connection.task_group.start_soon(self._run_call, request, reply, connection)
+        if type(request) in self._answers:
+            await self._run_call(request, reply, connection)
+        else:
+            connection.task_group.start_soon(self._run_call, request, reply, connection)
 
     async def _run_call(self, request: Any, reply: Reply, connection: _Connection) -> None:
         self._running_calls += 1
--- a/src/bramleylead/ledger/_load_sharing.py
+++ b/src/bramleylead/ledger/_load_sharing.py
@@ -55,7 +55,7 @@
 
     def register_handlers(self, server: PeerServer) -> None:
         """Register the handlers of load reports."""
-        server.handle(ReportLoad, self._record_report)
+        server.answer(ReportLoad, self._record_report)
         server.handle(ReportCrash, self._record_crash)
         server.handle(ShareLoads, self._record_shared)
 
@@ -93,9 +93,9 @@
             member.address, message, timeout_s=SHARE_TIMEOUT_S, idempotent=True
         )
 
-    async def _record_report(self, request: ReportLoad, reply: Reply) -> None:
+    def _record_report(self, request: ReportLoad) -> Done:
         self._node.fleet.record(request.report, now=anyio.current_time())
-        await reply.send(Done())
+        return Done()
 
     async def _record_crash(self, request: ReportCrash, reply: Reply) -> None:
         now = anyio.current_time()
--- a/src/bramleylead/ledger/_node.py
+++ b/src/bramleylead/ledger/_node.py
@@ -171,7 +171,7 @@
         server.handle(Settle, self._settle)
         server.handle(Keep, self._keep)
         server.handle(FindChain, self._find_chain)
-        server.handle(AskState, self._ask_state)
+        server.answer(AskState, self._state_for)
         server.handle(AskKeys, self._ask_keys)
         server.handle(AskRecords, self._ask_records)
         server.handle(CatchUp, self._catch_up)
@@ -289,9 +289,9 @@
         page = first_page(self._state.chain(request.turn), record_bytes)
         await reply.send(Chain(self._node, self._disk.name, self._view.epoch, tuple(page)))
 
-    async def _ask_state(self, request: AskState, reply: Reply) -> None:
+    def _state_for(self, request: AskState) -> NodeState:
         others = {member.node for member in self._view.members} - {self._node}
-        state = NodeState(
+        return NodeState(
             self._node,
             self._disk.name,
             self._run_id,
@@ -300,7 +300,6 @@
             self.vacancies,
             settled=self.is_member and others <= self._settled,
         )
-        await reply.send(state)
 
     async def _ask_keys(self, request: AskKeys, reply: Reply) -> None:
         after = request.after if request.run_id == self._run_id else 0
