Cancel a call's handler by its task

Cause: each call that a node serves had a cancel scope of its own besides that of its task. Change: a frame that cancels a call cancels the task that runs its handler.

--- a/src/bramleylead/connection/_rpc.py
+++ b/src/bramleylead/connection/_rpc.py
@@ -14,6 +14,7 @@
 
 import anyio
 import anyio.lowlevel
+from anyio import TaskHandle
 from result import Err
 from result import Ok
 from result import Result
@@ -166,12 +167,16 @@
 
 @final
 class Reply(PeerCall):
-    """The server's side of one call; ``peer`` is the authenticated name of the calling node."""
+    """The server's side of one call.
+
+    :ivar peer: the authenticated name of the calling node.
+    :ivar task: runs the handler, unless that answers at once.
+    """
 
     def __init__(self, number: int, frames: FrameStream, peer: str) -> None:
         super().__init__(number, frames)
         self.peer = peer
-        self.scope = anyio.CancelScope()
+        self.task: TaskHandle[None] | None = None
 
     async def fail(self, failure: Failure) -> None:
         """Send a failure as the call's answer."""
@@ -179,10 +184,10 @@
 
     def handle_frame(self, frame: Frame) -> None:
         """Process a frame; a cancel frame from the caller cancels the handler."""
-        if frame.kind is FrameKind.CANCEL:
-            self.scope.cancel()
-        else:
+        if frame.kind is not FrameKind.CANCEL:
             super().handle_frame(frame)
+        elif self.task is not None:
+            self.task.cancel()
 
 
 async def first_answer(call: PeerCall, address: str) -> Result[Any, Failure]:
--- a/src/bramleylead/connection/_server.py
+++ b/src/bramleylead/connection/_server.py
@@ -157,15 +157,15 @@
         if type(request) in self._answers:
             await self._run_call(request, reply, connection)
         else:
-            connection.task_group.start_soon(self._run_call, request, reply, connection)
+            reply.task = connection.task_group.start_soon(
+                self._run_call, request, reply, connection
+            )
 
     async def _run_call(self, request: Any, reply: Reply, connection: _Connection) -> None:
         self._running_calls += 1
         try:
-            with reply.scope:
-                await self._dispatch(request, reply, connection)
-                end_frame = Frame(reply.number, FrameKind.END, None)
-                await connection.frames.send(end_frame)
+            await self._dispatch(request, reply, connection)
+            await connection.frames.send(Frame(reply.number, FrameKind.END, None))
         finally:
             connection.calls.pop(reply.number, None)
             self._running_calls -= 1
