Bound the two waits for an entry's answers one after the other

Cause: the wait for the near members ran in two cancel scopes with a timer each, that of the entry and that after which all members get it. Change: the first wait has the shorter limit, and only where it isn't enough a second one has the rest.

--- a/src/bramleylead/ledger/_client.py
+++ b/src/bramleylead/ledger/_client.py
@@ -276,8 +276,7 @@
                 detail = f"{len(view.members)} members known, more than {self._losses} required"
                 break
             round_ = EntryRound(view, view.acks_needed(self._losses))
-            with anyio.move_on_after(timeout_s):
-                await self._send_round(round_, entry(view.epoch))
+            await self._send_round(round_, entry(view.epoch), timeout_s=timeout_s)
             if round_.newer_view is not None:
                 self._members.adopt(round_.newer_view, source="answer")
                 continue
@@ -292,7 +291,7 @@
         self._mark_unavailable(detail)
         return Err(_unavailable(f"ledger at epoch {self.view.epoch}: {detail}"))
 
-    async def _send_round(self, round_: EntryRound, entry: Any) -> None:
+    async def _send_round(self, round_: EntryRound, entry: Any, *, timeout_s: float) -> None:
         """Send an entry to enough near members, and to the others if these fail or are slow.
 
         Members copy records from each other, so all of them receive the entry eventually.
@@ -303,10 +302,12 @@
             self._tasks.start_soon(contain, "entry", self._send, member, entry, round_)
         with anyio.move_on_after(ENTRY_HEDGE_DELAY_S):
             await round_.decided_or_failed.wait()
-        if not round_.decided.is_set():
-            for member in ordered[round_.required_acks :]:
-                self._tasks.start_soon(contain, "entry", self._send, member, entry, round_)
-        await round_.decided.wait()
+        if round_.decided.is_set():
+            return
+        for member in ordered[round_.required_acks :]:
+            self._tasks.start_soon(contain, "entry", self._send, member, entry, round_)
+        with anyio.move_on_after(timeout_s - ENTRY_HEDGE_DELAY_S):
+            await round_.decided.wait()
 
     async def _send(self, member: LedgerMember, entry: Any, round_: EntryRound) -> None:
         round_.record_answer(member, await request_member(self._peers, round_.view, member, entry))
