--- a/testing/connection/test_rpc.py
+++ b/testing/connection/test_rpc.py
@@ -333,6 +333,40 @@
         self.assertEqual(run_virtual(lambda: _run_with_pair(body), seed=1), 1)
 
 
+class AnswerTest(unittest.TestCase):
+    # Guards against calls without a task that differ from others: an error in one would end its
+    # connection with all calls on it, and a stopping node would still answer.
+    def test_a_message_answered_at_once_fails_and_is_refused_like_others(self) -> None:
+        def answer(request: Slow) -> Echo:
+            if failing:
+                raise RuntimeError("broken")
+            return Echo("\ud800" if unsendable else "at once")
+
+        failing = unsendable = False
+
+        async def body(network: FakeNetwork, server: PeerServer, client: PeerClient) -> Any:
+            nonlocal failing, unsendable
+            server.answer(Slow, answer)
+            with self.assertRaises(ValueError):
+                server.answer(Slow, answer)
+            answers = [await client.request(ADDRESS, Slow(), timeout_s=1)]
+            failing = True
+            answers.append(await client.request(ADDRESS, Slow(), timeout_s=1))
+            failing, unsendable = False, True
+            answers.append(await client.request(ADDRESS, Slow(), timeout_s=1))
+            unsendable = False
+            answers.append(await client.request(ADDRESS, Slow(), timeout_s=1))
+            self.assertTrue(await server.drain(timeout_s=1))
+            answers.append(await client.request(ADDRESS, Slow(), timeout_s=1))
+            return answers, server.connections
+
+        answers, connections = run_virtual(lambda: _run_with_pair(body), seed=1)
+        self.assertEqual([answers[0], answers[3]], [Ok(Echo("at once"))] * 2)
+        kinds = [answer.err_value.kind for answer in (answers[1], answers[2], answers[4])]
+        self.assertEqual(kinds, [ErrorKind.INTERNAL, ErrorKind.INTERNAL, ErrorKind.STOPPING])
+        self.assertEqual(connections, 1)
+
+
 class StopTest(unittest.TestCase):
     def test_drain_finishes_running_calls_and_refuses_new_ones(self) -> None:
         async def body(network: FakeNetwork, server: PeerServer, client: PeerClient) -> Any:
