--- a/testing/connection/test_rpc.py
+++ b/testing/connection/test_rpc.py
@@ -116,6 +116,25 @@
         self.assertEqual({failure.err_value.kind for failure in failures}, {ErrorKind.TOO_LARGE})
         self.assertEqual(answer, Ok(Echo("hello")))
 
+    # Guards against reports that are never sent, and against one that fails its turn.
+    def test_a_posted_message_arrives_without_a_call(self) -> None:
+        received: list[Echo] = []
+
+        async def record(request: Echo, reply: Reply) -> None:
+            received.append(request)
+            await reply.send(request)
+
+        async def body(network: FakeNetwork, server: PeerServer, client: PeerClient) -> Any:
+            await client.request(ADDRESS, Echo("first"), timeout_s=1)
+            server._handlers[Echo] = record
+            sent = client.post(ADDRESS, Echo("report")), client.post(ADDRESS, Echo("\ud800"))
+            return sent, await client.request(ADDRESS, Echo("again"), timeout_s=1)
+
+        sent, again = run_virtual(lambda: _run_with_pair(body), seed=1)
+        self.assertEqual(sent, (True, False))
+        self.assertEqual(again, Ok(Echo("again")))
+        self.assertEqual(received, [Echo("report"), Echo("again")])
+
     def test_a_wrong_cluster_key_gets_no_answer(self) -> None:
         async def body(network: FakeNetwork, server: PeerServer, client: PeerClient) -> Any:
             answer = await client.request(ADDRESS, Echo("hello"), timeout_s=1)
@@ -194,6 +213,20 @@
 
         self.assertEqual(run_virtual(lambda: _run_with_pair(body), seed=1), (0, True))
 
+    # Guards against reports that are lost for as long as a dead connection takes to break.
+    def test_a_silent_connection_that_carries_only_posts_is_replaced(self) -> None:
+        async def body(network: FakeNetwork, server: PeerServer, client: PeerClient) -> Any:
+            sent = [client.post(ADDRESS, Echo("unconnected"))]
+            await client.request(ADDRESS, Echo("first"), timeout_s=1)
+            network.silence("10.0.0.1", "10.0.0.2")
+            for _ in range(10):
+                sent.append(client.post(ADDRESS, Echo("report")))
+                await anyio.sleep(1)
+            return sent
+
+        sent = run_virtual(lambda: _run_with_pair(body), seed=1)
+        self.assertEqual((sent[:2], sent[-1]), ([False, True], False))
+
 
 class WindowTest(unittest.TestCase):
     def test_a_slow_reader_blocks_only_its_own_call(self) -> None:
@@ -300,6 +333,40 @@
         self.assertEqual(run_virtual(lambda: _run_with_pair(body), seed=1), 1)
 
 
+class AnswerTest(unittest.TestCase):
+    # Guards against calls without a task that differ from others: an error in one would end its
+    # connection with all calls on it, and a stopping node would still answer.
+    def test_a_message_answered_at_once_fails_and_is_refused_like_others(self) -> None:
+        def answer(request: Slow) -> Echo:
+            if failing:
+                raise RuntimeError("broken")
+            return Echo("\ud800" if unsendable else "at once")
+
+        failing = unsendable = False
+
+        async def body(network: FakeNetwork, server: PeerServer, client: PeerClient) -> Any:
+            nonlocal failing, unsendable
+            server.answer(Slow, answer)
+            with self.assertRaises(ValueError):
+                server.answer(Slow, answer)
+            answers = [await client.request(ADDRESS, Slow(), timeout_s=1)]
+            failing = True
+            answers.append(await client.request(ADDRESS, Slow(), timeout_s=1))
+            failing, unsendable = False, True
+            answers.append(await client.request(ADDRESS, Slow(), timeout_s=1))
+            unsendable = False
+            answers.append(await client.request(ADDRESS, Slow(), timeout_s=1))
+            self.assertTrue(await server.drain(timeout_s=1))
+            answers.append(await client.request(ADDRESS, Slow(), timeout_s=1))
+            return answers, server.connections
+
+        answers, connections = run_virtual(lambda: _run_with_pair(body), seed=1)
+        self.assertEqual([answers[0], answers[3]], [Ok(Echo("at once"))] * 2)
+        kinds = [answer.err_value.kind for answer in (answers[1], answers[2], answers[4])]
+        self.assertEqual(kinds, [ErrorKind.INTERNAL, ErrorKind.INTERNAL, ErrorKind.STOPPING])
+        self.assertEqual(connections, 1)
+
+
 class StopTest(unittest.TestCase):
     def test_drain_finishes_running_calls_and_refuses_new_ones(self) -> None:
         async def body(network: FakeNetwork, server: PeerServer, client: PeerClient) -> Any:
