--- a/testing/test_deploy_build.py
+++ b/testing/test_deploy_build.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib.util
 import os
 import shutil
 import subprocess
@@ -13,12 +14,14 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 PIP_CALLS = "pip-calls"
+UNCHECKED_HASH = 0b01
+"""The flags of a compiled file, by PEP 552: it has a hash, which is not compared."""
 PYTHON = f"""#!/bin/sh
 case "$*" in
   *pip*) echo "$*" >> {PIP_CALLS}
     [ -z "$PIP_BREAKS_OFF" ] || {{ mkdir -p target/deps.new target/deps/half; exit 1; }}
     for folder in "$@"; do case "$folder" in target/*) break ;; esac; done
-    mkdir -p "$folder" && touch "$folder/library" ;;
+    mkdir -p "$folder" && touch "$folder/library" "$folder/library_module.py" ;;
   *) exec {sys.executable} "$@" ;;
 esac
 """
@@ -55,6 +58,14 @@
         self.assertTrue((self.deps / "library").exists())
         self.assertTrue((self.deps / "bramleylead" / "__init__.py").exists())
 
+    # Guards against starts that compile every module, where a copy has other times of change.
+    def test_compiled_files_hold_whatever_the_times_of_change(self) -> None:
+        self.assertEqual(self.build(), 0)
+        for source in (self.deps / "library_module.py", self.deps / "bramleylead" / "__init__.py"):
+            compiled = Path(importlib.util.cache_from_source(str(source))).read_bytes()
+            with self.subTest(source.name):
+                self.assertEqual(int.from_bytes(compiled[4:8], "little"), UNCHECKED_HASH)
+
     # Guards against libraries of another machine or Python in a folder that was carried over.
     def test_libraries_of_another_machine_are_installed_again(self) -> None:
         self.deps.mkdir(parents=True)
