--- a/testing/test_deploy.py
+++ b/testing/test_deploy.py
@@ -69,6 +69,13 @@
                 self.assertTrue(about["run"].endswith(f"bramleylead {role}"))
                 self.assertTrue((ROOT / about["template"]).exists())
 
+    # Guards against files of the working folder that shadow modules, and a look there for each one.
+    def test_no_role_imports_from_its_working_folder(self) -> None:
+        deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+        for role, about in deploy["roles"].items():
+            with self.subTest(role):
+                self.assertTrue(about["run"].startswith("python3 -P -m "))
+
     def test_what_the_roles_need_is_pinned_as_everywhere(self) -> None:
         pinned = set((ROOT / "requirements" / "run.txt").read_text().split())
         site = set((ROOT / "requirements" / "site.txt").read_text().split())
