Bound what a role has loaded when it is ready

The test reads the modules of a running gateway and of running ledger nodes, and refuses those that no role uses (and a gateway's in a ledger node), so that a start can't become slower unnoticed.

--- a/testing/gateway/test_costs.py
+++ b/testing/gateway/test_costs.py
@@ -49,7 +49,7 @@
 def write():
     while True:
         with open(file + ".new", "w") as stream:
-            json.dump(dict(counts), stream)
+            json.dump({**counts, "modules": list(sys.modules)}, stream)
         os.replace(file + ".new", file)
         time.sleep(0.05)
 
@@ -63,6 +63,34 @@
 IDLE_S = 4.0
 REQUESTS = 40
 NOT_IMPORTED = ("pydantic", "trio", "matplotlib", "bramleylead.standins", "bramleylead.scheduling")
+NOT_LOADED = (
+    "annotated_types",
+    "argparse",
+    "bramleylead.bench",
+    "bramleylead.process",
+    "bramleylead.request",
+    "bramleylead.scheduling",
+    "bramleylead.standins",
+    "bramleylead.trials",
+    "bramleylead.version",
+    "concurrent.futures.process",
+    "email.message",
+    "email.parser",
+    "http.client",
+    "http.server",
+    "matplotlib",
+    "multiprocessing.pool",
+    "numpy",
+    "pydantic",
+    "pydantic_core",
+    "unittest",
+    "urllib.request",
+    "uvicorn.lifespan.on",
+    "uvicorn.loops",
+    "uvicorn.protocols.websockets",
+)
+"""What no role has loaded when it is ready. Where trio is installed, httpcore imports it."""
+NOT_LOADED_BY_LEDGER = ("bramleylead.gateway",)
 
 
 class Counts(NamedTuple):
@@ -91,6 +119,10 @@
     return Counts(*(sum(each.get(field, 0) for each in found) for field in Counts._fields))
 
 
+def _read_modules(settings_file: Path) -> set[str]:
+    return set(json.loads(Path(f"{settings_file}.counts").read_text())["modules"])
+
+
 async def _count(site: BenchSite, work: Callable[[], Awaitable[None]]) -> Spent:
     await anyio.sleep(COUNTS_WRITTEN_S)
     began_at = anyio.current_time()
@@ -153,6 +185,22 @@
                 each = _each(getattr(spent, role), REQUESTS, at_rest, share)
                 self.check(f"{name}, {role}", each, BOUNDS[name, role])
 
+    # Guards against a start that becomes slower by an import of what the role does not use.
+    def test_roles_that_are_ready_have_loaded_nothing_that_they_do_not_need(self) -> None:
+        async def main() -> dict[str, set[str]]:
+            with tempfile.TemporaryDirectory() as folder:
+                async with bench_site(Path(folder), (), ("-c", COUNTING)) as site:
+                    await site.wait_durable()
+                    await anyio.sleep(COUNTS_WRITTEN_S)
+                    return {node.role: _read_modules(node.settings_file) for node in site.nodes}
+
+        loaded = anyio.run(main)
+        for role, modules in loaded.items():
+            with self.subTest(role):
+                self.assertIn(f"bramleylead.{role}._run", modules)
+                self.assertEqual(modules & set(NOT_LOADED), set())
+        self.assertEqual(loaded["ledger"] & set(NOT_LOADED_BY_LEDGER), set())
+
     # Guards against a start that becomes slower: pydantic's import and models took a fifth of it.
     def test_roles_import_nothing_that_they_do_not_need(self) -> None:
         for role in ("gateway", "ledger"):
