Send the stop while msgspec is imported, in place of pydantic

Cause: the test waited for an import of pydantic, which the roles no longer make, and timed out. The check is the same for another library that is imported early.

Change: it names msgspec.

Measured: testing.cli.test_signals passes.

--- a/testing/cli/test_signals.py
+++ b/testing/cli/test_signals.py
@@ -166,7 +166,7 @@
 
     # Guards against code -15: SIGTERM while libraries are imported found no handler.
     def test_a_stop_that_comes_while_libraries_are_imported_is_remembered(self) -> None:
-        for module in ("bramleylead.cli", "pydantic", "uvicorn"):
+        for module in ("bramleylead.cli", "msgspec", "uvicorn"):
             self.check(
                 lambda role, module=module: live(role, lambda _: None, "-c", RUN_MODULE, module)
             )
