Revert "Wait for a caller's disconnect in a task of the gateway's task group"

testing.gateway.test_replica_memory reads a settlement, which runs in the background, right after the response; the exit of the request's task group gave it the pass of the event loop that it needs.

--- a/src/bramleylead/gateway/_app.py
+++ b/src/bramleylead/gateway/_app.py
@@ -11,7 +11,6 @@
 
 import anyio
 import structlog
-from anyio.abc import TaskGroup
 from result import Err
 
 from bramleylead.customers import Customer
@@ -40,7 +39,6 @@
 from bramleylead.platform._types import CallMetadata
 from bramleylead.platform._types import Configuration
 from bramleylead.platform._types import Route
-from bramleylead.supervision import contain
 
 END_TO_END_HEADERS = frozenset(
     {
@@ -76,8 +74,6 @@
 class GatewayApp:
     """Serves requests from callers.
 
-    :param tasks: runs a task for each request that waits for the caller to disconnect. A task group
-        of each request would take another pass of the event loop.
     :param bounds_responses: whether what is held for callers that read slowly is bounded.
     """
 
@@ -86,14 +82,12 @@
         directory: Directory,
         plain: PlainCalls,
         streams: StreamCalls,
-        tasks: TaskGroup,
         *,
         bounds_responses: bool = True,
     ) -> None:
         self._directory = directory
         self._plain = plain
         self._streams = streams
-        self._tasks = tasks
         self._bodies = BodyMemory()
         max_bytes = MAX_HELD_RESPONSE_BYTES if bounds_responses else sys.maxsize
         self._responses = BodyMemory(max_bytes=max_bytes)
@@ -219,17 +213,13 @@
             beginning=call.fingerprint.beginning.hex(),
             resumes=metadata.resumed_request,
         )
-        with anyio.CancelScope() as scope:
-            watch = self._tasks.start_soon(
-                contain, "disconnect", _cancel_on_disconnect, exchange, writer, scope
-            )
-            try:
-                if call.route.kind is CallKind.STREAM:
-                    await self._streams.answer(call, writer)
-                else:
-                    await self._answer_plain(call, writer)
-            finally:
-                watch.cancel()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_cancel_on_disconnect, exchange, writer, tasks.cancel_scope)
+            if call.route.kind is CallKind.STREAM:
+                await self._streams.answer(call, writer)
+            else:
+                await self._answer_plain(call, writer)
+            tasks.cancel_scope.cancel()
 
     async def _answer_plain(self, call: Call, writer: HttpResponseWriter) -> None:
         result = await self._plain.answer(call)
--- a/src/bramleylead/gateway/_run.py
+++ b/src/bramleylead/gateway/_run.py
@@ -159,7 +159,7 @@
         streams = StreamCalls(sender, budgets, TurnHistory(ledger), guard, self._quotas)
         plain = PlainCalls(sender, guard, self._quotas)
         self.app = GatewayApp(
-            self.directory, plain, streams, tasks, bounds_responses=settings.bounds_memory
+            self.directory, plain, streams, bounds_responses=settings.bounds_memory
         )
         self._relay_server = RelayServer(
             self.directory,
--- a/testing/gateway/_site.py
+++ b/testing/gateway/_site.py
@@ -358,7 +358,7 @@
         history = TurnHistory(self.ledger)  # type: ignore[arg-type]
         streams = StreamCalls(sender, budgets, history, guard, self.quotas)
         plain = PlainCalls(sender, guard, self.quotas)
-        self.app = GatewayApp(self.directory, plain, streams, tasks)
+        self.app = GatewayApp(self.directory, plain, streams)
 
     async def add_replica(
         self, name: str, script: Script, *, service: str = "svc", version: str = "v1"
