--- a/src/bramleylead/connection/_client.py
+++ b/src/bramleylead/connection/_client.py
@@ -12,19 +12,15 @@
 
 import anyio
 import structlog
-from anyio.abc import ByteStream
 from anyio.abc import TaskGroup
 from result import Err
 from result import Ok
 from result import Result
 
 from bramleylead.connection._codec import MessageError
-from bramleylead.connection._codec import to_plain
-from bramleylead.connection._frames import Frame
-from bramleylead.connection._frames import FrameKind
-from bramleylead.connection._frames import FrameStream
 from bramleylead.connection._handshake import client_handshake
 from bramleylead.connection._network import Network
+from bramleylead.connection._peer_connection import PeerConnection
 from bramleylead.connection._rpc import PeerCall
 from bramleylead.connection._rpc import first_answer
 from bramleylead.connection._rpc import no_answer
@@ -43,87 +39,6 @@
 log = structlog.get_logger()
 
 
-class _Connection:
-    """The client side of one connection."""
-
-    def __init__(self, stream: ByteStream, *, coalesce_s: float) -> None:
-        self.stream = stream
-        self.frames = FrameStream(stream, coalesce_s=coalesce_s)
-        self.calls: dict[int, PeerCall] = {}
-        self.next_call = 1
-        self.last_received_at = anyio.current_time()
-        self.last_used_at = self.last_received_at
-        self.last_ping_at = self.last_received_at
-        self.awaiting_reply_since: float | None = None
-        self.scope = anyio.CancelScope()
-        self.closed = False
-
-    def open(self, request: tuple[Any, ...]) -> PeerCall:
-        """Send a request.
-
-        :raises MessageError: if no frame can carry it.
-        """
-        call = PeerCall(self.next_call, self.frames)
-        self.frames.send_nowait(Frame(call.number, FrameKind.OPEN, to_plain(request)))
-        self.calls[call.number] = call
-        self.next_call += 1
-        self.last_used_at = anyio.current_time()
-        self._start_awaiting_reply()
-        return call
-
-    def post(self, message: tuple[Any, ...]) -> None:
-        """Send a request whose answer is ignored when it arrives.
-
-        This is no use that keeps the connection open: nothing would tell that it has become silent.
-
-        :raises MessageError: if no frame can carry it.
-        """
-        self.frames.send_nowait(Frame(self.next_call, FrameKind.OPEN, to_plain(message)))
-        self.next_call += 1
-        self._start_awaiting_reply()
-
-    def release(self, call: PeerCall) -> None:
-        """Remove a call; send a cancel frame unless the server has already ended the call."""
-        self.last_used_at = anyio.current_time()
-        if self.calls.pop(call.number, None) is not None:
-            call.end()
-            self.frames.send_nowait(Frame(call.number, FrameKind.CANCEL, None))
-
-    def ping(self) -> None:
-        self.last_ping_at = anyio.current_time()
-        self.frames.send_nowait(Frame(0, FrameKind.PING, None))
-        self._start_awaiting_reply()
-
-    def is_silent(self, limit_s: float) -> bool:
-        """Whether a reply has been outstanding for longer than a limit with nothing received."""
-        since = self.awaiting_reply_since
-        return since is not None and anyio.current_time() - since > limit_s
-
-    def close(self) -> None:
-        self.closed = True
-        self.frames.close()
-        for call in self.calls.values():
-            call.end()
-        self.calls.clear()
-        self.scope.cancel()
-
-    async def receive_frames(self) -> None:
-        while True:
-            frame = await self.frames.receive()
-            self.last_received_at = anyio.current_time()
-            self.awaiting_reply_since = None
-            call = self.calls.get(frame.call)
-            if call is None:
-                continue
-            call.handle_frame(frame)
-            if frame.kind is FrameKind.END:
-                self.calls.pop(frame.call, None)
-
-    def _start_awaiting_reply(self) -> None:
-        if self.awaiting_reply_since is None:
-            self.awaiting_reply_since = anyio.current_time()
-
-
 @final
 class PeerClient:
     """Calls other nodes over one connection per peer.
@@ -139,8 +54,8 @@
         self._node = node
         self._cluster_key = cluster_key
         self._coalesce_s = coalesce_s
-        self._connections: dict[str, _Connection] = {}
-        self._open_connections: dict[_Connection, str] = {}
+        self._connections: dict[str, PeerConnection] = {}
+        self._open_connections: dict[PeerConnection, str] = {}
         self._connect_locks: defaultdict[str, anyio.Lock] = defaultdict(anyio.Lock)
         self._tasks: TaskGroup | None = None
         self.bad_frames = 0
@@ -219,7 +134,7 @@
             connection.release(call)
 
     async def _request_hedged(
-        self, address: str, message: tuple[Any, ...], connection: _Connection
+        self, address: str, message: tuple[Any, ...], connection: PeerConnection
     ) -> Result[Any, Failure]:
         """Send a request over a connection, and also over a new one if that stays silent."""
         if anyio.current_time() - connection.last_received_at <= HEDGE_DELAY_S:
@@ -227,7 +142,7 @@
         answers: list[Result[Any, Failure]] = []
         async with anyio.create_task_group() as task_group:
 
-            async def send_over(via: _Connection) -> None:
+            async def send_over(via: PeerConnection) -> None:
                 answer = await _request_over(via, message, address)
                 answers.append(answer)
                 if _was_answered(answer):
@@ -247,7 +162,7 @@
             await send_over(connection)
         return next(filter(_was_answered, answers), answers[-1])
 
-    async def _get_connection(self, address: str) -> _Connection | None:
+    async def _get_connection(self, address: str) -> PeerConnection | None:
         lock = self._connect_locks[address]
         usable = self._usable_connection(address)
         if usable is not None and not lock.locked():
@@ -255,29 +170,29 @@
         async with lock:
             return self._usable_connection(address) or await self._connect(address)
 
-    def _usable_connection(self, address: str) -> _Connection | None:
+    def _usable_connection(self, address: str) -> PeerConnection | None:
         existing = self._connections.get(address)
         return None if existing is None or existing.closed else existing
 
     async def _replace_connection(
-        self, address: str, silent_connection: _Connection
-    ) -> _Connection | None:
+        self, address: str, silent_connection: PeerConnection
+    ) -> PeerConnection | None:
         """Replace a silent connection with a new one; calls on the silent one continue."""
         async with self._connect_locks[address]:
             if self._connections.get(address) is silent_connection:
                 return await self._connect(address)
             return self._connections.get(address)
 
-    async def _connect(self, address: str) -> _Connection | None:
+    async def _connect(self, address: str) -> PeerConnection | None:
         assert self._tasks is not None, "PeerClient is used outside its context manager"
         connected: anyio.Event = anyio.Event()
-        opened: list[_Connection] = []
+        opened: list[PeerConnection] = []
         with anyio.move_on_after(CONNECT_TIMEOUT_S):
             try:
                 stream = await self._network.connect(address)
             except OSError:
                 return None
-            connection = _Connection(stream, coalesce_s=self._coalesce_s)
+            connection = PeerConnection(stream, coalesce_s=self._coalesce_s)
             self._tasks.start_soon(
                 contain, "peer_connection", self._run, address, connection, connected, opened
             )
@@ -291,9 +206,9 @@
     async def _run(
         self,
         address: str,
-        connection: _Connection,
+        connection: PeerConnection,
         connected: anyio.Event,
-        opened: list[_Connection],
+        opened: list[PeerConnection],
     ) -> None:
         """Run one connection from its handshake to its end."""
         try:
@@ -317,7 +232,7 @@
             connected.set()
             self._drop_connection(address, connection)
 
-    def _drop_connection(self, address: str, connection: _Connection) -> None:
+    def _drop_connection(self, address: str, connection: PeerConnection) -> None:
         if self._connections.get(address) is connection:
             del self._connections[address]
             lock = self._connect_locks.get(address)
@@ -336,7 +251,7 @@
             for connection, address in list(self._open_connections.items()):
                 self._check_connection(address, connection)
 
-    def _check_connection(self, address: str, connection: _Connection) -> None:
+    def _check_connection(self, address: str, connection: PeerConnection) -> None:
         now = anyio.current_time()
         if connection.is_silent(SILENCE_TIMEOUT_S) and connection.calls:
             self._drop_connection(address, connection)
@@ -363,7 +278,7 @@
 
 
 async def _request_over(
-    connection: _Connection, message: tuple[Any, ...], address: str
+    connection: PeerConnection, message: tuple[Any, ...], address: str
 ) -> Result[Any, Failure]:
     try:
         call = connection.open(message)
