Refuse a message whose text is no Unicode as any invalid one

Cause: msgspec raises UnicodeEncodeError for a text with half of a surrogate pair, where pydantic reported an invalid field; from_plain passed it on.

Change: from_plain reports it as MessageError.

Measured: the new test fails before with UnicodeEncodeError, and passes.

--- a/src/bramleylead/connection/_codec.py
+++ b/src/bramleylead/connection/_codec.py
@@ -65,7 +65,8 @@
     try:
         # Ends at the first fault, so that a message of 4 MB can't have as many reasons as bytes.
         return msgspec.convert(fields, cls, builtin_types=MSGPACK_TYPES)
-    except msgspec.ValidationError as error:
+    except (msgspec.ValidationError, UnicodeEncodeError) as error:
+        # A text that is no UTF-8, with half of a surrogate pair, can come from JSON.
         raise MessageError(f"invalid {cls.__name__}: {error}") from error
 
 
--- a/testing/connection/test_codec.py
+++ b/testing/connection/test_codec.py
@@ -93,6 +93,11 @@
             with self.subTest(wrong), self.assertRaisesRegex(MessageError, "invalid Keys"):
                 from_plain([KEYS_CODE, "run", wrong, [], False])
 
+    # Guards against an error other than MessageError, which ends the task that reads the message.
+    def test_text_that_is_no_unicode_is_refused(self) -> None:
+        with self.assertRaisesRegex(MessageError, "invalid AskRecords"):
+            from_plain([ASK_RECORDS_CODE, ["\ud800"]])
+
     def test_text_is_not_taken_for_bytes(self) -> None:
         with self.assertRaisesRegex(MessageError, "invalid Hello"):
             from_plain([HELLO_CODE, 2, "n", "YWJj"])
