--- a/testing/connection/test_codec.py
+++ b/testing/connection/test_codec.py
@@ -96,7 +96,7 @@
     # Guards against an error other than MessageError, which ends the task that reads the message.
     def test_text_that_is_no_unicode_is_refused(self) -> None:
         with self.assertRaisesRegex(MessageError, "invalid AskRecords"):
-            from_plain([ASK_RECORDS_CODE, ["\ud800"]])
+            from_plain([ASK_RECORDS_CODE, "\ud800"])
 
     def test_text_is_not_taken_for_bytes(self) -> None:
         with self.assertRaisesRegex(MessageError, "invalid Hello"):
