--- a/review/common-2/stage.py
+++ b/review/common-2/stage.py
@@ -11,8 +11,10 @@
 import json
 import os
 import re
+import secrets
 import shutil
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -34,9 +36,11 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
+FIRST_PORT, PORTS = 15_000, 15_000
 DRAIN_S = 2.5
 CONFIG_APPLY_S = 2.5
 STABLE_WINDOW_S = 3.0
+HEARTBEAT_S = 1.2
 SITE_HOST = "site.example"
 EVENT_TOKENS = 23
 OBJECTS = "/api/objects/"
@@ -60,11 +64,25 @@
 Answer = tuple[int, Any]
 
 
+_taken: set[int] = set()
+
+
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a port that is free now, below those that the system gives to connections."""
+    while True:
+        port = FIRST_PORT + secrets.randbelow(PORTS)
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind((HOST, port))
+            if port not in _taken:
+                _taken.add(port)
+                return port
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
+    raw = writer.get_extra_info("socket")
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
 
 
 class Record:
@@ -130,6 +148,7 @@
 
     async def open(self) -> None:
         """Listen."""
+        self._open: set[asyncio.StreamWriter] = set()
         self.server = await asyncio.start_server(self._serve, HOST, 0, limit=MAX_HEAD_BYTES)
         self.address = f"{HOST}:{self.server.sockets[0].getsockname()[1]}"
 
@@ -142,6 +161,7 @@
         raise NotImplementedError
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._open.add(writer)
         with suppress(*ENDS):
             while (head := await read_head(reader)) is not None:
                 body = await read_body(reader, head[1])
@@ -150,6 +170,7 @@
                 arrived = Arrived(method, target, head[1], body, at, reader, writer)
                 if not await self.handle(arrived):
                     break
+        self._open.discard(writer)
         writer.close()
 
 
@@ -302,7 +323,9 @@
 class Replica(Server):
     """One replica; ``ran`` lists what it has begun to work on.
 
+    :param work_s: until the answer of a plain service, and before each event of a stream.
     :param events: of each stream; 0 for a plain service.
+    :param wait_s: before the first event, besides.
     """
 
     def __init__(
@@ -314,10 +337,23 @@
         zone: str = "z1",
         work_s: float = 0.02,
         events: int = 0,
+        wait_s: float = 0.0,
     ) -> None:
         self.name, self.service, self.zone, self.record = name, service, zone, record
-        self.work_s, self.events, self.leaving = work_s, events, False
+        self.work_s, self.events, self.wait_s, self.leaving = work_s, events, wait_s, False
         self.ran: list[Ran] = []
+        self._running: dict[asyncio.StreamWriter, Arrived] = {}
+
+    @property
+    def running(self) -> list[bytes]:
+        """The last line of the body of each stream under way that has no event yet."""
+        return [each.body.splitlines(keepends=True)[-1] for each in self._running.values()]
+
+    def crash(self) -> None:
+        """End at once: connections are reset, and new ones are refused."""
+        self.close()
+        for writer in list(self._open):
+            reset(writer)
 
     def entry(self, state: str = "ready") -> Plain:
         """Return its entry in the list of replicas."""
@@ -356,6 +392,11 @@
 
     async def _stream(self, arrived: Arrived, request: str, head: str) -> None:
         head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+        self._running[arrived.writer] = arrived
+        try:
+            await asyncio.sleep(self.wait_s)
+        finally:
+            self._running.pop(arrived.writer, None)
         arrived.writer.write(f"{head}\r\n".encode())
         for number in range(1, self.events + 1):
             await asyncio.sleep(self.work_s)
@@ -444,6 +485,7 @@
         self.store = Store()
         self._processes: list[Process] = []
         self._servers: list[Server] = []
+        self._tasks: list[asyncio.Task[None]] = []
         self._version = 0
 
     async def open(self) -> None:
@@ -458,6 +500,35 @@
         self.store.put("servers", replica.name, replica.entry())
         return replica
 
+    async def crash(self, replica: Replica, for_s: float) -> None:
+        """Crash a replica; it starts again after a while, under another name.
+
+        The entry of one that is silent is removed after three heartbeat intervals.
+        """
+        self.record.line("replica", replica.name, "crashes")
+        replica.crash()
+        self._tasks.append(asyncio.create_task(self._unlist(replica)))
+        self._tasks.append(asyncio.create_task(self._restart(replica, for_s)))
+
+    async def _unlist(self, crashed: Replica) -> None:
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        self.store.remove("servers", crashed.name)
+        self.record.line("the entry of", crashed.name, "is removed")
+
+    async def _restart(self, crashed: Replica, for_s: float) -> None:
+        await asyncio.sleep(for_s)
+        again = Replica(
+            f"{crashed.name}-again",
+            crashed.service,
+            self.record,
+            zone=crashed.zone,
+            work_s=crashed.work_s,
+            events=crashed.events,
+            wait_s=crashed.wait_s,
+        )
+        await self.add_replica(again)
+        self.record.line("replica", again.name, "is listed")
+
     def add(self, role: str, node: str, zone: str) -> Process:
         """Start a process of the project."""
         process = Process(self, role, node, zone)
@@ -504,6 +575,8 @@
 
     def close(self) -> None:
         """End all that was started."""
+        for task in self._tasks:
+            task.cancel()
         for process in self._processes:
             process.end()
         for server in self._servers:
