--- a/review/common-2/stage.py
+++ b/review/common-2/stage.py
@@ -184,6 +184,8 @@
     def __init__(self) -> None:
         self.objects: dict[str, dict[str, Plain]] = {}
         self.lag_s = 0.0
+        self.delay_s = 0.004
+        self.on_write: Callable[[str], None] = lambda kind: None
         self._events: list[tuple[int, str, Plain, bool]] = []
         self._past: list[tuple[float, int, dict[str, dict[str, Plain]]]] = []
         self._revision = 1
@@ -223,6 +225,7 @@
         query = {name: values[-1] for name, values in parse_qs(url.query).items()}
         parts = [unquote(part) for part in url.path.removeprefix(OBJECTS).split("/")]
         answer: Answer | None
+        await asyncio.sleep(self.delay_s)
         if arrived.method == "GET" and "watch" in query:
             answer = await self._watch(parts[0], query, arrived.writer)
         else:
@@ -298,7 +301,9 @@
         part = "status" if parts[2:] == ["status"] else "specification"
         if found[part] == plain.get(part):
             return 200, found
-        return 200, self._write(kind, {**found, part: plain.get(part)})
+        written = self._write(kind, {**found, part: plain.get(part)})
+        self.on_write(kind)
+        return 200, written
 
     def _read(self, kind: str, name: str, query: Headers) -> Answer:
         revision, objects = self._revision, self.objects
@@ -415,6 +420,7 @@
     def __init__(self, stage: Stage, role: str, node: str, zone: str) -> None:
         self.role, self.node = role, node
         self.http, self.ready = f"{HOST}:{free_port()}", f"{HOST}:{free_port()}"
+        self._data = stage.folder / node
         peer_port = free_port()
         settings = {
             "node": node,
@@ -433,7 +439,7 @@
             settings |= {"http_address": self.http, "ready_address": self.ready}
             settings |= {"seeds": [], "contracts": CONTRACTS}
         else:
-            settings["data_folder"] = str(stage.folder / node)
+            settings["data_folder"] = str(self._data)
         self._file = stage.folder / f"{node}.json"
         self._file.write_text(json.dumps(settings))
         self._log = stage.folder / f"{node}.log"
@@ -469,6 +475,10 @@
             self._process.kill()
             self._process.wait()
 
+    def wipe(self) -> None:
+        """Lose the disk; the process must have ended."""
+        shutil.rmtree(self._data, ignore_errors=True)
+
 
 class Stage:
     """A small deployment: a store, storage machines, gateways and replicas.
