--- a/review/common-2/stage.py
+++ b/review/common-2/stage.py
@@ -13,6 +13,7 @@
 import re
 import secrets
 import shutil
+import signal
 import socket
 import struct
 import subprocess
@@ -24,16 +25,12 @@
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
-from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
 from urllib.parse import parse_qs
 from urllib.parse import unquote
 from urllib.parse import urlsplit
 
-if TYPE_CHECKING:
-    import signal
-
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
 FIRST_PORT, PORTS = 15_000, 15_000
@@ -671,17 +668,24 @@
 
 
 def run(here: Path, zones: dict[str, str], play: Callable[[Stage], Awaitable[bool]]) -> None:
-    """Play a case and exit: 1 if it returns true (the rule was broken), 0 if not, 2 if it can't."""
+    """Play a case and exit: 1 if it returns true (the rule was broken), 0 if not, 2 if it can't.
+
+    A signal to stop ends all that was started, too.
+    """
 
     async def main() -> int:
         stage = Stage(here, zones)
+        playing = asyncio.current_task()
+        assert playing is not None
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
         try:
             async with asyncio.timeout(RUN_LIMIT_S):
                 await stage.open()
                 broken = await play(stage)
             stage.record.line("RESULT:", "the rule was broken" if broken else "the rule held")
             return 1 if broken else 0
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             stage.record.line("RESULT: could not run:", type(error).__name__, error)
             return 2
         finally:
