--- a/review/stand_ins_3/site3.py
+++ b/review/stand_ins_3/site3.py
@@ -296,12 +296,18 @@
         self.server = HttpServer(self._handle)
         self.address = ""
         self.ran: list[str] = []
+        self.serving = True
 
     async def start(self) -> None:
         """Serve, and register in the store."""
         self.address = await self.server.start(self.site.host(f"replica {self.name}"))
         self.report("ready")
 
+    def exit(self) -> None:
+        """Close the listener and every connection, as the end of the process does."""
+        self.serving = False
+        self.server.close()
+
     def entry(self, state: str) -> dict[str, Any]:
         """Return the entry in the store."""
         return {
