--- a/review/stand_ins_3/site3.py
+++ b/review/stand_ins_3/site3.py
@@ -494,6 +494,29 @@
             process.start()
         await self.wait_ready(20.0)
 
+    def add_ledger(self, zone: str) -> Process:
+        """Start one more machine with a disk, under a name and at an address of its own."""
+        process = Process(self, "ledger", f"storage-{zone}-{len(self.ledgers) + 1}", zone)
+        self.ledgers.append(process)
+        process.start()
+        return process
+
+    async def retire(self, node: Process, limit_s: float) -> None:
+        """Ask for a storage machine to be emptied, and take it away once that is reported.
+
+        :raises TimeoutError: if that takes longer.
+        """
+        self.store.put("retirements", node.name, {"duration-s": limit_s})
+        self.record.add("retirement_asked_for", node=node.name)
+        for _ in range(int(limit_s / POLL_S)):
+            found = self.store.objects["retirements"][node.name]
+            if (found["status"] or {}).get("state") == "completed":
+                self.record.add("retirement_completed", node=node.name, members=self.members())
+                node.end()
+                return
+            await asyncio.sleep(POLL_S)
+        raise TimeoutError(f"{node.name} was not emptied")
+
     async def wait_ready(self, limit_s: float) -> None:
         """Wait until the ledger has three members and every gateway is ready.
 
@@ -665,12 +688,15 @@
     record.add("case", folder=folder.name, trouble=trouble)
 
     async def limited() -> bool:
+        running = asyncio.current_task()
+        assert running is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, running.cancel)
         async with asyncio.timeout(limit_s):
             return await body(record, trouble)
 
     try:
         broken = asyncio.run(limited())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.add("could_not_run", reason=f"{type(error).__name__}: {error}")
         print(f"could not run: {type(error).__name__}: {error}", file=sys.stderr)
         sys.exit(2)
